Lay out the workspace: a crate for each area, the frames and the outside protocols

Types of the protocols between our processes (wire), towards engines (engine) and the platform (platform), and of the settings (config), so that the parts can be written side by side.

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,9 @@
+//! Settings of a process ([`process`]) and of the fleet ([`fleet`]), and the
+//! order of their changes ([`change`]).
+//!
+//! Both are INI. All errors of a file are reported at once ([`fault`]).
+
+pub mod change;
+pub mod fault;
+pub mod fleet;
+pub mod process;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! What every daemon shares: settings in force, peers, logs, metrics, signals
--- /dev/null
+++ b/crates/platform/src/vm.rs
@@ -0,0 +1,68 @@
+//! The platform's VM list. It lags: a VM may be listed as live when it is gone.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Name of a VM, usable as a DNS label.
+pub type Id = String;
+
+/// Name of a data centre.
+pub type DataCentre = String;
+
+/// Which process of the system runs on the VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// An entry VM.
+    Router,
+    /// A backend server's VM.
+    Agent,
+}
+
+/// What the platform says of the VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// In service.
+    Live,
+    /// Going away: no new work.
+    Leaving,
+}
+
+/// One VM of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of the VM.
+    pub vm: Id,
+    /// Its role.
+    pub role: Role,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// IP and UDP port of the process of the system on it.
+    pub address: String,
+    /// Live or leaving.
+    pub state: State,
+}
+
+/// Client of the VM list.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: rest::Client,
+}
+
+impl Client {
+    /// A client for the list at `base`, giving up on each call after `timeout`.
+    ///
+    /// ```
+    /// platform::vm::Client::new("http://127.0.0.1:9001", std::time::Duration::from_secs(2));
+    /// ```
+    pub fn new(base: &str, timeout: Duration) -> Client {
+        Client { http: rest::Client::new(base, timeout) }
+    }
+
+    /// All VMs listed, in order of name.
+    pub async fn list(&self) -> Result<Vec<Entry>, rest::Error> {
+        self.http.get("/v1/vms").await
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load, without a network or a clock
--- /dev/null
+++ b/crates/rest/src/lib.rs
@@ -0,0 +1,223 @@
+//! JSON over HTTP/1.1 towards the platform and the backend servers.
+//!
+//! One client is shared by a process; it keeps idle connections. Every failure
+//! says whether the peer may have seen the request, since only a request that
+//! was never sent can be called not run.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode, Uri, header};
+use hyper_util::client::legacy::{Client as Pool, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Longest answer body read, in bytes. A longer one is an error.
+pub const BODY_LIMIT: usize = 16 << 20;
+
+/// Why a call gave no usable answer.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// No connection could be made: the peer has not seen the request.
+    #[display("could not connect to {peer}: {reason}")]
+    Connect {
+        /// Address that was called.
+        peer: String,
+        /// The transport's own words.
+        reason: String,
+    },
+    /// The connection failed or timed out after the request may have been sent.
+    #[display("no answer from {peer}: {reason}")]
+    Lost {
+        /// Address that was called.
+        peer: String,
+        /// The transport's own words, or the timeout.
+        reason: String,
+    },
+    /// The peer answered with a status other than 2xx.
+    #[display("{peer} answered {status}: {body}")]
+    Status {
+        /// Address that was called.
+        peer: String,
+        /// HTTP status.
+        status: u16,
+        /// Start of the body.
+        body: String,
+    },
+    /// The body did not decode.
+    #[display("answer of {peer} does not decode: {reason}")]
+    Decode {
+        /// Address that was called.
+        peer: String,
+        /// The decoder's own words.
+        reason: String,
+    },
+}
+
+impl Error {
+    /// True when the peer cannot have acted on the request.
+    ///
+    /// ```
+    /// let e = rest::Error::Connect { peer: "127.0.0.1:1".into(), reason: "refused".into() };
+    /// assert!(e.unsent());
+    /// ```
+    pub fn unsent(&self) -> bool {
+        matches!(self, Error::Connect { .. })
+    }
+
+    /// The HTTP status, when there was an answer.
+    ///
+    /// ```
+    /// let e = rest::Error::Connect { peer: "127.0.0.1:1".into(), reason: "refused".into() };
+    /// assert_eq!(e.status(), None);
+    /// ```
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Error::Status { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+}
+
+/// A whole answer, for callers that pass it on unread.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header lines in order; values that are not UTF-8 are left out.
+    pub headers: Vec<(String, String)>,
+    /// The body, at most [`BODY_LIMIT`] bytes.
+    pub body: Bytes,
+}
+
+/// A pooled HTTP/1.1 client for one `http://IP:PORT` peer.
+#[derive(Debug, Clone)]
+pub struct Client {
+    base: String,
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// A client for `base` (`http://127.0.0.1:9000`), giving up on each call after `timeout`.
+    ///
+    /// ```
+    /// let rdr = rest::Client::new("http://127.0.0.1:9000", std::time::Duration::from_secs(2));
+    /// assert_eq!(rdr.base(), "http://127.0.0.1:9000");
+    /// ```
+    pub fn new(base: &str, timeout: Duration) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(500).min(timeout)));
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(20))
+            // A transparent retry would run a write twice when the pooled
+            // connection dies after the peer has read the request.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Client { base: base.trim_end_matches('/').to_string(), pool, timeout }
+    }
+
+    /// The same peer and pool with another timeout.
+    pub fn with_timeout(&self, timeout: Duration) -> Client {
+        Client { timeout, ..self.clone() }
+    }
+
+    /// Address this client calls.
+    pub fn base(&self) -> &str {
+        &self.base
+    }
+
+    /// Sends any request and returns the whole answer, whatever its status.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(String, String)],
+        body: Bytes,
+    ) -> Result<Answer, Error> {
+        let req = self.build(method, path, headers, body)?;
+        match tokio::time::timeout(self.timeout, self.exchange(req)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.lost(format!("no answer within {:?}", self.timeout))),
+        }
+    }
+
+    /// GET, decoded from JSON.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.json("GET", path, &()).await
+    }
+
+    /// POST of a JSON body, decoded from JSON.
+    pub async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<T, Error> {
+        self.json("POST", path, body).await
+    }
+
+    /// Any method with a JSON body; an empty answer decodes as `null`.
+    pub async fn json<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: &B,
+    ) -> Result<T, Error> {
+        let body = match method {
+            "GET" | "DELETE" => Bytes::new(),
+            _ => serde_json::to_vec(body).map_err(|e| self.decode(e))?.into(),
+        };
+        let headers = [(header::CONTENT_TYPE.to_string(), "application/json".to_string())];
+        let answer = self.send(method, path, &headers, body).await?;
+        if !StatusCode::from_u16(answer.status).is_ok_and(|s| s.is_success()) {
+            let body = String::from_utf8_lossy(&answer.body).chars().take(200).collect();
+            return Err(Error::Status { peer: self.base.clone(), status: answer.status, body });
+        }
+        let raw: &[u8] = if answer.body.is_empty() { b"null" } else { &answer.body };
+        serde_json::from_slice(raw).map_err(|e| self.decode(e))
+    }
+
+    fn build(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(String, String)],
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let bad = |e: String| Error::Connect { peer: self.base.clone(), reason: e };
+        let uri: Uri = format!("{}{path}", self.base).parse().map_err(|e| bad(format!("{e}")))?;
+        let method: Method = method.parse().map_err(|e| bad(format!("{e}")))?;
+        let mut req = Request::builder().method(method).uri(uri);
+        for (name, value) in headers {
+            req = req.header(name, value);
+        }
+        req.body(Full::new(body)).map_err(|e| bad(e.to_string()))
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Answer, Error> {
+        let res = self.pool.request(req).await.map_err(|e| match e.is_connect() {
+            true => Error::Connect { peer: self.base.clone(), reason: e.to_string() },
+            false => self.lost(e.to_string()),
+        })?;
+        let status = res.status().as_u16();
+        let headers = res
+            .headers()
+            .iter()
+            .filter_map(|(k, v)| Some((k.to_string(), v.to_str().ok()?.to_string())))
+            .collect();
+        let limited = http_body_util::Limited::new(res.into_body(), BODY_LIMIT);
+        let body = limited.collect().await.map_err(|e| self.lost(e.to_string()))?.to_bytes();
+        Ok(Answer { status, headers, body })
+    }
+
+    fn lost(&self, reason: String) -> Error {
+        Error::Lost { peer: self.base.clone(), reason }
+    }
+
+    fn decode(&self, e: serde_json::Error) -> Error {
+        Error::Decode { peer: self.base.clone(), reason: e.to_string() }
+    }
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry daemon: takes callers' requests, chooses backend servers, keeps the caller's connection
+
+fn main() {}
--- /dev/null
+++ b/crates/scenario/src/main.rs
@@ -0,0 +1,3 @@
+//! Plays scripted scenarios against real processes on loopback.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,533 @@
+//! The typed messages and their encoding: a length, a format number, postcard.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::id;
+
+/// Number of the frame format. A peer with another one is refused.
+pub const FORMAT: u8 = 1;
+
+/// Longest frame in bytes.
+pub const LIMIT: usize = 24 << 20;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// The peer speaks another format.
+    #[display("frame format {found}, this process speaks {FORMAT}")]
+    Format {
+        /// What the peer sent.
+        found: u8,
+    },
+    /// The frame is longer than [`LIMIT`].
+    #[display("frame of {length} bytes, the limit is {LIMIT}")]
+    Long {
+        /// Its length.
+        length: usize,
+    },
+    /// The bytes are no such message.
+    #[display("frame does not decode: {reason}")]
+    Decode {
+        /// The decoder's own words.
+        reason: String,
+    },
+    /// Bytes stand after the message.
+    #[display("{count} bytes after the end of the message")]
+    Trailing {
+        /// How many.
+        count: usize,
+    },
+    /// The stream ended or broke.
+    #[display("stream broke: {reason}")]
+    Stream {
+        /// The transport's own words.
+        reason: String,
+    },
+}
+
+/// First frame of a stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Router to agent: the agent answers with a [`Tell::Report`] at once and then
+    /// at each change, at least once each report interval.
+    Watch(Watch),
+    /// Router to agent: run a draft as its head. Answers: [`Tell::Accepted`] or
+    /// [`Tell::Refused`]; then [`Tell::Token`]s; then [`Tell::Done`] or [`Tell::Refused`].
+    Draft(Draft),
+    /// Router to agent: go on with a draft that the agent drives. Answers as for a draft.
+    Attach(Attach),
+    /// Router to agent: the caller has gone. Answer: [`Tell::Ok`].
+    Cancel(Cancel),
+    /// Head to stage: open a session. Answer: [`Tell::Opened`] or [`Tell::Refused`].
+    /// Then on the same stream [`Tell::Step`]s from the head, each answered by
+    /// [`Tell::Output`] or [`Tell::Refused`]. The end of the stream closes the session.
+    Open(Open),
+    /// Router to agent: call the plain service. Answer: [`Tell::Reply`] or [`Tell::Refused`].
+    Call(Call),
+    /// Anyone: the peer's state as JSON. Answer: [`Tell::Text`].
+    Status,
+    /// Anyone: the settings in force at the peer. Answer: [`Tell::Settings`].
+    Settings,
+    /// Anyone: what the peer knows of a request, as JSON lines. Answer: [`Tell::Text`].
+    Explain(id::Request),
+}
+
+/// Every other frame.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Tell {
+    /// State of an agent.
+    Report(Box<Report>),
+    /// The draft runs; it will be answered in full or its loss will be said.
+    Accepted(Accepted),
+    /// It was not run, or its outcome is not known, or it may not be asked.
+    Refused(Refusal),
+    /// One generated token.
+    Token(Token),
+    /// The draft is complete.
+    Done(Done),
+    /// Session open.
+    Opened,
+    /// Run these positions.
+    Step(Step),
+    /// What a step gave.
+    Output(Output),
+    /// Answer of a plain service.
+    Reply(Reply),
+    /// Settings in force.
+    Settings(Settings),
+    /// Free text or JSON.
+    Text(String),
+    /// Done, nothing to say.
+    Ok,
+}
+
+/// Asks for reports.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Watch {
+    /// Who watches.
+    pub vm: id::Vm,
+}
+
+/// What stands behind an agent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Backend {
+    /// Nothing that can be used now.
+    None,
+    /// A range of layers of a model.
+    Stage(Stage),
+    /// A plain service, by its name in the settings.
+    Service(String),
+}
+
+/// A range of layers of a model.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stage {
+    /// Name of the model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u32,
+    /// First layer.
+    pub first: u32,
+    /// Last layer, inclusive.
+    pub last: u32,
+}
+
+/// State of an agent, piggybacked for the routers. A hint: the agent alone decides.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The agent's VM.
+    pub vm: id::Vm,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+    /// Its data centre.
+    pub data_centre: String,
+    /// What stands behind it.
+    pub backend: Backend,
+    /// Slots it has.
+    pub slots: u32,
+    /// Slots taken.
+    pub busy: u32,
+    /// Smoothed time of one step or call in microseconds, measured by the agent; 0 when unknown.
+    pub step_us: u64,
+    /// True when it takes no new work.
+    pub leaving: bool,
+    /// Fleet settings it applies.
+    pub version: id::Version,
+    /// Fingerprints refused everywhere because each crashed an engine twice, sorted.
+    pub quarantined: Vec<id::Fingerprint>,
+    /// Fingerprints that were running at one crash, sorted.
+    pub suspects: Vec<id::Fingerprint>,
+}
+
+/// A draft to run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Draft {
+    /// Its id, which names the head that gets this frame.
+    pub request: id::Request,
+    /// Whose it is.
+    pub workspace: id::Workspace,
+    /// Model asked for.
+    pub model: String,
+    /// The prompt as the caller wrote it.
+    pub prompt: String,
+    /// Ids of tokens that the caller already has from an earlier head; the draft goes on after them.
+    pub delivered: Vec<u64>,
+    /// Tokens to generate at most, those delivered included.
+    pub max_tokens: u32,
+    /// Higher is served first.
+    pub priority: u8,
+    /// Time left until the caller's deadline.
+    pub deadline: Duration,
+    /// Hash of model and prompt, for the quarantine of requests that crash engines.
+    pub fingerprint: id::Fingerprint,
+    /// For each range after the head's, agents to try in this order.
+    pub chain: Vec<Hop>,
+}
+
+/// Replicas of one range of layers, best first.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hop {
+    /// The range.
+    pub stage: Stage,
+    /// Where it can run.
+    pub replicas: Vec<Place>,
+}
+
+/// Name and address of an agent.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// Its VM.
+    pub vm: id::Vm,
+    /// IP and UDP port.
+    pub address: String,
+}
+
+/// Goes on with a running or lately finished draft.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Attach {
+    /// Which one.
+    pub request: id::Request,
+    /// Whose; another workspace's request is answered as not found.
+    pub workspace: id::Workspace,
+    /// Generated tokens the caller has.
+    pub after: u32,
+}
+
+/// Gives up a draft.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Cancel {
+    /// Which one.
+    pub request: id::Request,
+    /// Whose.
+    pub workspace: id::Workspace,
+}
+
+/// The draft was taken.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+}
+
+/// Opens a session at a stage.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Open {
+    /// The request.
+    pub request: id::Request,
+    /// Its attempt at this range; lower ones of the same request are fenced off.
+    pub attempt: id::Attempt,
+    /// The range the head expects here.
+    pub stage: Stage,
+    /// Higher is served first.
+    pub priority: u8,
+    /// Hash of the request's content.
+    pub fingerprint: id::Fingerprint,
+    /// Model and prompt in short, shown to operators when a request crashes engines.
+    pub tag: String,
+}
+
+/// Consecutive positions to run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Position of the first input.
+    pub position: id::Position,
+    /// One hidden state a position.
+    pub inputs: Vec<u64>,
+}
+
+/// What a step gave.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Output {
+    /// Position of the first output.
+    pub position: id::Position,
+    /// One hidden state a position.
+    pub outputs: Vec<u64>,
+    /// The sampled token, from the last range.
+    pub token: Option<Word>,
+}
+
+/// A sampled token.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Word {
+    /// Its id.
+    pub id: u64,
+    /// Its text.
+    pub text: String,
+    /// True when the model ends here.
+    pub end: bool,
+}
+
+/// One generated token on its way to the caller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Token {
+    /// Number among the generated tokens, from 0.
+    pub index: u32,
+    /// The token.
+    pub word: Word,
+}
+
+/// A finished draft.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Done {
+    /// Generated tokens in all.
+    pub tokens: u32,
+    /// Stage replacements it took.
+    pub replaced: u32,
+    /// Layer runs repeated because a stage's state was lost.
+    pub repeated: u64,
+}
+
+/// What a route of a plain service promises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// Changes nothing.
+    ReadOnly,
+    /// May be repeated without harm.
+    Idempotent,
+    /// Must run at most once for each key.
+    NonIdempotent,
+}
+
+/// A call of a plain service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    /// Its id.
+    pub request: id::Request,
+    /// Whose.
+    pub workspace: id::Workspace,
+    /// Name of the service in the settings.
+    pub service: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query, without the service's prefix.
+    pub path: String,
+    /// Header lines that are passed on.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Idempotency key, for routes that are not idempotent.
+    pub key: Option<String>,
+    /// Contract of the route.
+    pub class: Class,
+    /// Time left until the caller's deadline.
+    pub deadline: Duration,
+    /// Hash of the content.
+    pub fingerprint: id::Fingerprint,
+}
+
+/// Answer of a plain service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Header lines.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// True when this is the kept answer of an earlier run of the same key.
+    pub replayed: bool,
+}
+
+/// Settings in force at a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Settings {
+    /// Their version; 0 when the peer has none.
+    pub version: id::Version,
+    /// Their text.
+    pub text: String,
+}
+
+/// What is certain about a request that got no answer of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It was not run and will not be.
+    #[display("not-run")]
+    NotRun,
+    /// It may have been run; it is never run again by the system.
+    #[display("unknown")]
+    Unknown,
+    /// It may not be asked: the caller has to change it.
+    #[display("refused")]
+    Refused,
+}
+
+/// Why a refusal was made, for the HTTP status and for retries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// The request is malformed or breaks a limit.
+    #[display("bad request")]
+    Bad,
+    /// Nothing by that name, or another workspace's.
+    #[display("not found")]
+    NotFound,
+    /// The key was used with another content.
+    #[display("conflict")]
+    Conflict,
+    /// No room now.
+    #[display("busy")]
+    Busy,
+    /// The VM is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// A backend server, peer or the platform can't be used now.
+    #[display("unavailable")]
+    Unavailable,
+    /// The deadline passed or can't be met.
+    #[display("deadline")]
+    Deadline,
+    /// The request crashed engines and is in quarantine.
+    #[display("quarantined")]
+    Quarantined,
+    /// A newer attempt exists.
+    #[display("fenced")]
+    Fenced,
+    /// The caller has gone.
+    #[display("cancelled")]
+    Cancelled,
+    /// The connection or the peer was lost on the way.
+    #[display("lost")]
+    Lost,
+}
+
+/// An honest refusal.
+#[derive(Debug, Clone, PartialEq, Display, Error, Serialize, Deserialize)]
+#[display("{outcome} ({cause}) at {step} by {peer}: {reason}")]
+pub struct Refusal {
+    /// What is certain.
+    pub outcome: Outcome,
+    /// Kind of reason.
+    pub cause: Cause,
+    /// Step at which it arose.
+    pub step: String,
+    /// Peer at which it arose.
+    pub peer: String,
+    /// A sentence for the caller.
+    pub reason: String,
+    /// When coming back makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal of something that was not run.
+    ///
+    /// ```
+    /// use wire::frame::{Cause, Outcome, Refusal};
+    /// let r = Refusal::not_run(Cause::Busy, "open", "gpu-1", "all 8 slots are taken");
+    /// assert_eq!(r.outcome, Outcome::NotRun);
+    /// ```
+    pub fn not_run(cause: Cause, step: &str, peer: &str, reason: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::NotRun, cause, step, peer, reason)
+    }
+
+    /// A refusal where it is not known whether the request ran.
+    ///
+    /// ```
+    /// use wire::frame::{Cause, Outcome, Refusal};
+    /// let r = Refusal::unknown(Cause::Lost, "call", "desk-1", "no answer in 2 s");
+    /// assert_eq!(r.outcome, Outcome::Unknown);
+    /// ```
+    pub fn unknown(cause: Cause, step: &str, peer: &str, reason: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::Unknown, cause, step, peer, reason)
+    }
+
+    /// A refusal of what the caller has to change.
+    ///
+    /// ```
+    /// use wire::frame::{Cause, Outcome, Refusal};
+    /// let r = Refusal::refused(Cause::Bad, "parse", "entry-1", "max_tokens is 0");
+    /// assert_eq!(r.outcome, Outcome::Refused);
+    /// ```
+    pub fn refused(cause: Cause, step: &str, peer: &str, reason: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::Refused, cause, step, peer, reason)
+    }
+
+    /// The same with a time to come back.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use wire::frame::{Cause, Refusal};
+    /// let r = Refusal::not_run(Cause::Busy, "open", "gpu-1", "full").after(Duration::from_secs(1));
+    /// assert_eq!(r.retry_after, Some(Duration::from_secs(1)));
+    /// ```
+    pub fn after(mut self, time: Duration) -> Refusal {
+        self.retry_after = Some(time);
+        self
+    }
+
+    fn new(
+        outcome: Outcome,
+        cause: Cause,
+        step: &str,
+        peer: &str,
+        reason: impl Into<String>,
+    ) -> Refusal {
+        let (step, peer) = (step.to_string(), peer.to_string());
+        Refusal { outcome, cause, step, peer, reason: reason.into(), retry_after: None }
+    }
+}
+
+/// Encodes a message with its length and format number.
+///
+/// ```
+/// use wire::frame::{Ask, decode, encode};
+/// let raw = encode(&Ask::Status).unwrap();
+/// assert_eq!(decode::<Ask>(&raw[4..]).unwrap(), Ask::Status);
+/// ```
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, Error> {
+    let raw = vec![0, 0, 0, 0, FORMAT];
+    let mut raw =
+        postcard::to_extend(message, raw).map_err(|e| Error::Decode { reason: e.to_string() })?;
+    let length = raw.len() - 4;
+    match u32::try_from(length) {
+        Ok(n) if length <= LIMIT => raw[..4].copy_from_slice(&n.to_be_bytes()),
+        _ => return Err(Error::Long { length }),
+    }
+    Ok(raw)
+}
+
+/// Decodes what follows the length. Another format and trailing bytes are errors.
+///
+/// ```
+/// assert!(wire::frame::decode::<wire::frame::Ask>(&[9, 0]).is_err());
+/// ```
+pub fn decode<T: DeserializeOwned>(raw: &[u8]) -> Result<T, Error> {
+    let (format, body) = match raw.split_first() {
+        Some((f, body)) => (*f, body),
+        None => return Err(Error::Decode { reason: "empty frame".into() }),
+    };
+    if format != FORMAT {
+        return Err(Error::Format { found: format });
+    }
+    let (message, rest) =
+        postcard::take_from_bytes(body).map_err(|e| Error::Decode { reason: e.to_string() })?;
+    match rest.len() {
+        0 => Ok(message),
+        count => Err(Error::Trailing { count }),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Frames and links between the system's own processes.
+//!
+//! A process opens a QUIC connection to a peer, and on it one bidirectional
+//! stream for each exchange. The first frame of a stream is an [`frame::Ask`];
+//! the answers are [`frame::Tell`]s. What each exchange looks like is written
+//! at the variants of [`frame::Ask`].
+
+pub mod frame;
+pub mod id;
+pub mod link;
+pub mod tls;
