--- /dev/null
+++ b/crates/agent/src/ask.rs
@@ -0,0 +1,143 @@
+//! Answers to what routers, heads and operators ask of an agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use wire::frame::{Ask, Backend, Cause, Open, Refusal, Tell, Watch};
+use wire::link::Stream;
+
+use crate::{Agent, call, draft, stage};
+
+/// Pause between looks for a change that routers have to hear of at once.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Answers one stream.
+pub async fn answer(agent: Arc<Agent>, ask: Ask, mut stream: Stream) {
+    match ask {
+        Ask::Watch(watch) => report(agent, watch, stream).await,
+        Ask::Draft(draft) => draft::run(agent, draft, stream).await,
+        Ask::Attach(attach) => draft::attach(agent, attach, stream).await,
+        Ask::Cancel(cancel) => {
+            draft::cancel(&agent, &cancel);
+            reply(&mut stream, Tell::Ok).await;
+        }
+        Ask::Open(open) => match agent.stage.clone() {
+            Some(table) => serve_stage(&agent, table, open, stream).await,
+            None => {
+                let tell = Tell::Refused(nothing_here(&agent, "open"));
+                reply(&mut stream, tell).await;
+            }
+        },
+        Ask::Call(call) => {
+            let tell = match &agent.service {
+                Some(service) => call::run(agent.clone(), service.clone(), call).await,
+                None => Err(nothing_here(&agent, "call")),
+            };
+            let tell = tell.map_or_else(Tell::Refused, Tell::Reply);
+            reply(&mut stream, tell).await;
+        }
+        Ask::Status => {
+            let text = status(&agent).to_string();
+            reply(&mut stream, Tell::Text(text)).await;
+        }
+        // Answered by the node crate before this one is asked.
+        Ask::Settings | Ask::Explain(_) => {}
+    }
+}
+
+async fn reply(stream: &mut Stream, tell: Tell) {
+    match stream.send(&tell).await {
+        Ok(()) => {
+            stream.finish();
+            stream.stopped().await;
+        }
+        Err(e) => log::debug!("ask: {e}"),
+    }
+}
+
+fn nothing_here(agent: &Agent, step: &str) -> Refusal {
+    let why = "no such backend server stands here";
+    Refusal::not_run(Cause::Unavailable, step, &agent.node.process.vm, why)
+}
+
+/// Sends the agent's state at each report interval, and at once when a router
+/// that did not know would send work in vain: leaving, or another backend state.
+async fn report(agent: Arc<Agent>, watch: Watch, mut stream: Stream) {
+    log::debug!("report: {} watches", watch.vm);
+    loop {
+        let sent = agent.report();
+        if stream.send(&Tell::Report(Box::new(sent.clone()))).await.is_err() {
+            return;
+        }
+        let interval = agent.node.settings.borrow().fleet.defaults.report_interval;
+        let due = tokio::time::Instant::now() + interval;
+        while tokio::time::Instant::now() < due {
+            tokio::time::sleep(LOOK.min(interval)).await;
+            if agent.leaving() != sent.leaving || agent.backend() != sent.backend {
+                break;
+            }
+        }
+    }
+}
+
+/// Serves the steps of a session for a head elsewhere.
+async fn serve_stage(agent: &Agent, table: Arc<stage::Table>, open: Open, mut stream: Stream) {
+    // A replacement is let in by a leaving agent too: it serves a draft in progress.
+    let fresh = open.attempt % wire::frame::HEAD_STRIDE == 0;
+    let opened = match fresh && agent.leaving() {
+        true => Err(Refusal::not_run(
+            Cause::Leaving,
+            "open",
+            &agent.node.process.vm,
+            "the VM is leaving",
+        )),
+        false => table.open(&open).await,
+    };
+    let mut session = match opened {
+        Ok(session) => session,
+        Err(refusal) => return reply(&mut stream, Tell::Refused(refusal)).await,
+    };
+    if stream.send(&Tell::Opened).await.is_err() {
+        return;
+    }
+    while let Ok(Some(Tell::Step(step))) = stream.next().await {
+        // A head that has given this stage up no longer reads: without this the
+        // slot would stay taken as long as the engine hangs.
+        let tell = tokio::select! {
+            ran = session.step(step) => ran.map_or_else(Tell::Refused, Tell::Output),
+            () = stream.stopped() => return,
+        };
+        if stream.send(&tell).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn status(agent: &Agent) -> serde_json::Value {
+    let process = &agent.node.process;
+    let force = agent.node.settings.borrow();
+    let backend = match agent.backend() {
+        Backend::None => "none".to_string(),
+        Backend::Stage(s) => format!("{} v{} layers {}-{}", s.model, s.version, s.first, s.last),
+        Backend::Service(name) => format!("service {name}"),
+    };
+    let state = match () {
+        () if agent.leaving() => "draining",
+        () if !force.caught_up || backend == "none" => "starting",
+        () => "serving",
+    };
+    json!({
+        "vm": process.vm,
+        "role": "agent",
+        "data_centre": process.data_centre,
+        "incarnation": agent.node.incarnation,
+        "version": force.version,
+        "state": state,
+        "busy": agent.slots.busy(),
+        "slots": agent.slots.total(),
+        "drafts": agent.drafts.running(),
+        "step_us": agent.slots.step_us(),
+        "backend": backend,
+    })
+}
--- /dev/null
+++ b/crates/agent/src/call.rs
@@ -0,0 +1,108 @@
+//! Calls of the plain service beside this agent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use node::Node;
+use wire::frame::{Call, Cause, Class, Refusal, Reply};
+
+use crate::slot::{Slot, Slots};
+use crate::write::Writer;
+use crate::{Agent, write};
+
+/// Time after which a caller may come back to a full agent.
+const BUSY_RETRY: Duration = Duration::from_millis(100);
+
+/// Time after which a caller may come back to a service that can't be reached.
+const DOWN_RETRY: Duration = Duration::from_secs(1);
+
+/// Header lines that belong to one connection and are not passed on.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The plain service beside this agent.
+#[derive(Debug)]
+pub struct Service {
+    /// Its name in the settings.
+    pub name: String,
+    /// Keeps writes to at most one run a key.
+    pub writer: Arc<Writer>,
+    vm: String,
+    http: rest::Client,
+    slots: Slots,
+}
+
+/// Starts what an agent of a service needs.
+pub fn start(node: &Arc<Node>, name: String, address: &str, slots: Slots) -> Arc<Service> {
+    let writer = write::start(node, &name);
+    let http = rest::Client::new(address, Duration::from_secs(30));
+    let vm = node.process.vm.clone();
+    Arc::new(Service { name, writer, vm, http, slots })
+}
+
+/// Runs a call by the contract of its route.
+pub async fn run(
+    agent: Arc<Agent>,
+    service: Arc<Service>,
+    call: Call,
+) -> Result<Reply, Refusal> {
+    if agent.leaving() {
+        let why = "the VM is leaving";
+        return Err(Refusal::not_run(Cause::Leaving, "accept", &service.vm, why));
+    }
+    match call.class {
+        Class::ReadOnly | Class::Idempotent => {
+            let slot = service.slot()?;
+            service.send(&call, slot).await
+        }
+        Class::NonIdempotent => write::run(agent, service, call).await,
+    }
+}
+
+impl Service {
+    /// Takes a slot or refuses at once.
+    pub fn slot(&self) -> Result<Slot, Refusal> {
+        self.slots.take().ok_or_else(|| {
+            let why = format!("all {} slots are taken", self.slots.total());
+            Refusal::not_run(Cause::Busy, "call", &self.vm, why).after(BUSY_RETRY)
+        })
+    }
+
+    /// Sends the call to the service once.
+    pub async fn send(&self, call: &Call, _slot: Slot) -> Result<Reply, Refusal> {
+        let begun = Instant::now();
+        let headers: Vec<_> = call.headers.iter().filter(|h| passed_on(&h.0)).cloned().collect();
+        let body = Bytes::from(call.body.clone());
+        let http = self.http.with_timeout(call.deadline);
+        match http.send(&call.method, &call.path, &headers, body).await {
+            Ok(answer) => {
+                self.slots.measured(begun.elapsed());
+                let headers = answer.headers.into_iter().filter(|h| passed_on(&h.0)).collect();
+                let body = answer.body.to_vec();
+                Ok(Reply { status: answer.status, headers, body, replayed: false })
+            }
+            Err(e) if e.unsent() => {
+                let why = format!("the service can't be reached: {e}");
+                let refusal = Refusal::not_run(Cause::Unavailable, "call", &self.vm, why);
+                Err(refusal.after(DOWN_RETRY))
+            }
+            Err(e) => {
+                let why = format!("the service was asked and did not answer: {e}");
+                Err(Refusal::unknown(Cause::Lost, "call", &self.vm, why))
+            }
+        }
+    }
+}
+
+fn passed_on(name: &str) -> bool {
+    !HOP_BY_HOP.iter().any(|h| name.eq_ignore_ascii_case(h))
+}
--- /dev/null
+++ b/crates/agent/src/draft.rs
@@ -0,0 +1,278 @@
+//! Drafts that this agent drives as their head.
+//!
+//! A draft runs in a task of its own. The router's stream only follows it, so
+//! that the draft outlives the router and the caller can go on through another.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+use wire::frame::{
+    Accepted, Attach, Cancel, Cause, Done, Draft, Refusal, Tell, Token, Word,
+};
+use wire::id;
+use wire::link::Stream;
+
+use crate::chain::{Chain, Terms};
+use crate::Agent;
+
+/// A draft that nobody has followed for this long is given up: its caller has
+/// gone together with its router. Long enough for a caller to notice a broken
+/// connection and come back through the balancer.
+const ORPHAN: Duration = Duration::from_secs(15);
+
+/// How often followers are counted.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Characters of the prompt shown to operators.
+const TAG_LENGTH: usize = 60;
+
+/// How far a draft has come.
+#[derive(Debug, Default, Clone)]
+struct Progress {
+    words: Vec<Word>,
+    end: Option<Result<Done, Refusal>>,
+}
+
+/// A draft that runs or has ended lately.
+#[derive(Debug)]
+pub struct Run {
+    request: id::Request,
+    workspace: id::Workspace,
+    prompt_tokens: u32,
+    /// Generated tokens that the caller had before this head took over.
+    offset: u32,
+    progress: watch::Sender<Progress>,
+    cancelled: watch::Sender<bool>,
+}
+
+/// The drafts of this agent.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// Sorted by request id.
+    runs: Mutex<Vec<Arc<Run>>>,
+}
+
+impl Table {
+    /// Drafts in progress.
+    pub fn running(&self) -> usize {
+        let runs = self.runs.lock().expect("no panic while held");
+        runs.iter().filter(|r| r.progress.borrow().end.is_none()).count()
+    }
+
+    fn insert(&self, run: Arc<Run>) {
+        let mut runs = self.runs.lock().expect("no panic while held");
+        let at = runs.partition_point(|r| r.request < run.request);
+        runs.insert(at, run);
+    }
+
+    fn remove(&self, request: &str) {
+        self.runs.lock().expect("no panic while held").retain(|r| r.request != request);
+    }
+
+    /// The draft, if it is of that workspace.
+    fn find(&self, request: &str, workspace: &str) -> Option<Arc<Run>> {
+        let runs = self.runs.lock().expect("no panic while held");
+        let i = runs.binary_search_by(|r| r.request.as_str().cmp(request)).ok()?;
+        Some(runs[i].clone()).filter(|r| r.workspace == workspace)
+    }
+}
+
+/// Takes a draft as its head and follows it on the router's stream.
+pub async fn run(agent: Arc<Agent>, draft: Draft, mut stream: Stream) {
+    match begin(&agent, draft).await {
+        Ok(run) => {
+            let accepted = Accepted { prompt_tokens: run.prompt_tokens };
+            if stream.send(&Tell::Accepted(accepted)).await.is_ok() {
+                follow(&run, run.offset, stream).await;
+            }
+        }
+        Err(refusal) => {
+            let _ = stream.send(&Tell::Refused(refusal)).await;
+            stream.finish();
+        }
+    }
+}
+
+/// Follows a draft for a caller that has `after` tokens already.
+pub async fn attach(agent: Arc<Agent>, ask: Attach, mut stream: Stream) {
+    let vm = &agent.node.process.vm;
+    let found = agent.drafts.find(&ask.request, &ask.workspace);
+    let sent = match found {
+        Some(run) if ask.after < run.offset => {
+            let why = format!("tokens before {} are kept by nobody", run.offset);
+            let refusal = Refusal::refused(Cause::NotFound, "attach", vm, why);
+            stream.send(&Tell::Refused(refusal)).await
+        }
+        Some(run) => {
+            let accepted = Accepted { prompt_tokens: run.prompt_tokens };
+            if stream.send(&Tell::Accepted(accepted)).await.is_ok() {
+                follow(&run, ask.after, stream).await;
+            }
+            return;
+        }
+        None => {
+            let why = "no such request is running or has ended lately";
+            let refusal = Refusal::refused(Cause::NotFound, "attach", vm, why);
+            stream.send(&Tell::Refused(refusal)).await
+        }
+    };
+    match sent {
+        Ok(()) => stream.finish(),
+        Err(e) => log::debug!("draft: {e}"),
+    }
+}
+
+/// Gives up a draft whose caller has gone.
+pub fn cancel(agent: &Agent, ask: &Cancel) {
+    if let Some(run) = agent.drafts.find(&ask.request, &ask.workspace) {
+        agent.node.trace.add(&ask.request, "cancel", "the caller has gone");
+        run.cancelled.send_replace(true);
+    }
+}
+
+async fn begin(agent: &Arc<Agent>, draft: Draft) -> Result<Arc<Run>, Refusal> {
+    let vm = &agent.node.process.vm;
+    if agent.leaving() {
+        let why = "the VM is leaving";
+        return Err(Refusal::not_run(Cause::Leaving, "accept", vm, why));
+    }
+    let table = agent.stage.as_ref().ok_or_else(|| {
+        Refusal::not_run(Cause::Unavailable, "accept", vm, "no engine stands here")
+    })?;
+    let mut inputs = table.tokenize(&draft.prompt).await?;
+    let prompt_tokens = inputs.len() as u32;
+    inputs.extend(&draft.delivered);
+
+    let chain =
+        Chain::open(agent.clone(), terms(agent, &draft), draft.chain.clone(), draft.attempt)
+            .await?;
+    let run = Arc::new(Run {
+        request: draft.request.clone(),
+        workspace: draft.workspace.clone(),
+        prompt_tokens,
+        offset: draft.delivered.len() as u32,
+        progress: watch::Sender::default(),
+        cancelled: watch::Sender::new(false),
+    });
+    agent.drafts.insert(run.clone());
+    agent.node.trace.add(&draft.request, "accept", format!("accepted as head by {vm}"));
+    tokio::spawn(drive(agent.clone(), run.clone(), chain, inputs, draft));
+    Ok(run)
+}
+
+fn terms(agent: &Agent, draft: &Draft) -> Terms {
+    let force = agent.node.settings.borrow();
+    Terms {
+        request: draft.request.clone(),
+        priority: draft.priority,
+        fingerprint: draft.fingerprint,
+        tag: draft.prompt.chars().take(TAG_LENGTH).collect(),
+        step_timeout: force.fleet.defaults.step_timeout,
+        deadline: Instant::now() + draft.deadline,
+    }
+}
+
+/// Runs the draft to its end, then keeps it for a while for callers that come back.
+async fn drive(agent: Arc<Agent>, run: Arc<Run>, mut chain: Chain, inputs: Vec<u64>, draft: Draft) {
+    let mut cancelled = run.cancelled.subscribe();
+    let generated = tokio::select! {
+        end = generate(&run, &mut chain, inputs, draft.max_tokens) => end,
+        _ = cancelled.wait_for(|c| *c) => Err(given_up(&agent, "the caller cancelled it")),
+        () = orphaned(&run) => Err(given_up(&agent, "its caller has gone")),
+    };
+    let end = generated.map(|tokens| Done {
+        tokens,
+        replaced: chain.replaced,
+        repeated: chain.repeated,
+    });
+    agent.node.metrics.replaced.add(chain.replaced.into(), &[]);
+    agent.node.metrics.repeated.add(chain.repeated, &[]);
+    let text = match &end {
+        Ok(done) => format!("complete with {} tokens", done.tokens),
+        Err(refusal) => refusal.to_string(),
+    };
+    agent.node.trace.add(&run.request, "end", text);
+    // Frees the slots of all stages before the router hears of the end.
+    drop(chain);
+    run.progress.send_modify(|p| p.end = Some(end));
+
+    let keep = agent.node.settings.borrow().fleet.defaults.keep_finished;
+    tokio::time::sleep(keep).await;
+    agent.drafts.remove(&run.request);
+}
+
+async fn generate(
+    run: &Run,
+    chain: &mut Chain,
+    mut inputs: Vec<u64>,
+    max_tokens: u32,
+) -> Result<u32, Refusal> {
+    let mut count = run.offset;
+    while count < max_tokens {
+        let word = chain.run(&inputs).await?;
+        inputs = vec![word.id];
+        count += 1;
+        let end = word.end;
+        run.progress.send_modify(|p| p.words.push(word));
+        if end {
+            break;
+        }
+    }
+    Ok(count)
+}
+
+/// Resolves when nobody has followed the draft for [`ORPHAN`].
+async fn orphaned(run: &Run) {
+    let mut since = Instant::now();
+    loop {
+        // `drive` itself does not subscribe to the progress.
+        if run.progress.receiver_count() > 0 {
+            since = Instant::now();
+        }
+        if since.elapsed() > ORPHAN {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn given_up(agent: &Agent, why: &str) -> Refusal {
+    Refusal::unknown(Cause::Cancelled, "generate", &agent.node.process.vm, why)
+}
+
+/// Sends the tokens from number `after` on as they come, then the end.
+async fn follow(run: &Run, after: u32, mut stream: Stream) {
+    let mut progress = run.progress.subscribe();
+    let mut sent = (after - run.offset) as usize;
+    loop {
+        let (news, end) = {
+            let now = progress.borrow_and_update();
+            (now.words.get(sent..).unwrap_or_default().to_vec(), now.end.clone())
+        };
+        for word in news {
+            let index = run.offset + sent as u32;
+            if stream.send(&Tell::Token(Token { index, word })).await.is_err() {
+                return;
+            }
+            sent += 1;
+        }
+        let last = match end {
+            Some(Ok(done)) => Tell::Done(done),
+            Some(Err(refusal)) => Tell::Refused(refusal),
+            None => {
+                // Also ends when the router has gone: nobody reads the stream.
+                tokio::select! {
+                    _ = progress.changed() => continue,
+                    () = stream.stopped() => return,
+                }
+            }
+        };
+        if stream.send(&last).await.is_ok() {
+            stream.finish();
+            stream.stopped().await;
+        }
+        return;
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,149 @@
-//! The daemon beside each backend server: stage order, slots, writes at most once, drain
+//! The daemon beside each backend server.
+//!
+//! It is the only process that talks to its backend server, so it alone knows
+//! what runs there: it holds the slots, keeps the order of steps, fences off old
+//! attempts, sees to it that a write runs at most once, and drains.
+
+pub mod ask;
+pub mod call;
+pub mod chain;
+pub mod draft;
+pub mod ledger;
+pub mod slot;
+pub mod stage;
+pub mod write;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::process::{Kind, Process};
+use node::{Error, Node};
+use salvo::Listener;
+use salvo::conn::TcpListener;
+use wire::frame::{Backend, Report};
+
+/// An agent and its parts.
+#[derive(Debug)]
+pub struct Agent {
+    /// What every daemon has.
+    pub node: Arc<Node>,
+    /// Its slots.
+    pub slots: slot::Slots,
+    /// Sessions at the engine, when it stands beside one.
+    pub stage: Option<Arc<stage::Table>>,
+    /// Calls, when it stands beside a plain service.
+    pub service: Option<Arc<call::Service>>,
+    /// Drafts it drives as head.
+    pub drafts: draft::Table,
+}
+
+impl Agent {
+    /// What stands beside it and can be used now.
+    pub fn backend(&self) -> Backend {
+        match (&self.stage, &self.service) {
+            (Some(stage), _) => stage.held().map_or(Backend::None, Backend::Stage),
+            (_, Some(service)) => Backend::Service(service.name.clone()),
+            _ => Backend::None,
+        }
+    }
+
+    /// True when it takes no new work: told to stop, or listed as leaving.
+    pub fn leaving(&self) -> bool {
+        let list = self.node.vms.borrow();
+        let vm = &self.node.process.vm;
+        let listed =
+            list.iter().any(|e| e.vm == *vm && e.state == platform::vm::State::Leaving);
+        listed || self.node.stop.raised()
+    }
+
+    /// Its state for the routers.
+    pub fn report(&self) -> Report {
+        Report {
+            vm: self.node.process.vm.clone(),
+            incarnation: self.node.incarnation,
+            data_centre: self.node.process.data_centre.clone(),
+            backend: self.backend(),
+            slots: self.slots.total(),
+            busy: self.slots.busy(),
+            step_us: self.slots.step_us(),
+            leaving: self.leaving(),
+            version: self.node.settings.borrow().version,
+            quarantined: Vec::new(),
+            suspects: Vec::new(),
+        }
+    }
+
+    fn ready(&self) -> Result<(), String> {
+        match () {
+            () if self.leaving() => Err("leaving".into()),
+            () if !self.node.settings.borrow().caught_up => {
+                Err("the settings have not been read yet".into())
+            }
+            () if self.backend() == Backend::None => {
+                Err("the backend server can't be used now".into())
+            }
+            () => Ok(()),
+        }
+    }
+}
+
+/// Runs an agent until it is told to stop and its work is done.
+pub async fn run(process: Process) -> Result<(), Error> {
+    let backend = process
+        .backend
+        .clone()
+        .ok_or_else(|| Error::new("read settings", "section [backend] is missing"))?;
+    let node = node::start(process).await?;
+    let slots = slot::Slots::new(backend.slots);
+    let mut agent = Agent {
+        node: node.clone(),
+        slots: slots.clone(),
+        stage: None,
+        service: None,
+        drafts: draft::Table::default(),
+    };
+    match backend.kind {
+        Kind::Engine => {
+            agent.stage = Some(stage::start(&node, &backend.address, slots).await);
+        }
+        Kind::Service(name) => {
+            agent.service = Some(call::start(&node, name, &backend.address, slots));
+        }
+    }
+    let agent = Arc::new(agent);
+
+    let handle = agent.clone();
+    tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
+        ask::answer(handle.clone(), ask, stream)
+    }));
+    serve_health(agent.clone()).await?;
+    log::info!("agent: {} listens on {}", node.process.vm, node.process.listen);
+
+    node.stop.wait().await;
+    let limit = node.settings.borrow().fleet.defaults.drain;
+    let busy = || agent.slots.busy() as usize + agent.drafts.running();
+    let left = node::stop::drain(limit, busy).await;
+    if left > 0 {
+        log::warn!("agent: stopping with {left} requests in progress after {limit:?}");
+    }
+    // Gives the last answers on the links time to leave.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    node.peers.endpoint().close(0u32.into(), b"stopped");
+    node.peers.endpoint().wait_idle().await;
+    log::info!("agent: stopped");
+    Ok(())
+}
+
+async fn serve_health(agent: Arc<Agent>) -> Result<(), Error> {
+    let http = agent.node.process.http;
+    let acceptor =
+        TcpListener::new(http).try_bind().await.map_err(|e| Error::new("bind health port", e))?;
+    let node = agent.node.clone();
+    let ready = Arc::new(move || agent.ready());
+    let mut router = salvo::Router::new();
+    for route in node::health::routes(node, ready) {
+        router = router.push(route);
+    }
+    tokio::spawn(salvo::Server::new(acceptor).serve(router));
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/stage.rs
@@ -0,0 +1,287 @@
+//! Sessions at the engine beside this agent: slots, order of positions, fencing.
+
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
+
+use engine::Client;
+use node::Node;
+use wire::frame::{Cause, Open, Output, Refusal, Stage, Step, Word};
+use wire::id;
+
+use crate::slot::{Slot, Slots};
+
+/// Longest wait for an answer of the engine. The head gives a silent stage up
+/// long before; this only frees what would otherwise wait for ever.
+const ENGINE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Pause between looks at the engine's info: a crash is noticed within this.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Highest attempts remembered for requests whose session has ended here. A
+/// frozen head that thaws after this many newer requests could open an old
+/// attempt again; its output would still be used by nobody.
+const REMEMBERED: usize = 20_000;
+
+/// Time after which a caller may come back to a full agent.
+const BUSY_RETRY: Duration = Duration::from_millis(200);
+
+/// Highest attempt seen of a request.
+#[derive(Debug)]
+struct Seen {
+    unique: String,
+    attempt: id::Attempt,
+    ended: Option<Instant>,
+}
+
+/// The sessions at the engine.
+#[derive(Debug)]
+pub struct Table {
+    vm: String,
+    engine: Client,
+    slots: Slots,
+    info: RwLock<Option<engine::Info>>,
+    /// Sorted by the unique part of the request id.
+    seen: Mutex<Vec<Seen>>,
+}
+
+/// An open session. Dropping it cancels it at the engine.
+#[derive(Debug)]
+pub struct Session {
+    table: Arc<Table>,
+    name: String,
+    unique: String,
+    attempt: id::Attempt,
+    next: id::Position,
+    kept: Option<(Step, Output)>,
+    broken: bool,
+    _slot: Slot,
+}
+
+/// Starts watching the engine. What an earlier agent left running is cancelled
+/// first: nobody waits for it any more, and it would hold the engine's slots.
+pub async fn start(node: &Arc<Node>, address: &str, slots: Slots) -> Arc<Table> {
+    let table = Arc::new(Table {
+        vm: node.process.vm.clone(),
+        engine: Client::new(address, ENGINE_TIMEOUT),
+        slots,
+        info: RwLock::new(None),
+        seen: Mutex::default(),
+    });
+    if let Err(e) = table.engine.cancel_all().await {
+        log::warn!("stage: what was left at the engine can't be cancelled: {e}");
+    }
+    let watched = table.clone();
+    tokio::spawn(async move { watched.watch().await });
+    table
+}
+
+impl Table {
+    /// The range of layers the engine holds, when it can be used.
+    pub fn held(&self) -> Option<Stage> {
+        let info = self.info.read().expect("no panic while held");
+        let held = info.as_ref().filter(|i| !i.model.is_empty())?;
+        Some(Stage {
+            model: held.model.clone(),
+            version: held.version,
+            first: held.first,
+            last: held.last,
+        })
+    }
+
+    /// Token ids of a text, by the engine.
+    pub async fn tokenize(&self, text: &str) -> Result<Vec<u64>, Refusal> {
+        match self.engine.tokenize(text).await {
+            Ok(tokens) => Ok(tokens.tokens),
+            Err(e) => Err(self.refuse(Cause::Unavailable, "tokenize", e.to_string())),
+        }
+    }
+
+    /// Opens a session or refuses at once. Nothing has run after a refusal.
+    pub async fn open(self: &Arc<Table>, open: &Open) -> Result<Session, Refusal> {
+        let slot = match self.held() {
+            Some(held) if held == open.stage => self.slots.take(),
+            Some(held) => {
+                let why = format!("holds layers {}-{} of {}", held.first, held.last, held.model);
+                return Err(self.refuse(Cause::Unavailable, "open", why));
+            }
+            None => return Err(self.refuse(Cause::Unavailable, "open", "the engine is down")),
+        };
+        let Some(slot) = slot else {
+            let why = format!("all {} slots are taken", self.slots.total());
+            return Err(self.refuse(Cause::Busy, "open", why).after(BUSY_RETRY));
+        };
+        let unique = unique(&open.request).to_string();
+        self.fence(&unique, open.attempt)?;
+
+        let name = format!("{}.{}.{}", open.request, open.attempt, open.stage.first);
+        let session = engine::Session {
+            session: name.clone(),
+            priority: open.priority,
+            tag: open.tag.clone(),
+        };
+        match self.engine.open(&session).await {
+            Ok(()) => Ok(Session {
+                table: self.clone(),
+                name,
+                unique,
+                attempt: open.attempt,
+                next: 0,
+                kept: None,
+                broken: false,
+                _slot: slot,
+            }),
+            Err(e) if e.status() == Some(429) => {
+                Err(self.refuse(Cause::Busy, "open", e.to_string()).after(BUSY_RETRY))
+            }
+            Err(e) => {
+                // The session may have been opened all the same and would hold
+                // an engine slot for ever: fewer and fewer drafts would fit.
+                cancel(self.engine.clone(), name);
+                Err(self.refuse(Cause::Unavailable, "open", e.to_string()))
+            }
+        }
+    }
+
+    /// Refuses an attempt older than one seen, and notes this one as the newest.
+    ///
+    /// Without it a head that was frozen and thaws would go on running a request
+    /// that another head has taken over: its layers would run twice for a token,
+    /// and the engine's books would show two sessions side by side.
+    fn fence(&self, unique: &str, attempt: id::Attempt) -> Result<(), Refusal> {
+        let mut seen = self.seen.lock().expect("no panic while held");
+        match seen.binary_search_by(|s| s.unique.as_str().cmp(unique)) {
+            Ok(i) if seen[i].attempt > attempt => {
+                let why = format!("attempt {attempt}, but {} was seen", seen[i].attempt);
+                return Err(self.refuse(Cause::Fenced, "open", why));
+            }
+            Ok(i) => {
+                seen[i].attempt = attempt;
+                seen[i].ended = None;
+            }
+            Err(_) => {
+                forget_old(&mut seen);
+                let at = seen.partition_point(|s| s.unique.as_str() < unique);
+                seen.insert(at, Seen { unique: unique.to_string(), attempt, ended: None });
+            }
+        }
+        Ok(())
+    }
+
+    fn newest(&self, unique: &str) -> id::Attempt {
+        let seen = self.seen.lock().expect("no panic while held");
+        match seen.binary_search_by(|s| s.unique.as_str().cmp(unique)) {
+            Ok(i) => seen[i].attempt,
+            Err(_) => 0,
+        }
+    }
+
+    fn ended(&self, unique: &str) {
+        let mut seen = self.seen.lock().expect("no panic while held");
+        if let Ok(i) = seen.binary_search_by(|s| s.unique.as_str().cmp(unique)) {
+            seen[i].ended = Some(Instant::now());
+        }
+    }
+
+    async fn watch(&self) {
+        loop {
+            let looked = tokio::time::timeout(Duration::from_secs(2), self.engine.info()).await;
+            let info = looked.ok().and_then(Result::ok);
+            self.note(info);
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    fn note(&self, new: Option<engine::Info>) {
+        let mut info = self.info.write().expect("no panic while held");
+        match (&*info, &new) {
+            (Some(_), None) => log::warn!("stage: the engine does not answer"),
+            (None, Some(i)) => {
+                log::info!("stage: the engine holds layers {}-{} of {}", i.first, i.last, i.model);
+            }
+            _ => {}
+        }
+        *info = new;
+    }
+
+    fn refuse(&self, cause: Cause, step: &str, why: impl Into<String>) -> Refusal {
+        Refusal::not_run(cause, step, &self.vm, why)
+    }
+}
+
+impl Session {
+    /// Runs a step. Positions come in order; the last step again gets the kept output.
+    pub async fn step(&mut self, step: Step) -> Result<Output, Refusal> {
+        match &self.kept {
+            Some((last, output)) if *last == step => return Ok(output.clone()),
+            _ if step.position != self.next || step.inputs.is_empty() => {
+                let why = format!("position {}, the next is {}", step.position, self.next);
+                return Err(self.table.refuse(Cause::Bad, "step", why));
+            }
+            _ if self.table.newest(&self.unique) > self.attempt => {
+                let why = "a newer attempt of the request runs";
+                return Err(self.table.refuse(Cause::Fenced, "step", why));
+            }
+            // After a lost answer the engine may have run the positions or not:
+            // running them again could run a layer twice for a token.
+            _ if self.broken => {
+                let why = "an earlier step of the session was lost";
+                return Err(self.table.refuse(Cause::Lost, "step", why));
+            }
+            _ => {}
+        }
+        self.broken = true;
+        let begun = Instant::now();
+        let asked = engine::Step { position: step.position, inputs: step.inputs.clone() };
+        let ran = self
+            .table
+            .engine
+            .step(&self.name, &asked)
+            .await
+            .map_err(|e| self.table.refuse(Cause::Lost, "step", e.to_string()))?;
+        if ran.outputs.len() != step.inputs.len() {
+            let why = format!("{} outputs for {} inputs", ran.outputs.len(), step.inputs.len());
+            return Err(self.table.refuse(Cause::Lost, "step", why));
+        }
+        if step.inputs.len() == 1 {
+            self.table.slots.measured(begun.elapsed());
+        }
+        self.broken = false;
+        self.next += step.inputs.len() as id::Position;
+        let token = ran.token.map(|t| Word { id: t.id, text: t.text, end: t.end });
+        let output = Output { position: step.position, outputs: ran.outputs, token };
+        self.kept = Some((step, output.clone()));
+        Ok(output)
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.table.ended(&self.unique);
+        cancel(self.table.engine.clone(), std::mem::take(&mut self.name));
+    }
+}
+
+fn cancel(engine: Client, session: String) {
+    tokio::spawn(async move {
+        if let Err(e) = engine.cancel(&session).await {
+            log::debug!("stage: session {session} can't be cancelled: {e}");
+        }
+    });
+}
+
+/// Makes room by forgetting the sessions that ended first.
+fn forget_old(seen: &mut Vec<Seen>) {
+    if seen.len() < REMEMBERED {
+        return;
+    }
+    let mut times: Vec<Instant> = seen.iter().filter_map(|s| s.ended).collect();
+    times.sort();
+    if let Some(&limit) = times.get(times.len() / 2) {
+        seen.retain(|s| s.ended.is_none_or(|t| t > limit));
+    }
+}
+
+/// The part of a request id that stays the same when the request moves to another head.
+pub fn unique(request: &str) -> &str {
+    request.rsplit('.').next().unwrap_or(request)
+}
--- /dev/null
+++ b/crates/node/src/health.rs
@@ -0,0 +1,43 @@
+//! `/livez`, `/readyz` and `/metrics`.
+
+use std::sync::Arc;
+
+use salvo::prelude::*;
+
+use crate::Node;
+
+/// Says whether the daemon takes new work, and why not.
+pub type Ready = Arc<dyn Fn() -> Result<(), String> + Send + Sync>;
+
+/// The health pages.
+#[derive(Clone)]
+struct Page {
+    node: Arc<Node>,
+    ready: Ready,
+}
+
+#[handler]
+impl Page {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        match req.uri().path() {
+            "/livez" => res.render("live\n"),
+            "/metrics" => res.render(self.node.metrics.text()),
+            _ => match (self.ready)() {
+                Ok(()) => res.render("ready\n"),
+                Err(why) => {
+                    res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                    res.render(format!("not ready: {why}\n"));
+                }
+            },
+        }
+    }
+}
+
+/// Routes of the health pages, to be pushed into a daemon's router.
+pub fn routes(node: Arc<Node>, ready: Ready) -> Vec<Router> {
+    let page = Page { node, ready };
+    ["livez", "readyz", "metrics"]
+        .into_iter()
+        .map(|path| Router::with_path(path).get(page.clone()))
+        .collect()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,97 @@
-//! What every daemon shares: settings in force, peers, logs, metrics, signals
+//! What every daemon shares: its settings in force, its links to peers, the VM
+//! list, logs, metrics, health pages, a trace of requests, and stopping.
+
+pub mod health;
+pub mod logs;
+pub mod metrics;
+pub mod peers;
+pub mod serve;
+pub mod settings;
+pub mod stop;
+pub mod trace;
+pub mod vms;
+
+use std::path::Path;
+use std::sync::Arc;
+
+use config::process::Process;
+use derive_more::Display;
+use wire::id;
+
+/// Why a daemon can't start, with the step.
+#[derive(Debug, Display, derive_more::Error)]
+#[display("start step '{step}': {reason}")]
+pub struct Error {
+    /// What was being done.
+    pub step: &'static str,
+    /// What went wrong.
+    pub reason: String,
+}
+
+impl Error {
+    /// An error of a step.
+    ///
+    /// ```
+    /// assert_eq!(node::Error::new("bind", "in use").to_string(), "start step 'bind': in use");
+    /// ```
+    pub fn new(step: &'static str, reason: impl ToString) -> Error {
+        Error { step, reason: reason.to_string() }
+    }
+}
+
+/// The shared parts of a running daemon.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings of this process.
+    pub process: Process,
+    /// Changes with each start.
+    pub incarnation: id::Incarnation,
+    /// Links to other processes of the system.
+    pub peers: peers::Peers,
+    /// Fleet settings in force.
+    pub settings: settings::Watch,
+    /// The VM list as last read.
+    pub vms: vms::Watch,
+    /// What happened to recent requests.
+    pub trace: trace::Trace,
+    /// Tells all tasks to stop taking new work.
+    pub stop: stop::Stop,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+}
+
+/// Reads a process file and prints its faults. For `--check` and at the start.
+pub fn read(file: &Path) -> Result<Process, Error> {
+    config::process::load(file).map_err(|e| Error::new("read settings", e))
+}
+
+/// Binds the link port and starts the tasks that every daemon runs.
+pub async fn start(process: Process) -> Result<Arc<Node>, Error> {
+    let tls = &process.tls;
+    let pair = wire::tls::load(&tls.authority, &tls.certificate, &tls.key)
+        .map_err(|e| Error::new("load certificates", e))?;
+    let endpoint =
+        wire::link::bind(process.listen, &pair).map_err(|e| Error::new("bind link port", e))?;
+    let peers = peers::Peers::new(endpoint);
+    let vms = vms::start(&process.platform.vms);
+    let settings = settings::start(&process, peers.clone(), vms.clone());
+    let metrics = metrics::Metrics::new(&process.vm).map_err(|e| Error::new("metrics", e))?;
+    Ok(Arc::new(Node {
+        incarnation: incarnation(),
+        peers,
+        settings,
+        vms,
+        trace: trace::Trace::default(),
+        stop: stop::Stop::on_signals(),
+        metrics,
+        process,
+    }))
+}
+
+/// Milliseconds since the Unix epoch: a later start of the same VM has a higher
+/// one as long as the VM's clock does not run backwards; only its being
+/// different is relied on.
+fn incarnation() -> id::Incarnation {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(1, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,71 @@
+//! Metrics by opentelemetry, shown as Prometheus text.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The instruments of a daemon. What each tells an operator is in docs/OPERATORS.md.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Kept so that the instruments stay connected.
+    _provider: SdkMeterProvider,
+    /// Requests by `kind` and `outcome`.
+    pub requests: Counter<u64>,
+    /// Requests in progress by `kind`.
+    pub running: UpDownCounter<i64>,
+    /// Generated tokens.
+    pub tokens: Counter<u64>,
+    /// Seconds to the first token.
+    pub first_token: Histogram<f64>,
+    /// Seconds between tokens.
+    pub between_tokens: Histogram<f64>,
+    /// Retries by `cause`.
+    pub retries: Counter<u64>,
+    /// Stage replacements by `cause`.
+    pub replaced: Counter<u64>,
+    /// Layer runs repeated because a stage's state was lost.
+    pub repeated: Counter<u64>,
+    /// Log records that did not decode, by `stream`.
+    pub undecodable: Counter<u64>,
+    /// Engine crashes seen.
+    pub crashes: Counter<u64>,
+}
+
+impl Metrics {
+    /// New instruments for the process on `vm`.
+    pub fn new(vm: &str) -> Result<Metrics, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let reader =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let resource = Resource::builder().with_attribute(KeyValue::new("vm", vm.to_string()));
+        let provider =
+            SdkMeterProvider::builder().with_resource(resource.build()).with_reader(reader).build();
+        let meter = provider.meter("hyssoppass");
+        Ok(Metrics {
+            requests: meter.u64_counter("hyssop_requests").build(),
+            running: meter.i64_up_down_counter("hyssop_running").build(),
+            tokens: meter.u64_counter("hyssop_tokens").build(),
+            first_token: meter.f64_histogram("hyssop_first_token_seconds").build(),
+            between_tokens: meter.f64_histogram("hyssop_between_tokens_seconds").build(),
+            retries: meter.u64_counter("hyssop_retries").build(),
+            replaced: meter.u64_counter("hyssop_stages_replaced").build(),
+            repeated: meter.u64_counter("hyssop_layer_runs_repeated").build(),
+            undecodable: meter.u64_counter("hyssop_log_records_undecodable").build(),
+            crashes: meter.u64_counter("hyssop_engine_crashes").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut raw = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut raw) {
+            Ok(()) => String::from_utf8_lossy(&raw).into_owned(),
+            Err(e) => format!("# metrics can't be shown: {e}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,128 @@
+//! The fleet settings in force: the log's stream is tailed, and while the log
+//! is out newer settings are taken from peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::change::{self, State, Verdict};
+use config::fleet::Fleet;
+use config::process::Process;
+use platform::log::Client;
+use rand::seq::IndexedRandom;
+use tokio::sync::watch;
+use wire::frame::{Ask, Settings, Tell};
+use wire::id;
+
+use crate::peers::Peers;
+use crate::vms;
+
+/// How long one read of the stream waits for news.
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed read. With up to 1,000 processes this is at most 1,000
+/// reads a second on the log service when it comes back, spread by jitter.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// What is in force.
+#[derive(Debug, Clone)]
+pub struct Force {
+    /// Version; 0 when there is none.
+    pub version: id::Version,
+    /// Text of the settings.
+    pub text: Arc<String>,
+    /// The settings.
+    pub fleet: Arc<Fleet>,
+    /// True once the whole stream, or a peer's settings in an outage, has been read.
+    pub caught_up: bool,
+}
+
+/// The settings in force, watched.
+pub type Watch = watch::Receiver<Force>;
+
+/// Starts the task that keeps the settings up to date.
+pub fn start(process: &Process, peers: Peers, vms: vms::Watch) -> Watch {
+    let state = State::new();
+    let (tx, rx) = watch::channel(force(&state, false));
+    let log = Client::new(&process.platform.log, Duration::from_secs(2));
+    tokio::spawn(Tail { vm: process.vm.clone(), log, peers, vms, state, tx }.run());
+    rx
+}
+
+fn force(state: &State, caught_up: bool) -> Force {
+    Force {
+        version: state.version,
+        text: Arc::new(state.text.clone()),
+        fleet: Arc::new(state.fleet.clone()),
+        caught_up,
+    }
+}
+
+struct Tail {
+    vm: String,
+    log: Client,
+    peers: Peers,
+    vms: vms::Watch,
+    state: State,
+    tx: watch::Sender<Force>,
+}
+
+impl Tail {
+    async fn run(mut self) {
+        while !self.tx.is_closed() {
+            let wait = if self.tx.borrow().caught_up { WAIT } else { Duration::ZERO };
+            match self.log.read(change::STREAM, self.state.next, wait).await {
+                Ok(page) => self.take(page),
+                Err(e) => {
+                    log::warn!("settings: the log can't be read: {e}");
+                    self.ask_peer().await;
+                    tokio::time::sleep(PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, page: platform::log::Page) {
+        self.state.begin(page.first);
+        for record in &page.records {
+            match self.state.judge(record.offset, &record.data) {
+                Verdict::Accepted(v) => log::info!("settings: version {v} is in force"),
+                Verdict::Carried(_) => {}
+                Verdict::Refused(why) => {
+                    log::info!("settings: record {} is not in force: {why}", record.offset);
+                }
+            }
+        }
+        let caught_up = self.state.next >= page.next || self.tx.borrow().caught_up;
+        self.show(caught_up);
+    }
+
+    /// Takes newer settings from one other process, chosen at random so that a
+    /// version known to few spreads to all in a few rounds.
+    async fn ask_peer(&mut self) {
+        let list = self.vms.borrow().clone();
+        let others: Vec<_> = list.iter().filter(|e| e.vm != self.vm).collect();
+        let Some(peer) = others.choose(&mut rand::rng()) else { return };
+        let asked = self.peers.ask(&peer.vm, &peer.address, &Ask::Settings);
+        match tokio::time::timeout(PAUSE, asked).await {
+            Ok(Ok(Tell::Settings(Settings { version, text })))
+                if self.state.adopt(version, &text) =>
+            {
+                log::info!("settings: version {version} is in force, taken from {}", peer.vm);
+                self.show(true);
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => log::debug!("settings: {e}"),
+            Err(_) => log::debug!("settings: {} did not answer", peer.vm),
+        }
+    }
+
+    fn show(&self, caught_up: bool) {
+        self.tx.send_if_modified(|old| {
+            let news = old.version != self.state.version || old.caught_up != caught_up;
+            if news {
+                *old = force(&self.state, caught_up);
+            }
+            news
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/stop.rs
@@ -0,0 +1,80 @@
+//! Telling the tasks of a daemon to stop, and waiting until the work is done.
+
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+/// A flag that is raised once: no new work from then on.
+#[derive(Debug, Clone)]
+pub struct Stop {
+    tx: std::sync::Arc<watch::Sender<bool>>,
+    rx: watch::Receiver<bool>,
+}
+
+impl Stop {
+    /// A flag that nothing raises but [`Stop::raise`].
+    ///
+    /// ```
+    /// let stop = node::stop::Stop::new();
+    /// assert!(!stop.raised());
+    /// stop.raise();
+    /// assert!(stop.raised());
+    /// ```
+    pub fn new() -> Stop {
+        let (tx, rx) = watch::channel(false);
+        Stop { tx: std::sync::Arc::new(tx), rx }
+    }
+
+    /// A flag that SIGTERM and SIGINT raise.
+    pub fn on_signals() -> Stop {
+        let stop = Stop::new();
+        for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+            match signal(kind) {
+                Ok(mut signals) => {
+                    let stop = stop.clone();
+                    tokio::spawn(async move {
+                        signals.recv().await;
+                        log::info!("stop: signal received, no new work from now on");
+                        stop.raise();
+                    });
+                }
+                Err(e) => log::error!("stop: cannot listen for signals: {e}"),
+            }
+        }
+        stop
+    }
+
+    /// Raises the flag.
+    pub fn raise(&self) {
+        self.tx.send_replace(true);
+    }
+
+    /// True once raised.
+    pub fn raised(&self) -> bool {
+        *self.rx.borrow()
+    }
+
+    /// Resolves once raised.
+    pub async fn wait(&self) {
+        let mut rx = self.rx.clone();
+        // The sender lives as long as self, so waiting can't fail.
+        let _ = rx.wait_for(|raised| *raised).await;
+    }
+}
+
+impl Default for Stop {
+    fn default() -> Stop {
+        Stop::new()
+    }
+}
+
+/// Waits until `busy` says 0 or `limit` has passed; returns what is left.
+pub async fn drain(limit: Duration, busy: impl Fn() -> usize) -> usize {
+    const LOOK: Duration = Duration::from_millis(20);
+    let end = tokio::time::Instant::now() + limit;
+    while busy() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(LOOK).await;
+    }
+    busy()
+}
--- /dev/null
+++ b/crates/router/src/completion.rs
@@ -0,0 +1,362 @@
+//! Drafts over HTTP, in the widely used completions shape.
+
+use std::sync::Arc;
+
+use config::fleet::{Fleet, Workspace};
+use salvo::http::body::BodySender;
+use salvo::http::{HeaderValue, StatusCode, header};
+use salvo::prelude::*;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use wire::frame::{Attach, Cancel, Cause, Done, Place, Refusal, Token};
+use wire::id;
+
+use crate::head::{self, Event, Wanted};
+use crate::{Router, caller, problem};
+
+/// Events that may wait for a caller that reads slowly. Its draft goes on at the
+/// head; only this many tokens are held here.
+const WAITING: usize = 64;
+
+/// Tokens generated where the caller names no limit.
+const DEFAULT_TOKENS: u32 = 16;
+
+/// Body of a request.
+#[derive(Debug, Deserialize)]
+struct Body {
+    model: String,
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// `POST /v1/completions`.
+pub struct Post(pub Arc<Router>);
+
+/// `GET /v1/completions/{id}`: goes on after the caller's last token.
+pub struct Get(pub Arc<Router>);
+
+/// `DELETE /v1/completions/{id}`: gives a draft up.
+pub struct Delete(pub Arc<Router>);
+
+/// `GET /v1/models`.
+pub struct Models(pub Arc<Router>);
+
+#[handler]
+impl Post {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let router = &self.0;
+        let fleet = router.node.settings.borrow().fleet.clone();
+        let vm = &router.node.process.vm;
+        let Some(workspace) = caller::workspace(&fleet, req) else {
+            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        };
+        let body = match req.payload_with_max_size(fleet.defaults.body_limit).await {
+            Ok(body) => body.clone(),
+            Err(e) => return too_long(res, vm, fleet.defaults.body_limit, &e.to_string()),
+        };
+        match wanted(router, &fleet, workspace, req, &body) {
+            Ok((wanted, stream)) => {
+                let (tx, rx) = mpsc::channel(WAITING);
+                tokio::spawn(head::run(router.clone(), wanted.clone(), tx));
+                answer(router, res, rx, &wanted.model.name, stream).await;
+            }
+            Err(refusal) => problem::render(res, &refusal, ""),
+        }
+    }
+}
+
+#[handler]
+impl Get {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let router = &self.0;
+        let fleet = router.node.settings.borrow().fleet.clone();
+        let vm = &router.node.process.vm;
+        let Some(workspace) = caller::workspace(&fleet, req) else {
+            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        };
+        let (request, after) = resume_point(req);
+        let Some(head) = place(router, &request) else {
+            return problem::render(res, &gone(vm), &request);
+        };
+        let attach = Attach { request, workspace: workspace.name.clone(), after };
+        let (tx, rx) = mpsc::channel(WAITING);
+        tokio::spawn(head::attach(router.clone(), attach, head, tx));
+        answer(router, res, rx, "", true).await;
+    }
+}
+
+#[handler]
+impl Delete {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let router = &self.0;
+        let fleet = router.node.settings.borrow().fleet.clone();
+        let vm = &router.node.process.vm;
+        let Some(workspace) = caller::workspace(&fleet, req) else {
+            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        };
+        let request: id::Request = req.param("id").unwrap_or_default();
+        let Some(head) = place(router, &request) else {
+            return problem::render(res, &gone(vm), &request);
+        };
+        let cancel = Cancel { request: request.clone(), workspace: workspace.name.clone() };
+        let ask = wire::frame::Ask::Cancel(cancel);
+        let asked = router.node.peers.ask::<_, wire::frame::Tell>(&head.vm, &head.address, &ask);
+        match asked.await {
+            Ok(_) => {
+                res.status_code(StatusCode::NO_CONTENT);
+            }
+            Err(e) => {
+                let refusal = Refusal::unknown(Cause::Lost, "cancel", &head.vm, e.to_string());
+                problem::render(res, &refusal, &request);
+            }
+        }
+    }
+}
+
+#[handler]
+impl Models {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let fleet = self.0.node.settings.borrow().fleet.clone();
+        let vm = &self.0.node.process.vm;
+        if caller::workspace(&fleet, req).is_none() {
+            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        }
+        let list: Vec<Value> =
+            fleet.models.iter().map(|m| json!({"id": m.name, "object": "model"})).collect();
+        res.render(Json(json!({"object": "list", "data": list})));
+    }
+}
+
+fn wanted(
+    router: &Router,
+    fleet: &Fleet,
+    workspace: &Workspace,
+    req: &Request,
+    body: &[u8],
+) -> Result<(Wanted, bool), Refusal> {
+    let vm = &router.node.process.vm;
+    let bad = |why: String| Refusal::refused(Cause::Bad, "parse", vm, why);
+    let body: Body =
+        serde_json::from_slice(body).map_err(|e| bad(format!("the body is not valid: {e}")))?;
+    let Some(model) = fleet.model(&body.model) else {
+        let why = format!("there is no model '{}'", body.model);
+        return Err(Refusal::refused(Cause::NotFound, "parse", vm, why));
+    };
+    let max_tokens = body.max_tokens.unwrap_or(DEFAULT_TOKENS.min(workspace.max_tokens));
+    if max_tokens == 0 || max_tokens > workspace.max_tokens {
+        let why = format!("max_tokens has to be 1 to {}, not {max_tokens}", workspace.max_tokens);
+        return Err(bad(why));
+    }
+    let deadline = caller::deadline(fleet, workspace, req, vm)?;
+    let content = format!("{}\n{}", body.model, body.prompt);
+    let wanted = Wanted {
+        unique: uuid::Uuid::now_v7().simple().to_string(),
+        workspace: workspace.name.clone(),
+        model: model.clone(),
+        prompt: body.prompt,
+        max_tokens,
+        priority: workspace.priority,
+        fingerprint: xxhash_rust::xxh3::xxh3_64(content.as_bytes()),
+        until: Instant::now() + deadline,
+    };
+    Ok((wanted, body.stream))
+}
+
+fn too_long(res: &mut Response, vm: &str, limit: usize, why: &str) {
+    let why = format!("the body can't be read, the limit is {limit} bytes: {why}");
+    problem::render_as(res, 413, &Refusal::refused(Cause::Bad, "read", vm, why), "");
+}
+
+/// The request and the tokens the caller has: `Last-Event-ID: REQUEST:N`, or the
+/// path and `?after=N`. The header's request is the newer one when the draft has
+/// moved to another head.
+fn resume_point(req: &Request) -> (id::Request, u32) {
+    let header = req.headers().get("last-event-id").and_then(|v| v.to_str().ok());
+    match header.and_then(|h| h.rsplit_once(':')) {
+        Some((request, after)) => (request.to_string(), after.parse().unwrap_or(0)),
+        None => (req.param("id").unwrap_or_default(), req.query("after").unwrap_or(0)),
+    }
+}
+
+/// Where the head named in a request id is, when the same process still runs there.
+fn place(router: &Router, request: &str) -> Option<Place> {
+    let mut parts = request.splitn(3, '.');
+    let (vm, incarnation) = (parts.next()?, parts.next()?.parse().ok()?);
+    let agent = router.view.find(vm)?;
+    let same = agent.report.is_none_or(|r| r.incarnation == incarnation);
+    same.then_some(agent.place)
+}
+
+fn gone(vm: &str) -> Refusal {
+    let why = "no such request is running or has ended lately; a draft may be sent again";
+    Refusal::refused(Cause::NotFound, "attach", vm, why)
+}
+
+/// Answers as a stream of events or as one JSON body.
+async fn answer(
+    router: &Arc<Router>,
+    res: &mut Response,
+    mut events: mpsc::Receiver<Event>,
+    model: &str,
+    stream: bool,
+) {
+    let begun = Instant::now();
+    let first = events.recv().await;
+    let (request, prompt_tokens) = match first {
+        Some(Event::Accepted(request, prompt_tokens)) => (request, prompt_tokens),
+        Some(Event::Refused(request, refusal)) => return problem::render(res, &refusal, &request),
+        _ => {
+            let vm = &router.node.process.vm;
+            let refusal = Refusal::unknown(Cause::Lost, "answer", vm, "the draft ended early");
+            return problem::render(res, &refusal, "");
+        }
+    };
+    if let Ok(value) = HeaderValue::from_str(&request) {
+        res.headers_mut().insert("x-request-id", value);
+    }
+    match stream {
+        true => {
+            let kind = HeaderValue::from_static("text/event-stream");
+            res.headers_mut().insert(header::CONTENT_TYPE, kind);
+            res.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+            let sender = res.channel();
+            let (router, model) = (router.clone(), model.to_string());
+            tokio::spawn(async move {
+                send_events(&router, sender, events, &request, &model, begun).await;
+            });
+        }
+        false => whole(router, res, events, (&request, prompt_tokens), model).await,
+    }
+}
+
+async fn whole(
+    router: &Router,
+    res: &mut Response,
+    mut events: mpsc::Receiver<Event>,
+    (request, prompt_tokens): (&str, u32),
+    model: &str,
+) {
+    let mut words = Vec::new();
+    while let Some(event) = events.recv().await {
+        match event {
+            Event::Token(_, token) => words.push(token.word),
+            Event::Done(_) => {
+                let ended = words.last().is_some_and(|w| w.end);
+                let text: String = words.iter().map(|w| w.text.as_str()).collect();
+                let ids: Vec<u64> = words.iter().map(|w| w.id).collect();
+                router.node.metrics.tokens.add(ids.len() as u64, &[]);
+                let finish = if ended { "stop" } else { "length" };
+                return res.render(Json(json!({
+                    "id": request,
+                    "object": "text_completion",
+                    "model": model,
+                    "choices": [{
+                        "index": 0, "text": text, "token_ids": ids, "finish_reason": finish,
+                    }],
+                    "usage": {
+                        "prompt_tokens": prompt_tokens,
+                        "completion_tokens": ids.len(),
+                        "total_tokens": prompt_tokens as usize + ids.len(),
+                    },
+                })));
+            }
+            Event::Refused(_, refusal) => return problem::render(res, &refusal, request),
+            Event::Accepted(..) => {}
+        }
+    }
+    let vm = &router.node.process.vm;
+    let refusal = Refusal::unknown(Cause::Lost, "answer", vm, "the draft ended early");
+    problem::render(res, &refusal, request);
+}
+
+async fn send_events(
+    router: &Router,
+    mut sender: BodySender,
+    mut events: mpsc::Receiver<Event>,
+    request: &str,
+    model: &str,
+    begun: Instant,
+) {
+    let mut last = begun;
+    let mut held: Option<(id::Request, Token)> = None;
+    while let Some(event) = events.recv().await {
+        let text = match event {
+            Event::Token(at, token) => {
+                router.node.metrics.tokens.add(1, &[]);
+                let now = Instant::now();
+                let time = (now - last).as_secs_f64();
+                match token.index {
+                    0 => router.node.metrics.first_token.record(time, &[]),
+                    _ => router.node.metrics.between_tokens.record(time, &[]),
+                }
+                last = now;
+                // The last token carries the reason of the end, so a token is
+                // held back only when it ends the text by itself.
+                match token.word.end {
+                    true => {
+                        held = Some((at, token));
+                        continue;
+                    }
+                    false => chunk(request, model, &at, &token, None),
+                }
+            }
+            Event::Done(done) => end(request, model, held.take(), &done),
+            Event::Refused(at, refusal) => {
+                let body = problem::body(&refusal, &at);
+                format!("event: error\ndata: {body}\n\n")
+            }
+            Event::Accepted(..) => continue,
+        };
+        // The caller has gone: dropping the events gives the draft up.
+        if sender.send_data(text).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn chunk(
+    request: &str,
+    model: &str,
+    at: &str,
+    token: &Token,
+    finish: Option<&str>,
+) -> String {
+    let data = json!({
+        "id": request,
+        "object": "text_completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "text": token.word.text,
+            "token_id": token.word.id,
+            "finish_reason": finish,
+        }],
+    });
+    format!("id: {at}:{}\ndata: {data}\n\n", token.index + 1)
+}
+
+fn end(
+    request: &str,
+    model: &str,
+    held: Option<(id::Request, Token)>,
+    done: &Done,
+) -> String {
+    let last = match held {
+        Some((at, token)) => chunk(request, model, &at, &token, Some("stop")),
+        None => {
+            let data = json!({
+                "id": request,
+                "object": "text_completion",
+                "model": model,
+                "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
+                "usage": {"completion_tokens": done.tokens},
+            });
+            format!("data: {data}\n\n")
+        }
+    };
+    format!("{last}data: [DONE]\n\n")
+}
--- /dev/null
+++ b/crates/router/src/head.rs
@@ -0,0 +1,315 @@
+//! A draft from the router's side: choosing a head, following it, and going on
+//! with another one when it is lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use wire::frame::{
+    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Tell,
+    Token, Word,
+};
+use wire::id;
+use wire::link::Stream;
+
+use crate::view::Sent;
+use crate::{Router, choose};
+
+/// Tries to get a draft accepted before the caller is told that there is no room.
+const TRIES: u32 = 6;
+
+/// Pause before the second try; doubled for each further one.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// When a caller may come back after no agent had room.
+const BUSY_RETRY: Duration = Duration::from_millis(500);
+
+/// Time an agent has to accept or refuse a draft.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How often a silent head is compared with the view of the agents.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What a caller wants.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// The part of the request id that stays the same.
+    pub unique: String,
+    /// Whose it is.
+    pub workspace: id::Workspace,
+    /// Model.
+    pub model: config::fleet::Model,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens to generate at most.
+    pub max_tokens: u32,
+    /// Engine priority.
+    pub priority: u8,
+    /// Hash of model and prompt.
+    pub fingerprint: id::Fingerprint,
+    /// When the caller no longer waits.
+    pub until: Instant,
+}
+
+/// What happens to a draft, in order: one `Accepted`, tokens, one end. A refusal
+/// may come first.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// It runs under this request id.
+    Accepted(id::Request, u32),
+    /// A token, under the id to resume with.
+    Token(id::Request, Token),
+    /// It is complete.
+    Done(Done),
+    /// It is refused or lost.
+    Refused(id::Request, Refusal),
+}
+
+/// How one head ended.
+enum End {
+    /// The caller has its answer or has gone.
+    Over,
+    /// The head is lost; another one goes on.
+    Lost(String),
+}
+
+struct Follower {
+    router: Arc<Router>,
+    events: mpsc::Sender<Event>,
+    workspace: id::Workspace,
+    request: id::Request,
+    head: Place,
+    /// Tokens the caller has.
+    words: Vec<Word>,
+    accepted: bool,
+}
+
+/// Runs a draft until its caller has the whole answer or an honest refusal.
+pub async fn run(router: Arc<Router>, wanted: Wanted, events: mpsc::Sender<Event>) {
+    let mut follower = Follower {
+        router,
+        events,
+        workspace: wanted.workspace.clone(),
+        request: wanted.unique.clone(),
+        head: Place { vm: String::new(), address: String::new() },
+        words: Vec::new(),
+        accepted: false,
+    };
+    let mut attempt = 0;
+    loop {
+        let (stream, sent) = match follower.start(&wanted, attempt).await {
+            Ok(started) => started,
+            Err(refusal) => return follower.refuse(refusal).await,
+        };
+        match follower.follow(stream).await {
+            End::Over => return,
+            End::Lost(why) => {
+                log::warn!("head: {} lost {}: {why}", follower.head.vm, follower.request);
+                let text = format!("head {} is lost: {why}", follower.head.vm);
+                follower.router.node.trace.add(&follower.request, "head", text);
+                follower.router.node.metrics.retries.add(1, &[]);
+            }
+        }
+        drop(sent);
+        attempt += HEAD_STRIDE;
+    }
+}
+
+/// Goes on with a draft for a caller that has `after` tokens.
+pub async fn attach(
+    router: Arc<Router>,
+    attach: Attach,
+    head: Place,
+    events: mpsc::Sender<Event>,
+) {
+    let mut follower = Follower {
+        router,
+        events,
+        workspace: attach.workspace.clone(),
+        request: attach.request.clone(),
+        head,
+        words: Vec::new(),
+        accepted: false,
+    };
+    let ask = Ask::Attach(attach);
+    let opened = follower.ask(&ask).await;
+    let end = match opened {
+        Ok(stream) => follower.follow(stream).await,
+        Err(refusal) => return follower.refuse(refusal).await,
+    };
+    if let End::Lost(why) = end {
+        let refusal = Refusal::unknown(Cause::Lost, "attach", &follower.head.vm, why);
+        follower.refuse(refusal.after(Duration::from_secs(1))).await;
+    }
+}
+
+impl Follower {
+    /// Gets the draft accepted by a head.
+    async fn start(
+        &mut self,
+        wanted: &Wanted,
+        attempt: id::Attempt,
+    ) -> Result<(Stream, Sent), Refusal> {
+        let mut pause = PAUSE;
+        let mut tries = 0;
+        loop {
+            let refusal = match self.offer(wanted, attempt).await {
+                Ok(started) => return Ok(started),
+                Err(refusal) => refusal,
+            };
+            tries += 1;
+            let again = matches!(
+                refusal.cause,
+                Cause::Busy | Cause::Leaving | Cause::Unavailable | Cause::Lost
+            );
+            // A draft that was accepted once is looked after until its deadline.
+            let enough = tries >= TRIES && !self.accepted;
+            if !again || enough || Instant::now() + pause >= wanted.until {
+                return Err(match refusal.retry_after {
+                    None if again => refusal.after(BUSY_RETRY),
+                    _ => refusal,
+                });
+            }
+            self.router.node.metrics.retries.add(1, &[]);
+            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(Duration::from_millis(500));
+        }
+    }
+
+    /// Offers the draft to the best head of now.
+    async fn offer(
+        &mut self,
+        wanted: &Wanted,
+        attempt: id::Attempt,
+    ) -> Result<(Stream, Sent), Refusal> {
+        let agents = self.router.view.usable();
+        let chain = choose::chain(&agents, &wanted.model);
+        let vm = &self.router.node.process.vm;
+        if let Some(gap) = chain.iter().find(|hop| hop.replicas.is_empty()) {
+            let (first, last) = (gap.stage.first, gap.stage.last);
+            let why = format!("no backend server holds layers {first}-{last} now");
+            return Err(Refusal::not_run(Cause::Unavailable, "choose", vm, why));
+        }
+        self.head = chain[0].replicas[0].clone();
+        self.request = self.request_id(&wanted.unique);
+        let ask = Ask::Draft(self.draft(wanted, attempt, chain));
+        let sent = self.router.view.sent(&self.head.vm);
+        let stream = self.ask(&ask).await?;
+        Ok((stream, sent))
+    }
+
+    fn request_id(&self, unique: &str) -> id::Request {
+        let report = self.router.view.find(&self.head.vm).and_then(|a| a.report);
+        let incarnation = report.map_or(0, |r| r.incarnation);
+        format!("{}.{incarnation}.{unique}", self.head.vm)
+    }
+
+    fn draft(&self, wanted: &Wanted, attempt: id::Attempt, chain: Vec<Hop>) -> Draft {
+        Draft {
+            request: self.request.clone(),
+            workspace: wanted.workspace.clone(),
+            model: wanted.model.name.clone(),
+            prompt: wanted.prompt.clone(),
+            delivered: self.words.iter().map(|w| w.id).collect(),
+            attempt,
+            max_tokens: wanted.max_tokens,
+            priority: wanted.priority,
+            deadline: wanted.until.saturating_duration_since(Instant::now()),
+            fingerprint: wanted.fingerprint,
+            chain,
+        }
+    }
+
+    /// Opens a stream to the head and reads whether it accepts.
+    async fn ask(&mut self, ask: &Ask) -> Result<Stream, Refusal> {
+        let (vm, address) = (self.head.vm.clone(), self.head.address.clone());
+        let down = |why: String| Refusal::not_run(Cause::Unavailable, "offer", &vm, why);
+        let asked = async {
+            let mut stream = self
+                .router
+                .node
+                .peers
+                .open(&vm, &address, ask)
+                .await
+                .map_err(|e| down(e.to_string()))?;
+            let tell = stream.expect::<Tell>().await.map_err(|e| down(e.to_string()))?;
+            Ok((stream, tell))
+        };
+        let asked = tokio::time::timeout(ACCEPT_TIMEOUT, asked).await;
+        let (stream, tell) = asked.unwrap_or_else(|_| Err(down("no answer in time".into())))?;
+        match tell {
+            Tell::Accepted(accepted) => {
+                if !self.accepted {
+                    let event = Event::Accepted(self.request.clone(), accepted.prompt_tokens);
+                    let _ = self.events.send(event).await;
+                }
+                self.accepted = true;
+                Ok(stream)
+            }
+            Tell::Refused(refusal) => Err(refusal),
+            _ => Err(down("unexpected frame".into())),
+        }
+    }
+
+    /// Passes tokens on until the draft ends, the caller goes or the head is lost.
+    async fn follow(&mut self, mut stream: Stream) -> End {
+        loop {
+            let tell = tokio::select! {
+                tell = stream.expect::<Tell>() => tell,
+                () = self.events.closed() => {
+                    self.cancel().await;
+                    return End::Over;
+                }
+                () = down(&self.router, &self.head.vm) => {
+                    return End::Lost("no report from it".into());
+                }
+            };
+            match tell {
+                Ok(Tell::Token(token)) => {
+                    self.words.push(token.word.clone());
+                    let event = Event::Token(self.request.clone(), token);
+                    if self.events.send(event).await.is_err() {
+                        self.cancel().await;
+                        return End::Over;
+                    }
+                }
+                Ok(Tell::Done(done)) => {
+                    let _ = self.events.send(Event::Done(done)).await;
+                    return End::Over;
+                }
+                Ok(Tell::Refused(refusal)) => {
+                    self.refuse(refusal).await;
+                    return End::Over;
+                }
+                Ok(_) => return End::Lost("unexpected frame".into()),
+                Err(e) => return End::Lost(e.to_string()),
+            }
+        }
+    }
+
+    async fn cancel(&self) {
+        let (request, workspace) = (self.request.clone(), self.workspace.clone());
+        let ask = Ask::Cancel(Cancel { request, workspace });
+        let peers = &self.router.node.peers;
+        if let Err(e) = peers.ask::<_, Tell>(&self.head.vm, &self.head.address, &ask).await {
+            log::debug!("head: a cancelled draft could not be stopped: {e}");
+        }
+    }
+
+    /// Tells the caller the end. What was accepted once may have run in part.
+    async fn refuse(&self, mut refusal: Refusal) {
+        if self.accepted && refusal.outcome == Outcome::NotRun {
+            refusal.outcome = Outcome::Unknown;
+        }
+        self.router.node.trace.add(&self.request, "refuse", refusal.to_string());
+        let _ = self.events.send(Event::Refused(self.request.clone(), refusal)).await;
+    }
+}
+
+/// Resolves when an agent that is being followed can't be reached any more.
+async fn down(router: &Router, vm: &str) {
+    while !router.view.down(vm) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,128 @@
-//! The entry daemon: takes callers' requests, chooses backend servers, keeps the caller's connection
+//! The entry daemon: takes callers' requests, chooses backend servers, keeps the
+//! caller's connection and deadline.
+
+pub mod caller;
+pub mod choose;
+pub mod completion;
+pub mod head;
+pub mod problem;
+pub mod service;
+pub mod view;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::process::Process;
+use node::{Error, Node};
+use salvo::conn::TcpListener;
+use salvo::{Listener, Server};
+use serde_json::json;
+use wire::frame::{Ask, Tell};
+use wire::link::Stream;
+
+/// A router and its parts.
+#[derive(Debug)]
+pub struct Router {
+    /// What every daemon has.
+    pub node: Arc<Node>,
+    /// The agents as this router sees them.
+    pub view: Arc<view::View>,
+}
+
+impl Router {
+    fn ready(&self) -> Result<(), String> {
+        match () {
+            () if self.node.stop.raised() => Err("leaving".into()),
+            () if !self.node.settings.borrow().caught_up => {
+                Err("the settings have not been read yet".into())
+            }
+            () if self.view.none_usable() => Err("no backend server is known yet".into()),
+            () => Ok(()),
+        }
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let process = &self.node.process;
+        let state = match self.ready() {
+            _ if self.node.stop.raised() => "draining",
+            Ok(()) => "serving",
+            Err(_) => "starting",
+        };
+        json!({
+            "vm": process.vm,
+            "role": "router",
+            "data_centre": process.data_centre,
+            "incarnation": self.node.incarnation,
+            "version": self.node.settings.borrow().version,
+            "state": state,
+            "busy": self.view.outstanding(),
+        })
+    }
+}
+
+/// Runs a router until it is told to stop and its callers have their answers.
+pub async fn run(process: Process) -> Result<(), Error> {
+    let node = node::start(process).await?;
+    let view = view::start(&node);
+    let router = Arc::new(Router { node: node.clone(), view });
+
+    let handle = router.clone();
+    tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
+        answer(handle.clone(), ask, stream)
+    }));
+    let served = serve_callers(router.clone()).await?;
+    log::info!("router: {} takes callers on {}", node.process.vm, node.process.http);
+    served.await.map_err(|e| Error::new("serve callers", e))?;
+
+    // Gives the last frames on the links time to leave.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    node.peers.endpoint().close(0u32.into(), b"stopped");
+    node.peers.endpoint().wait_idle().await;
+    log::info!("router: stopped");
+    Ok(())
+}
+
+/// Starts the HTTP side. The handle resolves when it has drained after a stop.
+async fn serve_callers(router: Arc<Router>) -> Result<tokio::task::JoinHandle<()>, Error> {
+    let http = router.node.process.http;
+    let acceptor =
+        TcpListener::new(http).try_bind().await.map_err(|e| Error::new("bind HTTP port", e))?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let node = router.node.clone();
+    tokio::spawn(async move {
+        node.stop.wait().await;
+        let limit = node.settings.borrow().fleet.defaults.drain;
+        handle.stop_graceful(limit);
+    });
+    Ok(tokio::spawn(server.serve(routes(router))))
+}
+
+fn routes(router: Arc<Router>) -> salvo::Router {
+    let ready = router.clone();
+    let health = node::health::routes(router.node.clone(), Arc::new(move || ready.ready()));
+    let mut routes = salvo::Router::new();
+    for route in health {
+        routes = routes.push(route);
+    }
+    routes
+        .push(salvo::Router::with_path("v1/models").get(completion::Models(router.clone())))
+        .push(salvo::Router::with_path("v1/completions").post(completion::Post(router.clone())))
+        .push(
+            salvo::Router::with_path("v1/completions/{id}")
+                .get(completion::Get(router.clone()))
+                .delete(completion::Delete(router.clone())),
+        )
+        .push(salvo::Router::with_path("{**path}").goal(service::Any(router)))
+}
+
+async fn answer(router: Arc<Router>, ask: Ask, mut stream: Stream) {
+    let tell = match ask {
+        Ask::Status => Tell::Text(router.status().to_string()),
+        _ => return,
+    };
+    if stream.send(&tell).await.is_ok() {
+        stream.finish();
+        stream.stopped().await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/service.rs
@@ -0,0 +1,229 @@
+//! Calls of plain services, passed on by the contract of their route.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::fleet::{self, Fleet, Service, Workspace};
+use salvo::http::{HeaderName, HeaderValue, StatusCode};
+use salvo::prelude::*;
+use tokio::time::{Instant, timeout};
+use wire::frame::{Ask, Call, Cause, Class, Outcome, Refusal, Reply, Tell};
+
+use crate::view::Agent;
+use crate::{Router, caller, choose, problem};
+
+/// Header with the caller's key for a write.
+pub const KEY: &str = "idempotency-key";
+
+/// Longest key in bytes.
+const KEY_LENGTH: usize = 200;
+
+/// Pause before a second round over the agents of a service.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Rounds over the agents of a service.
+const ROUNDS: u32 = 2;
+
+/// When a caller may come back when no agent could take the call.
+const BUSY_RETRY: Duration = Duration::from_millis(500);
+
+/// Headers of the caller that are for the router and not passed on.
+const OWN: [&str; 3] = ["authorization", caller::DEADLINE, "host"];
+
+/// Any path that is not the router's own.
+pub struct Any(pub Arc<Router>);
+
+#[handler]
+impl Any {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let router = &self.0;
+        let fleet = router.node.settings.borrow().fleet.clone();
+        let vm = &router.node.process.vm;
+        let Some(workspace) = caller::workspace(&fleet, req) else {
+            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        };
+        let limit = fleet.defaults.body_limit;
+        let body = match req.payload_with_max_size(limit).await {
+            Ok(body) => body.to_vec(),
+            Err(e) => {
+                let why = format!("the body can't be read, the limit is {limit} bytes: {e}");
+                let refusal = Refusal::refused(Cause::Bad, "read", vm, why);
+                return problem::render_as(res, 413, &refusal, "");
+            }
+        };
+        match call(router, &fleet, workspace, req, body) {
+            Ok((call, until)) => {
+                let request = call.request.clone();
+                match run(router, call, until).await {
+                    Ok(reply) => render(res, reply, &request),
+                    Err(refusal) => problem::render(res, &refusal, &request),
+                }
+            }
+            Err(refusal) => problem::render(res, &refusal, ""),
+        }
+    }
+}
+
+fn call(
+    router: &Router,
+    fleet: &Fleet,
+    workspace: &Workspace,
+    req: &Request,
+    body: Vec<u8>,
+) -> Result<(Call, Instant), Refusal> {
+    let vm = &router.node.process.vm;
+    let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
+    let Some((service, rest)) = fleet.service(path) else {
+        let why = format!("no service stands under {}", req.uri().path());
+        return Err(Refusal::refused(Cause::NotFound, "parse", vm, why));
+    };
+    let method = req.method().as_str().to_string();
+    let class = class(service, &method, rest);
+    let key = key(req, class, vm)?;
+    let deadline = caller::deadline(fleet, workspace, req, vm)?;
+    let unique = uuid::Uuid::now_v7().simple().to_string();
+    let request = format!("{vm}.{}.{unique}", router.node.incarnation);
+    let mut headers = passed_on(req);
+    headers.push(("x-workspace".into(), workspace.name.clone()));
+    headers.push(("x-request-id".into(), request.clone()));
+    let content = [method.as_bytes(), rest.as_bytes(), &body].concat();
+    let call = Call {
+        request,
+        workspace: workspace.name.clone(),
+        service: service.name.clone(),
+        method,
+        path: rest.to_string(),
+        headers,
+        body,
+        key,
+        class,
+        deadline,
+        fingerprint: xxhash_rust::xxh3::xxh3_64(&content),
+    };
+    Ok((call, Instant::now() + deadline))
+}
+
+fn class(service: &Service, method: &str, path: &str) -> Class {
+    match service.class(method, path) {
+        fleet::Class::ReadOnly => Class::ReadOnly,
+        fleet::Class::Idempotent => Class::Idempotent,
+        fleet::Class::NonIdempotent => Class::NonIdempotent,
+    }
+}
+
+/// The caller's key; a route that is not idempotent needs one, since without it
+/// a caller that asks again after a lost answer would write twice.
+fn key(req: &Request, class: Class, vm: &str) -> Result<Option<String>, Refusal> {
+    let key = req.headers().get(KEY).map(|v| v.to_str().unwrap_or_default().to_string());
+    match key {
+        None if class == Class::NonIdempotent => {
+            let why = "this route may run only once: name the write in an Idempotency-Key header";
+            Err(Refusal::refused(Cause::Bad, "parse", vm, why))
+        }
+        Some(key) if key.is_empty() || key.len() > KEY_LENGTH => {
+            let why = format!("an Idempotency-Key has 1 to {KEY_LENGTH} visible ASCII characters");
+            Err(Refusal::refused(Cause::Bad, "parse", vm, why))
+        }
+        key => Ok(key),
+    }
+}
+
+fn passed_on(req: &Request) -> Vec<(String, String)> {
+    req.headers()
+        .iter()
+        .filter(|(name, _)| !OWN.contains(&name.as_str()) && !name.as_str().starts_with("x-workspace"))
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
+        .collect()
+}
+
+/// Asks the service's agents, best first, until one gives an answer that counts.
+async fn run(router: &Arc<Router>, call: Call, until: Instant) -> Result<Reply, Refusal> {
+    let vm = &router.node.process.vm;
+    let why = format!("no backend server of service '{}' is known", call.service);
+    let mut last = Refusal::not_run(Cause::Unavailable, "choose", vm, why).after(BUSY_RETRY);
+    // Once an agent may have started the call, a later "not run" of another
+    // agent says nothing about the first.
+    let mut maybe_run: Option<Refusal> = None;
+    for round in 0..ROUNDS {
+        let agents = router.view.usable();
+        for agent in choose::service(&agents, &call.service, call.key.as_deref()) {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let refusal = match ask(router, &agent, &call, left).await {
+                Ok(reply) => return Ok(reply),
+                Err(refusal) => refusal,
+            };
+            router.node.trace.add(&call.request, "call", refusal.to_string());
+            match refusal.outcome {
+                Outcome::Refused => return Err(refusal),
+                Outcome::NotRun => last = refusal,
+                // The link was lost: the log decides whether the write may run.
+                Outcome::Unknown if refusal.step == LINK => maybe_run = Some(refusal),
+                Outcome::Unknown if call.class == Class::NonIdempotent => return Err(refusal),
+                Outcome::Unknown => maybe_run = Some(refusal),
+            }
+            router.node.metrics.retries.add(1, &[]);
+        }
+        if round + 1 < ROUNDS {
+            tokio::time::sleep(PAUSE.min(until.saturating_duration_since(Instant::now()))).await;
+        }
+    }
+    let refusal = maybe_run.unwrap_or(last);
+    Err(match refusal.retry_after {
+        None => refusal.after(BUSY_RETRY),
+        Some(_) => refusal,
+    })
+}
+
+/// Step name of refusals that this router makes when the link to an agent is lost.
+const LINK: &str = "ask agent";
+
+async fn ask(
+    router: &Arc<Router>,
+    agent: &Agent,
+    call: &Call,
+    left: Duration,
+) -> Result<Reply, Refusal> {
+    let (vm, address) = (agent.place.vm.as_str(), agent.place.address.as_str());
+    let _sent = router.view.sent(vm);
+    let peers = &router.node.peers;
+    let connection = peers
+        .connection(vm, address)
+        .await
+        .map_err(|e| Refusal::not_run(Cause::Unavailable, "connect", vm, e.to_string()))?;
+    let lost = |why: String| Refusal::unknown(Cause::Lost, LINK, vm, why);
+    let asked = async {
+        let ask = Ask::Call(Call { deadline: left, ..call.clone() });
+        let mut stream = wire::link::open(&connection, vm, &ask).await?;
+        stream.finish();
+        stream.expect::<Tell>().await
+    };
+    match timeout(left, asked).await {
+        Ok(Ok(Tell::Reply(reply))) => Ok(reply),
+        Ok(Ok(Tell::Refused(refusal))) => Err(refusal),
+        Ok(Ok(_)) => Err(lost("unexpected frame".into())),
+        Ok(Err(e)) => Err(lost(e.to_string())),
+        Err(_) => Err(Refusal::unknown(Cause::Deadline, LINK, vm, "no answer before the deadline")),
+    }
+}
+
+fn render(res: &mut Response, reply: Reply, request: &str) {
+    res.status_code(StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    let headers = res.headers_mut();
+    for (name, value) in &reply.headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        }
+    }
+    if let Ok(value) = HeaderValue::from_str(request) {
+        headers.insert("x-request-id", value);
+    }
+    if reply.replayed {
+        headers.insert("idempotent-replayed", HeaderValue::from_static("true"));
+    }
+    if let Err(e) = res.write_body(reply.body) {
+        log::warn!("service: the answer can't be written: {e}");
+    }
+}
--- /dev/null
+++ b/crates/router/src/view.rs
@@ -0,0 +1,201 @@
+//! The agents as this router sees them: what each last reported, and what this
+//! router has sent it since. A hint that makes refusals rare; the agents decide.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use node::Node;
+use platform::vm::{self, Role};
+use tokio::time::timeout;
+use wire::frame::{Ask, Backend, Place, Report, Tell, Watch};
+
+/// Pause before an agent is connected to again.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Report intervals of silence after which an agent counts as down.
+const SILENCE: u32 = 4;
+
+/// Least silence after which an agent counts as down, so that a short report
+/// interval does not make a busy machine look like a lost VM.
+const LEAST_SILENCE: Duration = Duration::from_secs(1);
+
+/// One agent.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    /// Its name and address.
+    pub place: Place,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its last report; `None` while it can't be reached.
+    pub report: Option<Report>,
+    /// Requests of this router in progress there.
+    pub own: u32,
+    /// True when the VM list or the agent itself says that it is leaving.
+    pub leaving: bool,
+}
+
+/// All agents.
+#[derive(Debug)]
+pub struct View {
+    /// Sorted by VM.
+    agents: Mutex<Vec<Agent>>,
+}
+
+/// Counts a request at an agent until it is dropped.
+#[derive(Debug)]
+pub struct Sent {
+    view: Arc<View>,
+    vm: String,
+}
+
+impl View {
+    /// All agents that can take new work.
+    pub fn usable(&self) -> Vec<Agent> {
+        let agents = self.agents.lock().expect("no panic while held");
+        agents.iter().filter(|a| a.report.is_some() && !a.leaving).cloned().collect()
+    }
+
+    /// True when no agent can take new work.
+    pub fn none_usable(&self) -> bool {
+        self.usable().is_empty()
+    }
+
+    /// One agent, also when it is leaving or down.
+    pub fn find(&self, vm: &str) -> Option<Agent> {
+        let agents = self.agents.lock().expect("no panic while held");
+        let i = agents.binary_search_by(|a| a.place.vm.as_str().cmp(vm)).ok()?;
+        Some(agents[i].clone())
+    }
+
+    /// True when an agent can't be reached now.
+    pub fn down(&self, vm: &str) -> bool {
+        self.find(vm).is_none_or(|a| a.report.is_none())
+    }
+
+    /// Requests of this router in progress.
+    pub fn outstanding(&self) -> u32 {
+        self.agents.lock().expect("no panic while held").iter().map(|a| a.own).sum()
+    }
+
+    /// Counts a request at an agent.
+    pub fn sent(self: &Arc<View>, vm: &str) -> Sent {
+        self.change(vm, |a| a.own += 1);
+        Sent { view: self.clone(), vm: vm.to_string() }
+    }
+
+    fn change(&self, vm: &str, change: impl FnOnce(&mut Agent)) {
+        let mut agents = self.agents.lock().expect("no panic while held");
+        if let Ok(i) = agents.binary_search_by(|a| a.place.vm.as_str().cmp(vm)) {
+            change(&mut agents[i]);
+        }
+    }
+
+    /// Takes over the VM list; returns the agents that are new in it.
+    fn listed(&self, list: &[vm::Entry]) -> Vec<Place> {
+        let mut agents = self.agents.lock().expect("no panic while held");
+        let mut new = Vec::new();
+        agents.retain(|a| {
+            list.iter().any(|e| e.vm == a.place.vm && e.address == a.place.address)
+        });
+        for entry in list.iter().filter(|e| e.role == Role::Agent) {
+            let leaving = entry.state == vm::State::Leaving;
+            match agents.binary_search_by(|a| a.place.vm.cmp(&entry.vm)) {
+                Ok(i) => {
+                    let told = agents[i].report.as_ref().is_some_and(|r| r.leaving);
+                    agents[i].leaving = leaving || told;
+                }
+                Err(i) => {
+                    let place = Place { vm: entry.vm.clone(), address: entry.address.clone() };
+                    new.push(place.clone());
+                    let data_centre = entry.data_centre.clone();
+                    agents.insert(i, Agent { place, data_centre, report: None, own: 0, leaving });
+                }
+            }
+        }
+        new
+    }
+
+    fn reported(&self, report: Report, listed_leaving: bool) {
+        let vm = report.vm.clone();
+        self.change(&vm, |a| {
+            a.leaving = report.leaving || listed_leaving;
+            a.report = Some(report);
+        });
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.view.change(&self.vm, |a| a.own = a.own.saturating_sub(1));
+    }
+}
+
+/// Starts following the VM list and the agents on it.
+pub fn start(node: &Arc<Node>) -> Arc<View> {
+    let view = Arc::new(View { agents: Mutex::default() });
+    tokio::spawn(follow_list(node.clone(), view.clone()));
+    view
+}
+
+async fn follow_list(node: Arc<Node>, view: Arc<View>) {
+    let mut vms = node.vms.clone();
+    loop {
+        let list = vms.borrow_and_update().clone();
+        node.peers.retain(&list);
+        for place in view.listed(&list) {
+            tokio::spawn(follow_agent(node.clone(), view.clone(), place));
+        }
+        if vms.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads one agent's reports for as long as the VM list has it.
+async fn follow_agent(node: Arc<Node>, view: Arc<View>, place: Place) {
+    let watch = Ask::Watch(Watch { vm: node.process.vm.clone() });
+    while view.find(&place.vm).is_some_and(|a| a.place == place) {
+        let opened = node.peers.open(&place.vm, &place.address, &watch).await;
+        match opened {
+            Ok(mut stream) => {
+                let why = read_reports(&node, &view, &mut stream).await;
+                log::warn!("view: {} is down: {why}", place.vm);
+            }
+            Err(e) => log::debug!("view: {e}"),
+        }
+        view.change(&place.vm, |a| a.report = None);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn read_reports(node: &Node, view: &View, stream: &mut wire::link::Stream) -> String {
+    loop {
+        let interval = node.settings.borrow().fleet.defaults.report_interval;
+        let silence = (interval * SILENCE).max(LEAST_SILENCE);
+        match timeout(silence, stream.expect()).await {
+            Ok(Ok(Tell::Report(report))) => {
+                let listed = node.vms.borrow().iter().any(|e| {
+                    e.vm == report.vm && e.state == vm::State::Leaving
+                });
+                view.reported(*report, listed);
+            }
+            Ok(Ok(_)) => return "unexpected frame".into(),
+            Ok(Err(e)) => return e.to_string(),
+            Err(_) => return format!("no report for {silence:?}"),
+        }
+    }
+}
+
+/// The range of layers an agent holds, if it stands beside an engine.
+pub fn stage(agent: &Agent) -> Option<&wire::frame::Stage> {
+    match agent.report.as_ref().map(|r| &r.backend) {
+        Some(Backend::Stage(stage)) => Some(stage),
+        _ => None,
+    }
+}
+
+/// True when an agent stands beside the named plain service.
+pub fn serves(agent: &Agent, service: &str) -> bool {
+    let backend = agent.report.as_ref().map(|r| &r.backend);
+    matches!(backend, Some(Backend::Service(name)) if name == service)
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,6 +13,9 @@
 /// Longest frame in bytes.
 pub const LIMIT: usize = 24 << 20;
 
+/// Distance between the first attempt numbers of two heads of a request.
+pub const HEAD_STRIDE: id::Attempt = 1 << 16;
+
 /// Why a frame could not be read or written.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -175,6 +178,9 @@
     pub prompt: String,
     /// Ids of tokens that the caller already has from an earlier head; the draft goes on after them.
     pub delivered: Vec<u64>,
+    /// First attempt number the head uses. Each new head of a request starts
+    /// [`HEAD_STRIDE`] higher, so that a stage refuses what an older head still sends.
+    pub attempt: id::Attempt,
     /// Tokens to generate at most, those delivered included.
     pub max_tokens: u32,
     /// Higher is served first.
@@ -183,7 +189,8 @@
     pub deadline: Duration,
     /// Hash of model and prompt, for the quarantine of requests that crash engines.
     pub fingerprint: id::Fingerprint,
-    /// For each range after the head's, agents to try in this order.
+    /// For each range of the model in order, agents to try in this order. The
+    /// first range starts at the head itself; its replicas here are the spares.
     pub chain: Vec<Hop>,
 }
 
