config: read and check both kinds of settings, judge changes

The structs had only todo!() behind them. A reader collects every fault of a file before it gives up; exceptions are applied while reading. State::judge keeps what is in force apart from what the stream has been judged to, so that a process that starts after records have expired judges nothing until a carried record tells it a base it has not missed.

Change has a new field `judged`, Verdict a new variant Pending.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -2,8 +2,18 @@
 
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
 use crate::fault::Faults;
 
+mod contract;
+pub mod defaults;
+mod difference;
+mod exception;
+mod read;
+
+pub use difference::{Difference, diff};
+
 /// Settings of the fleet as they are in force.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fleet {
@@ -19,6 +29,9 @@
     pub fenced: Vec<String>,
     /// Exceptions, sorted by name.
     pub exceptions: Vec<Exception>,
+    /// Hash of each workspace's key and its place in `workspaces`, sorted: a linear search
+    /// over hundreds of workspaces on each request would show in the router's time.
+    keys: Vec<(String, usize)>,
 }
 
 /// What the fleet favours when the two can't both be had.
@@ -129,7 +142,7 @@
 pub struct Exception {
     /// Its name.
     pub name: String,
-    /// `workspace NAME` or `vm NAME`.
+    /// `workspace NAME`.
     pub target: String,
     /// Which default.
     pub setting: String,
@@ -140,19 +153,46 @@
 }
 
 /// Reads and checks a text; `file` names it in faults. Exceptions are already applied.
-pub fn parse(_file: &str, _text: &str) -> Result<Fleet, Faults> {
-    todo!("config helper")
+///
+/// ```
+/// let text = "[model draft]\nversion = 1\nlayers = 8\nranges = 0-3, 4-7\n";
+/// let fleet = config::fleet::parse("fleet.ini", text).unwrap();
+/// assert_eq!(fleet.model("draft").unwrap().ranges, [(0, 3), (4, 7)]);
+/// ```
+pub fn parse(file: &str, text: &str) -> Result<Fleet, Faults> {
+    read::fleet(file, text)
 }
 
 impl Fleet {
     /// Settings before any were published: no model, no workspace, no service.
+    ///
+    /// ```
+    /// assert!(config::fleet::Fleet::empty().workspace("any key").is_none());
+    /// ```
     pub fn empty() -> Fleet {
-        todo!("config helper")
+        Fleet {
+            defaults: defaults::new(),
+            models: vec![],
+            services: vec![],
+            workspaces: vec![],
+            fenced: vec![],
+            exceptions: vec![],
+            keys: vec![],
+        }
     }
 
     /// The workspace whose bearer key this is.
-    pub fn workspace(&self, _key: &str) -> Option<&Workspace> {
-        todo!("config helper")
+    ///
+    /// ```
+    /// let sha = config::fleet::hash("made-up key");
+    /// let text = format!("[workspace almaty-head]\nkey-sha256 = {sha}\n");
+    /// let fleet = config::fleet::parse("fleet.ini", &text).unwrap();
+    /// assert_eq!(fleet.workspace("made-up key").unwrap().name, "almaty-head");
+    /// ```
+    pub fn workspace(&self, key: &str) -> Option<&Workspace> {
+        let sha = hash(key);
+        let i = self.keys.binary_search_by(|(k, _)| k.as_str().cmp(&sha)).ok()?;
+        Some(&self.workspaces[self.keys[i].1])
     }
 
     /// The model by name.
@@ -162,15 +202,51 @@
     }
 
     /// The service whose prefix the path starts with, and the path after the prefix.
-    pub fn service<'a>(&self, _path: &'a str) -> Option<(&Service, &'a str)> {
-        todo!("config helper")
+    /// The prefix ends where the path ends, or before a `/` or a `?`; of nested prefixes
+    /// the longest counts.
+    ///
+    /// ```
+    /// let text = "[service filing]\nprefix = /filing\n";
+    /// let fleet = config::fleet::parse("fleet.ini", text).unwrap();
+    /// assert_eq!(fleet.service("/filing/filings/7").unwrap().1, "/filings/7");
+    /// assert!(fleet.service("/filings").is_none());
+    /// ```
+    pub fn service<'a>(&self, path: &'a str) -> Option<(&Service, &'a str)> {
+        let fits = |service: &&Service| contract::after(&service.prefix, path).is_some();
+        let service = self.services.iter().filter(fits).max_by_key(|s| s.prefix.len())?;
+        Some((service, contract::after(&service.prefix, path)?))
     }
 }
 
+/// SHA-256 of a bearer key in lower-case hex, as `key-sha256` holds it.
+///
+/// ```
+/// assert_eq!(config::fleet::hash("").len(), 64);
+/// ```
+pub fn hash(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 impl Service {
     /// Class of a call. An unlisted route counts as read-only for GET and HEAD,
     /// and as not idempotent for every other method.
-    pub fn class(&self, _method: &str, _path: &str) -> Class {
-        todo!("config helper")
+    ///
+    /// The query string is not looked at. A HEAD also fits the routes of GET, since servers
+    /// run the same handler for both. Routes are compared with plain paths only: each segment
+    /// is made of ASCII letters, digits and `-._~:@`, and none is empty, `.` or `..`. Any
+    /// other path (`//`, a `/` at the end, percent-encoding, dot segments) fits no route,
+    /// because the service may read it as another route than this function would. It counts
+    /// as not idempotent, except a GET or HEAD to a service all of whose GET and HEAD routes
+    /// are read-only: whichever route the service takes it for, it changes nothing.
+    ///
+    /// ```
+    /// use config::fleet::Class;
+    /// let text = "[service notes]\nprefix = /notes\nroute.1 = PUT /notes/* idempotent\n";
+    /// let fleet = config::fleet::parse("fleet.ini", text).unwrap();
+    /// assert_eq!(fleet.services[0].class("PUT", "/notes/7"), Class::Idempotent);
+    /// assert_eq!(fleet.services[0].class("PUT", "/notes//7"), Class::NonIdempotent);
+    /// ```
+    pub fn class(&self, method: &str, path: &str) -> Class {
+        contract::class(self, method, path)
     }
 }
--- /dev/null
+++ b/crates/config/tests/change.rs
@@ -0,0 +1,294 @@
+//! The order of changes: racing operators, expiry, late starters.
+
+use config::change::{Change, State, Verdict};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn text(n: u32) -> String {
+    format!("[defaults]\nqueue-limit = {}\n", n + 1)
+}
+
+fn change(base: u64, text: &str) -> Change {
+    Change {
+        id: "id".into(),
+        base,
+        author: "a".into(),
+        reason: "r".into(),
+        text: text.into(),
+        carried: None,
+        judged: 0,
+    }
+}
+
+fn carried(version: u64, judged: u64, text: &str) -> Change {
+    Change { carried: Some(version), judged, ..change(version, text) }
+}
+
+fn json(change: &Change) -> String {
+    serde_json::to_string(change).unwrap()
+}
+
+fn reason(verdict: Verdict) -> String {
+    match verdict {
+        Verdict::Refused(reason) => reason,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Two operators send a change at the same time. Both were made from version 1; were both
+// taken, the second would silently undo the first, and nobody would have decided so.
+#[test]
+fn of_two_racing_changes_the_first_wins_and_the_second_is_told() {
+    let mut state = State::new();
+    assert_eq!(state.judge(0, &json(&change(0, &text(1)))), Verdict::Accepted(1));
+    assert_eq!(state.judge(1, &json(&change(1, &text(2)))), Verdict::Accepted(2));
+    let told = reason(state.judge(2, &json(&change(1, &text(3)))));
+    assert_eq!(told, "based on version 1, but 2 is in force");
+    assert_eq!(state.fleet.defaults.queue_limit, 3);
+}
+
+#[rstest]
+#[case::garbage("garbage", "does not decode")]
+#[case::half("{\"id\":\"x\"}", "does not decode")]
+#[case::wrong_type("{\"id\":7}", "does not decode")]
+#[case::empty("", "does not decode")]
+#[case::faulty(&json(&change(1, "[defaults]\nqueue-limit = 0\n")), "queue-limit")]
+#[case::future(&json(&change(9, &text(2))), "based on version 9")]
+#[case::carried_future(&json(&carried(9, 9, &text(1))), "carries version 9")]
+#[case::carried_other(&json(&carried(1, 1, &text(7))), "not the text")]
+fn a_wrong_record_is_refused_and_changes_nothing(#[case] data: &str, #[case] why: &str) {
+    let mut state = State::new();
+    state.judge(0, &json(&change(0, &text(1))));
+    let told = reason(state.judge(1, data));
+    assert!(told.contains(why), "{told}");
+    assert_eq!((state.version, state.next), (1, 2));
+    assert_eq!(reason(state.judge(1, data)), "already read");
+}
+
+// A daemon starts when the first records have expired. A change whose base it can't verify
+// may be the loser of a race; were it taken, this VM alone would run other settings.
+#[test]
+fn a_late_starter_waits_for_a_carried_record_and_then_agrees() {
+    let mut late = State::begin(5);
+    assert_eq!(late.judge(5, &json(&change(3, &text(2)))), Verdict::Pending);
+    assert_eq!(late.judge(6, &json(&change(4, &text(3)))), Verdict::Pending);
+    assert!(!late.knows_base());
+    let settled = late.settle(7, &json(&carried(4, 5, &text(1))));
+    assert!(matches!(settled[0], (5, Verdict::Refused(_))));
+    assert_eq!(settled[1], (6, Verdict::Accepted(7)));
+    assert!(matches!(settled[2], (7, Verdict::Refused(_))));
+    assert_eq!((late.version, late.text), (7, text(3)));
+}
+
+// A daemon was slow to append its carried record: what it had judged has expired meanwhile,
+// and a change that nobody can read any more may have come after it.
+#[test]
+fn a_carried_record_from_before_the_gap_is_applied_but_not_judged_from() {
+    let mut late = State::begin(5);
+    assert_eq!(late.judge(5, &json(&carried(2, 4, &text(1)))), Verdict::Pending);
+    assert_eq!(late.version, 2);
+    assert_eq!(late.judge(6, &json(&change(2, &text(2)))), Verdict::Pending);
+    assert!(late.carry("id", "a").is_none());
+}
+
+// A VM is paused for longer than the log keeps its records.
+#[test]
+fn a_gap_takes_the_base_away_but_not_the_settings() {
+    let mut state = State::new();
+    state.judge(0, &json(&change(0, &text(1))));
+    assert_eq!(state.judge(4, &json(&change(1, &text(2)))), Verdict::Pending);
+    assert_eq!((state.version, state.knows_base()), (1, false));
+}
+
+// A peer has read further; its version holds here at once and is never taken back by what
+// is still to be read.
+#[test]
+fn a_version_from_a_peer_never_reverts() {
+    let mut state = State::new();
+    assert!(state.adopt(3, &text(3)));
+    assert!(!state.adopt(2, &text(2)));
+    assert!(!state.adopt(4, "[what]\n"));
+    assert_eq!(state.judge(0, &json(&change(0, &text(1)))), Verdict::Accepted(1));
+    assert_eq!((state.version, state.text.clone()), (3, text(3)));
+    assert_eq!(state.judge(1, &json(&change(0, &text(9)))).clone(), {
+        Verdict::Refused("based on version 0, but 1 is in force".into())
+    });
+    assert_eq!(state.judge(2, &json(&change(1, &text(3)))), Verdict::Accepted(3));
+}
+
+/// What happens in a random run; numbers are taken modulo what exists.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator appends a change made from the version that a process has in force.
+    Publish(usize),
+    /// An operator appends a change made from any number.
+    Guess(u64),
+    /// Somebody appends what is no change.
+    Garbage,
+    /// A process prepares a carried record; it is appended some steps later.
+    Carry(usize),
+    /// The oldest prepared carried record arrives at the log.
+    Arrive,
+    /// A process reads some records.
+    Read(usize, u64),
+    /// The oldest records expire.
+    Expire(u64),
+    /// A process starts anew.
+    Start(usize),
+    /// A process adopts the version of another.
+    Adopt(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let i = 0..PROCESSES;
+    prop_oneof![
+        4 => i.clone().prop_map(Step::Publish),
+        1 => (0..30u64).prop_map(Step::Guess),
+        1 => Just(Step::Garbage),
+        3 => i.clone().prop_map(Step::Carry),
+        3 => Just(Step::Arrive),
+        6 => (i.clone(), 1..5u64).prop_map(|(i, n)| Step::Read(i, n)),
+        2 => (1..4u64).prop_map(Step::Expire),
+        1 => i.clone().prop_map(Step::Start),
+        1 => (i.clone(), i).prop_map(|(i, j)| Step::Adopt(i, j)),
+    ]
+}
+
+const PROCESSES: usize = 4;
+
+/// A log whose oldest records expire, and the processes that read it.
+struct World {
+    log: Vec<String>,
+    first: u64,
+    delayed: Vec<String>,
+    processes: Vec<State>,
+    /// Reads everything at once and never misses a record.
+    witness: State,
+    /// Every version that was ever accepted, with its text.
+    accepted: Vec<(u64, String)>,
+    count: u32,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            log: vec![],
+            first: 0,
+            delayed: vec![],
+            processes: vec![State::new(); PROCESSES],
+            witness: State::new(),
+            accepted: vec![(0, String::new())],
+            count: 0,
+        }
+    }
+
+    fn append(&mut self, data: String) {
+        let offset = self.log.len() as u64;
+        if let Verdict::Accepted(version) = self.witness.judge(offset, &data) {
+            assert_eq!(version, offset + 1);
+            self.accepted.push((version, self.witness.text.clone()));
+        }
+        self.log.push(data);
+    }
+
+    fn publish(&mut self, base: u64) {
+        self.count += 1;
+        self.append(json(&change(base, &text(self.count))));
+    }
+
+    fn read(&mut self, i: usize, count: u64) {
+        let state = &mut self.processes[i];
+        state.skip(self.first);
+        for _ in 0..count {
+            let offset = state.next;
+            let Some(data) = self.log.get(offset as usize) else { return };
+            let before = state.version;
+            let verdicts = state.settle(offset, data);
+            assert!(state.version >= before, "a version reverted");
+            for (at, verdict) in verdicts {
+                let known = self.accepted.iter().any(|(v, _)| *v == at + 1);
+                match verdict {
+                    Verdict::Accepted(_) => assert!(known, "accepted what others refused"),
+                    Verdict::Refused(_) => assert!(!known, "refused what others accepted"),
+                    Verdict::Carried(_) | Verdict::Pending => {}
+                }
+            }
+            let held = (state.version, state.text.clone());
+            assert!(self.accepted.contains(&held), "holds what was never accepted: {held:?}");
+        }
+    }
+
+    fn run(&mut self, step: Step) {
+        match step {
+            Step::Publish(i) => self.publish(self.processes[i].version),
+            Step::Guess(base) => self.publish(base),
+            Step::Garbage => self.append("garbage".into()),
+            Step::Carry(i) => {
+                self.delayed.extend(self.processes[i].carry("c", "d").as_ref().map(json))
+            }
+            Step::Arrive if self.delayed.is_empty() => {}
+            Step::Arrive => {
+                let data = self.delayed.remove(0);
+                self.append(data);
+            }
+            Step::Read(i, count) => self.read(i, count),
+            Step::Expire(count) => self.first = (self.first + count).min(self.log.len() as u64),
+            Step::Start(i) => self.processes[i] = State::begin(self.first),
+            Step::Adopt(i, j) => {
+                let (version, text) = (self.processes[j].version, self.processes[j].text.clone());
+                let before = self.processes[i].version;
+                assert_eq!(self.processes[i].adopt(version, &text), version > before);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    // Operators race, records expire and daemons start at any moment. A user would notice a
+    // disagreement as a limit that holds at one entry VM and not at the next.
+    #[test]
+    fn all_that_have_caught_up_agree(steps in prop::collection::vec(step(), 1..80)) {
+        let mut world = World::new();
+        for step in steps {
+            world.run(step);
+        }
+        // A process that knows everything keeps the version from expiring.
+        let carry = world.witness.carry("c", "d").unwrap();
+        world.append(json(&carry));
+        for i in 0..PROCESSES {
+            world.read(i, u64::MAX >> 1);
+            let state = &world.processes[i];
+            prop_assert_eq!(&state.text, &world.witness.text);
+            prop_assert_eq!(state.version, world.witness.version);
+            prop_assert!(state.knows_base());
+        }
+        let rising = world.accepted.windows(2).all(|pair| pair[0].0 < pair[1].0);
+        prop_assert!(rising);
+    }
+
+    // Of all changes made from one version exactly one is accepted, the first that checks.
+    #[test]
+    fn each_base_has_one_winner(bases in prop::collection::vec(0..12u64, 1..40)) {
+        let mut state = State::new();
+        let mut won = vec![];
+        for (offset, base) in bases.iter().enumerate() {
+            let open = state.version == *base;
+            let verdict = state.judge(offset as u64, &json(&change(*base, &text(offset as u32))));
+            prop_assert_eq!(verdict == Verdict::Accepted(offset as u64 + 1), open);
+            won.extend(open.then_some(*base));
+        }
+        let count = won.len();
+        won.sort();
+        won.dedup();
+        prop_assert_eq!(won.len(), count);
+    }
+
+    // Whatever stands in the stream, reading it does not end the daemon.
+    #[test]
+    fn no_record_makes_a_reader_panic(data in ".{0,200}", offset in any::<u64>()) {
+        let mut state = State::new();
+        state.judge(offset, &data);
+    }
+}
