--- /dev/null
+++ b/crates/fake/src/bucket.rs
@@ -0,0 +1,38 @@
+//! A token bucket, for the stand-ins that limit a rate.
+
+use std::time::{Duration, Instant};
+
+/// Tokens that refill at a steady rate up to a burst.
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    /// A full bucket of `rate` tokens a second that holds what `burst` brings, at least one.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// let now = Instant::now();
+    /// let mut b = fake::bucket::Bucket::new(10, Duration::from_millis(250), now);
+    /// assert!(b.take(now) && b.take(now) && !b.take(now));
+    /// assert!(b.take(now + Duration::from_millis(100)));
+    /// ```
+    pub fn new(rate: u32, burst: Duration, now: Instant) -> Bucket {
+        let burst = (f64::from(rate) * burst.as_secs_f64()).max(1.0);
+        Bucket { rate: f64::from(rate), burst, left: burst, at: now }
+    }
+
+    /// Takes one token; false when there is none.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.rate;
+        self.left = (self.left + gained).min(self.burst);
+        self.at = now;
+        let some = self.left >= 1.0;
+        self.left -= if some { 1.0 } else { 0.0 };
+        some
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine.rs
@@ -0,0 +1,202 @@
+//! A model engine: holds a range of layers and batches the steps of its sessions continuously.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use engine::{Info, Kv, Load, Order, Session, Step, Text, Tokens};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use crate::model::{self, Range};
+use crate::serve::{self, Call, Reply, Server};
+
+pub mod book;
+mod cache;
+mod core;
+mod load;
+
+use core::{Answer, Core};
+
+/// Furthest that the batch schedule may lie behind the clock.
+const SLACK: Duration = Duration::from_millis(5);
+
+/// Command line of an engine.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Model loaded at the start; empty for none.
+    #[arg(long, default_value = "")]
+    pub model: String,
+    /// Version of its weights.
+    #[arg(long, default_value_t = 1)]
+    pub version: u32,
+    /// Layers of the whole model.
+    #[arg(long, default_value_t = 12)]
+    pub layers: u32,
+    /// First layer held.
+    #[arg(long, default_value_t = 0)]
+    pub first: u32,
+    /// Last layer held, inclusive.
+    #[arg(long, default_value_t = 11)]
+    pub last: u32,
+    /// Sessions at once.
+    #[arg(long, default_value_t = 64)]
+    pub slots: u32,
+    /// Steps of a batch at most.
+    #[arg(long, default_value_t = 16)]
+    pub batch: usize,
+    /// Microseconds each batch takes.
+    #[arg(long, default_value_t = 2000)]
+    pub step_us: u64,
+    /// Microseconds each position of a batch adds, unless it came from the prefix cache.
+    #[arg(long, default_value_t = 50)]
+    pub token_us: u64,
+    /// Refuses orders with an old fencing number.
+    #[arg(long, default_value_t = true, action = clap::ArgAction::Set)]
+    pub checks_fence: bool,
+    /// Milliseconds by which load readings and cache events are late.
+    #[arg(long, default_value_t = 500)]
+    pub load_lag_ms: u64,
+    /// Prefixes the cache holds.
+    #[arg(long, default_value_t = 64)]
+    pub prefix_cache: usize,
+    /// Weight store that layers are fetched from on an order (`http://IP:PORT`).
+    #[arg(long)]
+    pub weights: Option<String>,
+    /// Layers of another model that may be ordered, as `MODEL=LAYERS`; may be repeated.
+    #[arg(long = "knows")]
+    pub knows: Vec<String>,
+}
+
+/// Faults of an engine; a field that is left out stays as it is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// The process exits with code 137 when a session whose tag contains this runs a step.
+    /// Empty for none. A tag that contains [`CRASH`] always has this effect.
+    pub crash_tag: Option<String>,
+    /// Microseconds each batch takes.
+    pub step_us: Option<u64>,
+    /// Microseconds each position of a batch adds.
+    pub token_us: Option<u64>,
+    /// No step is run; what waits is run when this is set to false again.
+    pub hang: Option<bool>,
+    /// Steps that are answered 500 and not run.
+    pub fail_next: Option<u32>,
+}
+
+/// A session whose tag contains this crashes every engine that runs a step of it.
+pub const CRASH: &str = "[crash]";
+
+/// Exit code of a crash, as of a process that was killed.
+pub const CRASH_CODE: i32 = 137;
+
+struct Shared {
+    core: Arc<Mutex<Core>>,
+    /// Tells the batch loop that a step waits.
+    wake: Notify,
+    weights: Option<platform::weight::Client>,
+}
+
+/// Serves an engine on `listener`.
+pub fn start(listener: TcpListener, options: Options) -> std::io::Result<Server> {
+    let timeout = Duration::from_secs(2);
+    let shared = Arc::new(Shared {
+        weights: options.weights.as_deref().map(|u| platform::weight::Client::new(u, timeout)),
+        core: Arc::new(Mutex::new(Core::new(options, Instant::now()))),
+        wake: Notify::new(),
+    });
+    let batches = tokio::spawn(batches(shared.clone()));
+    let readings = tokio::spawn(load::sample(shared.core.clone()));
+    let server = serve::start(listener, move |call| {
+        let shared = shared.clone();
+        async move { route(&shared, &call).await.unwrap_or_else(|refusal| refusal) }
+    })?;
+    Ok(server.with_task(batches).with_task(readings))
+}
+
+async fn route(shared: &Arc<Shared>, call: &Call) -> Result<Reply, Reply> {
+    let core = || serve::lock(&shared.core);
+    match (call.method.as_str(), call.segments().as_slice()) {
+        ("POST", ["v1", "sessions", id, "steps"]) => step(shared, id, call.json()?).await,
+        ("POST", ["v1", "sessions"]) => done(core().open(call.json::<Session>()?)),
+        ("DELETE", ["v1", "sessions"]) => {
+            core().cancel_all();
+            Ok(Reply::done())
+        }
+        ("DELETE", ["v1", "sessions", id]) => done(core().cancel(id)),
+        ("GET", ["v1", "sessions", id, "kv"]) => {
+            Ok(Reply::json(200, &core().export(id).map_err(refuse)?))
+        }
+        ("PUT", ["v1", "sessions", id, "kv"]) => done(core().import(id, call.json::<Kv>()?)),
+        ("GET", ["v1", "info"]) => Ok(Reply::json::<Info>(200, &core().info())),
+        ("GET", ["v1", "load"]) => Ok(Reply::json::<Load>(200, &core().load(Instant::now()))),
+        ("GET", ["v1", "events"]) => {
+            Ok(Reply::json(200, &core().events(call.number("from"), Instant::now())))
+        }
+        ("POST", ["v1", "tokenize"]) => {
+            let tokens = model::tokenize(&call.json::<Text>()?.text);
+            Ok(Reply::json(200, &Tokens { tokens }))
+        }
+        ("POST", ["v1", "orders"]) => order(shared, call.json()?),
+        ("POST", ["~fake", "control"]) => {
+            core().set(call.json()?);
+            shared.wake.notify_one();
+            Ok(Reply::done())
+        }
+        ("GET", ["~fake", "books"]) => Ok(Reply::json(200, &core().books)),
+        _ => Err(Reply::refuse(404, "no such path")),
+    }
+}
+
+async fn step(shared: &Shared, id: &str, step: Step) -> Result<Reply, Reply> {
+    let (reply, answer) = oneshot::channel();
+    serve::lock(&shared.core).admit(id, step, reply).map_err(refuse)?;
+    shared.wake.notify_one();
+    let gone = Answer::Err((410, "the session ended"));
+    let output = answer.await.unwrap_or(gone).map_err(refuse)?;
+    Ok(Reply::json(200, &output))
+}
+
+fn order(shared: &Arc<Shared>, order: Order) -> Result<Reply, Reply> {
+    let loading = serve::lock(&shared.core).order(&order).map_err(refuse)?;
+    match &shared.weights {
+        Some(weights) => {
+            // Ends by itself: with the last layer, or once a newer order has come.
+            tokio::spawn(load::fetch(shared.core.clone(), weights.clone(), loading));
+        }
+        None => {
+            let load::Loading { order, layers, number } = loading;
+            let range = Range::new(&order.model, order.version, layers, order.first, order.last);
+            serve::lock(&shared.core).loaded(number, range);
+        }
+    }
+    Ok(Reply::done())
+}
+
+/// Runs one batch after the other while steps wait.
+async fn batches(shared: Arc<Shared>) {
+    let mut due = Instant::now();
+    loop {
+        let Some((batch, time)) = serve::lock(&shared.core).pick() else {
+            shared.wake.notified().await;
+            due = due.max(Instant::now());
+            continue;
+        };
+        // The timer rounds up to a millisecond. Batches that follow each other keep to
+        // their own schedule, so that the rounding doesn't lower the engine's rate.
+        let now = Instant::now();
+        due = due.max(now.checked_sub(SLACK).unwrap_or(now)) + time;
+        tokio::time::sleep_until(due).await;
+        serve::lock(&shared.core).finish(&batch, time);
+    }
+}
+
+fn done(outcome: Result<(), core::Refusal>) -> Result<Reply, Reply> {
+    outcome.map(|()| Reply::done()).map_err(refuse)
+}
+
+fn refuse((status, reason): core::Refusal) -> Reply {
+    Reply::refuse(status, reason)
+}
--- /dev/null
+++ b/crates/fake/src/engine/book.rs
@@ -0,0 +1,117 @@
+//! What an engine ran, for tests that count layer runs.
+
+use engine::{Order, Session};
+use serde::{Deserialize, Serialize};
+
+/// Sessions the book holds; later ones are only counted.
+pub const SESSIONS: usize = 200_000;
+
+/// Orders the book holds; later ones are only counted.
+pub const ORDERS: usize = 10_000;
+
+/// Everything an engine process did since its start.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Books {
+    /// Incarnation of the process.
+    pub incarnation: String,
+    /// Orders accepted, in order.
+    pub orders: Vec<Order>,
+    /// Orders refused for their fencing number.
+    pub refused: u64,
+    /// Sessions ever opened, in order of opening.
+    pub sessions: Vec<Opened>,
+    /// Sessions that no longer fitted into the book.
+    pub unlisted: u64,
+    /// Positions run, over all sessions.
+    pub positions: u64,
+    /// Layers run, over all positions.
+    pub layer_runs: u64,
+    /// Batches run.
+    pub batches: u64,
+    /// Microseconds that the batches took.
+    pub busy_us: u64,
+    /// Positions saved by the prefix cache.
+    pub cached: u64,
+}
+
+/// One session and the positions it ran.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Opened {
+    /// Id given by the agent.
+    pub session: String,
+    /// Tag given by the agent.
+    pub tag: String,
+    /// First layer of the range that ran.
+    pub first: u32,
+    /// Last layer of it, inclusive.
+    pub last: u32,
+    /// Positions run, in order; each ran every layer of the range once.
+    pub runs: Vec<Run>,
+}
+
+/// Consecutive positions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// First position.
+    pub start: u32,
+    /// Number of positions.
+    pub count: u32,
+}
+
+impl Opened {
+    /// Positions run, repeated ones counted again.
+    pub fn positions(&self) -> u64 {
+        self.runs.iter().map(|r| u64::from(r.count)).sum()
+    }
+
+    /// A position that was run twice in this session, if there is one.
+    ///
+    /// ```
+    /// use fake::engine::book::{Opened, Run};
+    /// let runs = vec![Run { start: 0, count: 4 }, Run { start: 3, count: 2 }];
+    /// let opened = Opened { session: "s".into(), tag: String::new(), first: 0, last: 3, runs };
+    /// assert_eq!(opened.repeated(), Some(3));
+    /// ```
+    pub fn repeated(&self) -> Option<u32> {
+        let mut runs = self.runs.clone();
+        runs.sort_by_key(|r| r.start);
+        let overlap = |pair: &[Run]| pair[1].start < pair[0].start + pair[0].count;
+        runs.windows(2).find(|pair| overlap(pair)).map(|pair| pair[1].start)
+    }
+}
+
+impl Books {
+    /// Sessions whose id contains `part`, such as a request's id.
+    pub fn find<'a>(&'a self, part: &'a str) -> impl Iterator<Item = &'a Opened> {
+        self.sessions.iter().filter(move |s| s.session.contains(part))
+    }
+
+    /// Enters a session; gives its place, or none when the book is full.
+    pub(crate) fn open(&mut self, session: &Session, first: u32, last: u32) -> Option<usize> {
+        if self.sessions.len() >= SESSIONS {
+            self.unlisted += 1;
+            return None;
+        }
+        let (session, tag) = (session.session.clone(), session.tag.clone());
+        self.sessions.push(Opened { session, tag, first, last, runs: Vec::new() });
+        Some(self.sessions.len() - 1)
+    }
+
+    /// Enters the positions of a step.
+    pub(crate) fn ran(&mut self, place: Option<usize>, run: Run, layers: usize) {
+        self.positions += u64::from(run.count);
+        self.layer_runs += u64::from(run.count) * layers as u64;
+        let Some(opened) = place.and_then(|i| self.sessions.get_mut(i)) else { return };
+        match opened.runs.last_mut() {
+            Some(last) if last.start + last.count == run.start => last.count += run.count,
+            _ => opened.runs.push(run),
+        }
+    }
+
+    /// Enters an accepted order.
+    pub(crate) fn ordered(&mut self, order: &Order) {
+        if self.orders.len() < ORDERS {
+            self.orders.push(order.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/cache.rs
@@ -0,0 +1,120 @@
+//! The prefix cache and its events, which come late and with gaps.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use engine::Event;
+use tokio::time::Instant;
+
+use crate::model;
+
+/// Positions of a block; prefixes are cached in whole blocks.
+pub const BLOCK: usize = 16;
+
+/// Events kept for readers.
+const EVENTS: usize = 4096;
+
+/// Events of an answer at most.
+const PAGE: usize = 1000;
+
+/// One event in this many is never published.
+const GAP_ONE_IN: u64 = 8;
+
+/// Prefixes by hash, the least recently used of which makes room.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    /// Sorted by hash.
+    entries: Vec<Entry>,
+    limit: usize,
+    uses: u64,
+    events: VecDeque<(Instant, Event)>,
+    next: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    prefix: u64,
+    used: u64,
+}
+
+impl Cache {
+    pub(crate) fn new(limit: usize) -> Cache {
+        Cache { entries: Vec::new(), limit, uses: 0, events: VecDeque::new(), next: 0 }
+    }
+
+    /// Positions at the start of `inputs` that are cached.
+    pub(crate) fn hit(&mut self, inputs: &[u64]) -> u32 {
+        let mut cached = 0;
+        for prefix in prefixes(inputs) {
+            self.uses += 1;
+            match self.entries.binary_search_by_key(&prefix, |e| e.prefix) {
+                Ok(i) => self.entries[i].used = self.uses,
+                Err(_) => break,
+            }
+            cached += BLOCK as u32;
+        }
+        cached
+    }
+
+    /// Caches every block of `inputs`.
+    pub(crate) fn insert(&mut self, inputs: &[u64], now: Instant) {
+        for prefix in prefixes(inputs).take(self.limit) {
+            self.uses += 1;
+            let used = self.uses;
+            match self.entries.binary_search_by_key(&prefix, |e| e.prefix) {
+                Ok(i) => self.entries[i].used = used,
+                Err(_) => {
+                    self.make_room(now);
+                    let i = self.entries.partition_point(|e| e.prefix < prefix);
+                    self.entries.insert(i, Entry { prefix, used });
+                    self.publish(prefix, true, now);
+                }
+            }
+        }
+    }
+
+    /// Forgets everything, as on loading other weights.
+    pub(crate) fn clear(&mut self, now: Instant) {
+        for entry in std::mem::take(&mut self.entries) {
+            self.publish(entry.prefix, false, now);
+        }
+    }
+
+    /// Events from number `from` that are older than `lag`.
+    pub(crate) fn events(&self, from: u64, lag: Duration, now: Instant) -> Vec<Event> {
+        let late = |e: &&(Instant, Event)| e.0 + lag <= now && e.1.number >= from;
+        self.events.iter().filter(late).take(PAGE).map(|e| e.1.clone()).collect()
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.entries.len() < self.limit {
+            return;
+        }
+        let oldest = (0..self.entries.len()).min_by_key(|i| self.entries[*i].used);
+        if let Some(i) = oldest {
+            let prefix = self.entries.remove(i).prefix;
+            self.publish(prefix, false, now);
+        }
+    }
+
+    fn publish(&mut self, prefix: u64, cached: bool, now: Instant) {
+        let number = self.next;
+        self.next += 1;
+        if model::prefix(&[number]).is_multiple_of(GAP_ONE_IN) {
+            return;
+        }
+        if self.events.len() >= EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back((now, Event { number, prefix, cached }));
+    }
+}
+
+/// Hash of the first block, of the first two blocks, and so on.
+fn prefixes(inputs: &[u64]) -> impl Iterator<Item = u64> {
+    let blocks = inputs.chunks_exact(BLOCK);
+    blocks.scan(0, |hash, block| {
+        *hash = model::extend(*hash, block);
+        Some(*hash)
+    })
+}
--- /dev/null
+++ b/crates/fake/src/engine/core.rs
@@ -0,0 +1,337 @@
+//! State of an engine, without a network: sessions, batches and orders.
+
+use std::time::Duration;
+
+use engine::{Event, Info, Kv, Load, Order, Output, Session, Step};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::book::{Books, Run};
+use super::cache::Cache;
+use super::load::{Loading, Readings};
+use super::{CRASH, CRASH_CODE, Fault, Options};
+use crate::model::{self, Range};
+use crate::serve;
+
+/// Status and reason of a refusal.
+pub(crate) type Refusal = (u16, &'static str);
+
+/// Outcome of a step.
+pub(crate) type Answer = Result<Output, Refusal>;
+
+/// Weight of a new batch in the mean step time: one in this many.
+const MEAN_OVER: u64 = 8;
+
+/// What an engine holds.
+pub(crate) struct Core {
+    options: Options,
+    incarnation: String,
+    range: Option<Range>,
+    /// Number of the order that is being carried out.
+    loading: Option<u64>,
+    orders: u64,
+    fence: u64,
+    /// Sorted by id.
+    sessions: Vec<Live>,
+    /// Counts sessions and steps, to tell one from a later one of the same name.
+    count: u64,
+    crash_tag: String,
+    hang: bool,
+    fail_next: u32,
+    mean_us: u64,
+    cache: Cache,
+    readings: Readings,
+    pub books: Books,
+}
+
+struct Live {
+    session: Session,
+    number: u64,
+    next: u32,
+    state: Vec<u64>,
+    pending: Option<Pending>,
+    place: Option<usize>,
+}
+
+struct Pending {
+    arrival: u64,
+    step: Step,
+    cached: u32,
+    reply: oneshot::Sender<Answer>,
+}
+
+/// A session chosen for a batch.
+#[derive(Debug, Clone)]
+pub(crate) struct Picked {
+    session: String,
+    number: u64,
+}
+
+impl Core {
+    pub(crate) fn new(options: Options, now: Instant) -> Core {
+        let incarnation = format!("{:016x}", rand::random::<u64>());
+        let Options { model, version, layers, first, last, .. } = &options;
+        let range = Range::new(model, *version, *layers, *first, *last);
+        let mut core = Core {
+            range: Some(range).filter(|_| !options.model.is_empty()),
+            loading: None,
+            orders: 0,
+            fence: 0,
+            sessions: Vec::new(),
+            count: 0,
+            crash_tag: String::new(),
+            hang: false,
+            fail_next: 0,
+            mean_us: options.step_us,
+            cache: Cache::new(options.prefix_cache),
+            readings: Readings::default(),
+            books: Books { incarnation: incarnation.clone(), ..Books::default() },
+            incarnation,
+            options,
+        };
+        core.read(now);
+        core
+    }
+
+    pub(crate) fn info(&self) -> Info {
+        let range = self.range.as_ref();
+        Info {
+            model: range.map(|r| r.model.clone()).unwrap_or_default(),
+            version: range.map_or(0, |r| r.version),
+            first: range.map_or(0, |r| r.first),
+            last: range.map_or(0, Range::last),
+            layers: range.map_or(0, |r| r.layers),
+            slots: self.options.slots,
+            checks_fence: self.options.checks_fence,
+            incarnation: self.incarnation.clone(),
+        }
+    }
+
+    pub(crate) fn set(&mut self, fault: Fault) {
+        if let Some(tag) = fault.crash_tag {
+            self.crash_tag = tag;
+        }
+        self.options.step_us = fault.step_us.unwrap_or(self.options.step_us);
+        self.options.token_us = fault.token_us.unwrap_or(self.options.token_us);
+        self.hang = fault.hang.unwrap_or(self.hang);
+        self.fail_next = fault.fail_next.unwrap_or(self.fail_next);
+    }
+
+    pub(crate) fn open(&mut self, session: Session) -> Result<(), Refusal> {
+        let at = self.at(&session.session);
+        let range = self.range.as_ref().filter(|_| self.loading.is_none());
+        match (at, range) {
+            (Ok(_), _) => Err((409, "the session exists")),
+            (_, None) => Err((503, "nothing is loaded")),
+            _ if self.sessions.len() >= self.options.slots as usize => Err((429, "no free slot")),
+            (Err(i), Some(range)) => {
+                self.count += 1;
+                let place = self.books.open(&session, range.first, range.last());
+                let (number, state) = (self.count, range.fresh());
+                let live = Live { session, number, next: 0, state, pending: None, place };
+                self.sessions.insert(i, live);
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes a step to wait for a batch; its answer goes to `reply`.
+    pub(crate) fn admit(
+        &mut self,
+        id: &str,
+        step: Step,
+        reply: oneshot::Sender<Answer>,
+    ) -> Result<(), Refusal> {
+        self.count += 1;
+        let arrival = self.count;
+        let i = self.at(id).map_err(|_| (404, "no such session"))?;
+        let live = &mut self.sessions[i];
+        match () {
+            _ if live.pending.is_some() => Err((409, "a step of the session is running")),
+            _ if step.position != live.next => Err((409, "not the session's next position")),
+            _ if step.inputs.is_empty() => Err((400, "no inputs")),
+            _ if serve::take(&mut self.fail_next) => Err((500, "failed before the step")),
+            _ => {
+                live.pending = Some(Pending { arrival, step, cached: 0, reply });
+                Ok(())
+            }
+        }
+    }
+
+    /// Ends a session. The answer to its step, if one waits, is dropped and read as 410.
+    pub(crate) fn cancel(&mut self, id: &str) -> Result<(), Refusal> {
+        let i = self.at(id).map_err(|_| (404, "no such session"))?;
+        self.sessions.remove(i);
+        Ok(())
+    }
+
+    pub(crate) fn cancel_all(&mut self) {
+        self.sessions.clear();
+    }
+
+    pub(crate) fn export(&self, id: &str) -> Result<Kv, Refusal> {
+        let i = self.at(id).map_err(|_| (404, "no such session"))?;
+        let live = &self.sessions[i];
+        match live.pending {
+            Some(_) => Err((409, "a step of the session is running")),
+            None => Ok(Kv { position: live.next, state: live.state.clone() }),
+        }
+    }
+
+    pub(crate) fn import(&mut self, id: &str, kv: Kv) -> Result<(), Refusal> {
+        let i = self.at(id).map_err(|_| (404, "no such session"))?;
+        let live = &mut self.sessions[i];
+        match () {
+            _ if live.next > 0 || live.pending.is_some() => Err((409, "the session has run")),
+            _ if kv.state.len() != live.state.len() => Err((400, "state of another range")),
+            _ => {
+                (live.next, live.state) = (kv.position, kv.state);
+                Ok(())
+            }
+        }
+    }
+
+    /// Chooses the next batch and says how long it takes; none while no step waits.
+    pub(crate) fn pick(&mut self) -> Option<(Vec<Picked>, Duration)> {
+        let waits = |i: &usize| self.sessions[*i].pending.is_some();
+        let mut order: Vec<usize> = (0..self.sessions.len()).filter(waits).collect();
+        if order.is_empty() || self.hang {
+            return None;
+        }
+        let rank = |live: &Live| {
+            let arrival = live.pending.as_ref().map_or(0, |p| p.arrival);
+            (std::cmp::Reverse(live.session.priority), arrival)
+        };
+        order.sort_by_key(|i| rank(&self.sessions[*i]));
+        order.truncate(self.options.batch.max(1));
+        let mut fresh = 0;
+        let mut batch = Vec::new();
+        for i in order {
+            let live = &mut self.sessions[i];
+            crash(&live.session.tag, &self.crash_tag);
+            batch.push(Picked { session: live.session.session.clone(), number: live.number });
+            let Some(pending) = &mut live.pending else { continue };
+            if pending.step.position == 0 {
+                pending.cached = self.cache.hit(&pending.step.inputs);
+            }
+            fresh += pending.step.inputs.len() as u64 - u64::from(pending.cached);
+        }
+        let us = self.options.step_us + self.options.token_us * fresh;
+        Some((batch, Duration::from_micros(us)))
+    }
+
+    /// Computes a batch and answers its steps. Sessions that ended meanwhile are left out.
+    pub(crate) fn finish(&mut self, batch: &[Picked], time: Duration) {
+        let us = time.as_micros() as u64;
+        self.mean_us = (self.mean_us * (MEAN_OVER - 1) + us) / MEAN_OVER;
+        self.books.batches += 1;
+        self.books.busy_us += us;
+        for picked in batch {
+            match self.at(&picked.session) {
+                Ok(i) if self.sessions[i].number == picked.number => self.run(i),
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, i: usize) {
+        let live = &mut self.sessions[i];
+        let (Some(range), Some(pending)) = (&self.range, live.pending.take()) else { return };
+        let Step { position, inputs } = pending.step;
+        let mut outputs = Vec::with_capacity(inputs.len());
+        for (position, input) in (position..).zip(&inputs) {
+            outputs.push(range.run(&mut live.state, position, *input));
+        }
+        let count = inputs.len() as u32;
+        live.next = position + count;
+        self.books.ran(live.place, Run { start: position, count }, range.seeds.len());
+        self.books.cached += u64::from(pending.cached);
+        if position == 0 {
+            self.cache.insert(&inputs, Instant::now());
+        }
+        let last = outputs.last().filter(|_| range.is_last());
+        let token = last.map(|x| model::sample(*x));
+        let _ = pending.reply.send(Ok(Output { outputs, token, cached: pending.cached }));
+    }
+
+    /// Accepts an order; the sessions in progress end at once.
+    pub(crate) fn order(&mut self, order: &Order) -> Result<Loading, Refusal> {
+        let layers = self.layers_of(&order.model);
+        match () {
+            _ if self.options.checks_fence && order.fence < self.fence => {
+                self.books.refused += 1;
+                return Err((409, "old fencing number"));
+            }
+            _ if order.first > order.last || order.last >= layers => {
+                return Err((400, "the model has no such layers"));
+            }
+            _ => {}
+        }
+        self.fence = self.fence.max(order.fence);
+        self.orders += 1;
+        self.loading = Some(self.orders);
+        self.books.ordered(order);
+        self.cancel_all();
+        Ok(Loading { order: order.clone(), layers, number: self.orders })
+    }
+
+    pub(crate) fn is_loading(&self, number: u64) -> bool {
+        self.loading == Some(number)
+    }
+
+    /// Puts the layers of an order in place, unless a newer order has come.
+    pub(crate) fn loaded(&mut self, number: u64, range: Range) {
+        if self.is_loading(number) {
+            self.loading = None;
+            self.range = Some(range);
+            self.cache.clear(Instant::now());
+        }
+    }
+
+    pub(crate) fn load(&self, now: Instant) -> Load {
+        match self.options.load_lag_ms {
+            0 => self.reading(),
+            _ => self.readings.late(now, self.lag()),
+        }
+    }
+
+    pub(crate) fn read(&mut self, now: Instant) {
+        let (load, lag) = (self.reading(), self.lag());
+        self.readings.push(now, load, lag);
+    }
+
+    pub(crate) fn events(&self, from: u64, now: Instant) -> Vec<Event> {
+        self.cache.events(from, self.lag(), now)
+    }
+
+    fn reading(&self) -> Load {
+        let waiting = self.sessions.iter().filter(|s| s.pending.is_some()).count();
+        Load {
+            sessions: self.sessions.len() as u32,
+            waiting: waiting as u32,
+            step_us: self.mean_us,
+            age_ms: 0,
+        }
+    }
+
+    fn lag(&self) -> Duration {
+        Duration::from_millis(self.options.load_lag_ms)
+    }
+
+    fn at(&self, id: &str) -> Result<usize, usize> {
+        self.sessions.binary_search_by(|s| s.session.session.as_str().cmp(id))
+    }
+
+    fn layers_of(&self, model: &str) -> u32 {
+        let named = |known: &String| known.split_once('=').filter(|k| k.0 == model)?.1.parse().ok();
+        self.options.knows.iter().find_map(named).unwrap_or(self.options.layers)
+    }
+}
+
+/// Ends the process as a crash of the engine does: at once and without an answer to anyone.
+fn crash(tag: &str, crash_tag: &str) {
+    if tag.contains(CRASH) || (!crash_tag.is_empty() && tag.contains(crash_tag)) {
+        log::error!("engine: crashed by a request");
+        std::process::exit(CRASH_CODE);
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/load.rs
@@ -0,0 +1,80 @@
+//! Loading of layers, and the engine's lagging view of its load.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use engine::{Load, Order};
+use platform::weight::Client;
+use tokio::time::Instant;
+
+use super::core::Core;
+use crate::model::Range;
+use crate::serve;
+
+/// Time between two readings.
+const READING: Duration = Duration::from_millis(20);
+
+/// Readings kept at most.
+const READINGS: usize = 3000;
+
+/// Pause before a layer is asked for again.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// An order that is being carried out.
+#[derive(Debug, Clone)]
+pub(crate) struct Loading {
+    pub order: Order,
+    /// Layers of the whole model.
+    pub layers: u32,
+    /// Number of the order; a newer one ends it.
+    pub number: u64,
+}
+
+/// Fetches the layers of an order one by one, then puts them in place.
+pub(crate) async fn fetch(core: Arc<Mutex<Core>>, weights: Client, loading: Loading) {
+    let Loading { order, layers, number } = loading;
+    let mut seeds = Vec::new();
+    while seeds.len() < (order.last - order.first + 1) as usize {
+        if !serve::lock(&core).is_loading(number) {
+            return;
+        }
+        let layer = order.first + seeds.len() as u32;
+        match weights.fetch(&order.model, order.version, layer).await {
+            Ok(layer) => seeds.push(layer.seed),
+            Err(_) => tokio::time::sleep(RETRY).await,
+        }
+    }
+    let Order { model, version, first, .. } = order;
+    serve::lock(&core).loaded(number, Range { model, version, layers, first, seeds });
+}
+
+/// Takes a reading of the load again and again.
+pub(crate) async fn sample(core: Arc<Mutex<Core>>) {
+    loop {
+        serve::lock(&core).read(Instant::now());
+        tokio::time::sleep(READING).await;
+    }
+}
+
+/// Readings of the last while.
+#[derive(Debug, Default)]
+pub(crate) struct Readings(VecDeque<(Instant, Load)>);
+
+impl Readings {
+    /// Adds a reading and drops those that are too old to be asked for.
+    pub(crate) fn push(&mut self, now: Instant, load: Load, lag: Duration) {
+        let too_old = |r: &(Instant, Load)| r.0 + lag < now;
+        while self.0.get(1).is_some_and(too_old) || self.0.len() >= READINGS {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, load));
+    }
+
+    /// The newest reading that is at least `lag` old; an idle engine before there is one.
+    pub(crate) fn late(&self, now: Instant, lag: Duration) -> Load {
+        let found = self.0.iter().rev().find(|r| r.0 + lag <= now);
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        found.map_or(Load::default(), |r| Load { age_ms: age(r.0), ..r.1.clone() })
+    }
+}
--- /dev/null
+++ b/crates/fake/src/link.rs
@@ -0,0 +1,210 @@
+//! A relay of datagrams between VMs that cuts, delays, drops and doubles them.
+//!
+//! Each process of the system binds its own loopback address, so a relay knows the
+//! source of a datagram by its IP.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use crate::serve::{self, Call, Reply, Server};
+
+mod relay;
+mod queue;
+
+/// Relays at most.
+const RELAYS: usize = 1000;
+
+/// Faults in force at most.
+const FAULTS: usize = 10_000;
+
+/// Command line of the link.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Seed of the draws for loss and doubling.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+/// A relay: what comes to `listen` goes on to `target`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Link {
+    /// Address that datagrams are sent to.
+    pub listen: SocketAddr,
+    /// Address they are sent on to.
+    pub target: SocketAddr,
+}
+
+/// What happens to the datagrams between a source and a relay, both ways.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// IP of the source, an IP prefix that ends with a dot, or `*`.
+    pub from: String,
+    /// Listening address or IP of the relay, an IP prefix that ends with a dot, or `*`.
+    pub to: String,
+    /// Nothing is delivered.
+    pub cut: bool,
+    /// Milliseconds each datagram is held.
+    pub delay_ms: u64,
+    /// Share of datagrams dropped, 0 to 1.
+    pub loss: f64,
+    /// Share of datagrams sent twice, 0 to 1.
+    pub duplicate: f64,
+    /// Ends the fault of this `from` and `to`.
+    pub clear: bool,
+    /// Holds as well for what the process behind `to` sends through the relay of `from`.
+    pub mirror: bool,
+}
+
+/// What one relay did, both ways counted together.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    /// Datagrams that came in.
+    pub received: u64,
+    /// Datagrams sent on, doubles counted.
+    pub delivered: u64,
+    /// Datagrams dropped by a cut.
+    pub cut: u64,
+    /// Datagrams dropped by chance.
+    pub lost: u64,
+    /// Datagrams sent twice.
+    pub doubled: u64,
+    /// Datagrams dropped since too many were held.
+    pub overflow: u64,
+}
+
+/// A relay and what it did.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Book {
+    /// The relay.
+    pub link: Link,
+    /// What it did.
+    pub count: Count,
+}
+
+/// Sum of the faults that hold for a datagram.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Effect {
+    pub cut: bool,
+    pub delay: Duration,
+    pub loss: f64,
+    pub duplicate: f64,
+}
+
+/// Links and faults, shared by the relays.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    links: Vec<Link>,
+    faults: Vec<Fault>,
+}
+
+impl Table {
+    /// Effect on what `source` sends through `link`, and on the answers.
+    pub(crate) fn effect(&self, source: IpAddr, link: &Link) -> Effect {
+        let holds = |f: &&Fault| {
+            let straight = matches(&f.from, source, None) && self.is_end(&f.to, link);
+            let back = f.mirror && self.is_end(&f.from, link) && self.is_source(&f.to, source);
+            straight || back
+        };
+        self.faults.iter().filter(holds).fold(Effect::default(), |sum, f| Effect {
+            cut: sum.cut || f.cut,
+            delay: sum.delay.max(Duration::from_millis(f.delay_ms)),
+            loss: sum.loss.max(f.loss),
+            duplicate: sum.duplicate.max(f.duplicate),
+        })
+    }
+
+    fn is_end(&self, pattern: &str, link: &Link) -> bool {
+        matches(pattern, link.listen.ip(), Some(link.listen))
+            || matches(pattern, link.target.ip(), Some(link.target))
+    }
+
+    fn is_source(&self, pattern: &str, source: IpAddr) -> bool {
+        let own = |l: &&Link| l.target.ip() == source;
+        matches(pattern, source, None)
+            || self.links.iter().filter(own).any(|l| self.is_end(pattern, l))
+    }
+}
+
+/// Serves a link on `listener`; the relays come by `POST /~fake/links`.
+pub fn start(listener: TcpListener, options: Options) -> std::io::Result<Server> {
+    let table = Arc::new(Mutex::new(Table::default()));
+    let relays = Arc::new(Mutex::new(Vec::new()));
+    serve::start(listener, move |call| {
+        let (table, relays) = (table.clone(), relays.clone());
+        let seed = options.seed;
+        async move { route(&table, &relays, seed, &call).await.unwrap_or_else(|refusal| refusal) }
+    })
+}
+
+async fn route(
+    table: &Arc<Mutex<Table>>,
+    relays: &Arc<Mutex<Vec<relay::Relay>>>,
+    seed: u64,
+    call: &Call,
+) -> Result<Reply, Reply> {
+    match (call.method.as_str(), call.segments().as_slice()) {
+        ("POST", ["~fake", "links"]) => add(table, relays, seed, call.json()?).await,
+        ("GET", ["~fake", "books"]) => {
+            let book = |r: &relay::Relay| Book { link: r.link.clone(), count: r.count() };
+            let books: Vec<Book> = serve::lock(relays).iter().map(book).collect();
+            Ok(Reply::json(200, &books))
+        }
+        ("POST", ["~fake", "faults"]) => set(&mut serve::lock(table), call.json()?),
+        ("GET", ["~fake", "faults"]) => Ok(Reply::json(200, &serve::lock(table).faults)),
+        ("DELETE", ["~fake", "faults"]) => {
+            serve::lock(table).faults.clear();
+            Ok(Reply::done())
+        }
+        _ => Err(Reply::refuse(404, "no such path")),
+    }
+}
+
+async fn add(
+    table: &Arc<Mutex<Table>>,
+    relays: &Arc<Mutex<Vec<relay::Relay>>>,
+    seed: u64,
+    link: Link,
+) -> Result<Reply, Reply> {
+    match () {
+        _ if !link.listen.ip().is_loopback() || !link.target.ip().is_loopback() => {
+            return Err(Reply::refuse(400, "only loopback addresses are relayed"));
+        }
+        _ if serve::lock(relays).len() >= RELAYS => {
+            return Err(Reply::refuse(507, "too many relays"));
+        }
+        _ => {}
+    }
+    let seed = seed.wrapping_add(serve::lock(relays).len() as u64);
+    let relay = relay::start(link, table.clone(), seed)
+        .await
+        .map_err(|e| Reply::refuse(409, &format!("could not listen: {e}")))?;
+    let link = relay.link.clone();
+    serve::lock(table).links.push(link.clone());
+    serve::lock(relays).push(relay);
+    Ok(Reply::json(201, &link))
+}
+
+fn set(table: &mut Table, fault: Fault) -> Result<Reply, Reply> {
+    table.faults.retain(|f| (&f.from, &f.to) != (&fault.from, &fault.to));
+    match fault.clear {
+        true => Ok(Reply::done()),
+        false if table.faults.len() >= FAULTS => Err(Reply::refuse(507, "too many faults")),
+        false => {
+            table.faults.push(fault);
+            Ok(Reply::done())
+        }
+    }
+}
+
+fn matches(pattern: &str, ip: IpAddr, address: Option<SocketAddr>) -> bool {
+    match pattern {
+        "*" => true,
+        prefix if prefix.ends_with('.') => ip.to_string().starts_with(prefix),
+        exact => exact == ip.to_string() || address.is_some_and(|a| exact == a.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/fake/src/link/queue.rs
@@ -0,0 +1,108 @@
+//! Datagrams that wait for their time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::serve;
+
+/// Datagrams held at once; a further one is dropped, as a full buffer of a link does.
+const HELD: usize = 20_000;
+
+/// A queue in order of due time, and of arrival among equals.
+#[derive(Debug)]
+pub(crate) struct Queue<T> {
+    heap: Arc<Mutex<Heap<T>>>,
+    changed: Arc<Notify>,
+}
+
+#[derive(Debug)]
+struct Heap<T> {
+    held: BinaryHeap<Reverse<Held<T>>>,
+    count: u64,
+}
+
+#[derive(Debug)]
+struct Held<T> {
+    due: Instant,
+    number: u64,
+    item: T,
+}
+
+impl<T> PartialEq for Held<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl<T> Eq for Held<T> {}
+
+impl<T> PartialOrd for Held<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Held<T> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.due, self.number).cmp(&(other.due, other.number))
+    }
+}
+
+impl<T> Clone for Queue<T> {
+    fn clone(&self) -> Self {
+        Queue { heap: self.heap.clone(), changed: self.changed.clone() }
+    }
+}
+
+impl<T> Queue<T> {
+    pub(crate) fn new() -> Queue<T> {
+        let heap = Heap { held: BinaryHeap::new(), count: 0 };
+        Queue { heap: Arc::new(Mutex::new(heap)), changed: Arc::new(Notify::new()) }
+    }
+
+    /// Holds `item` until `due`; false when the queue is full.
+    pub(crate) fn push(&self, due: Instant, item: T) -> bool {
+        let mut heap = serve::lock(&self.heap);
+        if heap.held.len() >= HELD {
+            return false;
+        }
+        heap.count += 1;
+        let number = heap.count;
+        let earliest = heap.held.peek().is_none_or(|first| due < first.0.due);
+        heap.held.push(Reverse(Held { due, number, item }));
+        if earliest {
+            self.changed.notify_one();
+        }
+        true
+    }
+
+    /// The next item, when its time has come.
+    pub(crate) async fn pop(&self) -> T {
+        loop {
+            let due = match self.ready(Instant::now()) {
+                Ok(item) => return item,
+                Err(due) => due,
+            };
+            let changed = self.changed.notified();
+            match due {
+                Some(due) => {
+                    let _ = tokio::time::timeout_at(due, changed).await;
+                }
+                None => changed.await,
+            }
+        }
+    }
+
+    fn ready(&self, now: Instant) -> Result<T, Option<Instant>> {
+        let mut heap = serve::lock(&self.heap);
+        match heap.held.peek() {
+            Some(first) if first.0.due > now => Err(Some(first.0.due)),
+            Some(_) => heap.held.pop().map(|h| h.0.item).ok_or(None),
+            None => Err(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/log.rs
@@ -0,0 +1,295 @@
+//! The append-only log service, in memory.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use platform::log::{Append, Appended, Offset, Page, Record};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use crate::bucket::Bucket;
+use crate::serve::{self, Call, Reply, Server};
+
+/// Records of a page at most.
+pub const PAGE: usize = 1000;
+
+/// Text of a page at most, in bytes, so that a page stays below the client's limit.
+const PAGE_BYTES: usize = 4 << 20;
+
+/// Text of a record at most, in bytes.
+const RECORD_BYTES: usize = 1 << 20;
+
+/// Streams at most.
+const STREAMS: usize = 10_000;
+
+/// How much of a second's rate may be taken at once.
+const BURST: Duration = Duration::from_millis(250);
+
+/// Longest wait of a read.
+const WAIT: Duration = Duration::from_secs(60);
+
+/// Command line of the log service.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Appends a second, over all streams.
+    #[arg(long, default_value_t = 400)]
+    pub rate: u32,
+    /// Records kept of each stream.
+    #[arg(long, default_value_t = 200_000)]
+    pub retain: usize,
+}
+
+/// Faults of the log service; a field that is left out stays as it is.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Answers 503 to everything.
+    pub outage: Option<bool>,
+    /// Appends that take effect but whose connection is closed without an answer.
+    pub lose_answers: Option<u32>,
+    /// Appends that are answered 503 and have no effect.
+    pub refuse_next: Option<u32>,
+    /// Milliseconds every answer waits, after the effect of an append.
+    pub delay_ms: Option<u64>,
+    /// Appends a second, over all streams.
+    pub rate: Option<u32>,
+    /// Records kept of each stream.
+    pub retain: Option<usize>,
+    /// Drops old records of a stream at once.
+    pub expire: Option<Expire>,
+}
+
+/// Which records expire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Expire {
+    /// Name of the stream.
+    pub stream: String,
+    /// Oldest offset that is kept.
+    pub before: Offset,
+}
+
+/// What the log service did.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Books {
+    /// Streams in order of name.
+    pub streams: Vec<Count>,
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Appends in the busiest second.
+    pub busiest_second: u64,
+    /// Appends refused for the rate.
+    pub refused: u64,
+    /// Reads answered.
+    pub reads: u64,
+}
+
+/// Extent of one stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    /// Name of the stream.
+    pub stream: String,
+    /// Oldest offset kept.
+    pub first: Offset,
+    /// Offset of the next record.
+    pub next: Offset,
+    /// Bytes of text appended since the start.
+    pub bytes: u64,
+}
+
+struct Stream {
+    name: String,
+    first: Offset,
+    records: VecDeque<Record>,
+    bytes: u64,
+    grown: Arc<Notify>,
+}
+
+struct Service {
+    streams: Vec<Stream>,
+    bucket: Bucket,
+    retain: usize,
+    outage: bool,
+    lose_answers: u32,
+    refuse_next: u32,
+    delay: Duration,
+    books: Books,
+    second: u64,
+    in_second: u64,
+}
+
+type Shared = Arc<Mutex<Service>>;
+
+/// Serves a log service on `listener`.
+pub fn start(listener: TcpListener, options: Options) -> std::io::Result<Server> {
+    let shared = Arc::new(Mutex::new(Service {
+        streams: Vec::new(),
+        bucket: Bucket::new(options.rate, BURST, Instant::now()),
+        retain: options.retain.max(1),
+        outage: false,
+        lose_answers: 0,
+        refuse_next: 0,
+        delay: Duration::ZERO,
+        books: Books::default(),
+        second: 0,
+        in_second: 0,
+    }));
+    serve::start(listener, move |call| {
+        let shared = shared.clone();
+        async move { route(&shared, &call).await.unwrap_or_else(|refusal| refusal) }
+    })
+}
+
+async fn route(shared: &Shared, call: &Call) -> Result<Reply, Reply> {
+    match (call.method.as_str(), call.segments().as_slice()) {
+        ("GET", ["~fake", "books"]) => Ok(Reply::json(200, &books(&serve::lock(shared)))),
+        ("POST", ["~fake", "control"]) => {
+            control(&mut serve::lock(shared), call.json()?);
+            Ok(Reply::done())
+        }
+        ("POST", ["v1", "streams", name]) => {
+            let body: Append = call.json()?;
+            let reply = append(&mut serve::lock(shared), name, body.data);
+            // The delay follows the effect: a client that gives up meanwhile can't tell
+            // whether its record stands, which is the case the system has to settle.
+            let delay = serve::lock(shared).delay;
+            tokio::time::sleep(delay).await;
+            reply
+        }
+        ("GET", ["v1", "streams", name]) => {
+            let wait = Duration::from_millis(call.number("wait_ms")).min(WAIT);
+            let page = read(shared, name, call.number("from"), wait).await?;
+            let delay = serve::lock(shared).delay;
+            tokio::time::sleep(delay).await;
+            Ok(Reply::json(200, &page))
+        }
+        _ => Err(Reply::refuse(404, "no such path")),
+    }
+}
+
+fn append(service: &mut Service, name: &str, data: String) -> Result<Reply, Reply> {
+    match () {
+        _ if service.outage => return Err(Reply::refuse(503, "outage")),
+        _ if serve::take(&mut service.refuse_next) => return Err(Reply::refuse(503, "refused")),
+        _ if data.len() > RECORD_BYTES => return Err(Reply::refuse(413, "record too long")),
+        _ if !service.bucket.take(Instant::now()) => {
+            service.books.refused += 1;
+            return Err(Reply::refuse(429, "over the rate"));
+        }
+        _ => {}
+    }
+    count(service);
+    let retain = service.retain;
+    let stream = stream(service, name)?;
+    let offset = stream.first + stream.records.len() as u64;
+    stream.bytes += data.len() as u64;
+    stream.records.push_back(Record { offset, time_ms: now_ms(), data });
+    expire(stream, offset + 1, retain);
+    stream.grown.notify_waiters();
+    match serve::take(&mut service.lose_answers) {
+        true => Err(Reply::Drop),
+        false => Ok(Reply::json(200, &Appended { offset })),
+    }
+}
+
+async fn read(shared: &Shared, name: &str, from: Offset, wait: Duration) -> Result<Page, Reply> {
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let grown = {
+            let mut service = serve::lock(shared);
+            if service.outage {
+                return Err(Reply::refuse(503, "outage"));
+            }
+            stream(&mut service, name)?.grown.clone()
+        };
+        // Registered before the look at the records, so that an append between the two
+        // wakes this read instead of leaving it waiting until its time is up.
+        let mut woken = std::pin::pin!(grown.notified());
+        woken.as_mut().enable();
+        let page = page(stream(&mut serve::lock(shared), name)?, from);
+        if !page.records.is_empty() || tokio::time::timeout_at(until, woken).await.is_err() {
+            serve::lock(shared).books.reads += 1;
+            return Ok(page);
+        }
+    }
+}
+
+fn page(stream: &Stream, from: Offset) -> Page {
+    let next = stream.first + stream.records.len() as u64;
+    let skip = from.clamp(stream.first, next) - stream.first;
+    let mut bytes = 0;
+    let fits = |record: &&Record| {
+        bytes += record.data.len();
+        bytes <= PAGE_BYTES
+    };
+    let records = stream.records.range(skip as usize..).take(PAGE).take_while(fits);
+    Page { records: records.cloned().collect(), first: stream.first, next }
+}
+
+fn stream<'a>(service: &'a mut Service, name: &str) -> Result<&'a mut Stream, Reply> {
+    let i = match service.streams.binary_search_by(|s| s.name.as_str().cmp(name)) {
+        Ok(i) => i,
+        Err(_) if service.streams.len() >= STREAMS => {
+            return Err(Reply::refuse(507, "too many streams"));
+        }
+        Err(i) => {
+            let (name, grown) = (name.to_string(), Arc::new(Notify::new()));
+            let stream = Stream { name, first: 0, records: VecDeque::new(), bytes: 0, grown };
+            service.streams.insert(i, stream);
+            i
+        }
+    };
+    Ok(&mut service.streams[i])
+}
+
+/// Keeps at most `retain` records and none before `next - retain` or an explicit offset.
+fn expire(stream: &mut Stream, next: Offset, retain: usize) {
+    let first = next.saturating_sub(retain as u64);
+    while stream.first < first && stream.records.pop_front().is_some() {
+        stream.first += 1;
+    }
+}
+
+fn count(service: &mut Service) {
+    let second = now_ms() / 1000;
+    if service.second != second {
+        service.second = second;
+        service.in_second = 0;
+    }
+    service.in_second += 1;
+    service.books.appends += 1;
+    service.books.busiest_second = service.books.busiest_second.max(service.in_second);
+}
+
+fn control(service: &mut Service, fault: Fault) {
+    service.outage = fault.outage.unwrap_or(service.outage);
+    service.lose_answers = fault.lose_answers.unwrap_or(service.lose_answers);
+    service.refuse_next = fault.refuse_next.unwrap_or(service.refuse_next);
+    service.delay = fault.delay_ms.map_or(service.delay, Duration::from_millis);
+    service.retain = fault.retain.unwrap_or(service.retain).max(1);
+    if let Some(rate) = fault.rate {
+        service.bucket = Bucket::new(rate, BURST, Instant::now());
+    }
+    for stream in &mut service.streams {
+        let next = stream.first + stream.records.len() as u64;
+        let before = fault.expire.as_ref().filter(|e| e.stream == stream.name).map(|e| e.before);
+        expire(stream, next, service.retain.min(next.saturating_sub(before.unwrap_or(0)) as usize));
+        // Reads that wait see an outage at once instead of after their wait.
+        stream.grown.notify_waiters();
+    }
+}
+
+fn books(service: &Service) -> Books {
+    let count = |s: &Stream| Count {
+        stream: s.name.clone(),
+        first: s.first,
+        next: s.first + s.records.len() as u64,
+        bytes: s.bytes,
+    };
+    Books { streams: service.streams.iter().map(count).collect(), ..service.books.clone() }
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -1,3 +1,65 @@
-//! Stand-ins for what the system meets: engine, service, log, VM list, weight store, link
+//! Runs one stand-in as a process of its own.
 
-fn main() {}
+use std::net::SocketAddr;
+
+use clap::{Parser, Subcommand};
+use fake::{engine, link, log, serve, service, vms, weights};
+use simplelog::{ColorChoice, Config, LevelFilter, TermLogger, TerminalMode};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Stand-ins for what the system meets, for tests and scenarios on loopback.
+#[derive(Debug, Parser)]
+#[command(name = "hyssop-fake", version)]
+struct Args {
+    #[command(subcommand)]
+    part: Part,
+}
+
+#[derive(Debug, Subcommand)]
+enum Part {
+    /// A model engine which holds a range of layers.
+    Engine(Listen<engine::Options>),
+    /// A plain service which records writes.
+    Service(Listen<service::Options>),
+    /// The append-only log service.
+    Log(Listen<log::Options>),
+    /// The VM list.
+    Vms(Listen<vms::Options>),
+    /// The weight store.
+    Weights(Listen<weights::Options>),
+    /// A relay of datagrams which cuts, delays, drops and doubles them.
+    Link(Listen<link::Options>),
+}
+
+#[derive(Debug, clap::Args)]
+struct Listen<T: clap::Args> {
+    /// IP and TCP port to serve HTTP on.
+    #[arg(long)]
+    listen: SocketAddr,
+    #[command(flatten)]
+    options: T,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let args = Args::parse();
+    // Standard output carries the `ready` line alone, so logs go to standard error.
+    let _ = TermLogger::init(
+        LevelFilter::Info,
+        Config::default(),
+        TerminalMode::Stderr,
+        ColorChoice::Never,
+    );
+    let mut stop = signal(SignalKind::terminate())?;
+    let server = match args.part {
+        Part::Engine(p) => engine::start(serve::bind(p.listen)?, p.options),
+        Part::Service(p) => service::start(serve::bind(p.listen)?, p.options),
+        Part::Log(p) => log::start(serve::bind(p.listen)?, p.options),
+        Part::Vms(p) => vms::start(serve::bind(p.listen)?, p.options),
+        Part::Weights(p) => weights::start(serve::bind(p.listen)?, p.options),
+        Part::Link(p) => link::start(serve::bind(p.listen)?, p.options),
+    }?;
+    println!("ready {}", server.address);
+    stop.recv().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/fake/src/serve.rs
@@ -0,0 +1,211 @@
+//! What every stand-in shares: an HTTP/1.1 server that hands whole calls to one function.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::{HeaderMap, StatusCode, header};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server as Http, async_trait};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::JoinHandle;
+
+/// Longest body a stand-in reads, in bytes; a longer one is answered with 413.
+pub const BODY_LIMIT: usize = 16 << 20;
+
+/// Connections the kernel holds before the server has taken them.
+const BACKLOG: u32 = 1024;
+
+/// A whole request.
+#[derive(Debug)]
+pub struct Call {
+    /// Method in capitals.
+    pub method: String,
+    /// Path without the query, as sent.
+    pub path: String,
+    /// Query without the question mark; empty when there is none.
+    pub query: String,
+    /// Header lines.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Segments of the path.
+    pub fn segments(&self) -> Vec<&str> {
+        self.path.trim_matches('/').split('/').collect()
+    }
+
+    /// Number given for `name` in the query, or zero.
+    pub fn number(&self, name: &str) -> u64 {
+        let value = |pair: &str| pair.split_once('=').filter(|p| p.0 == name)?.1.parse().ok();
+        self.query.split('&').find_map(value).unwrap_or(0)
+    }
+
+    /// Value of a header, or an empty text.
+    pub fn header(&self, name: &str) -> String {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string()
+    }
+
+    /// The body as JSON. A body that does not decode gives the 400 to answer with.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|e| Reply::refuse(400, &e.to_string()))
+    }
+}
+
+/// What the caller gets.
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    /// A status and a JSON body.
+    Json(u16, Vec<u8>),
+    /// Nothing: the connection is closed.
+    Drop,
+}
+
+impl Reply {
+    /// A JSON answer.
+    ///
+    /// ```
+    /// assert_eq!(fake::serve::Reply::json(200, &1), fake::serve::Reply::Json(200, b"1".to_vec()));
+    /// ```
+    pub fn json<T: Serialize>(status: u16, body: &T) -> Reply {
+        match serde_json::to_vec(body) {
+            Ok(raw) => Reply::Json(status, raw),
+            Err(e) => Reply::refuse(500, &e.to_string()),
+        }
+    }
+
+    /// An answer of 200 with the body `null`.
+    pub fn done() -> Reply {
+        Reply::Json(200, b"null".to_vec())
+    }
+
+    /// A refusal with its reason.
+    ///
+    /// ```
+    /// let reply = fake::serve::Reply::refuse(404, "no session");
+    /// assert_eq!(reply, fake::serve::Reply::Json(404, b"{\"error\":\"no session\"}".to_vec()));
+    /// ```
+    pub fn refuse(status: u16, reason: &str) -> Reply {
+        Reply::json(status, &Refusal { error: reason.to_string() })
+    }
+}
+
+/// Body of an answer that refuses.
+#[derive(Debug, Serialize)]
+struct Refusal {
+    error: String,
+}
+
+/// A stand-in that is being served; dropping it closes its connections.
+#[derive(Debug)]
+pub struct Server {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Address as clients take it.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Ends `task` together with the server.
+    pub fn with_task(mut self, task: JoinHandle<()>) -> Server {
+        self.tasks.push(task);
+        self
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Binds a listener on `address`; port 0 takes a free one. Call it within a tokio runtime.
+///
+/// The address may be taken again right after a process on it has crashed.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves `answer` on `listener` until the returned server is dropped.
+pub fn start<F, A>(listener: TcpListener, answer: F) -> std::io::Result<Server>
+where
+    F: Fn(Call) -> A + Send + Sync + 'static,
+    A: Future<Output = Reply> + Send + 'static,
+{
+    let address = listener.local_addr()?;
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    let router = Router::with_path("{**rest}").goal(Goal(answer));
+    let http = Http::new(acceptor).disable_fuse();
+    let task = tokio::spawn(async move { http.serve(router).await });
+    Ok(Server { address, tasks: vec![task] })
+}
+
+/// Locks a stand-in's state. A call that was dropped on purpose never holds the lock.
+pub fn lock<T>(state: &Arc<Mutex<T>>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Takes one from a counter of faults still to come; false when none is left.
+pub fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left = left.saturating_sub(1);
+    some
+}
+
+struct Goal<F>(F);
+
+#[async_trait]
+impl<F, A> Handler for Goal<F>
+where
+    F: Fn(Call) -> A + Send + Sync + 'static,
+    A: Future<Output = Reply> + Send + 'static,
+{
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let reply = match read(req).await {
+            Some(call) => (self.0)(call).await,
+            None => Reply::refuse(413, "the body is too long or was cut off"),
+        };
+        match reply {
+            Reply::Json(status, body) => write(res, status, body),
+            // Unwinding ends this connection's task, which closes the connection without a
+            // byte of an answer; the panic hook isn't run, so nothing is printed.
+            Reply::Drop => std::panic::resume_unwind(Box::new("answer dropped")),
+        }
+    }
+}
+
+async fn read(req: &mut Request) -> Option<Call> {
+    let body = req.payload_with_max_size(BODY_LIMIT).await.ok()?.clone();
+    Some(Call {
+        method: req.method().as_str().to_string(),
+        path: req.uri().path().to_string(),
+        query: req.uri().query().unwrap_or_default().to_string(),
+        headers: req.headers().clone(),
+        body,
+    })
+}
+
+fn write(res: &mut Response, status: u16, body: Vec<u8>) {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    res.status_code(status);
+    let _ = res.add_header(header::CONTENT_TYPE, "application/json", true);
+    if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+        let _ = res.add_header(header::RETRY_AFTER, "1", true);
+    }
+    let _ = res.write_body(body);
+}
--- /dev/null
+++ b/crates/fake/src/service.rs
@@ -0,0 +1,241 @@
+//! A plain service that records every write it takes.
+//!
+//! All paths are the callers', but those under `/~fake/`.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::serve::{self, Call, Reply, Server};
+
+/// Writes the book holds; later ones are answered 507 and not recorded.
+pub const WRITES: usize = 200_000;
+
+/// Bytes of a body that the book keeps.
+pub const BODY_KEPT: usize = 1024;
+
+/// How long a service waits for the one that holds its book.
+const LEDGER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Command line of a plain service.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Milliseconds every answer takes.
+    #[arg(long, default_value_t = 2)]
+    pub delay_ms: u64,
+    /// Service that holds the book, for services that share a database (`http://IP:PORT`).
+    #[arg(long)]
+    pub ledger: Option<String>,
+}
+
+/// Faults of a plain service; a field that is left out stays as it is.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Writes that are recorded but whose connection is closed without an answer.
+    pub lose_answers: Option<u32>,
+    /// Writes that are answered 500 and not recorded.
+    pub fail_next: Option<u32>,
+    /// Milliseconds every answer takes.
+    pub delay_ms: Option<u64>,
+    /// Milliseconds between the record of a write and its answer.
+    pub stall_ms: Option<u64>,
+    /// Closes the connection of every call; nothing is recorded.
+    pub down: Option<bool>,
+}
+
+/// One write as the service took it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Write {
+    /// Place in the book, from 0.
+    pub number: u64,
+    /// Header `Idempotency-Key`, or empty.
+    pub key: String,
+    /// Header `X-Workspace`, or empty.
+    pub workspace: String,
+    /// Method in capitals.
+    pub method: String,
+    /// Path without the query.
+    pub path: String,
+    /// xxh3 of the body in hexadecimal.
+    pub hash: String,
+    /// Start of the body as text, at most [`BODY_KEPT`] bytes.
+    pub body: String,
+}
+
+/// Answer to a write.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Written {
+    /// Place in the book.
+    pub number: u64,
+    /// Key of the write.
+    pub key: String,
+}
+
+/// Answer to a look-up.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Found {
+    /// Path that was asked for.
+    pub path: String,
+    /// Its last segment.
+    pub key: String,
+    /// True when a write of that key is in the book.
+    pub recorded: bool,
+}
+
+/// How often the writes of one key were recorded.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Query {
+    /// The key.
+    pub key: String,
+    /// Writes of it.
+    pub runs: u64,
+}
+
+#[derive(Default)]
+struct State {
+    writes: Vec<Write>,
+    /// Sorted by key.
+    runs: Vec<Query>,
+    lose_answers: u32,
+    fail_next: u32,
+    delay: Duration,
+    stall: Duration,
+    down: bool,
+}
+
+#[derive(Clone)]
+struct Service {
+    state: Arc<Mutex<State>>,
+    ledger: Option<rest::Client>,
+}
+
+/// Serves a plain service on `listener`.
+pub fn start(listener: TcpListener, options: Options) -> std::io::Result<Server> {
+    let delay = Duration::from_millis(options.delay_ms);
+    let service = Service {
+        state: Arc::new(Mutex::new(State { delay, ..State::default() })),
+        ledger: options.ledger.map(|url| rest::Client::new(&url, LEDGER_TIMEOUT)),
+    };
+    serve::start(listener, move |call| {
+        let service = service.clone();
+        async move { route(&service, &call).await.unwrap_or_else(|refusal| refusal) }
+    })
+}
+
+async fn route(service: &Service, call: &Call) -> Result<Reply, Reply> {
+    match (call.method.as_str(), call.segments().as_slice()) {
+        ("GET", ["~fake", "books"]) => Ok(Reply::json(200, &serve::lock(&service.state).writes)),
+        ("GET", ["~fake", "runs"]) => Ok(runs(&serve::lock(&service.state))),
+        ("POST", ["~fake", "control"]) => {
+            control(&mut serve::lock(&service.state), call.json()?);
+            Ok(Reply::done())
+        }
+        ("POST", ["~fake", "ledger"]) => record(&service.state, call.json()?),
+        ("POST", ["~fake", "find"]) => Ok(Reply::json(200, &find(&service.state, call.json()?))),
+        (_, ["~fake", ..]) => Err(Reply::refuse(404, "no such path")),
+        ("GET" | "HEAD", path) => look_up(service, call, path.last().unwrap_or(&"")).await,
+        ("POST" | "PUT" | "PATCH" | "DELETE", _) => write(service, call).await,
+        _ => Err(Reply::refuse(405, "no such method")),
+    }
+}
+
+async fn look_up(service: &Service, call: &Call, key: &str) -> Result<Reply, Reply> {
+    pause(service).await?;
+    let query = Query { key: key.to_string(), runs: 0 };
+    let found: Query = match &service.ledger {
+        Some(ledger) => ledger.post("/~fake/find", &query).await.map_err(pass_on)?,
+        None => find(&service.state, query),
+    };
+    let found = Found { path: call.path.clone(), key: found.key, recorded: found.runs > 0 };
+    Ok(Reply::json(200, &found))
+}
+
+async fn write(service: &Service, call: &Call) -> Result<Reply, Reply> {
+    pause(service).await?;
+    if serve::take(&mut serve::lock(&service.state).fail_next) {
+        return Err(Reply::refuse(500, "failed before the write"));
+    }
+    let write = Write {
+        number: 0,
+        key: call.header("idempotency-key"),
+        workspace: call.header("x-workspace"),
+        method: call.method.clone(),
+        path: call.path.clone(),
+        hash: format!("{:016x}", xxh3_64(&call.body)),
+        body: String::from_utf8_lossy(&call.body[..call.body.len().min(BODY_KEPT)]).into_owned(),
+    };
+    let reply = match &service.ledger {
+        Some(ledger) => {
+            let written: Written = ledger.post("/~fake/ledger", &write).await.map_err(pass_on)?;
+            Reply::json(201, &written)
+        }
+        None => record(&service.state, write)?,
+    };
+    let stall = serve::lock(&service.state).stall;
+    tokio::time::sleep(stall).await;
+    match serve::take(&mut serve::lock(&service.state).lose_answers) {
+        true => Err(Reply::Drop),
+        false => Ok(reply),
+    }
+}
+
+async fn pause(service: &Service) -> Result<(), Reply> {
+    let (down, delay) = {
+        let state = serve::lock(&service.state);
+        (state.down, state.delay)
+    };
+    match down {
+        true => Err(Reply::Drop),
+        false => {
+            tokio::time::sleep(delay).await;
+            Ok(())
+        }
+    }
+}
+
+fn record(state: &Arc<Mutex<State>>, write: Write) -> Result<Reply, Reply> {
+    let mut state = serve::lock(state);
+    if state.writes.len() >= WRITES {
+        return Err(Reply::refuse(507, "the book is full"));
+    }
+    let number = state.writes.len() as u64;
+    let key = write.key.clone();
+    match state.runs.binary_search_by(|r| r.key.cmp(&key)) {
+        Ok(i) => state.runs[i].runs += 1,
+        Err(i) => state.runs.insert(i, Query { key: key.clone(), runs: 1 }),
+    }
+    state.writes.push(Write { number, ..write });
+    Ok(Reply::json(201, &Written { number, key }))
+}
+
+fn find(state: &Arc<Mutex<State>>, query: Query) -> Query {
+    let state = serve::lock(state);
+    let at = state.runs.binary_search_by(|r| r.key.cmp(&query.key));
+    Query { runs: at.map_or(0, |i| state.runs[i].runs), ..query }
+}
+
+fn runs(state: &State) -> Reply {
+    let pair = |r: &Query| (r.key.clone(), serde_json::Value::from(r.runs));
+    Reply::json(200, &state.runs.iter().map(pair).collect::<serde_json::Map<_, _>>())
+}
+
+fn control(state: &mut State, fault: Fault) {
+    state.lose_answers = fault.lose_answers.unwrap_or(state.lose_answers);
+    state.fail_next = fault.fail_next.unwrap_or(state.fail_next);
+    state.delay = fault.delay_ms.map_or(state.delay, Duration::from_millis);
+    state.stall = fault.stall_ms.map_or(state.stall, Duration::from_millis);
+    state.down = fault.down.unwrap_or(state.down);
+}
+
+/// A book that gave no answer may hold the write: the caller gets no answer either.
+fn pass_on(e: rest::Error) -> Reply {
+    match e.status() {
+        Some(status) => Reply::refuse(status, &e.to_string()),
+        None if e.unsent() => Reply::refuse(503, &e.to_string()),
+        None => Reply::Drop,
+    }
+}
--- /dev/null
+++ b/crates/fake/src/vms.rs
@@ -0,0 +1,129 @@
+//! The VM list, seen with a lag.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use platform::vm::{Entry, Id};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use crate::serve::{self, Call, Reply, Server};
+
+/// Changes that may wait for the lag; beyond it the oldest is shown early.
+const CHANGES: usize = 100_000;
+
+/// Command line of the VM list.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Milliseconds after which a change is seen.
+    #[arg(long, default_value_t = 0)]
+    pub lag_ms: u64,
+}
+
+/// Faults of the VM list; a field that is left out stays as it is.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Milliseconds after which a change is seen.
+    pub lag_ms: Option<u64>,
+    /// Answers 503 to every read.
+    pub outage: Option<bool>,
+}
+
+/// What the VM list holds.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Books {
+    /// VMs as they are, without the lag.
+    pub vms: Vec<Entry>,
+    /// Reads answered.
+    pub reads: u64,
+}
+
+enum Change {
+    Put(Entry),
+    Remove(Id),
+}
+
+struct List {
+    lag: Duration,
+    outage: bool,
+    seen: Vec<Entry>,
+    waiting: VecDeque<(Instant, Change)>,
+    books: Books,
+}
+
+/// Serves a VM list on `listener`.
+pub fn start(listener: TcpListener, options: Options) -> std::io::Result<Server> {
+    let list = Arc::new(Mutex::new(List {
+        lag: Duration::from_millis(options.lag_ms),
+        outage: false,
+        seen: Vec::new(),
+        waiting: VecDeque::new(),
+        books: Books::default(),
+    }));
+    serve::start(listener, move |call| {
+        let reply = route(&mut serve::lock(&list), &call);
+        async move { reply.unwrap_or_else(|refusal| refusal) }
+    })
+}
+
+fn route(list: &mut List, call: &Call) -> Result<Reply, Reply> {
+    match (call.method.as_str(), call.segments().as_slice()) {
+        ("GET", ["v1", "vms"]) if list.outage => Err(Reply::refuse(503, "outage")),
+        ("GET", ["v1", "vms"]) => {
+            catch_up(list, Instant::now());
+            list.books.reads += 1;
+            Ok(Reply::json(200, &list.seen))
+        }
+        ("PUT", ["v1", "vms", vm]) => {
+            let entry: Entry = call.json()?;
+            match entry.vm == *vm {
+                true => Ok(change(list, Change::Put(entry))),
+                false => Err(Reply::refuse(400, "the entry names another VM")),
+            }
+        }
+        ("DELETE", ["v1", "vms", vm]) => Ok(change(list, Change::Remove(vm.to_string()))),
+        ("GET", ["~fake", "books"]) => Ok(Reply::json(200, &list.books)),
+        ("POST", ["~fake", "control"]) => {
+            let fault: Fault = call.json()?;
+            list.lag = fault.lag_ms.map_or(list.lag, Duration::from_millis);
+            list.outage = fault.outage.unwrap_or(list.outage);
+            Ok(Reply::done())
+        }
+        _ => Err(Reply::refuse(404, "no such path")),
+    }
+}
+
+fn change(list: &mut List, change: Change) -> Reply {
+    let now = Instant::now();
+    apply(&mut list.books.vms, &change);
+    list.waiting.push_back((now, change));
+    catch_up(list, now);
+    Reply::done()
+}
+
+fn catch_up(list: &mut List, now: Instant) {
+    while let Some((at, change)) = list.waiting.pop_front() {
+        if now < at + list.lag && list.waiting.len() < CHANGES {
+            list.waiting.push_front((at, change));
+            return;
+        }
+        apply(&mut list.seen, &change);
+    }
+}
+
+fn apply(vms: &mut Vec<Entry>, change: &Change) {
+    let find = |vms: &[Entry], vm: &Id| vms.binary_search_by(|e| e.vm.cmp(vm));
+    match change {
+        Change::Put(entry) => match find(vms, &entry.vm) {
+            Ok(i) => vms[i] = entry.clone(),
+            Err(i) => vms.insert(i, entry.clone()),
+        },
+        Change::Remove(vm) => {
+            if let Ok(i) = find(vms, vm) {
+                vms.remove(i);
+            }
+        }
+    }
+}
