--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -84,7 +84,7 @@
 /// Serves the steps of a session for a head elsewhere.
 async fn serve_stage(agent: &Agent, table: Arc<stage::Table>, open: Open, mut stream: Stream) {
     // A replacement is let in by a leaving agent too: it serves a draft in progress.
-    let fresh = open.attempt % wire::frame::HEAD_STRIDE == 0;
+    let fresh = open.attempt.is_multiple_of(wire::frame::HEAD_STRIDE);
     let opened = match fresh && agent.leaving() {
         true => Err(Refusal::not_run(
             Cause::Leaving,
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -50,11 +50,7 @@
 }
 
 /// Runs a call by the contract of its route.
-pub async fn run(
-    agent: Arc<Agent>,
-    service: Arc<Service>,
-    call: Call,
-) -> Result<Reply, Refusal> {
+pub async fn run(agent: Arc<Agent>, service: Arc<Service>, call: Call) -> Result<Reply, Refusal> {
     if agent.leaving() {
         let why = "the VM is leaving";
         return Err(Refusal::not_run(Cause::Leaving, "accept", &service.vm, why));
--- a/crates/agent/src/chain.rs
+++ b/crates/agent/src/chain.rs
@@ -85,8 +85,7 @@
             .into_iter()
             .map(|hop| Range { hop, seat: Seat::Nowhere, place: None, attempt, kept: Vec::new() })
             .collect();
-        let mut chain =
-            Chain { agent, terms, ranges, position: 0, replaced: 0, repeated: 0 };
+        let mut chain = Chain { agent, terms, ranges, position: 0, replaced: 0, repeated: 0 };
         for i in 0..chain.ranges.len() {
             chain.open_first(i).await?;
         }
@@ -135,8 +134,7 @@
 
     /// Sends one step to where the range runs, and checks that the answer is that step's.
     async fn step(&mut self, i: usize, step: Step) -> Result<Output, Refusal> {
-        let patience =
-            self.terms.step_timeout + POSITION_PATIENCE * (step.inputs.len() as u32 - 1);
+        let patience = self.terms.step_timeout + POSITION_PATIENCE * (step.inputs.len() as u32 - 1);
         let until = self.terms.deadline.min(Instant::now() + patience);
         let (position, count) = (step.position, step.inputs.len());
         let range = &mut self.ranges[i];
@@ -156,12 +154,7 @@
     }
 
     /// Finds a replica for a lost stage and runs its kept inputs and the new step there.
-    async fn replace(
-        &mut self,
-        i: usize,
-        step: &Step,
-        cause: Refusal,
-    ) -> Result<Output, Refusal> {
+    async fn replace(&mut self, i: usize, step: &Step, cause: Refusal) -> Result<Output, Refusal> {
         let request = self.terms.request.clone();
         let trace = |text: String| self.agent.node.trace.add(&request, "replace", text);
         trace(format!("layers from {} are lost: {cause}", self.ranges[i].hop.stage.first));
@@ -202,7 +195,11 @@
         self.repeated += kept as u64 * layers;
         let text = format!("layers from {} go on at {}", stage.first, place.vm);
         self.agent.node.trace.add(&self.terms.request, "replace", text);
-        Ok(Output { position: step.position, outputs: whole.outputs[kept..].to_vec(), token: whole.token })
+        Ok(Output {
+            position: step.position,
+            outputs: whole.outputs[kept..].to_vec(),
+            token: whole.token,
+        })
     }
 
     /// Replicas to try, the failed one last: it may have come back.
--- a/crates/agent/src/draft.rs
+++ b/crates/agent/src/draft.rs
@@ -8,14 +8,12 @@
 
 use tokio::sync::watch;
 use tokio::time::Instant;
-use wire::frame::{
-    Accepted, Attach, Cancel, Cause, Done, Draft, Refusal, Tell, Token, Word,
-};
+use wire::frame::{Accepted, Attach, Cancel, Cause, Done, Draft, Refusal, Tell, Token, Word};
 use wire::id;
 use wire::link::Stream;
 
-use crate::chain::{Chain, Terms};
 use crate::Agent;
+use crate::chain::{Chain, Terms};
 
 /// A draft that nobody has followed for this long is given up: its caller has
 /// gone together with its router. Long enough for a caller to notice a broken
@@ -182,11 +180,8 @@
         _ = cancelled.wait_for(|c| *c) => Err(given_up(&agent, "the caller cancelled it")),
         () = orphaned(&run) => Err(given_up(&agent, "its caller has gone")),
     };
-    let end = generated.map(|tokens| Done {
-        tokens,
-        replaced: chain.replaced,
-        repeated: chain.repeated,
-    });
+    let end =
+        generated.map(|tokens| Done { tokens, replaced: chain.replaced, repeated: chain.repeated });
     agent.node.metrics.replaced.add(chain.replaced.into(), &[]);
     agent.node.metrics.repeated.add(chain.repeated, &[]);
     let text = match &end {
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,7 +9,10 @@
 ///
 /// Stops on SIGTERM: it takes no new work, finishes what runs, then exits with 0.
 #[derive(Parser)]
-#[command(version, after_help = "Exit codes: 0 stopped or checked, 1 could not start or faults found.")]
+#[command(
+    version,
+    after_help = "Exit codes: 0 stopped or checked, 1 could not start or faults found."
+)]
 struct Args {
     /// Settings file of this process (INI).
     #[arg(long, value_name = "FILE")]
--- a/crates/agent/src/write.rs
+++ b/crates/agent/src/write.rs
@@ -84,11 +84,7 @@
 }
 
 /// Runs a write at most once for its key, whatever happens on the way.
-pub async fn run(
-    agent: Arc<Agent>,
-    service: Arc<Service>,
-    call: Call,
-) -> Result<Reply, Refusal> {
+pub async fn run(agent: Arc<Agent>, service: Arc<Service>, call: Call) -> Result<Reply, Refusal> {
     // In a task of its own: when the router goes in the middle, the write is
     // still carried to its receipt, and the caller who asks again gets it.
     let vm = agent.node.process.vm.clone();
@@ -98,11 +94,7 @@
     }
 }
 
-async fn decide(
-    agent: Arc<Agent>,
-    service: Arc<Service>,
-    call: Call,
-) -> Result<Reply, Refusal> {
+async fn decide(agent: Arc<Agent>, service: Arc<Service>, call: Call) -> Result<Reply, Refusal> {
     let writer = service.writer.clone();
     let vm = writer.vm.as_str();
     let Some(key) = &call.key else {
@@ -178,15 +170,9 @@
 impl Writer {
     /// Appends an intent and reads the stream up to it. The id of the try when it
     /// is the first for its key, `None` when another came before it.
-    async fn claim(
-        &self,
-        key: &str,
-        print: &str,
-        until: Instant,
-    ) -> Result<Option<Try>, Refusal> {
+    async fn claim(&self, key: &str, print: &str, until: Instant) -> Result<Option<Try>, Refusal> {
         let id = uuid::Uuid::new_v4().simple().to_string();
-        let intent =
-            Intent { key: key.to_string(), print: print.to_string(), id: id.clone() };
+        let intent = Intent { key: key.to_string(), print: print.to_string(), id: id.clone() };
         let appended = self.append(Entry::Intent(intent)).await;
         if appended == Appended::No {
             let why = "the log takes no records now, so the write can't be made safe";
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,7 @@
 use platform::log::Client;
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use wire::frame::{Ask, Settings, Tell};
 use wire::id;
 
@@ -23,6 +24,12 @@
 /// reads a second on the log service when it comes back, spread by jitter.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// Age of the newest record of the version in force at which a process appends
+/// it again, so that it does not expire. Each process draws its own age up to
+/// twice this; the first one to act resets the others. The log has to keep
+/// records for more than twice this.
+const CARRY_AGE: Duration = Duration::from_secs(10 * 60);
+
 /// What is in force.
 #[derive(Debug, Clone)]
 pub struct Force {
@@ -44,10 +51,15 @@
     let state = State::new();
     let (tx, rx) = watch::channel(force(&state, false));
     let log = Client::new(&process.platform.log, Duration::from_secs(2));
-    tokio::spawn(Tail { vm: process.vm.clone(), log, peers, vms, state, tx }.run());
+    let tail = Tail { vm: process.vm.clone(), log, peers, vms, state, tx, carry_at: carry_at() };
+    tokio::spawn(tail.run());
     rx
 }
 
+fn carry_at() -> Instant {
+    Instant::now() + CARRY_AGE.mul_f64(rand::random_range(1.0..2.0))
+}
+
 fn force(state: &State, caught_up: bool) -> Force {
     Force {
         version: state.version,
@@ -64,6 +76,7 @@
     vms: vms::Watch,
     state: State,
     tx: watch::Sender<Force>,
+    carry_at: Instant,
 }
 
 impl Tail {
@@ -71,7 +84,13 @@
         while !self.tx.is_closed() {
             let wait = if self.tx.borrow().caught_up { WAIT } else { Duration::ZERO };
             match self.log.read(change::STREAM, self.state.next, wait).await {
-                Ok(page) => self.take(page),
+                Ok(page) => {
+                    self.take(page);
+                    if !self.state.knows_base() {
+                        self.ask_peer().await;
+                    }
+                    self.carry().await;
+                }
                 Err(e) => {
                     log::warn!("settings: the log can't be read: {e}");
                     self.ask_peer().await;
@@ -82,20 +101,46 @@
     }
 
     fn take(&mut self, page: platform::log::Page) {
-        self.state.begin(page.first);
+        self.state.skip(page.first);
         for record in &page.records {
-            match self.state.judge(record.offset, &record.data) {
-                Verdict::Accepted(v) => log::info!("settings: version {v} is in force"),
-                Verdict::Carried(_) => {}
-                Verdict::Refused(why) => {
-                    log::info!("settings: record {} is not in force: {why}", record.offset);
-                }
+            for (offset, verdict) in self.state.settle(record.offset, &record.data) {
+                self.judged(offset, verdict);
             }
         }
-        let caught_up = self.state.next >= page.next || self.tx.borrow().caught_up;
+        let read = self.state.next >= page.next;
+        let known = self.state.knows_base() || self.state.version > 0;
+        let caught_up = read && known || self.tx.borrow().caught_up;
         self.show(caught_up);
     }
 
+    fn judged(&mut self, offset: u64, verdict: Verdict) {
+        match verdict {
+            Verdict::Accepted(v) => log::info!("settings: version {v} is in force"),
+            Verdict::Refused(why) => {
+                log::info!("settings: record {offset} is not in force: {why}");
+                return;
+            }
+            Verdict::Carried(_) => {}
+            Verdict::Pending => return,
+        }
+        self.carry_at = carry_at();
+    }
+
+    /// Appends the version in force again when its newest record has grown old.
+    async fn carry(&mut self) {
+        if Instant::now() < self.carry_at {
+            return;
+        }
+        self.carry_at = carry_at();
+        let id = format!("{}-{}", self.vm, self.state.next);
+        let Some(change) = self.state.carry(&id, &self.vm) else { return };
+        let data = serde_json::to_string(&change).expect("plain data encodes");
+        match self.log.append(change::STREAM, &data).await {
+            Ok(_) => log::info!("settings: version {} is kept from expiring", self.state.version),
+            Err(e) => log::warn!("settings: the version can't be kept from expiring yet: {e}"),
+        }
+    }
+
     /// Takes newer settings from one other process, chosen at random so that a
     /// version known to few spreads to all in a few rounds.
     async fn ask_peer(&mut self) {
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -185,7 +185,7 @@
 /// Where the head named in a request id is, when the same process still runs there.
 fn place(router: &Router, request: &str) -> Option<Place> {
     let mut parts = request.splitn(3, '.');
-    let (vm, incarnation) = (parts.next()?, parts.next()?.parse().ok()?);
+    let (vm, incarnation) = (parts.next()?, parts.next()?.parse::<id::Incarnation>().ok()?);
     let agent = router.view.find(vm)?;
     let same = agent.report.is_none_or(|r| r.incarnation == incarnation);
     same.then_some(agent.place)
@@ -318,13 +318,7 @@
     }
 }
 
-fn chunk(
-    request: &str,
-    model: &str,
-    at: &str,
-    token: &Token,
-    finish: Option<&str>,
-) -> String {
+fn chunk(request: &str, model: &str, at: &str, token: &Token, finish: Option<&str>) -> String {
     let data = json!({
         "id": request,
         "object": "text_completion",
@@ -339,12 +333,7 @@
     format!("id: {at}:{}\ndata: {data}\n\n", token.index + 1)
 }
 
-fn end(
-    request: &str,
-    model: &str,
-    held: Option<(id::Request, Token)>,
-    done: &Done,
-) -> String {
+fn end(request: &str, model: &str, held: Option<(id::Request, Token)>, done: &Done) -> String {
     let last = match held {
         Some((at, token)) => chunk(request, model, &at, &token, Some("stop")),
         None => {
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -117,12 +117,7 @@
 }
 
 /// Goes on with a draft for a caller that has `after` tokens.
-pub async fn attach(
-    router: Arc<Router>,
-    attach: Attach,
-    head: Place,
-    events: mpsc::Sender<Event>,
-) {
+pub async fn attach(router: Arc<Router>, attach: Attach, head: Place, events: mpsc::Sender<Event>) {
     let mut follower = Follower {
         router,
         events,
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -131,7 +131,9 @@
 fn passed_on(req: &Request) -> Vec<(String, String)> {
     req.headers()
         .iter()
-        .filter(|(name, _)| !OWN.contains(&name.as_str()) && !name.as_str().starts_with("x-workspace"))
+        .filter(|(name, _)| {
+            !OWN.contains(&name.as_str()) && !name.as_str().starts_with("x-workspace")
+        })
         .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
         .collect()
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -94,9 +94,7 @@
     fn listed(&self, list: &[vm::Entry]) -> Vec<Place> {
         let mut agents = self.agents.lock().expect("no panic while held");
         let mut new = Vec::new();
-        agents.retain(|a| {
-            list.iter().any(|e| e.vm == a.place.vm && e.address == a.place.address)
-        });
+        agents.retain(|a| list.iter().any(|e| e.vm == a.place.vm && e.address == a.place.address));
         for entry in list.iter().filter(|e| e.role == Role::Agent) {
             let leaving = entry.state == vm::State::Leaving;
             match agents.binary_search_by(|a| a.place.vm.cmp(&entry.vm)) {
@@ -174,9 +172,11 @@
         let silence = (interval * SILENCE).max(LEAST_SILENCE);
         match timeout(silence, stream.expect()).await {
             Ok(Ok(Tell::Report(report))) => {
-                let listed = node.vms.borrow().iter().any(|e| {
-                    e.vm == report.vm && e.state == vm::State::Leaving
-                });
+                let listed = node
+                    .vms
+                    .borrow()
+                    .iter()
+                    .any(|e| e.vm == report.vm && e.state == vm::State::Leaving);
                 view.reported(*report, listed);
             }
             Ok(Ok(_)) => return "unexpected frame".into(),
