--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -145,7 +145,10 @@
             shared.wake.notify_one();
             Ok(Reply::done())
         }
-        ("GET", ["~fake", "books"]) => Ok(Reply::json(200, &core().books)),
+        ("GET", ["~fake", "books"]) => {
+            let books = books(&core(), call);
+            Ok(Reply::json(200, &books))
+        }
         _ => Err(Reply::refuse(404, "no such path")),
     }
 }
@@ -193,6 +196,12 @@
     }
 }
 
+/// The books with the sessions that `find`, `from` and `limit` in the query ask for.
+fn books(core: &Core, call: &Call) -> book::Books {
+    let sessions = call.part(core.books.find(call.text("find")));
+    core.books.with_sessions(sessions)
+}
+
 fn done(outcome: Result<(), core::Refusal>) -> Result<Reply, Reply> {
     outcome.map(|()| Reply::done()).map_err(refuse)
 }
--- a/crates/fake/src/engine/book.rs
+++ b/crates/fake/src/engine/book.rs
@@ -3,6 +3,8 @@
 use engine::{Order, Session};
 use serde::{Deserialize, Serialize};
 
+use crate::model::Range;
+
 /// Sessions the book holds; later ones are only counted.
 pub const SESSIONS: usize = 200_000;
 
@@ -35,12 +37,16 @@
 }
 
 /// One session and the positions it ran.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Opened {
     /// Id given by the agent.
     pub session: String,
     /// Tag given by the agent.
     pub tag: String,
+    /// Model that ran.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u32,
     /// First layer of the range that ran.
     pub first: u32,
     /// Last layer of it, inclusive.
@@ -69,7 +75,7 @@
     /// ```
     /// use fake::engine::book::{Opened, Run};
     /// let runs = vec![Run { start: 0, count: 4 }, Run { start: 3, count: 2 }];
-    /// let opened = Opened { session: "s".into(), tag: String::new(), first: 0, last: 3, runs };
+    /// let opened = Opened { runs, ..Opened::default() };
     /// assert_eq!(opened.repeated(), Some(3));
     /// ```
     pub fn repeated(&self) -> Option<u32> {
@@ -81,19 +87,33 @@
 }
 
 impl Books {
-    /// Sessions whose id contains `part`, such as a request's id.
+    /// Sessions whose id or tag contains `part`, such as a request's id.
     pub fn find<'a>(&'a self, part: &'a str) -> impl Iterator<Item = &'a Opened> {
-        self.sessions.iter().filter(move |s| s.session.contains(part))
+        self.sessions.iter().filter(move |s| s.session.contains(part) || s.tag.contains(part))
+    }
+
+    /// The books with other sessions in place of all of them.
+    pub(crate) fn with_sessions(&self, sessions: Vec<Opened>) -> Books {
+        let Books { incarnation, orders, .. } = self;
+        let (incarnation, orders) = (incarnation.clone(), orders.clone());
+        Books { incarnation, orders, sessions, ..*self }
     }
 
     /// Enters a session; gives its place, or none when the book is full.
-    pub(crate) fn open(&mut self, session: &Session, first: u32, last: u32) -> Option<usize> {
+    pub(crate) fn open(&mut self, session: &Session, range: &Range) -> Option<usize> {
         if self.sessions.len() >= SESSIONS {
             self.unlisted += 1;
             return None;
         }
-        let (session, tag) = (session.session.clone(), session.tag.clone());
-        self.sessions.push(Opened { session, tag, first, last, runs: Vec::new() });
+        self.sessions.push(Opened {
+            session: session.session.clone(),
+            tag: session.tag.clone(),
+            model: range.model.clone(),
+            version: range.version,
+            first: range.first,
+            last: range.last(),
+            runs: Vec::new(),
+        });
         Some(self.sessions.len() - 1)
     }
 
--- a/crates/fake/src/engine/core.rs
+++ b/crates/fake/src/engine/core.rs
@@ -126,7 +126,7 @@
             _ if self.sessions.len() >= self.options.slots as usize => Err((429, "no free slot")),
             (Err(i), Some(range)) => {
                 self.count += 1;
-                let place = self.books.open(&session, range.first, range.last());
+                let place = self.books.open(&session, range);
                 let (number, state) = (self.count, range.fresh());
                 let live = Live { session, number, next: 0, state, pending: None, place };
                 self.sessions.insert(i, live);
@@ -271,7 +271,7 @@
         self.orders += 1;
         self.loading = Some(self.orders);
         self.books.ordered(order);
-        self.cancel_all();
+        self.sessions.clear();
         Ok(Loading { order: order.clone(), layers, number: self.orders })
     }
 
--- a/crates/fake/src/link/relay.rs
+++ b/crates/fake/src/link/relay.rs
@@ -86,10 +86,8 @@
         draws: Arc::new(Mutex::new(draws)),
         queue: Queue::new(),
     });
-    let tasks = vec![
-        tokio::spawn(forward(core.clone(), socket)),
-        tokio::spawn(deliver_held(core.clone())),
-    ];
+    let tasks =
+        vec![tokio::spawn(forward(core.clone(), socket)), tokio::spawn(deliver_held(core.clone()))];
     Ok(Relay { link, core, tasks })
 }
 
--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -179,7 +179,6 @@
         }
         _ => {}
     }
-    count(service);
     let retain = service.retain;
     let stream = stream(service, name)?;
     let offset = stream.first + stream.records.len() as u64;
@@ -187,6 +186,7 @@
     stream.records.push_back(Record { offset, time_ms: now_ms(), data });
     expire(stream, offset + 1, retain);
     stream.grown.notify_waiters();
+    count(service);
     match serve::take(&mut service.lose_answers) {
         true => Err(Reply::Drop),
         false => Ok(Reply::json(200, &Appended { offset })),
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -40,7 +40,8 @@
     options: T,
 }
 
-#[tokio::main]
+// Many stand-ins share a machine, so each keeps to few threads.
+#[tokio::main(worker_threads = 2)]
 async fn main() -> std::io::Result<()> {
     let args = Args::parse();
     // Standard output carries the `ready` line alone, so logs go to standard error.
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -39,10 +39,26 @@
         self.path.trim_matches('/').split('/').collect()
     }
 
+    /// Text given for `name` in the query as it was sent, or an empty text.
+    pub fn text<'a>(&'a self, name: &'a str) -> &'a str {
+        let value = |pair: &'a str| pair.split_once('=').filter(|p| p.0 == name);
+        self.query.split('&').find_map(value).map_or("", |pair| pair.1)
+    }
+
     /// Number given for `name` in the query, or zero.
     pub fn number(&self, name: &str) -> u64 {
-        let value = |pair: &str| pair.split_once('=').filter(|p| p.0 == name)?.1.parse().ok();
-        self.query.split('&').find_map(value).unwrap_or(0)
+        self.text(name).parse().unwrap_or(0)
+    }
+
+    /// The part of `items` that `from` and `limit` in the query ask for; by default all.
+    ///
+    /// A full book is longer than a client reads at once, so it is read in parts.
+    pub fn part<'a, T: Clone + 'a>(&self, items: impl Iterator<Item = &'a T>) -> Vec<T> {
+        let limit = match self.number("limit") {
+            0 => usize::MAX,
+            limit => limit as usize,
+        };
+        items.skip(self.number("from") as usize).take(limit).cloned().collect()
     }
 
     /// Value of a header, or an empty text.
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -128,7 +128,10 @@
 
 async fn route(service: &Service, call: &Call) -> Result<Reply, Reply> {
     match (call.method.as_str(), call.segments().as_slice()) {
-        ("GET", ["~fake", "books"]) => Ok(Reply::json(200, &serve::lock(&service.state).writes)),
+        ("GET", ["~fake", "books"]) => {
+            let part = call.part(serve::lock(&service.state).writes.iter());
+            Ok(Reply::json(200, &part))
+        }
         ("GET", ["~fake", "runs"]) => Ok(runs(&serve::lock(&service.state))),
         ("POST", ["~fake", "control"]) => {
             control(&mut serve::lock(&service.state), call.json()?);
