--- a/crates/agent/src/write.rs
+++ b/crates/agent/src/write.rs
@@ -183,10 +183,10 @@
         loop {
             let first = {
                 let ledger = self.ledger.lock().expect("no panic while held");
-                ledger.find(key).map(|record| record.id.clone())
+                ledger.find(key).map(|r| (r.id.clone(), r.state == State::Open))
             };
             match first {
-                Some(first) if first == id => return Ok(Some(id)),
+                Some((first, true)) if first == id => return Ok(Some(id)),
                 Some(_) => return Ok(None),
                 None => {}
             }
@@ -202,7 +202,9 @@
         let mut abandoned = self.abandoned.lock().expect("no panic while held");
         let ledger = self.ledger.lock().expect("no panic while held");
         match ledger.find(&mark.key) {
-            Some(record) if record.id == mark.id => Ok(Some(mark.id)),
+            Some(record) if record.id == mark.id && record.state == State::Open => {
+                Ok(Some(mark.id))
+            }
             Some(_) => Ok(None),
             None => {
                 abandoned.push(mark);
