--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -1,10 +1,12 @@
 //! Settings of the fleet: one set of defaults, and exceptions that each carry a reason.
 
+use std::path::Path;
 use std::time::Duration;
 
 use sha2::{Digest, Sha256};
 
 use crate::fault::Faults;
+use crate::reader;
 
 mod contract;
 pub mod defaults;
@@ -163,6 +165,15 @@
     read::fleet(file, text)
 }
 
+/// Reads and checks a file.
+///
+/// ```
+/// assert!(config::fleet::load(std::path::Path::new("no-such-file.ini")).is_err());
+/// ```
+pub fn load(path: &Path) -> Result<Fleet, Faults> {
+    parse(&path.display().to_string(), &reader::text(path)?)
+}
+
 impl Fleet {
     /// Settings before any were published: no model, no workspace, no service.
     ///
--- a/crates/config/src/process.rs
+++ b/crates/config/src/process.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use crate::fault::{Fault, Faults};
-use crate::reader::{Reader, Section};
+use crate::fault::Faults;
+use crate::reader::{self, Reader, Section};
 use crate::unit;
 
 /// Log level of a process that names none.
@@ -89,7 +89,7 @@
 /// ```
 pub fn load(path: &Path) -> Result<Process, Faults> {
     let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| unreadable(&file, &e))?;
+    let text = reader::text(path)?;
     let mut process = parse(&file, &text)?;
     let folder = path.parent().unwrap_or(Path::new(""));
     let tls = &mut process.tls;
@@ -210,9 +210,3 @@
         _ => None,
     }
 }
-
-fn unreadable(file: &str, e: &std::io::Error) -> Faults {
-    let (section, key) = (String::new(), String::new());
-    let (found, allowed) = (e.to_string(), "a readable file".to_string());
-    Faults { list: vec![Fault { file: file.to_string(), section, key, found, allowed }] }
-}
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,9 +1,21 @@
 //! Reads INI text and collects every fault instead of stopping at the first.
 
+use std::path::Path;
+
 use ::ini::{Ini, ParseOption};
 
 use crate::fault::{Fault, Faults};
 
+/// Text of a file; a file that can't be read is a fault.
+pub fn text(path: &Path) -> Result<String, Faults> {
+    let file = path.display().to_string();
+    std::fs::read_to_string(path).map_err(|e| {
+        let (section, key) = (String::new(), String::new());
+        let (found, allowed) = (e.to_string(), "a readable file".to_string());
+        Faults { list: vec![Fault { file, section, key, found, allowed }] }
+    })
+}
+
 /// One section, whose keys are taken out as they are understood.
 #[derive(Debug, Clone)]
 pub struct Section {
--- /dev/null
+++ b/crates/ctl/src/cmd/check.rs
@@ -0,0 +1,66 @@
+//! Checks settings files.
+
+use std::path::{Path, PathBuf};
+
+use config::fault::Fault;
+use config::{fleet, process};
+use serde::Serialize;
+
+use crate::error::{self, Error};
+use crate::option::Common;
+use crate::report::{self, Report};
+
+/// Check settings files and print every fault.
+///
+/// Checks texts of the fleet settings, or with --process the settings files of processes.
+/// Run it before a text is handed to a colleague; `publish` checks as well.
+/// Exits with 1 when there is a fault.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Examples:\n  hyssopctl check dala.ini tsehay.ini\n  \
+                        hyssopctl check --process router.ini")]
+pub struct Args {
+    /// Files to check.
+    #[arg(required = true, value_name = "FILE")]
+    files: Vec<PathBuf>,
+    /// They are settings of processes, not of the fleet.
+    #[arg(long)]
+    process: bool,
+}
+
+/// Checks each file.
+pub fn run(common: &Common, args: Args) -> Result<Report, Error> {
+    let check = if args.process { process_faults } else { fleet_faults };
+    let faults: Vec<Fault> = args.files.iter().flat_map(|file| check(file)).collect();
+    let code = if faults.is_empty() { error::OK } else { error::REFUSED };
+    let text = match common.json {
+        true => report::json(&faults.iter().map(Row::from).collect::<Vec<_>>()),
+        false if faults.is_empty() => format!("{} checked, no faults\n", args.files.len()),
+        false => faults.iter().map(|fault| format!("{fault}\n")).collect(),
+    };
+    Ok(Report { text, code })
+}
+
+/// A fault as JSON.
+#[derive(Debug, Serialize)]
+struct Row<'a> {
+    file: &'a str,
+    section: &'a str,
+    key: &'a str,
+    found: &'a str,
+    allowed: &'a str,
+}
+
+impl<'a> From<&'a Fault> for Row<'a> {
+    fn from(fault: &'a Fault) -> Row<'a> {
+        let Fault { file, section, key, found, allowed } = fault;
+        Row { file, section, key, found, allowed }
+    }
+}
+
+fn process_faults(path: &Path) -> Vec<Fault> {
+    process::load(path).err().map(|faults| faults.list).unwrap_or_default()
+}
+
+fn fleet_faults(path: &Path) -> Vec<Fault> {
+    fleet::load(path).err().map(|faults| faults.list).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/explain.rs
@@ -0,0 +1,98 @@
+//! What happened to a request.
+
+use platform::vm::{Entry, Role};
+use serde_json::{Map, Value};
+use wire::frame::Ask;
+
+use crate::error::Error;
+use crate::option::Common;
+use crate::peer::{self, Answer};
+use crate::report::{self, Report};
+
+/// Field of a line that holds its time, in milliseconds since the Unix epoch.
+const TIME: &str = "time_ms";
+
+/// Show what the fleet knows of a request, in the order of time.
+///
+/// Asks the agent that the id names and all routers. VMs keep nothing, so what a VM that has
+/// gone knew is lost; VMs that don't answer are named.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example:\n  hyssopctl --vms http://127.0.0.1:9001 --tls certs \
+                        --as operator explain gpu-1.42.7f3a")]
+pub struct Args {
+    /// Id of the request: VM.INCARNATION.UNIQUE.
+    #[arg(value_name = "REQUEST-ID")]
+    request: String,
+}
+
+/// Asks and sorts the lines by time.
+pub async fn run(common: &Common, args: Args) -> Result<Report, Error> {
+    let owner = args.request.split('.').next().unwrap_or_default();
+    let asked = |entry: &Entry| entry.vm == owner || entry.role == Role::Router;
+    let entries: Vec<Entry> = peer::list(common).await?.into_iter().filter(asked).collect();
+    let listed = entries.iter().any(|entry| entry.vm == owner);
+    let answers = peer::ask(common, entries, &Ask::Explain(args.request.clone())).await?;
+
+    let mut silent: Vec<String> = answers.iter().filter_map(trouble).collect();
+    if !listed {
+        silent.push(format!("{owner}: not in the VM list, it may have gone"));
+    }
+    for line in &silent {
+        eprintln!("hyssopctl: {line}");
+    }
+    let mut events: Vec<Map<String, Value>> = answers.iter().flat_map(events).collect();
+    events.sort_by_key(time);
+    match events.is_empty() {
+        false if common.json => Ok(report::ok(report::json(&events))),
+        false => Ok(report::ok(text(&events))),
+        true if silent.is_empty() => {
+            Err(Error::Refused(format!("nothing is known of request {}", args.request)))
+        }
+        true => Err(Error::Unreachable(format!(
+            "nothing is known of request {} where an answer came",
+            args.request
+        ))),
+    }
+}
+
+fn trouble(answer: &Answer) -> Option<String> {
+    let e = peer::text(&answer.tell).err()?;
+    Some(format!("{}: {e}", answer.entry.vm))
+}
+
+/// Lines of one VM with its name added. A line that is no JSON object is kept as it stands.
+fn events(answer: &Answer) -> Vec<Map<String, Value>> {
+    let lines = peer::text(&answer.tell).unwrap_or_default().lines();
+    let read = |line: &str| {
+        let mut event = match serde_json::from_str(line) {
+            Ok(Value::Object(event)) => event,
+            _ => Map::from_iter([("text".to_string(), Value::from(line))]),
+        };
+        event.entry("vm").or_insert_with(|| Value::from(answer.entry.vm.as_str()));
+        event
+    };
+    lines.filter(|line| !line.trim().is_empty()).map(read).collect()
+}
+
+fn time(event: &Map<String, Value>) -> u64 {
+    event.get(TIME).and_then(Value::as_u64).unwrap_or_default()
+}
+
+fn text(events: &[Map<String, Value>]) -> String {
+    let row = |event: &Map<String, Value>| {
+        let at = event.get(TIME).map_or_else(|| "-".to_string(), |_| report::utc(time(event)));
+        let others = event.iter().filter(|(key, _)| *key != TIME && *key != "vm");
+        let words: Vec<String> =
+            others.map(|(key, value)| format!("{key}={}", plain(value))).collect();
+        vec![at, plain(&event["vm"]), words.join(" ")]
+    };
+    let rows: Vec<Vec<String>> = events.iter().map(row).collect();
+    report::table(&["TIME", "VM", "EVENT"], &rows)
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cmd/mod.rs
@@ -0,0 +1,10 @@
+//! One module a command, each with its arguments and a `run` that reads as its steps.
+
+pub mod audit;
+pub mod certs;
+pub mod check;
+pub mod diff;
+pub mod explain;
+pub mod publish;
+pub mod show;
+pub mod status;
--- a/crates/ctl/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operators' command line
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,77 @@
+//! What a command prints: aligned tables for people, JSON for programs.
+
+use serde::Serialize;
+
+use crate::error;
+
+/// Output of a command and its exit code.
+#[derive(Debug)]
+pub struct Report {
+    /// What goes to standard output.
+    pub text: String,
+    /// Exit code.
+    pub code: u8,
+}
+
+/// A report of a command that did its work.
+pub fn ok(text: String) -> Report {
+    Report { text, code: error::OK }
+}
+
+/// Pretty JSON with a line end.
+pub fn json<T: Serialize>(value: &T) -> String {
+    // Only maps with odd keys fail, and there are none.
+    let text = serde_json::to_string_pretty(value).unwrap_or_default();
+    format!("{text}\n")
+}
+
+/// Rows under a head, each column as wide as its widest cell.
+pub fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let head: Vec<String> = head.iter().map(|cell| cell.to_string()).collect();
+    let mut widths = vec![0; head.len()];
+    for row in std::iter::once(&head).chain(rows) {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.chars().count().max(*width);
+        }
+    }
+    std::iter::once(&head).chain(rows).map(|row| line(row, &widths)).collect()
+}
+
+/// Milliseconds since the Unix epoch as UTC, such as `2026-03-01T12:00:00.250Z`.
+pub fn utc(ms: u64) -> String {
+    let (days, rest) = (ms / 86_400_000, ms % 86_400_000);
+    let (year, month, day) = date(days);
+    let (hour, minute) = (rest / 3_600_000, rest / 60_000 % 60);
+    let (second, milli) = (rest / 1000 % 60, rest % 1000);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{milli:03}Z")
+}
+
+fn line(row: &[String], widths: &[usize]) -> String {
+    let cells: Vec<String> =
+        row.iter().zip(widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
+    format!("{}\n", cells.join("  ").trim_end())
+}
+
+/// Gregorian date of a day counted from 1970-01-01.
+fn date(days: u64) -> (u64, u64, u64) {
+    let (mut year, mut left) = (1970, days);
+    while left >= year_length(year) {
+        left -= year_length(year);
+        year += 1;
+    }
+    let february = year_length(year) - 337;
+    let mut month = 1;
+    for length in [31, february, 31, 30, 31, 30, 31, 31, 30, 31, 30] {
+        if left < length {
+            break;
+        }
+        left -= length;
+        month += 1;
+    }
+    (year, month, left + 1)
+}
+
+fn year_length(year: u64) -> u64 {
+    let leap = year.is_multiple_of(4) && (!year.is_multiple_of(100) || year.is_multiple_of(400));
+    if leap { 366 } else { 365 }
+}
