--- a/crates/ctl/src/cmd/explain.rs
+++ b/crates/ctl/src/cmd/explain.rs
@@ -60,18 +60,28 @@
     Some(format!("{}: {e}", answer.entry.vm))
 }
 
-/// Lines of one VM with its name added. A line that is no JSON object is kept as it stands.
+/// Events of one VM with its name added: a JSON array, or a JSON object a line. What is
+/// neither is kept as it stands.
 fn events(answer: &Answer) -> Vec<Map<String, Value>> {
-    let lines = peer::text(&answer.tell).unwrap_or_default().lines();
-    let read = |line: &str| {
-        let mut event = match serde_json::from_str(line) {
-            Ok(Value::Object(event)) => event,
-            _ => Map::from_iter([("text".to_string(), Value::from(line))]),
-        };
-        event.entry("vm").or_insert_with(|| Value::from(answer.entry.vm.as_str()));
-        event
+    let text = peer::text(&answer.tell).unwrap_or_default();
+    let values = match serde_json::from_str(text) {
+        Ok(Value::Array(values)) => values,
+        _ => text.lines().filter(|line| !line.trim().is_empty()).map(value).collect(),
     };
-    lines.filter(|line| !line.trim().is_empty()).map(read).collect()
+    values.into_iter().map(|value| event(value, &answer.entry.vm)).collect()
+}
+
+fn value(line: &str) -> Value {
+    serde_json::from_str(line).unwrap_or_else(|_| Value::from(line))
+}
+
+fn event(value: Value, vm: &str) -> Map<String, Value> {
+    let mut event = match value {
+        Value::Object(event) => event,
+        other => Map::from_iter([("text".to_string(), other)]),
+    };
+    event.entry("vm").or_insert_with(|| Value::from(vm));
+    event
 }
 
 fn time(event: &Map<String, Value>) -> u64 {
