--- /dev/null
+++ b/crates/scenario/src/expect.rs
@@ -0,0 +1,65 @@
+//! What `expect` states, judged on outcomes, books and figures.
+
+use crate::books::{self, Books};
+use crate::outcome::Outcome;
+use crate::script::Expect;
+use crate::table;
+
+/// Room for rounding in `layer-runs`: half of its last printed place.
+const ROUNDING: f64 = 0.0005;
+
+/// What is known when a statement is judged.
+#[derive(Debug)]
+pub struct Facts<'a> {
+    /// Requests that ended.
+    pub outcomes: &'a [Outcome],
+    /// Books.
+    pub books: &'a Books,
+    /// Layers of the model.
+    pub layers: u32,
+    /// Crashes of backend servers.
+    pub crashes: usize,
+}
+
+/// Judges a statement on requests and books; `None` when it is about something else.
+pub fn judge(what: &Expect, facts: &Facts<'_>) -> Option<Result<(), String>> {
+    let all = table::count(facts.outcomes, |o| !o.judged);
+    let verdict = match what {
+        Expect::Answered { min } => {
+            let part = all.right as f64 / all.sent.max(1) as f64;
+            require(part >= *min, format!("{:.4} of {} were answered right", part, all.sent))
+        }
+        Expect::Right => none(books::answers(facts.outcomes)),
+        Expect::NoneDoubled => none(books::doubled(&facts.books.runs)),
+        Expect::NoGhosts => none(books::ghosts(facts.outcomes, facts.books)),
+        Expect::LayerRuns { value, max } => layer_runs(*value, *max, facts),
+        Expect::Cut { max } => require(all.lost <= *max, format!("{} were cut or lost", all.lost)),
+        Expect::Unknown { max } => {
+            require(all.unknown <= *max, format!("{} ended as unknown", all.unknown))
+        }
+        Expect::Crashes { min, max } => {
+            let n = facts.crashes;
+            require((*min..=*max).contains(&n), format!("{n} backend servers crashed"))
+        }
+        _ => return None,
+    };
+    Some(verdict)
+}
+
+fn layer_runs(value: Option<f64>, max: Option<f64>, facts: &Facts<'_>) -> Result<(), String> {
+    let runs = books::layer_runs(facts.outcomes, &facts.books.engines, facts.layers);
+    let exact = value.is_none_or(|v| (runs - v).abs() < ROUNDING);
+    let below = max.is_none_or(|m| runs <= m + ROUNDING);
+    require(exact && below, format!("{runs:.3} layer runs per token and layer"))
+}
+
+fn require(holds: bool, found: String) -> Result<(), String> {
+    if holds { Ok(()) } else { Err(found) }
+}
+
+fn none(breaches: Vec<books::Breach>) -> Result<(), String> {
+    match breaches.first() {
+        None => Ok(()),
+        Some(first) => Err(format!("{} breaches, the first: {first}", breaches.len())),
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/fleet.rs
@@ -0,0 +1,462 @@
+//! The fleet of a scenario: platform stand-ins, backend servers, agents and routers,
+//! each VM with a loopback address of its own.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use platform::vm::{Entry, Role, State};
+
+use crate::binary::Place;
+use crate::books::{self, Books, Engine};
+use crate::model;
+use crate::process::{Process, READY, Wanted};
+use crate::script;
+use crate::settings::{self, BACKEND_PORT, HTTP_PORT, LINK_PORT, Platform, RELAY_PORT};
+
+/// Port by which a run claims its part of the loopback addresses.
+const CLAIM_PORT: u16 = 8999;
+/// Pause between two looks at a daemon that is not ready.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time one look at a daemon or control call may take.
+pub const CALL: Duration = Duration::from_secs(3);
+
+/// What stands on a VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Backend {
+    /// Nothing: an entry VM.
+    None,
+    /// An engine: number of its range, first and last layer, microseconds of a step.
+    Engine(usize, u32, u32, u64),
+    /// A plain service.
+    Service,
+}
+
+/// One VM.
+#[derive(Debug, Clone)]
+pub struct Vm {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address.
+    pub ip: IpAddr,
+    /// What stands on it.
+    pub backend: Backend,
+}
+
+impl Vm {
+    /// `http://IP:PORT` of the daemon.
+    pub fn http(&self) -> String {
+        format!("http://{}:{HTTP_PORT}", self.ip)
+    }
+
+    /// `http://IP:PORT` of the backend server.
+    pub fn backend_http(&self) -> String {
+        format!("http://{}:{BACKEND_PORT}", self.ip)
+    }
+
+    /// Address under which other daemons find it.
+    pub fn link(&self, relayed: bool) -> SocketAddr {
+        SocketAddr::new(self.ip, if relayed { RELAY_PORT } else { LINK_PORT })
+    }
+
+    /// Name of its backend server's process.
+    pub fn backend_process(&self) -> String {
+        format!("{}.backend", self.name)
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What the script asked for.
+    pub plan: script::Fleet,
+    /// VMs, sorted by name.
+    pub vms: Vec<Vm>,
+    /// Processes, sorted by name.
+    pub processes: Vec<Process>,
+    /// Addresses of the platform.
+    pub platform: Platform,
+    /// Books of engines that were killed.
+    pub kept: Vec<Engine>,
+    /// Text of the fleet settings as published last.
+    pub text: String,
+    /// Directory of settings, certificates and logs.
+    pub dir: PathBuf,
+    place: Place,
+    octet: u8,
+    _claim: TcpListener,
+}
+
+/// Claims a part of the loopback addresses that no other run uses.
+fn claim() -> Result<(u8, TcpListener), String> {
+    let start = std::process::id() % 200;
+    for i in 0..200 {
+        let octet = (16 + (start + i) % 200) as u8;
+        let address = SocketAddr::new(Ipv4Addr::new(127, octet, 0, 1).into(), CLAIM_PORT);
+        if let Ok(listener) = TcpListener::bind(address) {
+            return Ok((octet, listener));
+        }
+    }
+    Err("no free part of the loopback addresses".to_string())
+}
+
+/// The VMs of a plan, without addresses of links or processes.
+fn vms(plan: &script::Fleet, octet: u8) -> Vec<Vm> {
+    let data_centre = |i: usize| format!("dc-{}", (b'a' + (i % plan.data_centres) as u8) as char);
+    let vm = |name: String, i: usize, net: usize, host: usize, backend: Backend| Vm {
+        name,
+        data_centre: data_centre(i),
+        ip: Ipv4Addr::new(127, octet, net as u8, host as u8).into(),
+        backend,
+    };
+    let mut vms = Vec::new();
+    for i in 0..plan.routers {
+        vms.push(vm(format!("router-{}", i + 1), i, 1, i + 1, Backend::None));
+    }
+    for i in 0..plan.services {
+        vms.push(vm(format!("desk-{}", i + 1), i, 3, i + 1, Backend::Service));
+    }
+    for (r, range) in plan.ranges.iter().enumerate() {
+        for k in 0..plan.replicas {
+            let speed = plan.speeds[k % plan.speeds.len()];
+            let backend = Backend::Engine(r, range.low, range.high, speed);
+            vms.push(vm(format!("gpu-{r}-{}", k + 1), r + k, 10 + r, k + 1, backend));
+        }
+    }
+    vms.sort_by(|a, b| a.name.cmp(&b.name));
+    vms
+}
+
+impl Fleet {
+    /// Starts everything and waits until all daemons are ready.
+    pub async fn start(plan: script::Fleet, place: Place, dir: PathBuf) -> Result<Fleet, String> {
+        let (octet, claim) = claim()?;
+        let at = |port: u16| format!("http://127.{octet}.0.1:{port}");
+        let platform = Platform {
+            log: at(9000),
+            vms: at(9001),
+            weights: at(9002),
+            links: at(9003),
+            ledger: at(9004),
+        };
+        std::fs::create_dir_all(dir.join("logs")).map_err(|e| format!("log directory: {e}"))?;
+        let vms = vms(&plan, octet);
+        let mut fleet = Fleet {
+            plan,
+            vms,
+            processes: Vec::new(),
+            platform,
+            kept: Vec::new(),
+            text: String::new(),
+            dir,
+            place,
+            octet,
+            _claim: claim,
+        };
+        fleet.start_platform().await?;
+        fleet.certificates().await?;
+        fleet.text = settings::fleet(&fleet.plan, &fleet.fenced());
+        let text = fleet.text.clone();
+        fleet.publish("first", &text, "the settings a scenario begins with").await?;
+        for vm in fleet.vms.clone() {
+            fleet.start_vm(&vm).await?;
+        }
+        for vm in fleet.vms.clone() {
+            fleet.wait_ready(&vm).await?;
+        }
+        Ok(fleet)
+    }
+
+    fn fenced(&self) -> Vec<String> {
+        let engines = self.vms.iter().filter(|v| matches!(v.backend, Backend::Engine(..)));
+        match self.plan.unfenced {
+            true => Vec::new(),
+            false => engines.map(|v| v.name.clone()).collect(),
+        }
+    }
+
+    async fn start_platform(&mut self) -> Result<(), String> {
+        let rate = self.plan.rate.to_string();
+        let ip = format!("127.{}.0.1", self.octet);
+        let log = ["--rate", rate.as_str()];
+        let parts: [(&str, &str, u16, &[&str]); 5] = [
+            ("log", "log", 9000, &log),
+            ("vms", "vms", 9001, &[]),
+            ("weights", "weights", 9002, &[]),
+            ("links", "link", 9003, &[]),
+            ("ledger", "service", 9004, &[]),
+        ];
+        for (name, command, port, more) in parts {
+            let mut args =
+                vec![command.to_string(), "--listen".to_string(), format!("{ip}:{port}")];
+            args.extend(more.iter().map(|a| a.to_string()));
+            self.spawn(name, "hyssop-fake", args)?;
+        }
+        for (name, ..) in parts {
+            self.process(name)?.ready().await?;
+        }
+        Ok(())
+    }
+
+    async fn certificates(&self) -> Result<(), String> {
+        let names = self.vms.iter().map(|v| v.name.clone());
+        // Spare names, so that a VM that comes later has its certificate from the same authority.
+        let spares = (0..self.plan.ranges.len()).flat_map(|r| (1..=4).map(move |k| spare(r, k)));
+        let mut args =
+            vec!["certs".to_string(), "--out".to_string(), ".".to_string(), "--vm".to_string()];
+        args.extend(names.chain(spares));
+        self.ctl(&args).await.map(|_| ())
+    }
+
+    /// Publishes a text of fleet settings as an operator does.
+    pub async fn publish(&self, author: &str, text: &str, reason: &str) -> Result<String, String> {
+        let file = format!("fleet-{author}.ini");
+        std::fs::write(self.dir.join(&file), text).map_err(|e| format!("{file}: {e}"))?;
+        let args = ["publish", &file, "--author", author, "--reason", reason, "--log"];
+        let mut args: Vec<String> = args.iter().map(|a| a.to_string()).collect();
+        args.push(self.platform.log.clone());
+        self.ctl(&args).await
+    }
+
+    /// Runs `hyssopctl` and returns its output.
+    pub async fn ctl(&self, args: &[String]) -> Result<String, String> {
+        let done = tokio::process::Command::new(self.place.path("hyssopctl"))
+            .args(args)
+            .current_dir(&self.dir)
+            .kill_on_drop(true)
+            .output()
+            .await
+            .map_err(|e| format!("hyssopctl: {e}"))?;
+        match done.status.success() {
+            true => Ok(String::from_utf8_lossy(&done.stdout).to_string()),
+            false => {
+                let said = String::from_utf8_lossy(&done.stderr);
+                Err(format!("hyssopctl {}: {}: {}", args[0], done.status, said.trim()))
+            }
+        }
+    }
+
+    /// Starts the backend server and the daemon of a VM, and enters it in the VM list.
+    async fn start_vm(&mut self, vm: &Vm) -> Result<(), String> {
+        if self.plan.links {
+            let link = serde_json::json!({
+                "listen": vm.link(true).to_string(),
+                "target": vm.link(false).to_string(),
+            });
+            post(&self.platform.links, "/~fake/links", &link).await?;
+        }
+        if vm.backend != Backend::None {
+            let args = self.backend_args(vm);
+            self.spawn(&vm.backend_process(), "hyssop-fake", args)?;
+            self.process(&vm.backend_process())?.ready().await?;
+        }
+        self.enter(vm, State::Live).await?;
+        self.start_daemon(vm)
+    }
+
+    fn start_daemon(&mut self, vm: &Vm) -> Result<(), String> {
+        let backend = match vm.backend {
+            Backend::None => None,
+            Backend::Engine(..) => Some(("engine", self.plan.slots)),
+            Backend::Service => Some(("service orders", self.plan.slots)),
+        };
+        let level = &self.plan.log_level;
+        let text =
+            settings::process(&vm.name, &vm.data_centre, vm.ip, level, &self.platform, backend);
+        let file = self.dir.join(format!("{}.ini", vm.name));
+        std::fs::write(&file, text).map_err(|e| format!("{}: settings: {e}", vm.name))?;
+        let program = if vm.backend == Backend::None { "hyssop-router" } else { "hyssop-agent" };
+        let args = vec!["--settings".to_string(), file.display().to_string()];
+        self.spawn(&vm.name, program, args)?;
+        self.process(&vm.name)?.mute();
+        Ok(())
+    }
+
+    fn backend_args(&self, vm: &Vm) -> Vec<String> {
+        let plan = &self.plan;
+        let mut args: Vec<(&str, String)> = vec![("--listen", format!("{}:{BACKEND_PORT}", vm.ip))];
+        let command = match vm.backend {
+            Backend::Engine(_, first, last, step_us) => {
+                args.push(("--model", model::NAME.to_string()));
+                args.push(("--version", model::VERSION.to_string()));
+                args.push(("--layers", settings::layers(plan).to_string()));
+                args.push(("--first", first.to_string()));
+                args.push(("--last", last.to_string()));
+                args.push(("--slots", plan.slots.to_string()));
+                args.push(("--batch", plan.batch.to_string()));
+                args.push(("--step-us", step_us.to_string()));
+                args.push(("--token-us", plan.token_us.to_string()));
+                args.push(("--checks-fence", (!plan.unfenced).to_string()));
+                args.push(("--weights", self.platform.weights.clone()));
+                "engine"
+            }
+            _ => {
+                args.push(("--delay-ms", "2".to_string()));
+                args.push(("--ledger", self.platform.ledger.clone()));
+                "service"
+            }
+        };
+        let words = args.into_iter().flat_map(|(k, v)| [k.to_string(), v]);
+        std::iter::once(command.to_string()).chain(words).collect()
+    }
+
+    /// Starts a process, or starts it again.
+    fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> Result<(), String> {
+        let at = self.processes.binary_search_by(|p| p.name.as_str().cmp(name));
+        let i = match at {
+            Ok(i) => i,
+            Err(i) => {
+                let log = self.dir.join("logs").join(format!("{name}.log"));
+                let path = self.place.path(program);
+                self.processes.insert(i, Process::new(name, path, args, log));
+                i
+            }
+        };
+        self.processes[i].start()
+    }
+
+    /// A process by name.
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, String> {
+        let at = self.processes.binary_search_by(|p| p.name.as_str().cmp(name));
+        at.map(|i| &mut self.processes[i]).map_err(|_| format!("there is no process {name}"))
+    }
+
+    /// A VM by name.
+    pub fn vm(&self, name: &str) -> Result<Vm, String> {
+        let at = self.vms.binary_search_by(|v| v.name.as_str().cmp(name));
+        at.map(|i| self.vms[i].clone()).map_err(|_| format!("there is no VM {name}"))
+    }
+
+    /// Enters a VM in the VM list, or changes its state there.
+    pub async fn enter(&self, vm: &Vm, state: State) -> Result<(), String> {
+        let role = if vm.backend == Backend::None { Role::Router } else { Role::Agent };
+        let entry = Entry {
+            vm: vm.name.clone(),
+            role,
+            data_centre: vm.data_centre.clone(),
+            address: vm.link(self.plan.links).to_string(),
+            state,
+        };
+        let http = rest::Client::new(&self.platform.vms, CALL);
+        let path = format!("/v1/vms/{}", vm.name);
+        let done: Result<serde_json::Value, _> = http.json("PUT", &path, &entry).await;
+        done.map(|_| ()).map_err(|e| e.to_string())
+    }
+
+    /// Waits until the daemon of a VM says that it is ready; returns how long it took.
+    pub async fn wait_ready(&mut self, vm: &Vm) -> Result<Duration, String> {
+        let began = Instant::now();
+        let http = rest::Client::new(&vm.http(), CALL);
+        while began.elapsed() < READY {
+            if !self.process(&vm.name)?.lives() {
+                return Err(format!("{} ended before it was ready", vm.name));
+            }
+            let look = http.send("GET", "/readyz", &[], Default::default()).await;
+            if look.is_ok_and(|a| a.status == 200) {
+                return Ok(began.elapsed());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(format!("{} not ready within {READY:?}", vm.name))
+    }
+
+    /// Starts what is gone on a VM and waits until it is ready.
+    pub async fn restart(&mut self, name: &str) -> Result<(), String> {
+        let vm = self.vm(name)?;
+        let backend = vm.backend_process();
+        let gone = |p: &mut Process| !p.lives();
+        if vm.backend != Backend::None && gone(self.process(&backend)?) {
+            self.process(&backend)?.start()?;
+            self.process(&backend)?.ready().await?;
+        }
+        if gone(self.process(name)?) {
+            self.start_daemon(&vm)?;
+        }
+        self.wait_ready(&vm).await.map(|_| ())
+    }
+
+    /// Starts one more engine for a range.
+    pub async fn add(&mut self, range: usize, step_us: u64) -> Result<String, String> {
+        let span = *self.plan.ranges.get(range).ok_or(format!("there is no range {range}"))?;
+        let taken = |name: &str| self.vms.iter().any(|v| v.name == name);
+        let k = (1..=4).find(|k| !taken(&spare(range, *k))).ok_or("no spare name is left")?;
+        let vm = Vm {
+            name: spare(range, k),
+            data_centre: "dc-a".to_string(),
+            ip: Ipv4Addr::new(127, self.octet, 10 + range as u8, 100 + k as u8).into(),
+            backend: Backend::Engine(range, span.low, span.high, step_us),
+        };
+        let at = self.vms.partition_point(|v| v.name < vm.name);
+        self.vms.insert(at, vm.clone());
+        self.start_vm(&vm).await?;
+        self.wait_ready(&vm).await?;
+        Ok(vm.name)
+    }
+
+    /// Reads the book of one engine.
+    pub async fn book(&self, vm: &Vm) -> Result<Engine, String> {
+        let Backend::Engine(_, first, last, _) = vm.backend else {
+            return Err(format!("{} has no engine", vm.name));
+        };
+        let book = books::engine(&vm.backend_http(), &vm.name, last - first + 1).await;
+        book.map_err(|e| format!("book of {}: {e}", vm.name))
+    }
+
+    /// Reads all books; the books of engines that do not live are those kept from before.
+    pub async fn books(&mut self) -> Result<Books, String> {
+        let mut engines = self.kept.clone();
+        for vm in self.vms.clone() {
+            let Backend::Engine(..) = vm.backend else { continue };
+            let running = self.process(&vm.backend_process())?;
+            if running.lives() && running.wanted == Wanted::Running {
+                engines.push(self.book(&vm).await?);
+            }
+        }
+        let runs = books::runs(&self.platform.ledger).await.map_err(|e| e.to_string())?;
+        Ok(Books { engines, runs })
+    }
+
+    /// Names of processes that should live and don't.
+    pub fn dead(&mut self) -> Vec<String> {
+        let dead = |p: &mut Process| p.wanted != Wanted::Gone && !p.lives();
+        self.processes.iter_mut().filter_map(|p| dead(p).then(|| p.name.clone())).collect()
+    }
+
+    /// Lets everything go on that is frozen, so that its books can be read.
+    pub fn thaw_all(&mut self) -> Result<(), String> {
+        for p in self.processes.iter_mut().filter(|p| p.wanted == Wanted::Frozen) {
+            p.thaw()?;
+        }
+        Ok(())
+    }
+
+    /// Base addresses of the routers in order of name.
+    pub fn routers(&self) -> Vec<String> {
+        self.vms.iter().filter(|v| v.backend == Backend::None).map(Vm::http).collect()
+    }
+
+    /// The version of the settings that a daemon has in force, from its metrics.
+    pub async fn version(&self, vm: &Vm) -> Result<u64, String> {
+        let http = rest::Client::new(&vm.http(), CALL);
+        let page = http.send("GET", "/metrics", &[], Default::default()).await;
+        let page = page.map_err(|e| format!("{}: {e}", vm.name))?;
+        let text = String::from_utf8_lossy(&page.body).to_string();
+        let mut lines = text.lines().filter(|l| !l.starts_with('#'));
+        let line = lines.find(|l| l.contains("settings_version"));
+        let value = line.and_then(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
+        value.map(|v| v as u64).ok_or(format!("{}: no settings version in metrics", vm.name))
+    }
+}
+
+fn spare(range: usize, k: usize) -> String {
+    format!("gpu-{range}-spare-{k}")
+}
+
+/// POST of a control to a stand-in.
+pub async fn post(base: &str, path: &str, body: &serde_json::Value) -> Result<(), String> {
+    let http = rest::Client::new(base, CALL);
+    let done: Result<serde_json::Value, _> = http.post(path, body).await;
+    done.map(|_| ()).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/scenario/src/load.rs
@@ -0,0 +1,205 @@
+//! Many requests at once, and the record of how they ended.
+
+use std::future::Future;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::caller::Caller;
+use crate::draft;
+use crate::outcome::{Kind, Outcome, Verdict};
+use crate::script::{Drafts, Load, Orders, Span};
+use crate::write;
+
+/// Words that prompts are made of.
+const WORDS: [&str; 16] = [
+    "label",
+    "vintage",
+    "region",
+    "alcohol",
+    "bottle",
+    "batch",
+    "wristband",
+    "gate",
+    "stadium",
+    "proof",
+    "order",
+    "notice",
+    "review",
+    "approval",
+    "colour",
+    "date",
+];
+
+/// What the script's requests led to, shared by all senders.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    outcomes: Vec<Outcome>,
+    drafting: Option<(Instant, Instant)>,
+}
+
+impl Record {
+    /// Adds a request that ended.
+    pub fn push(&self, out: Outcome, began: Instant) {
+        let Ok(mut inner) = self.inner.lock() else { return };
+        if out.kind == Kind::Draft {
+            let first = inner.drafting.map_or(began, |d| d.0.min(began));
+            inner.drafting = Some((first, Instant::now()));
+        }
+        inner.outcomes.push(out);
+    }
+
+    /// Requests that ended so far.
+    pub fn outcomes(&self) -> Vec<Outcome> {
+        self.inner.lock().map(|i| i.outcomes.clone()).unwrap_or_default()
+    }
+
+    /// How many ended so far.
+    pub fn ended(&self) -> usize {
+        self.inner.lock().map(|i| i.outcomes.len()).unwrap_or(0)
+    }
+
+    /// From the first draft sent to the last one ended.
+    pub fn drafting(&self) -> Duration {
+        let inner = self.inner.lock().ok();
+        inner.and_then(|i| i.drafting).map_or(Duration::ZERO, |(first, last)| last - first)
+    }
+}
+
+/// Random numbers of one part of a script, the same in every run.
+pub fn random(seed: u64, part: u64) -> Pcg64 {
+    Pcg64::seed_from_u64(seed.wrapping_mul(1 << 20).wrapping_add(part))
+}
+
+fn pick(rng: &mut impl Rng, span: Span) -> u32 {
+    rng.random_range(span.low..=span.high)
+}
+
+/// A prompt whose first word is its own, so that no prefix is shared.
+pub fn prompt(rng: &mut impl Rng, name: &str, words: u32) -> String {
+    let more = (1..words).map(|_| WORDS[rng.random_range(0..WORDS.len())]);
+    std::iter::once(name).chain(more).collect::<Vec<_>>().join(" ")
+}
+
+/// Jobs of a `drafts` line; `part` tells lines of one script apart.
+pub fn drafts(line: &Drafts, layers: u32, seed: u64, part: u64) -> Vec<draft::Job> {
+    let mut rng = random(seed, part);
+    let job = |n: usize| draft::Job {
+        prompt: prompt(&mut rng, &format!("draft-{part}-{n}"), pick_words(line, n)),
+        max_tokens: 0,
+        workspace: 1 + n % line.load.workspaces,
+        router: n,
+        tries: line.load.tries,
+        layers,
+    };
+    let mut jobs: Vec<draft::Job> = (0..line.load.count).map(job).collect();
+    for job in &mut jobs {
+        job.max_tokens = pick(&mut rng, line.tokens);
+    }
+    jobs
+}
+
+/// Lengths of prompts run through the whole span in turn.
+fn pick_words(line: &Drafts, n: usize) -> u32 {
+    let span = line.prompt_words;
+    span.low + (n as u32 * 7) % (span.high - span.low + 1)
+}
+
+/// Jobs of a `lookups` or `orders` line.
+pub fn calls(load: &Load, name: &str, part: u64) -> Vec<write::Job> {
+    let job = |n: usize| write::Job {
+        key: format!("{name}-{part}-{n}"),
+        body: format!("{{\"bands\":{}}}", 100 + n),
+        workspace: 1 + n % load.workspaces,
+        router: n,
+        tries: load.tries,
+    };
+    (0..load.count).map(job).collect()
+}
+
+/// Runs one future a job, so many at once, each as a task of its own.
+async fn at_once<J, F>(jobs: Vec<J>, concurrency: usize, record: Record, run: impl Fn(J) -> F)
+where
+    F: Future<Output = Outcome> + Send + 'static,
+{
+    let tasks = jobs.into_iter().map(|job| {
+        let (record, run) = (record.clone(), run(job));
+        async move {
+            let task = tokio::spawn(async move {
+                let began = Instant::now();
+                record.push(run.await, began);
+            });
+            let _ = task.await;
+        }
+    });
+    futures_util::stream::iter(tasks).buffer_unordered(concurrency.max(1)).collect::<()>().await;
+}
+
+/// Plays a `drafts` line.
+pub async fn play_drafts(
+    caller: Caller,
+    jobs: Vec<draft::Job>,
+    concurrency: usize,
+    record: Record,
+) {
+    let run = |job: draft::Job| {
+        let caller = caller.clone();
+        async move { draft::run(&caller, &job).await }
+    };
+    at_once(jobs, concurrency, record, run).await;
+}
+
+/// Plays a `lookups` line.
+pub async fn play_lookups(caller: Caller, load: Load, part: u64, record: Record) {
+    let run = |job: write::Job| {
+        let caller = caller.clone();
+        async move { write::run(&caller, Kind::Lookup, &job).await }
+    };
+    at_once(calls(&load, "lookup", part), load.concurrency, record, run).await;
+}
+
+/// Plays an `orders` line.
+pub async fn play_orders(caller: Caller, line: Orders, seed: u64, part: u64, record: Record) {
+    let mut rng = random(seed, part);
+    let jobs: Vec<(write::Job, bool)> = calls(&line.load, "order", part)
+        .into_iter()
+        .map(|job| (job, rng.random_bool(line.repeat_through_other_router.clamp(0.0, 1.0))))
+        .collect();
+    let run = |(job, twice): (write::Job, bool)| {
+        let caller = caller.clone();
+        async move {
+            match twice {
+                true => both(&caller, &job).await,
+                false => write::run(&caller, Kind::Order, &job).await,
+            }
+        }
+    };
+    at_once(jobs, line.load.concurrency, record, run).await;
+}
+
+/// The same order through two routers at once: both callers must get one answer.
+async fn both(caller: &Caller, job: &write::Job) -> Outcome {
+    let other = write::Job { router: job.router + 1, ..job.clone() };
+    let (mut a, b) =
+        tokio::join!(write::run(caller, Kind::Order, job), write::run(caller, Kind::Order, &other));
+    a.doubts += b.doubts;
+    a.comebacks += b.comebacks;
+    a.not_run.extend(b.not_run);
+    match (&a.verdict, &b.verdict) {
+        (Verdict::Right, Verdict::Right) if a.answer != b.answer => {
+            a.verdict = Verdict::Wrong("the repeat got another answer".to_string());
+        }
+        (Verdict::Right, Verdict::Right) => {}
+        (Verdict::Right, _) => a.verdict = b.verdict,
+        _ => {}
+    }
+    a
+}
--- a/crates/scenario/src/main.rs
+++ b/crates/scenario/src/main.rs
@@ -1,3 +1,162 @@
 //! Plays scripted scenarios against real processes on loopback.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use scenario::binary::{self, Place};
+use scenario::player::Player;
+use scenario::{script, sweep};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code when a script can't be read or the programs are missing.
+const USAGE: u8 = 2;
+
+/// Plays scripted scenarios against real processes on loopback.
+///
+/// Each script starts its own fleet with its own part of the loopback addresses,
+/// so runs don't disturb each other. docs/SCENARIOS.md lists the verbs.
+#[derive(Debug, Parser)]
+#[command(name = "scenario", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+    /// Takes the programs as they are in place of building them first.
+    #[arg(long, global = true)]
+    no_build: bool,
+    /// Keeps settings and logs also after a script that passed.
+    #[arg(long, global = true)]
+    keep: bool,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Plays scripts one after the other; exit code 1 when anything did not hold.
+    Run {
+        /// Scripts.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Seed of prompts and lengths.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Plays scripts with two random faults, one for each seed.
+    Sweep {
+        /// Number of seeds.
+        #[arg(long)]
+        seeds: u64,
+        /// First seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Only prints the scripts.
+        #[arg(long)]
+        print: bool,
+    },
+}
+
+/// A script to play.
+struct Script {
+    name: String,
+    text: String,
+    seed: u64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let scripts = match scripts(&args.command) {
+        Ok(scripts) => scripts,
+        Err(e) => return usage(&e),
+    };
+    if let Command::Sweep { print: true, .. } = args.command {
+        scripts.iter().for_each(|s| println!("# {}\n{}", s.name, s.text));
+        return ExitCode::SUCCESS;
+    }
+    let place = match binary::find(!args.no_build).await {
+        Ok(place) => place,
+        Err(e) => return usage(&e),
+    };
+    // Processes are ended when their player is dropped, so a signal must drop it
+    // in place of ending this process at once and leaving them behind.
+    tokio::select! {
+        code = play_all(&scripts, &place, args.keep) => code,
+        () = stopped() => ExitCode::FAILURE,
+    }
+}
+
+fn usage(text: &str) -> ExitCode {
+    eprintln!("{text}");
+    ExitCode::from(USAGE)
+}
+
+async fn stopped() {
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = term.recv() => {}
+    }
+}
+
+fn scripts(command: &Command) -> Result<Vec<Script>, String> {
+    match command {
+        Command::Run { files, seed } => files.iter().map(|f| read(f, *seed)).collect(),
+        Command::Sweep { seeds, from, .. } => {
+            let script =
+                |seed| Script { name: format!("seed {seed}"), text: sweep::script(seed), seed };
+            Ok((*from..from + seeds).map(script).collect())
+        }
+    }
+}
+
+fn read(file: &Path, seed: u64) -> Result<Script, String> {
+    let name = file.display().to_string();
+    match std::fs::read_to_string(file) {
+        Ok(text) => Ok(Script { name, text, seed }),
+        Err(e) => Err(format!("{name}: {e}")),
+    }
+}
+
+async fn play_all(scripts: &[Script], place: &Place, keep: bool) -> ExitCode {
+    let mut failed = Vec::new();
+    for script in scripts {
+        let lines = match script::parse(&script.name, &script.text) {
+            Ok(lines) => lines,
+            Err(faults) => {
+                faults.iter().for_each(|f| eprintln!("{f}"));
+                return ExitCode::from(USAGE);
+            }
+        };
+        if !play(script, &lines, place, keep).await {
+            failed.push(script.name.as_str());
+        }
+    }
+    match failed.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => {
+            println!("{} of {} failed: {}", failed.len(), scripts.len(), failed.join(", "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays one script; true when everything held.
+async fn play(script: &Script, lines: &[script::Line], place: &Place, keep: bool) -> bool {
+    let dir = std::env::temp_dir().join(format!("hyssop-scenario-{}", uuid::Uuid::new_v4()));
+    if let Err(e) = std::fs::create_dir_all(&dir) {
+        eprintln!("{}: {e}", dir.display());
+        return false;
+    }
+    println!("== {}", script.name);
+    let end = Player::new(place.clone(), dir.clone(), script.seed).play(lines).await;
+    print!("{}", end.table);
+    let passed = end.failures.is_empty();
+    end.failures.iter().for_each(|f| println!("FAILED {f}"));
+    match passed && !keep {
+        true => {
+            let _ = std::fs::remove_dir_all(&dir);
+        }
+        false => println!("settings and logs: {}", dir.display()),
+    }
+    println!("== {}: {}", script.name, if passed { "passed" } else { "failed" });
+    passed
+}
--- /dev/null
+++ b/crates/scenario/src/publish.rs
@@ -0,0 +1,82 @@
+//! Publishing settings, also by two operators at once, and waiting for them to be in force.
+
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Fleet, Vm};
+use crate::process::Wanted;
+use crate::settings;
+
+/// Pause between two looks at the versions in force.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Publishes a change of one default.
+pub async fn one(fleet: &mut Fleet, change: &str, fails: bool) -> Result<String, String> {
+    let text = settings::with_default(&fleet.text, change);
+    let done = fleet.publish("operator-1", &text, &format!("set {change}")).await;
+    match (done, fails) {
+        (Ok(_), true) => Err(format!("publishing {change} went through")),
+        (Err(e), true) => Ok(format!("publishing {change} was refused: {e}")),
+        (Err(e), false) => Err(e),
+        (Ok(_), false) => {
+            fleet.text = text;
+            Ok(format!("published {change}"))
+        }
+    }
+}
+
+/// Two operators publish from the same version at once. One of them or, when the
+/// second began after the first was through, both may win; each is told honestly.
+pub async fn racing(fleet: &mut Fleet, first: &str, second: &str) -> Result<String, String> {
+    let texts = [first, second].map(|c| settings::with_default(&fleet.text, c));
+    let (a, b) = tokio::join!(
+        fleet.publish("operator-1", &texts[0], first),
+        fleet.publish("operator-2", &texts[1], second)
+    );
+    let [one, two] = texts;
+    match (&a, &b) {
+        (Ok(_), Err(_)) => fleet.text = one,
+        (Err(_), Ok(_)) => fleet.text = two,
+        (Ok(_), Ok(_)) => return Err("both operators were told that they won".to_string()),
+        (Err(a), Err(b)) => return Err(format!("both operators lost: {a}; {b}")),
+    }
+    let winner = if a.is_ok() { first } else { second };
+    Ok(format!("of two operators {winner} won"))
+}
+
+/// Daemons that live and are not frozen.
+pub fn living(fleet: &mut Fleet) -> Vec<Vm> {
+    let vms = fleet.vms.clone();
+    let lives = |v: &Vm| {
+        let process = fleet.process(&v.name);
+        process.is_ok_and(|p| p.wanted == Wanted::Running && p.lives())
+    };
+    vms.into_iter().filter(lives).collect()
+}
+
+/// The version in force on each living daemon.
+pub async fn versions(fleet: &mut Fleet) -> Result<Vec<(String, u64)>, String> {
+    let mut versions = Vec::new();
+    for vm in living(fleet) {
+        versions.push((vm.name.clone(), fleet.version(&vm).await?));
+    }
+    Ok(versions)
+}
+
+/// Waits until all living daemons have one version, higher than `above`.
+pub async fn wait(
+    fleet: &mut Fleet,
+    above: u64,
+    within: Duration,
+) -> Result<(u64, Duration), String> {
+    let began = Instant::now();
+    loop {
+        let versions = versions(fleet).await?;
+        let low = versions.iter().map(|v| v.1).min().unwrap_or(0);
+        let high = versions.iter().map(|v| v.1).max().unwrap_or(0);
+        match low == high && low > above {
+            true => return Ok((low, began.elapsed())),
+            false if began.elapsed() > within => return Err(format!("versions: {versions:?}")),
+            false => tokio::time::sleep(LOOK).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/single.rs
@@ -0,0 +1,102 @@
+//! Verbs that send one request and say how it must end.
+
+use std::time::Instant;
+
+use crate::caller::Caller;
+use crate::draft;
+use crate::load::{self, Record};
+use crate::outcome::{Kind, Outcome, Verdict};
+use crate::script;
+use crate::write;
+
+/// Plays a `draft` line.
+pub async fn draft(
+    caller: &Caller,
+    line: &script::Draft,
+    layers: u32,
+    part: u64,
+    record: &Record,
+) -> Result<(), String> {
+    // Engines die of a session whose tag holds this word; the agent's tag holds the prompt.
+    let name = match line.crash {
+        true => format!("{}-{part}", fake::engine::CRASH),
+        false => format!("single-{part}"),
+    };
+    let prompt = load::prompt(&mut load::random(part, 0), &name, line.prompt_words);
+    for n in 0..line.times {
+        let job = draft::Job {
+            prompt: prompt.clone(),
+            max_tokens: line.tokens,
+            workspace: 1,
+            router: n as usize,
+            tries: 10,
+            layers,
+        };
+        let began = Instant::now();
+        let mut out = draft::run(caller, &job).await;
+        out.crash = line.crash;
+        out.judged = line.crash || line.expect.is_some();
+        let found = status(&out);
+        record.push(out, began);
+        match line.expect {
+            Some(status) if n + 1 == line.times && status != found.0 => {
+                return Err(format!("status {} in place of {status}: {}", found.0, found.1));
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// Status and words of an end; a refusal's line begins with its status.
+fn status(out: &Outcome) -> (u16, String) {
+    match &out.verdict {
+        Verdict::Right => (200, String::new()),
+        Verdict::Wrong(why)
+        | Verdict::NotRun(why)
+        | Verdict::Refused(why)
+        | Verdict::Unknown(why)
+        | Verdict::Lost(why) => {
+            let first = why.split(' ').next().and_then(|w| w.parse().ok());
+            (first.unwrap_or(0), why.clone())
+        }
+    }
+}
+
+/// Plays an `order` line: one call, no coming back.
+pub async fn order(caller: &Caller, line: &script::Order, record: &Record) -> Result<(), String> {
+    let job = write::Job {
+        key: line.key.clone(),
+        body: line.body.clone(),
+        workspace: line.workspace,
+        router: line.router.saturating_sub(1),
+        tries: 0,
+    };
+    let began = Instant::now();
+    let reply = write::call(caller, Kind::Order, &job, job.router).await;
+    let reply = reply.map_err(|e| e.to_string())?;
+    let said = reply.problem.as_ref().map(|p| p.line()).unwrap_or_default();
+    let outcome = reply.problem.as_ref().map(|p| p.outcome.clone());
+    let mut out = Outcome::new(Kind::Order, &line.key);
+    out.judged = true;
+    out.verdict = match (&outcome, reply.status) {
+        (Some(o), _) if o == "not-run" => {
+            out.not_run.push(line.key.clone());
+            Verdict::NotRun(said.clone())
+        }
+        (Some(o), _) if o == "unknown" => Verdict::Unknown(said.clone()),
+        (None, 200..300) => Verdict::Right,
+        _ => Verdict::Refused(said.clone()),
+    };
+    record.push(out, began);
+    match () {
+        _ if reply.status != line.expect => {
+            Err(format!("status {} in place of {}: {said}", reply.status, line.expect))
+        }
+        _ if line.replayed && !reply.replayed => Err("the answer is not a stored one".to_string()),
+        _ if line.outcome.is_some() && line.outcome != outcome => {
+            Err(format!("outcome {outcome:?} in place of {:?}", line.outcome))
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/watch.rs
@@ -0,0 +1,115 @@
+//! What goes on beside a script: supervision of backend servers, and watches on new work.
+
+use std::sync::{Arc, Mutex as Lock};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+use crate::books;
+use crate::fleet::{Backend, Fleet, Vm};
+use crate::player::WAIT;
+use crate::process::Wanted;
+
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A task beside the script; it ends with this value.
+#[derive(Debug)]
+pub struct Watch {
+    vm: String,
+    began: Instant,
+    last: Arc<Lock<Instant>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Watch {
+    /// Restarts backend servers that end by themselves.
+    pub fn supervise(fleet: Arc<Mutex<Fleet>>, after: Duration) -> Watch {
+        let task = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(after.max(LOOK)).await;
+                revive(&mut *fleet.lock().await).await;
+            }
+        });
+        let now = Instant::now();
+        Watch { vm: String::new(), began: now, last: Arc::new(Lock::new(now)), task }
+    }
+
+    /// Notes when the engine of a VM opens a session, from now on.
+    pub fn leave(vm: &Vm) -> Watch {
+        let began = Instant::now();
+        let last = Arc::new(Lock::new(began));
+        let (base, name, seen) = (vm.backend_http(), vm.name.clone(), last.clone());
+        let task = tokio::spawn(async move {
+            let mut count = None;
+            loop {
+                if let Ok(book) = books::engine(&base, &name, 0).await {
+                    let sessions = book.sessions.len();
+                    if count.is_some_and(|n| sessions > n)
+                        && let Ok(mut last) = seen.lock()
+                    {
+                        *last = Instant::now();
+                    }
+                    count = Some(sessions);
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+        Watch { vm: vm.name.clone(), began, last, task }
+    }
+
+    /// From `leave` to the last new work of this VM.
+    pub fn last_work(&self, vm: &str) -> Option<Duration> {
+        let last = *self.last.lock().ok()?;
+        (self.vm == vm).then(|| last - self.began)
+    }
+}
+
+async fn revive(fleet: &mut Fleet) {
+    for process in fleet.processes.iter_mut().filter(|p| p.name.ends_with(".backend")) {
+        if process.wanted == Wanted::Running
+            && !process.lives()
+            && process.start().is_ok()
+            && let Err(e) = process.ready().await
+        {
+            log::warn!("scenario: {e}");
+        }
+    }
+}
+
+/// Backend servers that ended by themselves so far.
+pub fn crashes(fleet: &mut Fleet) -> usize {
+    let backends = fleet.processes.iter_mut().filter(|p| p.name.ends_with(".backend"));
+    backends
+        .map(|p| {
+            if p.wanted == Wanted::Running {
+                p.lives();
+            }
+            p.crashes
+        })
+        .sum()
+}
+
+/// Waits until the engine of a VM has opened a session.
+pub async fn works(fleet: &Arc<Mutex<Fleet>>, vm: &str) -> Result<(), String> {
+    let vm = fleet.lock().await.vm(vm)?;
+    if !matches!(vm.backend, Backend::Engine(..)) {
+        return Err(format!("{} has no engine", vm.name));
+    }
+    let began = Instant::now();
+    while began.elapsed() < WAIT {
+        let book = books::engine(&vm.backend_http(), &vm.name, 0).await;
+        if book.is_ok_and(|b| !b.sessions.is_empty()) {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Err(format!("{} ran nothing within {WAIT:?}", vm.name))
+}
--- /dev/null
+++ b/crates/scenario/src/write.rs
@@ -0,0 +1,148 @@
+//! Callers of the plain service: look-ups, and orders that must run at most once.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+
+use crate::caller::{Caller, PATIENCE, PAUSE, Problem};
+use crate::outcome::{Kind, Outcome, Verdict};
+use crate::settings;
+
+/// A caller gives up on a call after this.
+pub const GIVE_UP: Duration = Duration::from_secs(60);
+
+/// A call of the plain service.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Idempotency key of an order; the id looked up otherwise.
+    pub key: String,
+    /// Body of an order.
+    pub body: String,
+    /// Workspace, from 1.
+    pub workspace: usize,
+    /// Router it starts with; any number.
+    pub router: usize,
+    /// Times it may come back.
+    pub tries: u32,
+}
+
+/// What one call brought.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// It was a stored answer.
+    pub replayed: bool,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The refusal, when it is one by the fleet.
+    pub problem: Option<Problem>,
+}
+
+/// One call through one router.
+pub async fn call(
+    caller: &Caller,
+    kind: Kind,
+    job: &Job,
+    router: usize,
+) -> Result<Reply, rest::Error> {
+    let http = rest::Client::new(caller.router(router), PATIENCE);
+    let bearer = format!("Bearer {}", settings::key(job.workspace));
+    let mut headers = vec![("authorization".to_string(), bearer)];
+    let (method, path) = match kind {
+        Kind::Order => ("POST", "/orders/orders".to_string()),
+        _ => ("GET", format!("/orders/orders/{}", job.key)),
+    };
+    let mut body = Bytes::new();
+    if kind == Kind::Order {
+        headers.push(("idempotency-key".to_string(), job.key.clone()));
+        headers.push(("content-type".to_string(), "application/json".to_string()));
+        body = Bytes::from(job.body.clone());
+    }
+    let answer = http.send(method, &path, &headers, body).await?;
+    let header = |name: &str| {
+        let found = answer.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, v)| v.as_str())
+    };
+    let refused = header("content-type").is_some_and(|t| t.starts_with("application/problem+json"));
+    Ok(Reply {
+        status: answer.status,
+        replayed: header("idempotent-replayed") == Some("true"),
+        problem: refused.then(|| Problem::read(answer.status, &answer.body)),
+        body: answer.body.to_vec(),
+    })
+}
+
+/// Calls until there is a last word.
+pub async fn run(caller: &Caller, kind: Kind, job: &Job) -> Outcome {
+    let mut out = Outcome::new(kind, &job.key);
+    let began = Instant::now();
+    let mut why = String::new();
+    for turn in 0..=job.tries {
+        if began.elapsed() > GIVE_UP {
+            break;
+        }
+        let reply = call(caller, kind, job, job.router + turn as usize).await;
+        let pause = match next(kind, reply, &mut out) {
+            Ok(verdict) => {
+                out.verdict = verdict;
+                return out;
+            }
+            Err((pause, reason)) => {
+                why = reason;
+                pause
+            }
+        };
+        out.comebacks += 1;
+        tokio::time::sleep(pause).await;
+    }
+    out.verdict = match out.doubts {
+        0 => Verdict::NotRun(why),
+        _ => Verdict::Unknown(why),
+    };
+    out
+}
+
+/// The last word, or the time to wait before coming back and why.
+fn next(
+    kind: Kind,
+    reply: Result<Reply, rest::Error>,
+    out: &mut Outcome,
+) -> Result<Verdict, (Duration, String)> {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(e) => {
+            // The same key makes the repeat of an order harmless.
+            out.doubts += u32::from(!e.unsent());
+            return Err((PAUSE, e.to_string()));
+        }
+    };
+    let Some(problem) = reply.problem else { return Ok(answered(kind, reply, out)) };
+    let line = problem.line();
+    match (problem.outcome.as_str(), problem.pause()) {
+        ("not-run", pause) => {
+            out.not_run.push(out.id.clone());
+            pause.map_or(Ok(Verdict::NotRun(line.clone())), |pause| Err((pause, line)))
+        }
+        ("unknown", pause) => {
+            out.doubts += 1;
+            pause.map_or(Ok(Verdict::Unknown(line.clone())), |pause| Err((pause, line)))
+        }
+        (_, Some(pause)) => Err((pause, line)),
+        (_, None) => Ok(Verdict::Refused(line)),
+    }
+}
+
+fn answered(kind: Kind, reply: Reply, out: &mut Outcome) -> Verdict {
+    let status = reply.status;
+    let right = match kind {
+        Kind::Order => (200..300).contains(&status),
+        // Nobody has filed what a look-up asks for, so the service itself may say 404.
+        _ => status == 200 || status == 404,
+    };
+    out.answer = Some(reply.body);
+    match right {
+        true => Verdict::Right,
+        false => Verdict::Wrong(format!("status {status}")),
+    }
+}
