--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -75,7 +75,8 @@
     let peers = peers::Peers::new(endpoint);
     let vms = vms::start(&process.platform.vms);
     let settings = settings::start(&process, peers.clone(), vms.clone());
-    let metrics = metrics::Metrics::new(&process.vm).map_err(|e| Error::new("metrics", e))?;
+    let metrics = metrics::Metrics::new(&process.vm, settings.clone())
+        .map_err(|e| Error::new("metrics", e))?;
     Ok(Arc::new(Node {
         incarnation: incarnation(),
         peers,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::settings;
+
 /// The instruments of a daemon. What each tells an operator is in docs/OPERATORS.md.
 #[derive(Debug)]
 pub struct Metrics {
@@ -35,8 +37,12 @@
 }
 
 impl Metrics {
-    /// New instruments for the process on `vm`.
-    pub fn new(vm: &str) -> Result<Metrics, opentelemetry_sdk::error::OTelSdkError> {
+    /// New instruments for the process on `vm`. The version of the fleet settings
+    /// is read when the metrics are.
+    pub fn new(
+        vm: &str,
+        settings: settings::Watch,
+    ) -> Result<Metrics, opentelemetry_sdk::error::OTelSdkError> {
         let registry = Registry::new();
         let reader =
             opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
@@ -44,6 +50,10 @@
         let provider =
             SdkMeterProvider::builder().with_resource(resource.build()).with_reader(reader).build();
         let meter = provider.meter("hyssoppass");
+        meter
+            .u64_observable_gauge("hyssop_settings_version")
+            .with_callback(move |gauge| gauge.observe(settings.borrow().version, &[]))
+            .build();
         Ok(Metrics {
             requests: meter.u64_counter("hyssop_requests").build(),
             running: meter.i64_up_down_counter("hyssop_running").build(),
