Hold the running batch too while an engine hangs; count batches exactly in its test

The batch test counted batches by the arrival of its steps, which hangs on the machine's speed; it now holds all steps back and expects five batches of four.

--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -80,7 +80,8 @@
     pub step_us: Option<u64>,
     /// Microseconds each position of a batch adds.
     pub token_us: Option<u64>,
-    /// No step is run; what waits is run when this is set to false again.
+    /// No step is answered, also of the batch that runs; all go on when this is set to
+    /// false again.
     pub hang: Option<bool>,
     /// Steps that are answered 500 and not run.
     pub fail_next: Option<u32>,
@@ -192,6 +193,9 @@
         let now = Instant::now();
         due = due.max(now.checked_sub(SLACK).unwrap_or(now)) + time;
         tokio::time::sleep_until(due).await;
+        while serve::lock(&shared.core).hangs() {
+            shared.wake.notified().await;
+        }
         serve::lock(&shared.core).finish(&batch, time);
     }
 }
--- a/crates/fake/src/engine/core.rs
+++ b/crates/fake/src/engine/core.rs
@@ -117,6 +117,10 @@
         self.fail_next = fault.fail_next.unwrap_or(self.fail_next);
     }
 
+    pub(crate) fn hangs(&self) -> bool {
+        self.hang
+    }
+
     pub(crate) fn open(&mut self, session: Session) -> Result<(), Refusal> {
         let at = self.at(&session.session);
         let range = self.range.as_ref().filter(|_| self.loading.is_none());
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -88,7 +88,7 @@
 
 /// How often the writes of one key were recorded.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Query {
+pub struct Runs {
     /// The key.
     pub key: String,
     /// Writes of it.
@@ -99,7 +99,7 @@
 struct State {
     writes: Vec<Write>,
     /// Sorted by key.
-    runs: Vec<Query>,
+    runs: Vec<Runs>,
     lose_answers: u32,
     fail_next: u32,
     delay: Duration,
@@ -148,8 +148,8 @@
 
 async fn look_up(service: &Service, call: &Call, key: &str) -> Result<Reply, Reply> {
     pause(service).await?;
-    let query = Query { key: key.to_string(), runs: 0 };
-    let found: Query = match &service.ledger {
+    let query = Runs { key: key.to_string(), runs: 0 };
+    let found: Runs = match &service.ledger {
         Some(ledger) => ledger.post("/~fake/find", &query).await.map_err(pass_on)?,
         None => find(&service.state, query),
     };
@@ -209,20 +209,20 @@
     let key = write.key.clone();
     match state.runs.binary_search_by(|r| r.key.cmp(&key)) {
         Ok(i) => state.runs[i].runs += 1,
-        Err(i) => state.runs.insert(i, Query { key: key.clone(), runs: 1 }),
+        Err(i) => state.runs.insert(i, Runs { key: key.clone(), runs: 1 }),
     }
     state.writes.push(Write { number, ..write });
     Ok(Reply::json(201, &Written { number, key }))
 }
 
-fn find(state: &Arc<Mutex<State>>, query: Query) -> Query {
+fn find(state: &Arc<Mutex<State>>, query: Runs) -> Runs {
     let state = serve::lock(state);
     let at = state.runs.binary_search_by(|r| r.key.cmp(&query.key));
-    Query { runs: at.map_or(0, |i| state.runs[i].runs), ..query }
+    Runs { runs: at.map_or(0, |i| state.runs[i].runs), ..query }
 }
 
 fn runs(state: &State) -> Reply {
-    let pair = |r: &Query| (r.key.clone(), serde_json::Value::from(r.runs));
+    let pair = |r: &Runs| (r.key.clone(), serde_json::Value::from(r.runs));
     Reply::json(200, &state.runs.iter().map(pair).collect::<serde_json::Map<_, _>>())
 }
 
--- a/crates/fake/tests/engine.rs
+++ b/crates/fake/tests/engine.rs
@@ -72,7 +72,9 @@
 
 #[tokio::test]
 async fn a_batch_answers_all_its_steps() {
-    let (server, client) = start("--model m --batch 4 --slots 20");
+    let (server, client) = start("--model m --batch 4 --slots 20 --load-lag-ms 0");
+    // Held back until all wait, so that the number of batches doesn't hang on timing.
+    control(&server, Fault { hang: Some(true), ..Fault::default() }).await;
     let mut steps = tokio::task::JoinSet::new();
     for i in 0..20 {
         let client = client.clone();
@@ -82,11 +84,14 @@
             client.step(&id, &Step { position: 0, inputs: vec![i, i + 1] }).await.unwrap()
         });
     }
+    while client.load().await.unwrap().waiting < 20 {
+        tokio::task::yield_now().await;
+    }
+    control(&server, Fault { hang: Some(false), ..Fault::default() }).await;
     let outputs = steps.join_all().await;
     assert!(outputs.iter().all(|o| o.outputs.len() == 2 && o.token.is_some()));
     let books = books(&server).await;
-    assert_eq!(books.positions, 40);
-    assert!((5..20).contains(&books.batches), "{} batches", books.batches);
+    assert_eq!((books.positions, books.batches), (40, 5));
     let full = client.open(&session("one more")).await.unwrap_err();
     assert_eq!(full.status(), Some(429));
 }
