config: a carried record counts only where nothing before it was missed; a fresh start

A process that starts late applied the version of any carried record, also of one whose author had judged records that had expired since. It now applies and judges only from a record all of whose unjudged predecessors it has read, so that a wrong one can't beat the first.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -13,6 +13,9 @@
 /// Name of the stream.
 pub const STREAM: &str = "settings";
 
+/// Why a carried record is refused that can't say the truth.
+const NO_VERSION: &str = "carries no version that can have been in force";
+
 /// A change as it stands in the stream, encoded as JSON.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Change {
@@ -114,7 +117,7 @@
 
     /// Judges the record at `offset`. The version of an accepted change is its offset plus one.
     /// Never panics: a record that does not decode is refused. Look at `version` afterwards:
-    /// a carried record can bring a version into force, also one of an earlier pending record.
+    /// a carried record can bring an earlier, pending record into force.
     pub fn judge(&mut self, offset: u64, data: &str) -> Verdict {
         self.settle(offset, data).pop().map_or(Verdict::Pending, |(_, verdict)| verdict)
     }
@@ -163,6 +166,20 @@
         })
     }
 
+    /// A record that starts the stream anew when nobody knows a base any more. It counts only
+    /// where it is the very next record, and only for processes that know of no version.
+    pub fn anew(&self, id: &str, author: &str, reason: &str, text: &str) -> Change {
+        Change {
+            id: id.to_string(),
+            base: 0,
+            author: author.to_string(),
+            reason: reason.to_string(),
+            text: text.to_string(),
+            carried: Some(self.next.saturating_add(1)),
+            judged: self.next,
+        }
+    }
+
     /// Judges a record with a known base.
     fn decide(&mut self, offset: u64, data: &str) -> Verdict {
         let Some((version, text)) = &self.judged else { return Verdict::Pending };
@@ -172,6 +189,11 @@
         };
         match change.carried {
             Some(v) if v == *version && change.text == *text => Verdict::Carried(v),
+            // A fleet that was gone for longer than the log keeps records starts anew.
+            Some(v) if *version == 0 && v > 0 && carries(&change, v, offset) => {
+                self.accept(v, change.text);
+                Verdict::Carried(v)
+            }
             Some(v) if v == *version => Verdict::Refused(format!("not the text of version {v}")),
             Some(v) => Verdict::Refused(format!("carries version {v}, but {version} is in force")),
             None if change.base != *version => Verdict::Refused(format!(
@@ -200,20 +222,18 @@
             Err(reason) => return vec![(offset, Verdict::Refused(reason))],
         };
         let Some(version) = change.carried else { return vec![(offset, Verdict::Pending)] };
-        let truthful = version <= change.judged && change.judged <= offset;
-        if !truthful || fleet::parse(STREAM, &change.text).is_err() {
-            return vec![(offset, Verdict::Refused("carries no version that can be".into()))];
-        }
-        // It was in force once, so it may be applied even where it is too old to judge from.
-        self.adopt(version, &change.text);
-        match change.judged < oldest {
-            true => vec![(offset, Verdict::Pending)],
-            false => self.replay(version, change.text, change.judged),
+        match carries(&change, version, offset) {
+            false => vec![(offset, Verdict::Refused(NO_VERSION.into()))],
+            // Records between what its author had judged and the oldest one read here have
+            // expired unread; one of them may have brought a newer version.
+            true if change.judged < oldest => vec![(offset, Verdict::Pending)],
+            true => self.replay(version, change.text, change.judged),
         }
     }
 
     /// Judges the pending records from `start` on, before which `version` was in force.
     fn replay(&mut self, version: u64, text: String, start: u64) -> Vec<(u64, Verdict)> {
+        self.adopt(version, &text);
         self.judged = Some((version, text));
         let pending = std::mem::take(&mut self.pending);
         let known = pending.into_iter().filter(|(offset, _)| *offset >= start);
@@ -227,6 +247,15 @@
     }
 }
 
+/// True when a carried record can say the truth: the version was there before its author
+/// had judged, and the author had judged before the record was appended; or it starts the
+/// stream anew, under the version that any accepted record at its offset has.
+fn carries(change: &Change, version: u64, offset: u64) -> bool {
+    let anew = change.judged == offset && version == offset.saturating_add(1);
+    let known = version <= change.judged && change.judged <= offset;
+    (anew || known) && fleet::parse(STREAM, &change.text).is_ok()
+}
+
 fn decode(data: &str) -> Result<Change, String> {
     serde_json::from_str(data).map_err(|e| format!("does not decode: {e}"))
 }
--- a/crates/ctl/src/cmd/publish.rs
+++ b/crates/ctl/src/cmd/publish.rs
@@ -7,6 +7,7 @@
 use config::fleet;
 use serde::Serialize;
 use tokio::time::Instant;
+use wire::frame::{Ask, Tell};
 
 use crate::error::Error;
 use crate::option::Common;
@@ -38,6 +39,10 @@
     /// Version the text was made from; the one in force when left out.
     #[arg(long, value_name = "V")]
     base: Option<u64>,
+    /// Start anew after the whole fleet was gone for longer than the log keeps records, so
+    /// that nobody knows the version in force any more. Refused while a VM knows it.
+    #[arg(long, conflicts_with = "base")]
+    restart: bool,
     /// Seconds to look for the own record.
     #[arg(long, default_value_t = 10, value_name = "SECONDS")]
     wait: u64,
@@ -49,6 +54,9 @@
     if args.author.trim().is_empty() || args.reason.trim().is_empty() {
         return Err(Error::Usage("--author and --reason may not be empty".into()));
     }
+    if args.restart {
+        return restart(common, &args, text).await;
+    }
     let mut stream = Stream::with_peers(common).await?;
     let base = args.base.unwrap_or(stream.state.version);
     if stream.state.version > 0 && stream.state.text == text {
@@ -58,8 +66,8 @@
         return Err(lost(&stream, base));
     }
     let change = change(&args, base, text);
-    append(&stream, &change).await?;
     let until = Instant::now() + Duration::from_secs(args.wait);
+    append(&stream, &change).await?;
     let own = read_back(&mut stream, &change, until).await?;
     match own.verdict {
         Verdict::Accepted(version) => Ok(done(common, version, "is in force")),
@@ -70,6 +78,35 @@
     }
 }
 
+/// Appends a record that says what is in force from its place on. Every process that knows
+/// no base takes it up; one that does know refuses it, which is why none may be left.
+async fn restart(common: &Common, args: &Args, text: String) -> Result<Report, Error> {
+    let mut stream = Stream::read(common).await?;
+    let entries = peer::list(common).await?;
+    for answer in peer::ask(common, entries, &Ask::Settings).await? {
+        match answer.tell {
+            Ok(Tell::Settings(settings)) => {
+                stream.state.adopt(settings.version, &settings.text);
+            }
+            Ok(_) => {}
+            Err(e) => return Err(Error::Unreachable(format!("not published: {e}"))),
+        }
+    }
+    if stream.state.knows_base() || stream.state.version > 0 {
+        let version = stream.state.version;
+        return Err(Error::Refused(format!(
+            "version {version} is in force: publish without --restart"
+        )));
+    }
+    let change = stream.state.anew(&id(), &args.author, &args.reason, &text);
+    let until = Instant::now() + Duration::from_secs(args.wait);
+    append(&stream, &change).await?;
+    match read_back(&mut stream, &change, until).await?.verdict {
+        Verdict::Carried(version) => Ok(done(common, version, "is in force")),
+        _ => Err(lost(&stream, 0)),
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct Published {
     version: u64,
@@ -82,6 +119,10 @@
     })
 }
 
+fn id() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
 fn checked(file: &PathBuf) -> Result<String, Error> {
     let text = std::fs::read_to_string(file)
         .map_err(|e| Error::Usage(format!("{}: {e}", file.display())))?;
@@ -93,7 +134,7 @@
 
 fn change(args: &Args, base: u64, text: String) -> Change {
     Change {
-        id: uuid::Uuid::now_v7().to_string(),
+        id: id(),
         base,
         author: args.author.clone(),
         reason: args.reason.clone(),
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -9,6 +9,9 @@
 use crate::option::Common;
 use crate::peer;
 
+const EXPIRED: &str = "records of the settings stream have expired, so the version in force \
+                       can't be told from the log alone: give --vms, --tls and --as to ask the VMs";
+
 /// One record of the stream and what became of it.
 #[derive(Debug, Clone)]
 pub struct Line {
@@ -59,11 +62,7 @@
         }
         match stream.state.knows_base() || stream.state.version > 0 {
             true => Ok(stream),
-            false => Err(Error::Unreachable(
-                "records of the settings stream have expired, so the version in force can't be \
-                 told from the log alone: give --vms, --tls and --as to ask the VMs"
-                    .to_string(),
-            )),
+            false => Err(Error::Unreachable(EXPIRED.to_string())),
         }
     }
 
--- a/crates/ctl/tests/publish.rs
+++ b/crates/ctl/tests/publish.rs
@@ -157,6 +157,28 @@
     assert_eq!((run.code, run.out.as_str()), (0, "version 4 is in force\n"), "{run:?}");
 }
 
+// All VMs were gone for longer than the log keeps records.
+#[tokio::test]
+async fn a_fleet_that_was_gone_for_long_can_start_anew() {
+    let bench = Bench::new("publish-restart");
+    bench.work.run(&["certs", "--out", ".", "--vm", "op"]).await;
+    let list = fake::serve::bind(work::any()).unwrap();
+    let list = fake::vms::start(list, fake::vms::Options { lag_ms: 0 }).unwrap();
+    let url = list.url();
+    let restart = ["--restart", "--vms", &url, "--tls", ".", "--as", "op"];
+
+    bench.publish(1, &[]).await;
+    let run = bench.publish(2, &restart).await;
+    assert!(run.code == 1 && run.err.contains("version 1 is in force"), "{run:?}");
+    let expire = Some(Expire { stream: STREAM.into(), before: 1 });
+    control(&bench.log.url(), &Fault { expire, ..Fault::default() }).await;
+    assert_eq!(bench.publish(2, &[]).await.code, 3);
+    let run = bench.publish(2, &restart).await;
+    assert_eq!((run.code, run.out.as_str()), (0, "version 2 is in force\n"), "{run:?}");
+    assert_eq!(bench.publish(3, &["--base", "2"]).await.out, "version 3 is in force\n");
+    assert_eq!(bench.run(&["show"]).await.out, text(3));
+}
+
 #[tokio::test]
 async fn the_daemons_streams_are_part_of_the_audit() {
     let bench = Bench::new("audit-raw");
