--- a/crates/config/tests/change.rs
+++ b/crates/config/tests/change.rs
@@ -121,6 +121,19 @@
     assert_eq!((late.version, late.knows_base()), (0, false));
 }
 
+// A carried record that contradicts itself, appended by a faulty daemon. A late starter that
+// believed it would hold a version that never was.
+#[rstest]
+#[case::newer_than_judged(carried(6, 4, &text(1)))]
+#[case::far_newer(carried(9, 5, &text(1)))]
+#[case::judged_what_was_to_come(carried(3, 9, &text(1)))]
+#[case::faulty(carried(3, 5, "[what]\n"))]
+fn a_carried_record_that_can_not_be_true_is_refused(#[case] record: Change) {
+    let mut late = State::begin(5);
+    assert!(matches!(late.judge(5, &json(&record)), Verdict::Refused(_)));
+    assert_eq!((late.version, late.knows_base()), (0, false));
+}
+
 // A VM was paused all that time and still has an old version. The new start has a higher
 // one, so the VM takes it up like all others.
 #[test]
--- a/crates/ctl/src/peer.rs
+++ b/crates/ctl/src/peer.rs
@@ -15,6 +15,9 @@
 /// freeze of a VM is not reported as its loss.
 const ANSWER: Duration = Duration::from_secs(3);
 
+/// How long the connections may take to close.
+const CLOSE: Duration = Duration::from_millis(500);
+
 /// One VM and what it said, or why it did not.
 #[derive(Debug)]
 pub struct Answer {
@@ -45,6 +48,9 @@
         });
     }
     let mut answers = tasks.join_all().await;
+    // A process that ends at once takes the closing packets with it, and each VM then keeps
+    // a dead connection until its idle timeout. A VM that is gone never confirms, hence the limit.
+    let _ = tokio::time::timeout(CLOSE, endpoint.wait_idle()).await;
     answers.sort_by(|a, b| a.entry.vm.cmp(&b.entry.vm));
     Ok(answers)
 }
