--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -3,9 +3,11 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::process::Output;
 use std::time::{Duration, Instant};
 
 use platform::vm::{Entry, Role, State};
+use serde::Deserialize;
 
 use crate::binary::Place;
 use crate::books::{self, Books, Engine};
@@ -16,6 +18,8 @@
 
 /// Port by which a run claims its part of the loopback addresses.
 const CLAIM_PORT: u16 = 8999;
+/// Name in the operators' certificate.
+const OPERATOR: &str = "operator";
 /// Pause between two looks at a daemon that is not ready.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time one look at a daemon or control call may take.
@@ -159,7 +163,7 @@
         fleet.certificates().await?;
         fleet.text = settings::fleet(&fleet.plan, &fleet.fenced());
         let text = fleet.text.clone();
-        fleet.publish("first", &text, "the settings a scenario begins with").await?;
+        fleet.publish("first", &text, "the settings a scenario begins with", None).await?;
         for vm in fleet.vms.clone() {
             fleet.start_vm(&vm).await?;
         }
@@ -206,29 +210,30 @@
         let spares = (0..self.plan.ranges.len()).flat_map(|r| (1..=4).map(move |k| spare(r, k)));
         let mut args =
             vec!["certs".to_string(), "--out".to_string(), ".".to_string(), "--vm".to_string()];
-        args.extend(names.chain(spares));
+        args.extend(names.chain(spares).chain([OPERATOR.to_string()]));
         self.ctl(&args).await.map(|_| ())
     }
 
-    /// Publishes a text of fleet settings as an operator does.
-    pub async fn publish(&self, author: &str, text: &str, reason: &str) -> Result<String, String> {
+    /// Publishes a text of fleet settings as an operator does; `base` is the version it
+    /// was made from, the one in force when left out.
+    pub async fn publish(
+        &self,
+        author: &str,
+        text: &str,
+        reason: &str,
+        base: Option<u64>,
+    ) -> Result<String, String> {
         let file = format!("fleet-{author}.ini");
         std::fs::write(self.dir.join(&file), text).map_err(|e| format!("{file}: {e}"))?;
-        let args = ["publish", &file, "--author", author, "--reason", reason, "--log"];
+        let args = ["publish", &file, "--author", author, "--reason", reason];
         let mut args: Vec<String> = args.iter().map(|a| a.to_string()).collect();
-        args.push(self.platform.log.clone());
+        args.extend(base.map(|base| format!("--base={base}")));
         self.ctl(&args).await
     }
 
     /// Runs `hyssopctl` and returns its output.
-    pub async fn ctl(&self, args: &[String]) -> Result<String, String> {
-        let done = tokio::process::Command::new(self.place.path("hyssopctl"))
-            .args(args)
-            .current_dir(&self.dir)
-            .kill_on_drop(true)
-            .output()
-            .await
-            .map_err(|e| format!("hyssopctl: {e}"))?;
+    async fn ctl(&self, args: &[String]) -> Result<String, String> {
+        let done = self.run_ctl(args).await?;
         match done.status.success() {
             true => Ok(String::from_utf8_lossy(&done.stdout).to_string()),
             false => {
@@ -238,6 +243,36 @@
         }
     }
 
+    async fn run_ctl(&self, args: &[String]) -> Result<Output, String> {
+        let platform = ["--log", &self.platform.log, "--vms", &self.platform.vms];
+        tokio::process::Command::new(self.place.path("hyssopctl"))
+            .args(platform)
+            .args(["--tls", ".", "--as", OPERATOR])
+            .args(args)
+            .current_dir(&self.dir)
+            .kill_on_drop(true)
+            .output()
+            .await
+            .map_err(|e| format!("hyssopctl: {e}"))
+    }
+
+    /// The version of the settings that each VM has in force, as `hyssopctl status` tells
+    /// it; none for a VM that does not answer.
+    pub async fn versions(&self) -> Result<Vec<(String, Option<u64>)>, String> {
+        #[derive(Deserialize)]
+        struct Row {
+            vm: String,
+            version: Option<u64>,
+        }
+        let args = ["status", "--json"].map(str::to_string);
+        // A VM that the script killed makes the exit code 3; the others are told all the same.
+        let done = self.run_ctl(&args).await?;
+        let rows: Vec<Row> = serde_json::from_slice(&done.stdout).map_err(|e| {
+            format!("hyssopctl status: {e}: {}", String::from_utf8_lossy(&done.stderr).trim())
+        })?;
+        Ok(rows.into_iter().map(|row| (row.vm, row.version)).collect())
+    }
+
     /// Starts the backend server and the daemon of a VM, and enters it in the VM list.
     async fn start_vm(&mut self, vm: &Vm) -> Result<(), String> {
         if self.plan.links {
@@ -436,18 +471,6 @@
     pub fn routers(&self) -> Vec<String> {
         self.vms.iter().filter(|v| v.backend == Backend::None).map(Vm::http).collect()
     }
-
-    /// The version of the settings that a daemon has in force, from its metrics.
-    pub async fn version(&self, vm: &Vm) -> Result<u64, String> {
-        let http = rest::Client::new(&vm.http(), CALL);
-        let page = http.send("GET", "/metrics", &[], Default::default()).await;
-        let page = page.map_err(|e| format!("{}: {e}", vm.name))?;
-        let text = String::from_utf8_lossy(&page.body).to_string();
-        let mut lines = text.lines().filter(|l| !l.starts_with('#'));
-        let line = lines.find(|l| l.contains("settings_version"));
-        let value = line.and_then(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
-        value.map(|v| v as u64).ok_or(format!("{}: no settings version in metrics", vm.name))
-    }
 }
 
 fn spare(range: usize, k: usize) -> String {
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -260,7 +260,7 @@
                 let versions = publish::versions(fleet).await?;
                 self.version = versions.iter().map(|v| v.1).max().unwrap_or(0);
                 let note = match racing {
-                    Some(other) => publish::racing(fleet, change, other).await?,
+                    Some(other) => publish::racing(fleet, self.version, change, other).await?,
                     None => publish::one(fleet, change, *fails).await?,
                 };
                 self.notes.push(note);
--- a/crates/scenario/src/publish.rs
+++ b/crates/scenario/src/publish.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Fleet, Vm};
+use crate::fleet::Fleet;
 use crate::process::Wanted;
 use crate::settings;
 
@@ -12,7 +12,7 @@
 /// Publishes a change of one default.
 pub async fn one(fleet: &mut Fleet, change: &str, fails: bool) -> Result<String, String> {
     let text = settings::with_default(&fleet.text, change);
-    let done = fleet.publish("operator-1", &text, &format!("set {change}")).await;
+    let done = fleet.publish("operator-1", &text, &format!("set {change}"), None).await;
     match (done, fails) {
         (Ok(_), true) => Err(format!("publishing {change} went through")),
         (Err(e), true) => Ok(format!("publishing {change} was refused: {e}")),
@@ -24,42 +24,38 @@
     }
 }
 
-/// Two operators publish from the same version at once. One of them or, when the
-/// second began after the first was through, both may win; each is told honestly.
-pub async fn racing(fleet: &mut Fleet, first: &str, second: &str) -> Result<String, String> {
+/// Two operators publish from the same version at once: one must win and the other be told.
+pub async fn racing(
+    fleet: &mut Fleet,
+    base: u64,
+    first: &str,
+    second: &str,
+) -> Result<String, String> {
     let texts = [first, second].map(|c| settings::with_default(&fleet.text, c));
     let (a, b) = tokio::join!(
-        fleet.publish("operator-1", &texts[0], first),
-        fleet.publish("operator-2", &texts[1], second)
+        fleet.publish("operator-1", &texts[0], first, Some(base)),
+        fleet.publish("operator-2", &texts[1], second, Some(base))
     );
     let [one, two] = texts;
-    match (&a, &b) {
-        (Ok(_), Err(_)) => fleet.text = one,
-        (Err(_), Ok(_)) => fleet.text = two,
+    let (won, text) = match (&a, &b) {
+        (Ok(_), Err(_)) => (first, one),
+        (Err(_), Ok(_)) => (second, two),
         (Ok(_), Ok(_)) => return Err("both operators were told that they won".to_string()),
         (Err(a), Err(b)) => return Err(format!("both operators lost: {a}; {b}")),
-    }
-    let winner = if a.is_ok() { first } else { second };
-    Ok(format!("of two operators {winner} won"))
-}
-
-/// Daemons that live and are not frozen.
-pub fn living(fleet: &mut Fleet) -> Vec<Vm> {
-    let vms = fleet.vms.clone();
-    let lives = |v: &Vm| {
-        let process = fleet.process(&v.name);
-        process.is_ok_and(|p| p.wanted == Wanted::Running && p.lives())
     };
-    vms.into_iter().filter(lives).collect()
+    fleet.text = text;
+    Ok(format!("of two operators the one with {won} won"))
 }
 
-/// The version in force on each living daemon.
+/// The version in force on each daemon that lives and is not frozen; 0 when it does not tell.
 pub async fn versions(fleet: &mut Fleet) -> Result<Vec<(String, u64)>, String> {
-    let mut versions = Vec::new();
-    for vm in living(fleet) {
-        versions.push((vm.name.clone(), fleet.version(&vm).await?));
-    }
-    Ok(versions)
+    let told = fleet.versions().await?;
+    let mut living = |name: &str| {
+        let process = fleet.process(name);
+        process.is_ok_and(|p| p.wanted == Wanted::Running && p.lives())
+    };
+    let told = told.into_iter().filter(|(name, _)| living(name));
+    Ok(told.map(|(name, version)| (name, version.unwrap_or(0))).collect())
 }
 
 /// Waits until all living daemons have one version, higher than `above`.
