--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -82,7 +82,12 @@
 impl Tail {
     async fn run(mut self) {
         while !self.tx.is_closed() {
-            let wait = if self.tx.borrow().caught_up { WAIT } else { Duration::ZERO };
+            let wait = match () {
+                () if !self.tx.borrow().caught_up => Duration::ZERO,
+                // Peers are asked between reads, so the reads are short.
+                () if !self.state.knows_base() => PAUSE,
+                () => WAIT,
+            };
             match self.log.read(change::STREAM, self.state.next, wait).await {
                 Ok(page) => {
                     self.take(page);
@@ -118,12 +123,12 @@
             Verdict::Accepted(v) => log::info!("settings: version {v} is in force"),
             Verdict::Refused(why) => {
                 log::info!("settings: record {offset} is not in force: {why}");
-                return;
             }
-            Verdict::Carried(_) => {}
-            Verdict::Pending => return,
+            // Only a carried record lets a late starter judge: an accepted one
+            // must not put off the next carrying.
+            Verdict::Carried(_) => self.carry_at = carry_at(),
+            Verdict::Pending => {}
         }
-        self.carry_at = carry_at();
     }
 
     /// Appends the version in force again when its newest record has grown old.
--- a/crates/scenario/tests/invariants.rs
+++ b/crates/scenario/tests/invariants.rs
@@ -12,7 +12,15 @@
 
 fn opened(session: &str, runs: &[(u32, u32)]) -> Opened {
     let runs = runs.iter().map(|(start, count)| Run { start: *start, count: *count }).collect();
-    Opened { session: session.to_string(), tag: String::new(), first: 0, last: 3, runs }
+    Opened {
+        session: session.to_string(),
+        tag: String::new(),
+        model: "draft".to_string(),
+        version: 1,
+        first: 0,
+        last: 3,
+        runs,
+    }
 }
 
 fn engine(sessions: Vec<Opened>) -> Engine {
