--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,7 +1,7 @@
 //! Plays scripted scenarios against real processes on loopback.
 //!
 //! A script ([`script`]) is one verb a line. The player ([`player`]) starts the
-//! fleet ([`fleet`]), sends requests as good clients do ([`draft`], [`write`]),
+//! fleet ([`fleet`]), sends requests as good clients do ([`draft`], [`mod@write`]),
 //! brings faults ([`fault`]), and at the end judges answers and the stand-ins'
 //! own books ([`books`]) by invariants that hold whatever happened.
 
