Count the bytes of links and of HTTP towards the platform

For the capacity page: control traffic of a daemon is now a metric of its own (hyssop_link_bytes, hyssop_http_bytes), so that it can be read per process.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod settings;
 pub mod stop;
 pub mod trace;
+pub mod traffic;
 pub mod vms;
 
 use std::path::Path;
@@ -75,7 +76,7 @@
     let peers = peers::Peers::new(endpoint);
     let vms = vms::start(&process.platform.vms);
     let settings = settings::start(&process, peers.clone(), vms.clone());
-    let metrics = metrics::Metrics::new(&process.vm, settings.clone())
+    let metrics = metrics::Metrics::new(&process.vm, settings.clone(), peers.traffic.clone())
         .map_err(|e| Error::new("metrics", e))?;
     Ok(Arc::new(Node {
         incarnation: incarnation(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::settings;
+use crate::traffic::Traffic;
 
 /// The instruments of a daemon. What each tells an operator is in docs/OPERATORS.md.
 #[derive(Debug)]
@@ -42,6 +43,7 @@
     pub fn new(
         vm: &str,
         settings: settings::Watch,
+        traffic: Traffic,
     ) -> Result<Metrics, opentelemetry_sdk::error::OTelSdkError> {
         let registry = Registry::new();
         let reader =
@@ -54,6 +56,22 @@
             .u64_observable_gauge("hyssop_settings_version")
             .with_callback(move |gauge| gauge.observe(settings.borrow().version, &[]))
             .build();
+        meter
+            .u64_observable_counter("hyssop_link_bytes")
+            .with_callback(move |counter| {
+                let total = traffic.total();
+                counter.observe(total.sent, &[KeyValue::new("direction", "sent")]);
+                counter.observe(total.received, &[KeyValue::new("direction", "received")]);
+            })
+            .build();
+        meter
+            .u64_observable_counter("hyssop_http_bytes")
+            .with_callback(|counter| {
+                let (sent, received) = rest::traffic();
+                counter.observe(sent, &[KeyValue::new("direction", "sent")]);
+                counter.observe(received, &[KeyValue::new("direction", "received")]);
+            })
+            .build();
         Ok(Metrics {
             requests: meter.u64_counter("hyssop_requests").build(),
             running: meter.i64_up_down_counter("hyssop_running").build(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,6 +6,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 use wire::link::{self, Stream};
 
+use crate::traffic::Traffic;
+
 /// Name and address of a peer, and its connection once there is one.
 type Peer = (String, String, Arc<tokio::sync::Mutex<Option<Connection>>>);
 
@@ -13,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub struct Peers {
     endpoint: Endpoint,
+    /// Counts the bytes of all links, opened here or by peers.
+    pub traffic: Traffic,
     /// Sorted by name and address.
     list: Arc<Mutex<Vec<Peer>>>,
 }
@@ -20,7 +24,7 @@
 impl Peers {
     /// No links yet.
     pub fn new(endpoint: Endpoint) -> Peers {
-        Peers { endpoint, list: Arc::default() }
+        Peers { endpoint, traffic: Traffic::default(), list: Arc::default() }
     }
 
     /// The endpoint, to accept connections on.
@@ -60,6 +64,7 @@
             Some(open) if open.close_reason().is_none() => Ok(open.clone()),
             _ => {
                 let opened = link::connect(&self.endpoint, vm, address).await?;
+                self.traffic.add(opened.clone());
                 *held = Some(opened.clone());
                 Ok(opened)
             }
@@ -69,7 +74,15 @@
     /// Forgets peers that are not in `vms`, so that replaced VMs do not pile up.
     pub fn retain(&self, vms: &[platform::vm::Entry]) {
         let mut list = self.list.lock().expect("no panic while held");
-        list.retain(|(vm, address, _)| vms.iter().any(|e| e.vm == *vm && e.address == *address));
+        list.retain(|(vm, address, cell)| {
+            let listed = vms.iter().any(|e| e.vm == *vm && e.address == *address);
+            if let (false, Ok(held)) = (listed, cell.try_lock())
+                && let Some(connection) = &*held
+            {
+                connection.close(0u32.into(), b"not listed");
+            }
+            listed
+        });
     }
 
     fn cell(&self, vm: &str, address: &str) -> Arc<tokio::sync::Mutex<Option<Connection>>> {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -20,7 +20,10 @@
         tokio::spawn(async move {
             // A peer without a certificate of the fleet fails here.
             match incoming.await {
-                Ok(connection) => connected(node, connection, handle).await,
+                Ok(connection) => {
+                    node.peers.traffic.add(connection.clone());
+                    connected(node, connection, handle).await;
+                }
                 Err(e) => log::warn!("link: a connection was refused: {e}"),
             }
         });
--- /dev/null
+++ b/crates/node/src/traffic.rs
@@ -0,0 +1,58 @@
+//! Bytes that this process has sent and received on its links.
+
+use std::sync::{Arc, Mutex};
+
+use quinn::Connection;
+
+/// Bytes in UDP datagrams, headers of IP and UDP left out.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Bytes {
+    /// Sent.
+    pub sent: u64,
+    /// Received.
+    pub received: u64,
+}
+
+/// The links that are counted.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    open: Vec<Connection>,
+    closed: Bytes,
+}
+
+impl Traffic {
+    /// Counts a link from now on. The links that have ended are let go.
+    pub fn add(&self, connection: Connection) {
+        let mut inner = self.inner.lock().expect("no panic while held");
+        inner.settle();
+        inner.open.push(connection);
+    }
+
+    /// Bytes of all links so far.
+    ///
+    /// ```
+    /// assert_eq!(node::traffic::Traffic::default().total().sent, 0);
+    /// ```
+    pub fn total(&self) -> Bytes {
+        let mut inner = self.inner.lock().expect("no panic while held");
+        inner.settle();
+        inner.open.iter().fold(inner.closed, sum)
+    }
+}
+
+impl Inner {
+    fn settle(&mut self) {
+        let ended = self.open.extract_if(.., |c| c.close_reason().is_some());
+        self.closed = ended.fold(self.closed, |total, c| sum(total, &c));
+    }
+}
+
+fn sum(total: Bytes, connection: &Connection) -> Bytes {
+    let stats = connection.stats();
+    Bytes { sent: total.sent + stats.udp_tx.bytes, received: total.received + stats.udp_rx.bytes }
+}
--- a/crates/rest/src/lib.rs
+++ b/crates/rest/src/lib.rs
@@ -4,12 +4,14 @@
 //! says whether the peer may have seen the request, since only a request that
 //! was never sent can be called not run.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode, Uri, header};
+use hyper::body::Body;
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use hyper_util::client::legacy::{Client as Pool, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
 use serde::{Serialize, de::DeserializeOwned};
@@ -17,6 +19,25 @@
 /// Longest answer body read, in bytes. A longer one is an error.
 pub const BODY_LIMIT: usize = 16 << 20;
 
+static SENT: AtomicU64 = AtomicU64::new(0);
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes that all clients of this process have sent and received: bodies and
+/// header lines, without what TCP and IP add.
+///
+/// ```
+/// assert_eq!(rest::traffic(), (0, 0));
+/// ```
+pub fn traffic() -> (u64, u64) {
+    (SENT.load(Ordering::Relaxed), RECEIVED.load(Ordering::Relaxed))
+}
+
+/// Bytes of a start line and header lines.
+fn head_size(start: usize, headers: &HeaderMap) -> usize {
+    let lines = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    start + lines.sum::<usize>() + 4
+}
+
 /// Why a call gave no usable answer.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -198,6 +219,9 @@
     }
 
     async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Answer, Error> {
+        let start = req.method().as_str().len() + req.uri().path().len() + 32;
+        let size = head_size(start, req.headers()) as u64 + req.body().size_hint().lower();
+        SENT.fetch_add(size, Ordering::Relaxed);
         let res = self.pool.request(req).await.map_err(|e| match e.is_connect() {
             true => Error::Connect { peer: self.base.clone(), reason: e.to_string() },
             false => self.lost(e.to_string()),
@@ -208,8 +232,10 @@
             .iter()
             .filter_map(|(k, v)| Some((k.to_string(), v.to_str().ok()?.to_string())))
             .collect();
+        let head = head_size(20, res.headers()) as u64;
         let limited = http_body_util::Limited::new(res.into_body(), BODY_LIMIT);
         let body = limited.collect().await.map_err(|e| self.lost(e.to_string()))?.to_bytes();
+        RECEIVED.fetch_add(head + body.len() as u64, Ordering::Relaxed);
         Ok(Answer { status, headers, body })
     }
 
--- a/crates/router/tests/work/mod.rs
+++ b/crates/router/tests/work/mod.rs
@@ -26,8 +26,7 @@
     folder: PathBuf,
     pub router: String,
     pub engine: Server,
-    pub service: Server,
-    _platform: Vec<Server>,
+    _others: Vec<Server>,
 }
 
 impl Fleet {
@@ -58,8 +57,8 @@
         tokio::spawn(agent::run(desk));
         tokio::spawn(router::run(entry));
 
-        let _platform = vec![log, vms];
-        let fleet = Fleet { folder, router, engine, service, _platform };
+        let _others = vec![log, vms, service];
+        let fleet = Fleet { folder, router, engine, _others };
         fleet.ready().await;
         fleet
     }
