--- a/crates/scenario/src/single.rs
+++ b/crates/scenario/src/single.rs
@@ -63,7 +63,27 @@
     }
 }
 
-/// Plays an `order` line: one call, no coming back.
+/// Calls until the answer is not "not run, come back", or that is what the line expects.
+async fn patient(
+    caller: &Caller,
+    job: &write::Job,
+    expect: u16,
+) -> Result<write::Reply, rest::Error> {
+    let began = Instant::now();
+    loop {
+        let reply = write::call(caller, Kind::Order, job, job.router).await?;
+        let pause = match &reply.problem {
+            Some(p) if p.outcome == "not-run" && p.status != expect => p.pause(),
+            _ => None,
+        };
+        match pause {
+            Some(pause) if began.elapsed() < write::GIVE_UP => tokio::time::sleep(pause).await,
+            _ => return Ok(reply),
+        }
+    }
+}
+
+/// Plays an `order` line through one router.
 pub async fn order(caller: &Caller, line: &script::Order, record: &Record) -> Result<(), String> {
     let job = write::Job {
         key: line.key.clone(),
@@ -73,7 +93,7 @@
         tries: 0,
     };
     let began = Instant::now();
-    let reply = write::call(caller, Kind::Order, &job, job.router).await;
+    let reply = patient(caller, &job, line.expect).await;
     let reply = reply.map_err(|e| e.to_string())?;
     let said = reply.problem.as_ref().map(|p| p.line()).unwrap_or_default();
     let outcome = reply.problem.as_ref().map(|p| p.outcome.clone());
