--- a/crates/scenario/src/books.rs
+++ b/crates/scenario/src/books.rs
@@ -27,8 +27,6 @@
 pub struct Engine {
     /// Its VM.
     pub vm: String,
-    /// Layers it holds.
-    pub layers: u32,
     /// All sessions since it started.
     pub sessions: Vec<Opened>,
 }
@@ -148,7 +146,8 @@
 pub fn layer_runs(outcomes: &[Outcome], engines: &[Engine], layers: u32) -> f64 {
     let ran: u64 = engines
         .iter()
-        .map(|e| e.sessions.iter().map(Opened::positions).sum::<u64>() * u64::from(e.layers))
+        .flat_map(|e| &e.sessions)
+        .map(|s| s.positions() * u64::from(s.last + 1 - s.first))
         .sum();
     let drafts = outcomes.iter().filter(|o| o.kind == Kind::Draft && o.is_right());
     let due: u64 = drafts.map(|o| u64::from(o.positions) * u64::from(layers)).sum();
@@ -159,9 +158,9 @@
 }
 
 /// Reads an engine's book.
-pub async fn engine(base: &str, vm: &str, layers: u32) -> Result<Engine, rest::Error> {
+pub async fn engine(base: &str, vm: &str) -> Result<Engine, rest::Error> {
     let page: book::Books = rest::Client::new(base, READ).get("/~fake/books").await?;
-    Ok(Engine { vm: vm.to_string(), layers, sessions: page.sessions })
+    Ok(Engine { vm: vm.to_string(), sessions: page.sessions })
 }
 
 /// Reads how often each key ran at the services that share the book at `base`.
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -432,10 +432,10 @@
 
     /// Reads the book of one engine.
     pub async fn book(&self, vm: &Vm) -> Result<Engine, String> {
-        let Backend::Engine(_, first, last, _) = vm.backend else {
+        if !matches!(vm.backend, Backend::Engine(..)) {
             return Err(format!("{} has no engine", vm.name));
-        };
-        let book = books::engine(&vm.backend_http(), &vm.name, last - first + 1).await;
+        }
+        let book = books::engine(&vm.backend_http(), &vm.name).await;
         book.map_err(|e| format!("book of {}: {e}", vm.name))
     }
 
--- a/crates/scenario/src/main.rs
+++ b/crates/scenario/src/main.rs
@@ -12,6 +12,9 @@
 /// Exit code when a script can't be read or the programs are missing.
 const USAGE: u8 = 2;
 
+/// Failures printed of one script.
+const FAILURES: usize = 20;
+
 /// Plays scripted scenarios against real processes on loopback.
 ///
 /// Each script starts its own fleet with its own part of the loopback addresses,
@@ -150,7 +153,7 @@
     let end = Player::new(place.clone(), dir.clone(), script.seed).play(lines).await;
     print!("{}", end.table);
     let passed = end.failures.is_empty();
-    end.failures.iter().for_each(|f| println!("FAILED {f}"));
+    tell(&end.failures, &dir);
     match passed && !keep {
         true => {
             let _ = std::fs::remove_dir_all(&dir);
@@ -160,3 +163,14 @@
     println!("== {}: {}", script.name, if passed { "passed" } else { "failed" });
     passed
 }
+
+/// Prints the first failures, and writes all of them beside the logs.
+fn tell(failures: &[String], dir: &Path) {
+    failures.iter().take(FAILURES).for_each(|f| println!("FAILED {f}"));
+    if failures.len() > FAILURES {
+        println!("{} failures in all, see failures.txt beside the logs", failures.len());
+    }
+    if let Err(e) = std::fs::write(dir.join("failures.txt"), failures.join("\n")) {
+        eprintln!("failures.txt: {e}");
+    }
+}
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -307,6 +307,10 @@
     /// Engines that ignore fencing numbers.
     #[arg(long)]
     pub unfenced: bool,
+    /// What the contract promises for orders. `idempotent` shows what a repeat does
+    /// without the system's own protection.
+    #[arg(long, default_value = "non-idempotent")]
+    pub orders_class: String,
     /// More defaults, KEY=VALUE each.
     #[arg(long = "set")]
     pub settings: Vec<String>,
--- a/crates/scenario/src/settings.rs
+++ b/crates/scenario/src/settings.rs
@@ -97,9 +97,11 @@
             workspace(n)
         );
     }
-    text.push_str(
+    let _ = write!(
+        text,
         "\n[service orders]\nprefix = /orders\nroute.1 = GET /orders/* read-only\n\
-         route.2 = POST /orders non-idempotent\n",
+         route.2 = POST /orders {}\n",
+        plan.orders_class
     );
     if !fenced.is_empty() {
         let _ = write!(text, "\n[engines]\ncheck-fence = {}\n", fenced.join(", "));
--- a/crates/scenario/src/sweep.rs
+++ b/crates/scenario/src/sweep.rs
@@ -43,8 +43,8 @@
     };
     let mut text = String::from(
         "fleet --links --speeds 1000,2500\n\
-         drafts --count 80 --concurrency 24 --background\n\
-         orders --count 60 --concurrency 12 --repeat-through-other-router 0.3 --background\n",
+         drafts --count 240 --concurrency 24 --background\n\
+         orders --count 150 --concurrency 12 --repeat-through-other-router 0.3 --background\n",
     );
     let _ = writeln!(text, "sleep {}", rng.random_range(100..600));
     let _ = writeln!(text, "{}", line(FAULTS[first].bring));
--- a/crates/scenario/src/watch.rs
+++ b/crates/scenario/src/watch.rs
@@ -50,7 +50,7 @@
         let task = tokio::spawn(async move {
             let mut count = None;
             loop {
-                if let Ok(book) = books::engine(&base, &name, 0).await {
+                if let Ok(book) = books::engine(&base, &name).await {
                     let sessions = book.sessions.len();
                     if count.is_some_and(|n| sessions > n)
                         && let Ok(mut last) = seen.lock()
@@ -105,7 +105,7 @@
     }
     let began = Instant::now();
     while began.elapsed() < WAIT {
-        let book = books::engine(&vm.backend_http(), &vm.name, 0).await;
+        let book = books::engine(&vm.backend_http(), &vm.name).await;
         if book.is_ok_and(|b| !b.sessions.is_empty()) {
             return Ok(());
         }
