--- a/crates/router/tests/work/mod.rs
+++ b/crates/router/tests/work/mod.rs
@@ -178,7 +178,9 @@
     let [log, vms, engine, service] = parts;
     let process = |i: u8, vm: &str, backend: Option<(Kind, &Server)>| {
         let pid = std::process::id();
-        let ip = Ipv4Addr::new(127, 64 + (pid % 64) as u8, (pid / 64 % 250) as u8, number * 8 + i);
+        // Above the addresses that scenarios take.
+        let net = (220 + (pid % 30) as u8, (pid / 30 % 250) as u8);
+        let ip = Ipv4Addr::new(127, net.0, net.1, number * 8 + i);
         Process {
             vm: vm.into(),
             data_centre: "almaty-a".into(),
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod sse;
 pub mod sweep;
 pub mod table;
+pub mod usage;
 pub mod watch;
 pub mod write;
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -22,6 +22,7 @@
 use crate::settings;
 use crate::single;
 use crate::table::{self, Figures};
+use crate::usage;
 use crate::watch::{self, Watch};
 
 /// Pause between two looks at something the script waits for.
@@ -266,6 +267,11 @@
                 self.notes.push(note);
                 Ok(())
             }
+            Verb::Usage { seconds } => {
+                let lines = usage::measure(fleet, Duration::from_secs(*seconds)).await?;
+                self.notes.extend(lines);
+                Ok(())
+            }
             Verb::WaitVersion { within } => {
                 let within = Duration::from_millis(*within);
                 let (version, took) = publish::wait(fleet, self.version, within).await?;
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -134,6 +134,11 @@
         self.child.take().ok_or(format!("{} does not run", self.name))
     }
 
+    /// Its process id while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// True while it runs; a process that ended by itself is counted as a crash once.
     pub fn lives(&mut self) -> bool {
         let Some(child) = self.child.as_mut() else { return false };
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -247,6 +247,13 @@
         #[command(subcommand)]
         what: Expect,
     },
+    /// Waits, then notes what the daemons of each role cost meanwhile: part of a core,
+    /// memory, bytes a second on links and by HTTP.
+    Usage {
+        /// Seconds.
+        #[arg(default_value_t = 20)]
+        seconds: u64,
+    },
     /// Prints the table so far.
     Table,
 }
