End a scenario's processes before the next script starts; capacity scripts

Cause: agents-20.scn failed with 'log: ended before it was ready': AddrInUse. The scripts of one run start at the same part of the loopback addresses, and the processes of the script before were still ending (kill on drop does not wait). Ruled out: processes left behind by an interrupted player (none found, signals are handled). Now the player waits for their ends, and each script starts its search elsewhere.

--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Output;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use platform::vm::{Entry, Role, State};
@@ -93,9 +94,16 @@
     _claim: TcpListener,
 }
 
+/// Runs of this process so far.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
 /// Claims a part of the loopback addresses that no other run uses.
+///
+/// Each run of a process starts its search elsewhere: the processes of the run
+/// before may still be ending, and a port that is still bound would fail the
+/// next script for no fault of its own.
 fn claim() -> Result<(u8, TcpListener), String> {
-    let start = std::process::id() % 200;
+    let start = std::process::id() + 7 * RUNS.fetch_add(1, Ordering::Relaxed);
     for i in 0..200 {
         let octet = (16 + (start + i) % 200) as u8;
         let address = SocketAddr::new(Ipv4Addr::new(127, octet, 0, 1).into(), CLAIM_PORT);
@@ -453,6 +461,14 @@
         Ok(Books { engines, runs })
     }
 
+    /// Ends all processes and waits for their ends, so that their ports are free.
+    pub async fn stop(&mut self) {
+        for p in &mut self.processes {
+            // Fails only for what does not run.
+            let _ = p.kill().await;
+        }
+    }
+
     /// Names of processes that should live and don't.
     pub fn dead(&mut self) -> Vec<String> {
         let dead = |p: &mut Process| p.wanted != Wanted::Gone && !p.lives();
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -91,6 +91,9 @@
             self.failures.push(reason);
         }
         let table = self.table().await.unwrap_or_default();
+        if let Some(fleet) = &self.fleet {
+            fleet.lock().await.stop().await;
+        }
         End { table, failures: std::mem::take(&mut self.failures) }
     }
 
