--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -27,7 +27,9 @@
     let verdict = match what {
         Expect::Answered { min } => {
             let part = all.right as f64 / all.sent.max(1) as f64;
-            require(part >= *min, format!("{:.4} of {} were answered right", part, all.sent))
+            let first = facts.outcomes.iter().find(|o| !o.judged && !o.is_right());
+            let first = first.map_or(String::new(), |o| format!(": {} {}", o.id, o.verdict.line()));
+            require(part >= *min, format!("{part:.4} of {} were answered right{first}", all.sent))
         }
         Expect::Right => none(books::answers(facts.outcomes)),
         Expect::NoneDoubled => none(books::doubled(&facts.books.runs)),
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -467,6 +467,14 @@
         Ok(())
     }
 
+    /// Ends all processes and waits for their ends. Without the wait the next script of a
+    /// run would find addresses still bound, and its stand-ins could not start.
+    pub async fn stop(&mut self) {
+        for p in &mut self.processes {
+            p.end().await;
+        }
+    }
+
     /// Base addresses of the routers in order of name.
     pub fn routers(&self) -> Vec<String> {
         self.vms.iter().filter(|v| v.backend == Backend::None).map(Vm::http).collect()
--- a/crates/scenario/src/outcome.rs
+++ b/crates/scenario/src/outcome.rs
@@ -30,6 +30,25 @@
     Lost(String),
 }
 
+impl Verdict {
+    /// One line for a list of failures.
+    ///
+    /// ```
+    /// use scenario::outcome::Verdict;
+    /// assert_eq!(Verdict::Unknown("502".into()).line(), "unknown, 502");
+    /// ```
+    pub fn line(&self) -> String {
+        match self {
+            Verdict::Right => "right".to_string(),
+            Verdict::Wrong(why) => format!("wrong, {why}"),
+            Verdict::NotRun(why) => format!("not run, {why}"),
+            Verdict::Refused(why) => format!("refused, {why}"),
+            Verdict::Unknown(why) => format!("unknown, {why}"),
+            Verdict::Lost(why) => format!("lost, {why}"),
+        }
+    }
+}
+
 /// A request from its first sending to its end.
 #[derive(Debug, Clone)]
 pub struct Outcome {
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -90,6 +90,7 @@
             self.failures.push(reason);
         }
         let table = self.table().await.unwrap_or_default();
+        self.stop().await;
         End { table, failures: std::mem::take(&mut self.failures) }
     }
 
@@ -124,6 +125,13 @@
         }
     }
 
+    async fn stop(&mut self) {
+        self.watches.clear();
+        if let Some(fleet) = self.fleet.take() {
+            fleet.lock().await.stop().await;
+        }
+    }
+
     fn fleet(&self) -> Result<Arc<Mutex<Fleet>>, String> {
         self.fleet.clone().ok_or("the script has not started a fleet".to_string())
     }
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Ends it at once, when it runs, whatever the script wants of it.
+    pub async fn end(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // An error says that it has ended already.
+            let _ = child.kill().await;
+        }
+    }
+
     /// Stands it still.
     pub fn freeze(&mut self) -> Result<(), String> {
         self.signal(Signal::SIGSTOP)?;
