--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -461,14 +461,6 @@
         Ok(Books { engines, runs })
     }
 
-    /// Ends all processes and waits for their ends, so that their ports are free.
-    pub async fn stop(&mut self) {
-        for p in &mut self.processes {
-            // Fails only for what does not run.
-            let _ = p.kill().await;
-        }
-    }
-
     /// Names of processes that should live and don't.
     pub fn dead(&mut self) -> Vec<String> {
         let dead = |p: &mut Process| p.wanted != Wanted::Gone && !p.lives();
@@ -483,6 +475,14 @@
         Ok(())
     }
 
+    /// Ends all processes and waits for their ends. Without the wait the next script of a
+    /// run would find addresses still bound, and its stand-ins could not start.
+    pub async fn stop(&mut self) {
+        for p in &mut self.processes {
+            p.end().await;
+        }
+    }
+
     /// Base addresses of the routers in order of name.
     pub fn routers(&self) -> Vec<String> {
         self.vms.iter().filter(|v| v.backend == Backend::None).map(Vm::http).collect()
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -91,9 +91,7 @@
             self.failures.push(reason);
         }
         let table = self.table().await.unwrap_or_default();
-        if let Some(fleet) = &self.fleet {
-            fleet.lock().await.stop().await;
-        }
+        self.stop().await;
         End { table, failures: std::mem::take(&mut self.failures) }
     }
 
@@ -128,6 +126,13 @@
         }
     }
 
+    async fn stop(&mut self) {
+        self.watches.clear();
+        if let Some(fleet) = self.fleet.take() {
+            fleet.lock().await.stop().await;
+        }
+    }
+
     fn fleet(&self) -> Result<Arc<Mutex<Fleet>>, String> {
         self.fleet.clone().ok_or("the script has not started a fleet".to_string())
     }
