--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -77,6 +77,10 @@
 pub enum Reply {
     /// A status and a JSON body.
     Json(u16, Vec<u8>),
+    /// A JSON body with the tag of its state.
+    Tagged(String, Vec<u8>),
+    /// The caller's tag is that of the state now: 304 without a body.
+    Unchanged,
     /// Nothing: the connection is closed.
     Drop,
 }
@@ -94,6 +98,20 @@
         }
     }
 
+    /// A JSON answer to a conditional read: 304 when the caller knows this state.
+    pub fn tagged<T: Serialize>(call: &Call, body: &T) -> Reply {
+        match serde_json::to_vec(body) {
+            Ok(raw) => {
+                let tag = format!("\"{:x}\"", xxhash_rust::xxh3::xxh3_64(&raw));
+                match call.header("if-none-match") == tag {
+                    true => Reply::Unchanged,
+                    false => Reply::Tagged(tag, raw),
+                }
+            }
+            Err(e) => Reply::refuse(500, &e.to_string()),
+        }
+    }
+
     /// An answer of 200 with the body `null`.
     pub fn done() -> Reply {
         Reply::Json(200, b"null".to_vec())
@@ -198,6 +216,13 @@
         };
         match reply {
             Reply::Json(status, body) => write(res, status, body),
+            Reply::Tagged(tag, body) => {
+                write(res, 200, body);
+                let _ = res.add_header(header::ETAG, tag, true);
+            }
+            Reply::Unchanged => {
+                res.status_code(StatusCode::NOT_MODIFIED);
+            }
             // Unwinding ends this connection's task, which closes the connection without a
             // byte of an answer; the panic hook isn't run, so nothing is printed.
             Reply::Drop => std::panic::resume_unwind(Box::new("answer dropped")),
--- a/crates/fake/src/vms.rs
+++ b/crates/fake/src/vms.rs
@@ -74,7 +74,7 @@
         ("GET", ["v1", "vms"]) => {
             catch_up(list, Instant::now());
             list.books.reads += 1;
-            Ok(Reply::json(200, &list.seen))
+            Ok(Reply::tagged(call, &list.seen))
         }
         ("PUT", ["v1", "vms", vm]) => {
             let entry: Entry = call.json()?;
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -113,6 +113,9 @@
     let fault = vms::Fault { lag_ms: Some(0), outage: None };
     let () = http.post("/~fake/control", &fault).await.unwrap();
     assert_eq!(client.list().await.unwrap(), [entry("a"), entry("b")]);
+    let list = client.changed("").await.unwrap().unwrap();
+    assert_eq!(list.entries, [entry("a"), entry("b")]);
+    assert_eq!(client.changed(&list.tag).await.unwrap(), None);
 }
 
 #[tokio::test]
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -22,16 +22,19 @@
 
 async fn run(client: Client, tx: watch::Sender<Arc<Vec<Entry>>>) {
     let mut failing = false;
+    let mut tag = String::new();
     while !tx.is_closed() {
-        match client.list().await {
-            Ok(list) => {
+        match client.changed(&tag).await {
+            Ok(None) => failing = false,
+            Ok(Some(list)) => {
                 failing = false;
-                tx.send_if_modified(|old| match **old == list {
-                    true => false,
-                    false => {
-                        *old = Arc::new(list);
-                        true
+                tag = list.tag;
+                tx.send_if_modified(|old| {
+                    let news = **old != list.entries;
+                    if news {
+                        *old = Arc::new(list.entries);
                     }
+                    news
                 });
             }
             Err(e) if !failing => {
--- a/crates/platform/src/vm.rs
+++ b/crates/platform/src/vm.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// HTTP status of a list that has not changed.
+const NOT_MODIFIED: u16 = 304;
+
 /// Name of a VM, usable as a DNS label.
 pub type Id = String;
 
@@ -45,6 +48,15 @@
     pub state: State,
 }
 
+/// The list with the tag by which the service knows this state of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct List {
+    /// All VMs, in order of name.
+    pub entries: Vec<Entry>,
+    /// The service's `ETag`; empty when it gives none.
+    pub tag: String,
+}
+
 /// Client of the VM list.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -65,4 +77,19 @@
     pub async fn list(&self) -> Result<Vec<Entry>, rest::Error> {
         self.http.get("/v1/vms").await
     }
+
+    /// The list when its tag is no longer `tag`, else `None`. A service without
+    /// tags sends the whole list each time.
+    pub async fn changed(&self, tag: &str) -> Result<Option<List>, rest::Error> {
+        let known = [("if-none-match".to_string(), tag.to_string())];
+        let headers = if tag.is_empty() { &[][..] } else { &known[..] };
+        let answer = self.http.send("GET", "/v1/vms", headers, Default::default()).await?;
+        if answer.status == NOT_MODIFIED {
+            return Ok(None);
+        }
+        let tag = answer.headers.iter().find(|h| h.0.eq_ignore_ascii_case("etag"));
+        let tag = tag.map_or(String::new(), |h| h.1.clone());
+        let entries = self.http.decoded(&answer)?;
+        Ok(Some(List { entries, tag }))
+    }
 }
--- a/crates/scenario/tests/scripts.rs
+++ b/crates/scenario/tests/scripts.rs
@@ -34,8 +34,12 @@
 #[test]
 fn every_script_of_the_project_reads() {
     let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios");
-    for entry in std::fs::read_dir(dir).unwrap() {
-        let path = entry.unwrap().path();
+    let mut paths = vec![std::path::PathBuf::from(dir)];
+    while let Some(path) = paths.pop() {
+        if path.is_dir() {
+            paths.extend(std::fs::read_dir(&path).unwrap().map(|entry| entry.unwrap().path()));
+            continue;
+        }
         let text = std::fs::read_to_string(&path).unwrap();
         let lines = script::parse(&path.display().to_string(), &text).unwrap();
         assert!(!lines.is_empty(), "{} says nothing", path.display());
