--- /dev/null
+++ b/crates/policy/src/affinity.rs
@@ -0,0 +1,70 @@
+//! Which replica a prefix or key belongs to, without shared state.
+//!
+//! Load pattern: prompts that begin alike, and repeats of the same keyed call. Sent to any replica,
+//! each engine computes and caches the same prefix, and the limited cache holds little
+//! else. With the choice bound to a hash alone, one popular prefix overloads its replica.
+//!
+//! All routers rank the replicas by a rendezvous hash: no cache events are needed,
+//! so late or missing ones do no harm, and when a replica goes only its own prefixes
+//! move. The preferred replica is taken only while its load is at most [`BOUND`] times the
+//! mean of its range (bounded loads); past that the choice is made by load alone.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Load relative to the range's mean up to which a prefix keeps its replica.
+///
+/// At 1.0 a prefix moves at every unevenness and caches stay cold; at 2.0 a single
+/// popular prefix doubles the load of its replica. See the sweep in docs/design/decisions.md.
+pub const BOUND: f64 = 1.25;
+
+/// Hash of the text that a prompt begins with, or of a call's key.
+pub type Prefix = u64;
+
+/// Hash of the first `bytes` bytes of a text; the whole text if it is shorter.
+///
+/// ```
+/// use policy::affinity::prefix;
+/// assert_eq!(prefix("a long prompt", 6), prefix("a long answer", 6));
+/// ```
+pub fn prefix(text: &str, bytes: usize) -> Prefix {
+    let raw = text.as_bytes();
+    xxh3_64_with_seed(&raw[..bytes.min(raw.len())], 0)
+}
+
+/// Hash of a VM's name, kept beside it so that a choice hashes no text.
+///
+/// ```
+/// assert_ne!(policy::affinity::seed("gpu-1"), policy::affinity::seed("gpu-2"));
+/// ```
+pub fn seed(vm: &str) -> u64 {
+    xxh3_64_with_seed(vm.as_bytes(), 1)
+}
+
+/// Rank of a VM for a prefix; the highest is preferred. `slots` weighs it.
+///
+/// ```
+/// use policy::affinity::{rank, seed};
+/// assert!(rank(7, seed("gpu-1"), 8) > 0.0);
+/// ```
+pub fn rank(prefix: Prefix, seed: u64, slots: u32) -> f64 {
+    let mut x = prefix ^ seed.rotate_left(32);
+    x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^= x >> 33;
+    // A uniform number in (0, 1); -slots / ln(u) makes the chance to win proportional to slots.
+    let u = ((x >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -f64::from(slots) / u.ln()
+}
+
+/// True when a replica with `busy` of `slots` may take one more of its own prefix, in a range
+/// with `all_busy` of `all_slots`.
+///
+/// ```
+/// use policy::affinity::within_bound;
+/// assert!(within_bound(0, 8, 0, 80));
+/// assert!(!within_bound(7, 8, 20, 80));
+/// ```
+pub fn within_bound(busy: u32, slots: u32, all_busy: u32, all_slots: u32) -> bool {
+    let mean = f64::from(all_busy + 1) / f64::from(all_slots.max(1));
+    busy < slots && f64::from(busy + 1) <= (BOUND * mean * f64::from(slots)).ceil()
+}
--- /dev/null
+++ b/crates/policy/src/health.rs
@@ -0,0 +1,170 @@
+//! Ejection of slow and failing replicas by comparison with their peers.
+//!
+//! Load pattern: one backend server runs ten times slower than before, or fails its requests.
+//! A draft holds a slot in every range of its chain, so one slow stage holds back fast ones
+//! in the other ranges; and since a failing server is soon idle again, least-loaded
+//! choices send it more than its share.
+//!
+//! A fixed limit on the step time fails on mixed accelerators, so a replica is
+//! compared with the median of its range. [`SLOW`] is above the spread of sound
+//! accelerators (a factor of about three) and below the faults that matter. It must be slow in
+//! [`STRIKES`] reports in a row, since one long batch is no fault. At most one in
+//! [`SLOW_CAP`] is ejected for slowness and one in [`FAIL_CAP`] for failures: when most look bad, the
+//! cause is elsewhere, and ejecting them would put their load on the rest.
+//! Each ejection of a replica lasts twice as long as the last, from [`EJECT`] to [`EJECT_MAX`]; then it is
+//! probed with one request, and each success doubles what it may hold.
+
+use std::time::Duration;
+
+/// Step time relative to the range's median at which a replica is too slow.
+pub const SLOW: f64 = 4.0;
+
+/// Consecutive slow reports, or failures among the last results, that eject.
+pub const STRIKES: u8 = 3;
+
+/// At most one in this many replicas of a range is ejected for slowness.
+pub const SLOW_CAP: usize = 5;
+
+/// At most one in this many replicas of a range is ejected for failures.
+pub const FAIL_CAP: usize = 2;
+
+/// Length of a first ejection.
+pub const EJECT: Duration = Duration::from_secs(5);
+
+/// Length of the longest ejection.
+pub const EJECT_MAX: Duration = Duration::from_secs(60);
+
+/// Why a replica is ejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// Its step time is far above its peers'.
+    Slow,
+    /// Its requests fail.
+    Failing,
+}
+
+/// Standing of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Takes work.
+    Live,
+    /// Takes none until then.
+    Ejected {
+        /// End of the ejection.
+        until: Duration,
+        /// Why.
+        cause: Cause,
+    },
+    /// Takes at most this many at once.
+    Probing {
+        /// How many.
+        allowed: u32,
+    },
+}
+
+/// What is remembered of one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Health {
+    state: State,
+    slow: u8,
+    failed: u8,
+    ejections: u8,
+}
+
+impl Default for Health {
+    fn default() -> Health {
+        Health { state: State::Live, slow: 0, failed: 0, ejections: 0 }
+    }
+}
+
+/// Ejected replicas of a range, for the caps.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Peers {
+    /// Replicas of the range.
+    pub replicas: usize,
+    /// Those ejected now.
+    pub ejected: usize,
+    /// Median step time in microseconds; 0 when unknown.
+    pub median_us: f64,
+}
+
+impl Health {
+    /// Its standing at `now`; an ejection that has run out becomes a probe.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::health::{Health, State};
+    /// assert_eq!(Health::default().state(Duration::ZERO), State::Live);
+    /// ```
+    pub fn state(&self, now: Duration) -> State {
+        match self.state {
+            State::Ejected { until, .. } if now >= until => State::Probing { allowed: 1 },
+            state => state,
+        }
+    }
+
+    /// Slots of `slots` that may be used at `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// assert_eq!(policy::health::Health::default().allowed(8, Duration::ZERO), 8);
+    /// ```
+    pub fn allowed(&self, slots: u32, now: Duration) -> u32 {
+        match self.state(now) {
+            State::Live => slots,
+            State::Ejected { .. } => 0,
+            State::Probing { allowed } => slots.min(allowed),
+        }
+    }
+
+    /// A fresh step time of the replica, in microseconds. `busy` is false when nothing ran, and
+    /// then the figure is an old one and says nothing. True when this ejects it.
+    pub fn step(&mut self, step_us: f64, busy: bool, peers: Peers, now: Duration) -> bool {
+        let known = busy && step_us > 0.0 && peers.median_us > 0.0;
+        match step_us > SLOW * peers.median_us {
+            _ if !known => false,
+            false => {
+                self.slow = 0;
+                false
+            }
+            true => {
+                self.slow = self.slow.saturating_add(1);
+                self.slow >= STRIKES && self.eject(Cause::Slow, peers, SLOW_CAP, now)
+            }
+        }
+    }
+
+    /// A request ran well on a replica of `slots`.
+    pub fn succeeded(&mut self, slots: u32, now: Duration) {
+        self.failed = self.failed.saturating_sub(1);
+        self.state = match self.state(now) {
+            State::Probing { allowed } if allowed >= slots => {
+                self.ejections = self.ejections.saturating_sub(1);
+                State::Live
+            }
+            State::Probing { allowed } => State::Probing { allowed: allowed.saturating_mul(2) },
+            state => state,
+        };
+    }
+
+    /// A request failed by the replica's fault: no answer, lost connection, crash; not a refusal
+    /// for want of slots. True when this ejects it.
+    pub fn failed(&mut self, peers: Peers, now: Duration) -> bool {
+        self.failed = self.failed.saturating_add(1);
+        self.failed >= STRIKES && self.eject(Cause::Failing, peers, FAIL_CAP, now)
+    }
+
+    fn eject(&mut self, cause: Cause, peers: Peers, cap: usize, now: Duration) -> bool {
+        let probing = matches!(self.state(now), State::Probing { .. });
+        let live = matches!(self.state(now), State::Live);
+        let room = peers.ejected < (peers.replicas / cap).max(usize::from(peers.replicas > 2));
+        if !(probing || live && room) {
+            return false;
+        }
+        let time = EJECT.saturating_mul(1 << self.ejections.min(8)).min(EJECT_MAX);
+        self.state = State::Ejected { until: now + time, cause };
+        self.ejections = self.ejections.saturating_add(1);
+        (self.slow, self.failed) = (STRIKES - 1, STRIKES - 1);
+        true
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,147 @@
+//! Requests that crash the engine which runs them.
+//!
+//! Load pattern: one request crashes each backend server that runs it, and its caller sends it
+//! again. Retried as usual it takes down one server after another, with all that ran beside it.
+//!
+//! An engine batches, so a crash names several fingerprints and only one is at fault.
+//! All become suspects and run only alone from then on; a suspect that completes is
+//! cleared, one that runs at a second crash is refused everywhere for a set time. Two crashes
+//! are the fewest that tell the culprit from those beside it. Agents list both kinds in their reports,
+//! and a suspect learnt from a peer counts the crash it had there.
+//! At most [`LIMIT`] fingerprints are kept, the oldest goes first.
+
+use std::time::Duration;
+
+/// Fingerprints kept at most.
+pub const LIMIT: usize = 1024;
+
+/// Bytes for each fingerprint.
+pub const BYTES: usize = size_of::<Record>();
+
+/// Hash of a request's content.
+pub type Fingerprint = u64;
+
+/// What may be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Run it as any other.
+    Clear,
+    /// Run it with nothing beside it.
+    Alone,
+    /// Refuse it for this long.
+    Refused {
+        /// Time until it may come back.
+        left: Duration,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Record {
+    fingerprint: Fingerprint,
+    /// End of the quarantine; for a suspect, when it is forgotten.
+    until: Duration,
+    refused: bool,
+}
+
+/// Suspects and refused fingerprints, sorted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct List {
+    hold: Duration,
+    records: Vec<Record>,
+}
+
+impl List {
+    /// An empty list that refuses a fingerprint for `hold`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::quarantine::{List, Verdict};
+    /// let mut list = List::new(Duration::from_secs(600));
+    /// list.crashed(&[7, 8], Duration::ZERO);
+    /// assert_eq!(list.verdict(7, Duration::ZERO), Verdict::Alone);
+    /// list.completed(8);
+    /// assert_eq!(list.verdict(8, Duration::ZERO), Verdict::Clear);
+    /// list.crashed(&[7], Duration::ZERO);
+    /// assert!(matches!(list.verdict(7, Duration::ZERO), Verdict::Refused { .. }));
+    /// ```
+    pub fn new(hold: Duration) -> List {
+        List { hold, records: Vec::new() }
+    }
+
+    /// What may be done with a request.
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Duration) -> Verdict {
+        match self.find(fingerprint).map(|i| self.records[i]) {
+            Ok(r) if r.until <= now => Verdict::Clear,
+            Ok(r) if r.refused => Verdict::Refused { left: r.until - now },
+            Ok(_) => Verdict::Alone,
+            Err(_) => Verdict::Clear,
+        }
+    }
+
+    /// An engine crashed while these were running. Returns those refused from now on.
+    pub fn crashed(&mut self, running: &[Fingerprint], now: Duration) -> Vec<Fingerprint> {
+        let second = |f: &Fingerprint| self.verdict(*f, now) != Verdict::Clear;
+        let (refused, suspects): (Vec<_>, Vec<_>) = running.iter().copied().partition(second);
+        refused.iter().for_each(|f| self.put(*f, true, now));
+        suspects.iter().for_each(|f| self.put(*f, false, now));
+        refused
+    }
+
+    /// A request completed: it doesn't crash engines.
+    pub fn completed(&mut self, fingerprint: Fingerprint) {
+        match self.find(fingerprint) {
+            Ok(i) if !self.records[i].refused => {
+                self.records.remove(i);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes over what a peer reports. What is refused here stays refused.
+    pub fn learn(&mut self, suspects: &[Fingerprint], refused: &[Fingerprint], now: Duration) {
+        for &fingerprint in suspects {
+            if self.verdict(fingerprint, now) == Verdict::Clear {
+                self.put(fingerprint, false, now);
+            }
+        }
+        for &fingerprint in refused {
+            if !matches!(self.verdict(fingerprint, now), Verdict::Refused { .. }) {
+                self.put(fingerprint, true, now);
+            }
+        }
+    }
+
+    /// Suspects, sorted, for the report to peers.
+    pub fn suspects(&self, now: Duration) -> Vec<Fingerprint> {
+        self.listed(false, now)
+    }
+
+    /// Refused ones, sorted, for the report to peers.
+    pub fn refused(&self, now: Duration) -> Vec<Fingerprint> {
+        self.listed(true, now)
+    }
+
+    fn listed(&self, refused: bool, now: Duration) -> Vec<Fingerprint> {
+        let valid = self.records.iter().filter(|r| r.refused == refused && r.until > now);
+        valid.map(|r| r.fingerprint).collect()
+    }
+
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
+        self.records.binary_search_by_key(&fingerprint, |r| r.fingerprint)
+    }
+
+    fn put(&mut self, fingerprint: Fingerprint, refused: bool, now: Duration) {
+        let record = Record { fingerprint, until: now + self.hold, refused };
+        match self.find(fingerprint) {
+            Ok(i) => self.records[i] = record,
+            Err(i) => self.records.insert(i, record),
+        }
+        if self.records.len() > LIMIT {
+            self.records.retain(|r| r.until > now);
+        }
+        if self.records.len() > LIMIT {
+            let oldest = (0..self.records.len()).min_by_key(|&i| self.records[i].until);
+            oldest.map(|i| self.records.remove(i));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/ramp.rs
@@ -0,0 +1,83 @@
+//! How fast work shifts to a VM that joins or comes back.
+//!
+//! Load pattern: a VM joins while the fleet is busy, or a third of it returns at once. Every
+//! router sees the idle slots at the same moment; the VM, with cold caches and nothing
+//! warmed up, gets a full load in one step, its step times soar and it is taken for a failing one.
+//!
+//! So a VM starts with one slot and the slots allowed double every [`STEP`]: 8 slots
+//! are reached after three steps. Doubling, since a fixed rate is slow for large VMs. A VM that
+//! flaps between live and gone doubles its step with each return, up to [`SLOWEST`] times, and
+//! is forgiven after [`FORGIVE`], so that flapping VMs don't drag work to and fro.
+
+use std::time::Duration;
+
+/// Time in which the slots allowed double.
+pub const STEP: Duration = Duration::from_millis(500);
+
+/// Largest factor on [`STEP`] for a VM that flaps.
+pub const SLOWEST: u32 = 16;
+
+/// Time in service after which earlier flaps are forgotten.
+pub const FORGIVE: Duration = Duration::from_secs(60);
+
+/// Slow start of one VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ramp {
+    since: Duration,
+    factor: u32,
+}
+
+impl Ramp {
+    /// A VM joins at `now`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::ramp::{Ramp, STEP};
+    /// let ramp = Ramp::join(Duration::ZERO);
+    /// assert_eq!(ramp.allowed(8, Duration::ZERO), 1);
+    /// assert_eq!(ramp.allowed(8, STEP * 3), 8);
+    /// ```
+    pub fn join(now: Duration) -> Ramp {
+        Ramp { since: now, factor: 1 }
+    }
+
+    /// A VM known at the router's own start: it is warm, nothing shifts to it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let ramp = policy::ramp::Ramp::warm();
+    /// assert_eq!(ramp.allowed(8, Duration::ZERO), 8);
+    /// ```
+    pub fn warm() -> Ramp {
+        Ramp { since: Duration::ZERO, factor: 0 }
+    }
+
+    /// The VM comes back at `now` after it had left or was lost.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::ramp::{Ramp, STEP};
+    /// let ramp = Ramp::join(Duration::ZERO).again(Duration::from_secs(1));
+    /// assert_eq!(ramp.allowed(8, Duration::from_secs(1) + STEP), 1);
+    /// ```
+    pub fn again(self, now: Duration) -> Ramp {
+        let factor = match now.saturating_sub(self.since) >= FORGIVE {
+            true => 1,
+            false => (self.factor * 2).clamp(1, SLOWEST),
+        };
+        Ramp { since: now, factor }
+    }
+
+    /// Slots of `slots` that may be used at `now`.
+    pub fn allowed(&self, slots: u32, now: Duration) -> u32 {
+        if self.factor == 0 {
+            return slots;
+        }
+        let step = STEP * self.factor;
+        let steps = now.saturating_sub(self.since).as_micros() / step.as_micros();
+        match steps < 31 {
+            true => slots.min(1 << steps),
+            false => slots,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,152 @@
+//! When a failed try is tried again.
+//!
+//! Load pattern: a third of the fleet goes at once, or the fleet is full and reports are late. Each
+//! failure then causes another try, the tries are load too, and the system stays
+//! overloaded after the cause has gone (a retry storm).
+//!
+//! A try is repeated only if it was not run or may run twice. Each costs a whole token of a
+//! bucket that each success fills by [`RATIO`]: retries are at most that part of the
+//! work in the long run, and [`BURST`] at once. Full jitter spreads them: a fixed backoff makes all
+//! callers of a lost server come back together. None starts that can't end by the deadline.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use rand::{Rng, RngExt};
+
+/// Tokens a success adds.
+pub const RATIO: f64 = 0.1;
+
+/// Tokens the bucket holds at most; it starts full.
+pub const BURST: f64 = 50.0;
+
+/// Upper end of the first wait.
+pub const BASE: Duration = Duration::from_millis(20);
+
+/// Upper end of any wait.
+pub const LONGEST: Duration = Duration::from_secs(1);
+
+/// Tries of one request at most, the first included.
+pub const TRIES: u32 = 5;
+
+/// What is certain about the failed try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was not run and will not be.
+    NotRun,
+    /// It may have run, and may be run again without harm.
+    Idempotent,
+    /// It may have run, and must not run twice.
+    Unknown,
+}
+
+/// Why there is no further try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Stop {
+    /// It may have run and must not run twice.
+    #[display("it may have run and must not run twice")]
+    Unsafe,
+    /// Too many tries.
+    #[display("it was tried as often as allowed")]
+    Tries,
+    /// The budget is empty.
+    #[display("the retry budget is used up")]
+    Budget,
+    /// No time before the deadline.
+    #[display("no time is left before the deadline")]
+    Deadline,
+}
+
+/// Decision on a failed try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retry {
+    /// Try again after this wait.
+    After(Duration),
+    /// Don't; answer the caller, or put a request that was not run back into its queue.
+    Stop(Stop),
+}
+
+/// A failed try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// What is certain.
+    pub outcome: Outcome,
+    /// Tries made, at least 1.
+    pub tries: u32,
+    /// Time it would still run.
+    pub run: Duration,
+    /// Its deadline, since the router's start.
+    pub deadline: Duration,
+}
+
+/// Token bucket of retries; one for each model or plain service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Budget {
+    tokens: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget { tokens: BURST }
+    }
+}
+
+impl Budget {
+    /// A request succeeded.
+    ///
+    /// ```
+    /// let mut budget = policy::retry::Budget::default();
+    /// budget.succeeded();
+    /// assert_eq!(budget.left(), policy::retry::BURST as u32);
+    /// ```
+    pub fn succeeded(&mut self) {
+        self.tokens = (self.tokens + RATIO).min(BURST);
+    }
+
+    /// Whole tokens left.
+    pub fn left(&self) -> u32 {
+        self.tokens as u32
+    }
+
+    /// Takes a token for a try elsewhere at once, such as at the next replica of the list after
+    /// a refusal for want of slots. False when there is none.
+    ///
+    /// ```
+    /// assert!(policy::retry::Budget::default().take());
+    /// ```
+    pub fn take(&mut self) -> bool {
+        let some = self.tokens >= 1.0;
+        if some {
+            self.tokens -= 1.0;
+        }
+        some
+    }
+
+    /// Decides on a failed try.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::retry::{Budget, Failure, Outcome, Retry, Stop};
+    /// let failure = Failure {
+    ///     outcome: Outcome::Unknown,
+    ///     tries: 1,
+    ///     run: Duration::from_secs(1),
+    ///     deadline: Duration::from_secs(9),
+    /// };
+    /// let mut rng: rand_pcg::Pcg64 = rand::SeedableRng::seed_from_u64(1);
+    /// let retry = Budget::default().decide(&failure, Duration::ZERO, &mut rng);
+    /// assert_eq!(retry, Retry::Stop(Stop::Unsafe));
+    /// ```
+    pub fn decide(&mut self, failure: &Failure, now: Duration, rng: &mut impl Rng) -> Retry {
+        let most =
+            BASE.saturating_mul(1 << failure.tries.clamp(1, 16).saturating_sub(1)).min(LONGEST);
+        let wait = most.mul_f64(rng.random::<f64>());
+        match failure.outcome {
+            Outcome::Unknown => Retry::Stop(Stop::Unsafe),
+            _ if failure.tries >= TRIES => Retry::Stop(Stop::Tries),
+            _ if now + wait + failure.run > failure.deadline => Retry::Stop(Stop::Deadline),
+            _ if !self.take() => Retry::Stop(Stop::Budget),
+            _ => Retry::After(wait),
+        }
+    }
+}
