--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -17,6 +17,10 @@
 /// popular prefix doubles the load of its replica. See the sweep in docs/design/decisions.md.
 pub const BOUND: f64 = 1.25;
 
+/// Replicas of a range that share a prefix, where one is not enough: with more, a free slot
+/// more often suits a prefix that waits, but each engine's cache has to hold more prefixes.
+pub const HOMES: usize = 5;
+
 /// Hash of the text that a prompt begins with, or of a call's key.
 pub type Prefix = u64;
 
@@ -57,14 +61,14 @@
 }
 
 /// True when a replica with `busy` of `slots` may take one more of its own prefix, in a range
-/// with `all_busy` of `all_slots`.
+/// with `all_busy` of `all_slots`; `bound` is usually [`BOUND`].
 ///
 /// ```
 /// use policy::affinity::within_bound;
-/// assert!(within_bound(0, 8, 0, 80));
-/// assert!(!within_bound(7, 8, 20, 80));
+/// assert!(within_bound(0, 8, 0, 80, 1.25));
+/// assert!(!within_bound(7, 8, 20, 80, 1.25));
 /// ```
-pub fn within_bound(busy: u32, slots: u32, all_busy: u32, all_slots: u32) -> bool {
+pub fn within_bound(busy: u32, slots: u32, all_busy: u32, all_slots: u32, bound: f64) -> bool {
     let mean = f64::from(all_busy + 1) / f64::from(all_slots.max(1));
-    busy < slots && f64::from(busy + 1) <= (BOUND * mean * f64::from(slots)).ceil()
+    busy < slots && f64::from(busy + 1) <= (bound * mean * f64::from(slots)).ceil()
 }
--- /dev/null
+++ b/crates/policy/src/chain.rs
@@ -0,0 +1,210 @@
+//! The choice of a chain among the replicas with free slots.
+//!
+//! Load pattern: saturation of a mixed fleet. A draft holds a slot in each range for its whole run, so
+//! a fast stage beside a slow one is wasted. The rate of a chain is 1 / (sum of its
+//! steps), which is supermodular: the fleet does most when fast goes with fast. With
+//! step times in a relation of 2 : 3 : 4.5 a random match loses 7% of the throughput.
+//!
+//! So the head is chosen by time, and the replicas after it by how far their step time is
+//! from the one at the head's place in its own range. Each link counts in the same unit.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use crate::link::{DataCentre, Links};
+use crate::range::Range;
+use crate::replica::Replica;
+use crate::route::Ask;
+use crate::tuning::Tuning;
+use crate::work::PREFILL;
+
+/// Entries of a range's list: one refusal and one loss on the way leave a third.
+pub const CANDIDATES: usize = 3;
+
+/// How much a full replica's time counts above an idle one's: batches lengthen steps.
+pub const LOAD: f64 = 0.25;
+
+/// Added to a replica's cost, relative to the range's mean step, before it weighs in the draw: small
+/// values draw nearly always the best fit and herd there, large ones draw by free slots alone.
+pub const MIXING: f64 = 0.03;
+
+/// Links and distance of a chain's steps from the best match, relative to the mean step, above
+/// which it is a bad match.
+pub const UNFIT: f64 = 0.025;
+
+/// How long free slots that match badly are left free for a better match.
+///
+/// In a full fleet the slots of an ended draft are the only free ones, so a chain once
+/// matched badly would be filled again and again. A chain that matches well is filled
+/// at once, so what this costs falls as the matches get better.
+pub const HOLD: Duration = Duration::from_millis(500);
+
+/// A head with candidates for the other ranges.
+struct Picked {
+    head: usize,
+    mates: Vec<Vec<usize>>,
+    /// Cost of the mates relative to the mean step: links, and distance from the steps that suit.
+    unfit: f64,
+    /// Since when the first of its replicas has a free slot.
+    since: Duration,
+}
+
+/// What suits the next range of a chain.
+struct Fit {
+    /// Data centre of the hop before.
+    from: DataCentre,
+    /// Mean step time of the range in microseconds.
+    mean: f64,
+    /// Step time that suits the head best in microseconds; 0 for the head itself.
+    target: f64,
+}
+
+/// A choice to be made.
+pub(crate) struct Choice<'a> {
+    pub(crate) ranges: &'a [Range],
+    pub(crate) links: &'a Links,
+    pub(crate) ask: &'a Ask<'a>,
+    pub(crate) tuning: &'a Tuning,
+    pub(crate) now: Duration,
+}
+
+impl Choice<'_> {
+    /// Indices of the candidates for each range; `None` when the request has to wait.
+    pub(crate) fn make(&self, rng: &mut impl Rng) -> Option<Vec<Vec<usize>>> {
+        let mut heads = self.heads(rng);
+        let mut best: Option<Picked> = None;
+        for &head in &heads {
+            let picked = self.mates(head, rng)?;
+            let fits = picked.unfit <= self.tuning.unfit;
+            if best.as_ref().is_none_or(|b| picked.unfit < b.unfit) {
+                best = Some(picked);
+            }
+            // The first is the best by time and prefix; the others only replace a bad match.
+            if fits {
+                break;
+            }
+        }
+        let best = best
+            .filter(|b| b.unfit <= self.tuning.unfit || self.now >= b.since + self.tuning.hold)?;
+        heads.retain(|&i| i != best.head);
+        heads.insert(0, best.head);
+        let mut lists = vec![heads];
+        lists.extend(best.mates);
+        Some(lists)
+    }
+
+    /// Candidates for the head: those whose chains end before the deadline, if there are any.
+    fn heads(&self, rng: &mut impl Rng) -> Vec<usize> {
+        let range = &self.ranges[0];
+        let steps = f64::from(self.ask.cost.steps());
+        let left = self.ask.left.as_secs_f64() * 1e6;
+        let fit = Fit { from: self.ask.from, mean: range.mean_step(), target: 0.0 };
+        let in_time = |r: &Replica| {
+            let place = range.place(r.step());
+            steps * self.ranges.iter().map(|range| range.step_at(place)).sum::<f64>() <= left
+        };
+        let picks = self.pick(range, &fit, in_time, rng);
+        if !picks.is_empty() {
+            return picks;
+        }
+        let mut picks = self.pick(range, &fit, |_| true, rng);
+        picks.sort_by(|&a, &b| range.list[a].step().total_cmp(&range.list[b].step()));
+        picks
+    }
+
+    /// The ranges after the head.
+    fn mates(&self, head: usize, rng: &mut impl Rng) -> Option<Picked> {
+        let first = &self.ranges[0].list[head];
+        let place = self.ranges[0].place(first.step());
+        let mut picked = Picked { head, mates: Vec::new(), unfit: 0.0, since: first.free_since };
+        let (mut from, mut total) = (first.data_centre, 0.0);
+        for range in &self.ranges[1..] {
+            let fit = Fit { from, mean: range.mean_step(), target: range.step_at(place) };
+            let picks = self.pick(range, &fit, |_| true, rng);
+            let mate = &range.list[*picks.first()?];
+            picked.unfit += self.cost(mate, &fit);
+            picked.since = picked.since.min(mate.free_since);
+            total += fit.mean;
+            from = mate.data_centre;
+            picked.mates.push(picks);
+        }
+        picked.unfit /= f64::max(total, 1.0);
+        Some(picked)
+    }
+
+    /// Draws candidates of a range, best first.
+    fn pick(
+        &self,
+        range: &Range,
+        fit: &Fit,
+        suits: impl Fn(&Replica) -> bool,
+        rng: &mut impl Rng,
+    ) -> Vec<usize> {
+        let weight = |r: &Replica| match r.free(self.now) {
+            0 => 0.0,
+            _ if self.ask.avoid.contains(&r.vm) || !suits(r) => 0.0,
+            free => f64::from(free) / (self.cost(r, fit) / fit.mean + self.tuning.mixing).powi(2),
+        };
+        let mut weights: Vec<f64> = range.list.iter().map(weight).collect();
+        let mut picks: Vec<usize> = Vec::with_capacity(CANDIDATES + 1);
+        while picks.len() < CANDIDATES {
+            let Some(i) = draw(&weights, rng) else { break };
+            weights[i] = 0.0;
+            picks.push(i);
+        }
+        let home = self.home(range, suits);
+        let time = |i: usize| self.time(&range.list[i], fit, home == Some(i));
+        match picks[..] {
+            [a, b, ..] if time(b) < time(a) => picks.swap(0, 1),
+            _ => {}
+        }
+        match home {
+            Some(i) if self.ask.keyed || picks.first().is_none_or(|&p| time(i) <= time(p)) => {
+                picks.retain(|&p| p != i);
+                picks.insert(0, i);
+                picks.truncate(CANDIDATES);
+            }
+            _ => {}
+        }
+        picks
+    }
+
+    /// The replica of the request's prefix or key, when it may take one more.
+    fn home(&self, range: &Range, suits: impl Fn(&Replica) -> bool) -> Option<usize> {
+        let usable =
+            |r: &Replica| r.limit(self.now) > 0 && !self.ask.avoid.contains(&r.vm) && suits(r);
+        let mut homes = range.homes(self.ask.prefix?, usable);
+        let bound = self.tuning.bound;
+        homes.find(|&home| self.ask.keyed || range.within_bound(home, bound, self.now))
+    }
+
+    /// Microseconds that each token costs: the link, and the step time or its distance from the best.
+    fn cost(&self, r: &Replica, fit: &Fit) -> f64 {
+        let link = self.links.time(fit.from, r.data_centre).as_secs_f64() * 1e6;
+        (r.step() - fit.target).abs() + link
+    }
+
+    /// Microseconds that the whole request costs.
+    fn time(&self, r: &Replica, fit: &Fit, cached: bool) -> f64 {
+        let prompt = if cached { 0 } else { self.ask.cost.prompt.div_ceil(PREFILL) };
+        let load = 1.0 + self.tuning.load * f64::from(r.busy()) / f64::from(r.slots.max(1));
+        let tokens = f64::from(self.ask.cost.output) * self.cost(r, fit) * load;
+        f64::from(prompt) * r.step() + tokens
+    }
+}
+
+/// Draws an index by weight; `None` when all weights are 0.
+fn draw(weights: &[f64], rng: &mut impl Rng) -> Option<usize> {
+    let sum: f64 = weights.iter().sum();
+    let mut at = rng.random::<f64>() * sum;
+    let mut last = None;
+    for (i, &w) in weights.iter().enumerate().filter(|(_, w)| **w > 0.0) {
+        last = Some(i);
+        at -= w;
+        if at < 0.0 {
+            break;
+        }
+    }
+    last
+}
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -16,6 +16,8 @@
 
 use std::time::Duration;
 
+use crate::tuning::Tuning;
+
 /// Step time relative to the range's median at which a replica is too slow.
 pub const SLOW: f64 = 4.0;
 
@@ -119,9 +121,16 @@
 
     /// A fresh step time of the replica, in microseconds. `busy` is false when nothing ran, and
     /// then the figure is an old one and says nothing. True when this ejects it.
-    pub fn step(&mut self, step_us: f64, busy: bool, peers: Peers, now: Duration) -> bool {
+    pub fn step(
+        &mut self,
+        step_us: f64,
+        busy: bool,
+        peers: Peers,
+        tuning: &Tuning,
+        now: Duration,
+    ) -> bool {
         let known = busy && step_us > 0.0 && peers.median_us > 0.0;
-        match step_us > SLOW * peers.median_us {
+        match step_us > tuning.slow * peers.median_us {
             _ if !known => false,
             false => {
                 self.slow = 0;
@@ -129,7 +138,7 @@
             }
             true => {
                 self.slow = self.slow.saturating_add(1);
-                self.slow >= STRIKES && self.eject(Cause::Slow, peers, SLOW_CAP, now)
+                self.slow >= tuning.strikes && self.eject(Cause::Slow, peers, tuning, now)
             }
         }
     }
@@ -149,22 +158,26 @@
 
     /// A request failed by the replica's fault: no answer, lost connection, crash; not a refusal
     /// for want of slots. True when this ejects it.
-    pub fn failed(&mut self, peers: Peers, now: Duration) -> bool {
+    pub fn failed(&mut self, peers: Peers, tuning: &Tuning, now: Duration) -> bool {
         self.failed = self.failed.saturating_add(1);
-        self.failed >= STRIKES && self.eject(Cause::Failing, peers, FAIL_CAP, now)
+        self.failed >= tuning.strikes && self.eject(Cause::Failing, peers, tuning, now)
     }
 
-    fn eject(&mut self, cause: Cause, peers: Peers, cap: usize, now: Duration) -> bool {
+    fn eject(&mut self, cause: Cause, peers: Peers, tuning: &Tuning, now: Duration) -> bool {
+        let cap = match cause {
+            Cause::Slow => SLOW_CAP,
+            Cause::Failing => FAIL_CAP,
+        };
         let probing = matches!(self.state(now), State::Probing { .. });
         let live = matches!(self.state(now), State::Live);
         let room = peers.ejected < (peers.replicas / cap).max(usize::from(peers.replicas > 2));
         if !(probing || live && room) {
             return false;
         }
-        let time = EJECT.saturating_mul(1 << self.ejections.min(8)).min(EJECT_MAX);
+        let time = tuning.eject.saturating_mul(1 << self.ejections.min(8)).min(EJECT_MAX);
         self.state = State::Ejected { until: now + time, cause };
         self.ejections = self.ejections.saturating_add(1);
-        (self.slow, self.failed) = (STRIKES - 1, STRIKES - 1);
+        (self.slow, self.failed) = (tuning.strikes - 1, tuning.strikes - 1);
         true
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,16 +17,19 @@
 //! [`Duration`]: std::time::Duration
 
 pub mod affinity;
+pub mod chain;
 pub mod health;
 pub mod limit;
 pub mod link;
 pub mod quarantine;
 pub mod queue;
 pub mod ramp;
+mod range;
 pub mod refusal;
 pub mod replica;
 pub mod retry;
 pub mod room;
 pub mod route;
 pub mod share;
+pub mod tuning;
 pub mod work;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -20,6 +20,7 @@
 use crate::refusal::{OUTAGE, Reason, Refusal, SOON};
 use crate::room::Room;
 use crate::share::{Clock, Head, Share, Workspace};
+use crate::tuning::Tuning;
 
 /// Bytes of a waiting request beside its item and the text of its workspace's name.
 pub const WAITING_BYTES: usize = size_of::<Entry<()>>();
@@ -91,6 +92,7 @@
     running: u32,
     used: f64,
     tickets: Ticket,
+    tuning: Tuning,
 }
 
 impl<T> Queue<T> {
@@ -113,11 +115,17 @@
             running: 0,
             used: 1.0,
             tickets: 0,
+            tuning: Tuning::default(),
         };
         queue.set(shares);
         queue
     }
 
+    /// The same with other thresholds, before any request is let in.
+    pub fn tuned(self, tuning: Tuning) -> Queue<T> {
+        Queue { tuning, ..self }
+    }
+
     /// Takes over new settings. A workspace that is no longer listed keeps its place with
     /// weight 1 until its requests have left, and new ones of it are refused.
     ///
@@ -180,9 +188,9 @@
             return Admit::Refuse(item, refusal);
         }
         self.tickets += 1;
-        let key = now + ask.run.mul_f64(STRETCH);
+        let key = now + ask.run.mul_f64(self.tuning.stretch);
         let entry = Entry { ask, arrival: now, ticket: self.tickets, item, key };
-        match self.backlogged() || !room.may_start(self.running) {
+        match self.backlogged() || !room.may_start(self.running, self.tuning.left_free) {
             true => Admit::Wait(self.insert(i, entry)),
             false => {
                 self.clock.wake(&mut self.workspaces[i]);
@@ -195,15 +203,33 @@
     /// The request to start, when one may start. Called when capacity frees, until `None`;
     /// `room.free` has to count what was started in between.
     pub fn next(&mut self, room: Room, now: Duration) -> Option<Entry<T>> {
-        if !room.may_start(self.running) {
+        self.next_by(room, now, |_| 0)
+    }
+
+    /// The same where `likes` says how well a request suits the free slots: of requests that may go with equal
+    /// right the one that suits best goes, see [`crate::route::Table::likes`].
+    pub fn next_by(
+        &mut self,
+        room: Room,
+        now: Duration,
+        likes: impl Fn(&T) -> u32,
+    ) -> Option<Entry<T>> {
+        if !room.may_start(self.running, self.tuning.left_free) {
             return None;
         }
         loop {
-            let i = self.clock.pick(heads(&self.workspaces, &self.waiting))?;
+            let i = self.clock.pick(
+                heads(&self.workspaces, &self.waiting),
+                self.tuning.quantum,
+                |i| self.waiting[i].last().map_or(0, |e| likes(&e.item)),
+            )?;
             let entry = self.take(i, self.waiting[i].len() - 1);
             match self.hopeless(&entry.ask, now) {
                 true => self.late.push(entry),
                 false => {
+                    let lag = now.as_secs_f64() - entry.key.as_secs_f64();
+                    let more = !self.waiting[i].is_empty();
+                    self.workspaces[i].lag = more.then_some(lag);
                     self.start(i, &entry);
                     return Some(entry);
                 }
@@ -221,7 +247,9 @@
                 let run = ask.run.as_secs_f64();
                 let start = self.wait(i, ahead, 0.0, room).unwrap_or(OUTAGE.as_secs_f64());
                 let left = ask.deadline.saturating_sub(now).as_secs_f64();
-                if self.hopeless(ask, now) || start + self.expected(run) > left * (1.0 + DOUBT) {
+                if self.hopeless(ask, now)
+                    || start + self.expected(run) > left * (1.0 + self.tuning.doubt)
+                {
                     let entry = self.take(i, at);
                     self.late.push(entry);
                 } else {
@@ -321,8 +349,7 @@
     /// True when it would miss its deadline even if it started now. Midway between the run
     /// asked for and the usual one: some answers are short, but the caller may get all it asked for.
     fn hopeless(&self, ask: &Ask, now: Duration) -> bool {
-        let run = ask.run.as_secs_f64();
-        now.as_secs_f64() + (run + self.expected(run)) / 2.0 > ask.deadline.as_secs_f64()
+        now + ask.run > ask.deadline
     }
 
     fn refusal(&self, i: usize, ask: &Ask, room: Room, now: Duration) -> Option<Refusal> {
@@ -331,7 +358,7 @@
             Some(Refusal { reason, retry_after })
         };
         let workspace = &self.workspaces[i];
-        let key = now + ask.run.mul_f64(STRETCH);
+        let key = now + ask.run.mul_f64(self.tuning.stretch);
         let own = &self.waiting[i];
         let ahead: f64 =
             own.iter().rev().take_while(|e| e.key <= key).map(|e| e.ask.run.as_secs_f64()).sum();
@@ -340,6 +367,8 @@
             return refuse(Reason::Outage, Some(OUTAGE.as_secs_f64()));
         };
         let run = ask.run.as_secs_f64();
+        let passed = workspace.lag.map_or(0.0, |lag| lag + run * self.tuning.stretch);
+        let wait = wait.max(passed);
         let left = ask.deadline.saturating_sub(now).as_secs_f64();
         match own.len() >= workspace.share.limit as usize && self.backlogged() {
             _ if self.hopeless(ask, now) => refuse(Reason::Long, None),
@@ -376,6 +405,7 @@
         self.backlog -= run;
         if self.waiting[i].is_empty() {
             self.workspaces[i].backlog = 0.0;
+            self.workspaces[i].lag = None;
             self.weights -= self.workspaces[i].weight();
         }
         // Sums of floats keep a rest; an empty queue must not look backlogged for ever.
@@ -387,8 +417,7 @@
 
     fn start(&mut self, i: usize, entry: &Entry<T>) {
         let workspace = &mut self.workspaces[i];
-        let own = if self.waiting[i].is_empty() { workspace.weight() } else { 0.0 };
-        self.clock.charge(workspace, entry.ask.run.as_secs_f64(), self.weights + own);
+        self.clock.charge(workspace, entry.ask.run.as_secs_f64());
         workspace.running += 1;
         self.running += 1;
     }
@@ -397,7 +426,7 @@
 fn heads<'a, T>(
     workspaces: &'a [Workspace],
     waiting: &'a [Vec<Entry<T>>],
-) -> impl Iterator<Item = Head> + 'a {
+) -> impl Iterator<Item = Head> + Clone + 'a {
     workspaces.iter().zip(waiting).enumerate().filter_map(|(index, (workspace, waiting))| {
         let ask = &waiting.last()?.ask;
         let finish = workspace.start + ask.run.as_secs_f64() / workspace.weight();
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -23,22 +23,23 @@
 /// Slow start of one VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ramp {
+    step: Duration,
     since: Duration,
     factor: u32,
 }
 
 impl Ramp {
-    /// A VM joins at `now`.
+    /// A VM joins at `now`; `step` is usually [`STEP`].
     ///
     /// ```
     /// use std::time::Duration;
     /// use policy::ramp::{Ramp, STEP};
-    /// let ramp = Ramp::join(Duration::ZERO);
+    /// let ramp = Ramp::join(STEP, Duration::ZERO);
     /// assert_eq!(ramp.allowed(8, Duration::ZERO), 1);
     /// assert_eq!(ramp.allowed(8, STEP * 3), 8);
     /// ```
-    pub fn join(now: Duration) -> Ramp {
-        Ramp { since: now, factor: 1 }
+    pub fn join(step: Duration, now: Duration) -> Ramp {
+        Ramp { step, since: now, factor: 1 }
     }
 
     /// A VM known at the router's own start: it is warm, nothing shifts to it.
@@ -49,7 +50,7 @@
     /// assert_eq!(ramp.allowed(8, Duration::ZERO), 8);
     /// ```
     pub fn warm() -> Ramp {
-        Ramp { since: Duration::ZERO, factor: 0 }
+        Ramp { step: STEP, since: Duration::ZERO, factor: 0 }
     }
 
     /// The VM comes back at `now` after it had left or was lost.
@@ -57,7 +58,7 @@
     /// ```
     /// use std::time::Duration;
     /// use policy::ramp::{Ramp, STEP};
-    /// let ramp = Ramp::join(Duration::ZERO).again(Duration::from_secs(1));
+    /// let ramp = Ramp::join(STEP, Duration::ZERO).again(Duration::from_secs(1));
     /// assert_eq!(ramp.allowed(8, Duration::from_secs(1) + STEP), 1);
     /// ```
     pub fn again(self, now: Duration) -> Ramp {
@@ -65,7 +66,7 @@
             true => 1,
             false => (self.factor * 2).clamp(1, SLOWEST),
         };
-        Ramp { since: now, factor }
+        Ramp { since: now, factor, ..self }
     }
 
     /// Slots of `slots` that may be used at `now`.
@@ -73,7 +74,7 @@
         if self.factor == 0 {
             return slots;
         }
-        let step = STEP * self.factor;
+        let step = self.step.max(Duration::from_micros(1)) * self.factor;
         let steps = now.saturating_sub(self.since).as_micros() / step.as_micros();
         match steps < 31 {
             true => slots.min(1 << steps),
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern: reports that are late. Between two of them the router counts what it
 //! starts and sees end itself; without that it sends all that arrives between two reports
-//! to the server that looked idlest in the last one.
+//! to the server that looked idlest in the last one. A report of some age knows nothing of what
+//! started and ended here since it was taken, so those changes are kept and added to it:
+//! without this a late report brings back load that has ended, and slots stay idle.
 
 use std::time::Duration;
 
@@ -11,9 +13,13 @@
 use crate::link::DataCentre;
 use crate::ramp::Ramp;
 
-/// State of a backend server in bytes, without the text of its VM's name.
+/// State of a backend server in bytes, without the text of its VM's name and at most
+/// [`CHANGES`] times 24 for what a report may not know of.
 pub const BYTES: usize = size_of::<Replica>();
 
+/// Changes kept since the last report; with more the oldest are taken as known to the report.
+pub const CHANGES: usize = 32;
+
 /// Step time assumed before the first report, in microseconds; only its relation to peers matters.
 pub(crate) const UNKNOWN_US: f64 = 30_000.0;
 
@@ -30,15 +36,20 @@
     pub(crate) data_centre: DataCentre,
     pub(crate) slots: u32,
     pub(crate) reported: u32,
-    /// Started less ended here since the last report.
-    pub(crate) since: i32,
+    /// Started (+1) and ended (-1) here, with the time, as far as a report may not know of it.
+    changes: Vec<(Duration, i8)>,
+    /// When the last report was taken.
+    taken: Duration,
     pub(crate) own: u32,
     pub(crate) step_us: f64,
     pub(crate) health: Health,
     pub(crate) ramp: Ramp,
     pub(crate) leaving: bool,
     pub(crate) gone: bool,
-    pub(crate) full: bool,
+    /// When it last refused for want of slots; a report taken before then doesn't know.
+    full: Option<Duration>,
+    /// Since when it has a free slot.
+    pub(crate) free_since: Duration,
 }
 
 impl Replica {
@@ -49,22 +60,73 @@
             data_centre,
             slots,
             reported: 0,
-            since: 0,
+            changes: Vec::new(),
+            taken: Duration::ZERO,
             own: 0,
             step_us: 0.0,
             health: Health::default(),
             ramp,
             leaving: false,
             gone: false,
-            full: false,
+            full: None,
+            free_since: Duration::ZERO,
         }
     }
 
     pub(crate) fn busy(&self) -> u32 {
-        let seen = (self.reported as i32 + self.since).max(0) as u32;
+        let since: i32 = self.changes.iter().map(|c| i32::from(c.1)).sum();
+        let seen = (self.reported as i32 + since).max(0) as u32;
         seen.max(self.own)
     }
 
+    /// A request of this router starts (+1) or ends (-1).
+    pub(crate) fn change(&mut self, by: i8, now: Duration) {
+        // What ran on a VM that was lost has ended already.
+        if by < 0 && self.own == 0 {
+            return;
+        }
+        self.own = self.own.saturating_add_signed(i32::from(by));
+        if self.changes.len() == CHANGES {
+            self.changes.remove(0);
+        }
+        self.changes.push((now, by));
+    }
+
+    /// It refused for want of slots.
+    pub(crate) fn refused(&mut self, now: Duration) {
+        self.change(-1, now);
+        self.full = Some(now);
+    }
+
+    /// A request of this router has ended.
+    pub(crate) fn ended(&mut self, now: Duration) {
+        self.change(-1, now);
+        self.full = None;
+        // The slot is free, whatever an old report and the changes since then add up to.
+        let over = (self.busy() + 1).saturating_sub(self.slots.max(1));
+        self.reported = self.reported.saturating_sub(over);
+    }
+
+    /// A report of `busy` slots that was taken at `taken`. An older one than the last says nothing.
+    pub(crate) fn report(&mut self, busy: u32, taken: Duration) {
+        if taken >= self.taken {
+            (self.reported, self.taken) = (busy, taken);
+            self.changes.retain(|c| c.0 > taken);
+            self.full = self.full.filter(|at| *at > taken);
+        }
+    }
+
+    /// Forgets what ran there.
+    pub(crate) fn clear(&mut self) {
+        (self.own, self.reported) = (0, 0);
+        self.changes.clear();
+    }
+
+    /// Bytes of state.
+    pub(crate) fn bytes(&self) -> usize {
+        BYTES + self.vm.capacity() + self.changes.capacity() * size_of::<(Duration, i8)>()
+    }
+
     pub(crate) fn limit(&self, now: Duration) -> u32 {
         match self.leaving || self.gone {
             true => 0,
@@ -74,8 +136,15 @@
 
     pub(crate) fn free(&self, now: Duration) -> u32 {
         match self.full {
-            true => 0,
-            false => self.limit(now).saturating_sub(self.busy()),
+            Some(_) => 0,
+            None => self.limit(now).saturating_sub(self.busy()),
+        }
+    }
+
+    /// Notes a change from `before` free slots.
+    pub(crate) fn freed(&mut self, before: u32, now: Duration) {
+        if before == 0 && self.free(now) > 0 {
+            self.free_since = now;
         }
     }
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -14,6 +14,8 @@
 use derive_more::Display;
 use rand::{Rng, RngExt};
 
+use crate::tuning::Tuning;
+
 /// Tokens a success adds.
 pub const RATIO: f64 = 0.1;
 
@@ -83,15 +85,22 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Budget {
     tokens: f64,
+    ratio: f64,
+    burst: f64,
 }
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget { tokens: BURST }
+        Budget { tokens: BURST, ratio: RATIO, burst: BURST }
     }
 }
 
 impl Budget {
+    /// A full bucket with other thresholds.
+    pub fn tuned(tuning: &Tuning) -> Budget {
+        Budget { tokens: tuning.burst, ratio: tuning.retries, burst: tuning.burst }
+    }
+
     /// A request succeeded.
     ///
     /// ```
@@ -100,7 +109,7 @@
     /// assert_eq!(budget.left(), policy::retry::BURST as u32);
     /// ```
     pub fn succeeded(&mut self) {
-        self.tokens = (self.tokens + RATIO).min(BURST);
+        self.tokens = (self.tokens + self.ratio).min(self.burst);
     }
 
     /// Whole tokens left.
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -15,7 +15,7 @@
 const OVER_SHARE: f64 = 1.25;
 
 /// Part of the slots that a router past [`OVER_SHARE`] leaves free.
-const LEFT_FREE: f64 = 0.02;
+pub const LEFT_FREE: f64 = 0.02;
 
 /// What the router sees of the fleet for this queue, see [`crate::route::Table::room`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,17 +42,18 @@
         (f64::from(running) + free).max(even * COLD)
     }
 
-    /// True when a router that has `running` slots in use may take one more.
+    /// True when a router that has `running` slots in use may take one more;
+    /// `left_free` is usually [`LEFT_FREE`].
     ///
     /// ```
     /// let room = policy::room::Room { free: 1, slots: 60, routers: 6 };
-    /// assert!(room.may_start(10));
-    /// assert!(!room.may_start(20));
+    /// assert!(room.may_start(10, 0.02));
+    /// assert!(!room.may_start(20, 0.02));
     /// ```
-    pub fn may_start(&self, running: u32) -> bool {
+    pub fn may_start(&self, running: u32, left_free: f64) -> bool {
         let even = f64::from(self.slots) / f64::from(self.routers.max(1));
         let over = self.routers > 1 && f64::from(running) > even * OVER_SHARE;
-        let left = if over { (f64::from(self.slots) * LEFT_FREE).ceil() } else { 0.0 };
+        let left = if over { (f64::from(self.slots) * left_free).ceil() } else { 0.0 };
         f64::from(self.free) > left
     }
 }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -2,33 +2,30 @@
 //!
 //! Load patterns: mixed speeds, unequal links, reports that are late, several routers that decide
 //! on their own. If each router takes the replica that looks idlest, all take the same one until the
-//! next report, then all the next one (herding): queues at one, idle slots at the rest.
+//! next report, then all the next one (herding): refusals at one, idle slots at the rest.
 //!
 //! - The load of a replica is its last report plus what this router started and
 //!   minus what it saw end since. A refusal for want of slots counts as full until the next report or end.
-//! - Of the replicas with a free slot a few are drawn at random, by free slots and speed, and the
+//! - Of the replicas with a free slot a few are drawn at random, by free slots and fitness, and the
 //!   better of the first two goes first: power of two choices, which herds little on
 //!   old reports. The others follow as alternatives, for the try after a refusal.
 //! - Better is the shorter expected time: step time and link for each token, the prompt
-//!   unless the prefix is likely to be cached there ([`crate::affinity`]).
+//!   unless the prefix is likely to be cached there ([`crate::affinity`]); see [`crate::chain`].
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
-use crate::affinity::{self, Prefix};
-use crate::health::{Peers, State};
+use crate::affinity::Prefix;
+use crate::chain::Choice;
+use crate::health::State;
 use crate::link::{DataCentre, Links};
 use crate::ramp::Ramp;
-use crate::replica::{BYTES, Replica, UNKNOWN_US, Vm};
+use crate::range::Range;
+use crate::replica::{Replica, Vm};
 use crate::room::Room;
-use crate::work::{Cost, PREFILL};
-
-/// Entries of a range's list: one refusal and one loss on the way leave a third.
-pub const CANDIDATES: usize = 3;
-
-/// How much a full replica's time counts above an idle one's: batches lengthen steps.
-pub const LOAD: f64 = 0.25;
+use crate::tuning::Tuning;
+use crate::work::Cost;
 
 /// An agent's report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +38,8 @@
     pub step_us: u64,
     /// True when it takes no new work.
     pub leaving: bool,
+    /// Age of the reading when it came in; zero when unknown.
+    pub age: Duration,
 }
 
 /// What a request needs to be routed.
@@ -48,6 +47,8 @@
 pub struct Ask<'a> {
     /// Its tokens; 1 and 1 for a call.
     pub cost: Cost,
+    /// Time left until its deadline.
+    pub left: Duration,
     /// Hash of its prefix or key; `None` when it prefers no replica.
     pub prefix: Option<Prefix>,
     /// True when the preferred replica comes first whatever its load, as for a keyed call.
@@ -75,8 +76,9 @@
 /// Replicas of one model version or plain service, as one router sees them.
 #[derive(Debug, Clone)]
 pub struct Table {
-    ranges: Vec<Vec<Replica>>,
+    ranges: Vec<Range>,
     links: Links,
+    tuning: Tuning,
 }
 
 impl Table {
@@ -89,14 +91,25 @@
     /// use policy::work::Cost;
     /// let mut table = Table::new(1, Links::new(Duration::from_millis(1)));
     /// table.warm(0, "desk-1", "east", 8);
-    /// let cost = Cost { prompt: 1, output: 1 };
-    /// let ask = Ask { cost, prefix: None, keyed: false, from: 0, avoid: &[] };
+    /// let ask = Ask {
+    ///     cost: Cost { prompt: 1, output: 1 },
+    ///     left: Duration::from_secs(10),
+    ///     prefix: None,
+    ///     keyed: false,
+    ///     from: 0,
+    ///     avoid: &[],
+    /// };
     /// let mut rng: rand_pcg::Pcg64 = rand::SeedableRng::seed_from_u64(1);
     /// let chain = table.chain(&ask, Duration::ZERO, &mut rng).unwrap();
     /// assert_eq!(chain, [["desk-1"]]);
     /// ```
     pub fn new(ranges: usize, links: Links) -> Table {
-        Table { ranges: vec![Vec::new(); ranges], links }
+        Table { ranges: vec![Range::default(); ranges], links, tuning: Tuning::default() }
+    }
+
+    /// The same with other thresholds, before any VM is added.
+    pub fn tuned(self, tuning: Tuning) -> Table {
+        Table { tuning, ..self }
     }
 
     /// Index of a data centre, for [`Ask::from`].
@@ -104,27 +117,33 @@
         self.links.index(name)
     }
 
-    /// Adds a VM that is known at the router's own start.
+    /// Adds a VM that is known at the router's own start, at full load at once.
     pub fn warm(&mut self, range: usize, vm: &str, data_centre: &str, slots: u32) {
-        self.add(range, vm, data_centre, slots, Ramp::warm(), |_| Ramp::warm());
+        self.add(range, vm, data_centre, slots, Ramp::warm(), Duration::ZERO);
     }
 
     /// A VM joins or comes back: it is ramped up.
     pub fn join(&mut self, range: usize, vm: &str, data_centre: &str, slots: u32, now: Duration) {
-        self.add(range, vm, data_centre, slots, Ramp::join(now), |old| old.again(now));
+        self.add(range, vm, data_centre, slots, Ramp::join(self.tuning.ramp, now), now);
     }
 
-    /// A VM is lost or no longer listed. It is remembered, so that one that flaps is seen as such,
+    /// A VM is lost: the connection to it broke, or it is no longer listed. It is remembered, so that one that flaps is seen as such,
     /// until [`Table::forget`].
-    pub fn gone(&mut self, vm: &str) {
-        if let Some(r) = self.get(vm) {
-            (r.gone, r.own, r.reported, r.since) = (true, 0, 0, 0);
+    pub fn gone(&mut self, vm: &str, now: Duration) {
+        if let Some((range, i)) = self.find(vm) {
+            let r = &mut self.ranges[range].list[i];
+            r.gone = true;
+            r.clear();
+            self.ranges[range].refresh(now);
         }
     }
 
     /// Drops what is remembered of a VM.
-    pub fn forget(&mut self, vm: &str) {
-        self.ranges.iter_mut().for_each(|range| range.retain(|r| r.vm != vm));
+    pub fn forget(&mut self, vm: &str, now: Duration) {
+        for range in &mut self.ranges {
+            range.list.retain(|r| r.vm != vm);
+            range.refresh(now);
+        }
     }
 
     /// An agent's report has come in. True when it ejects the replica.
@@ -132,23 +151,26 @@
         let Some((range, i)) = self.find(vm) else {
             return false;
         };
-        let peers = self.peers(range, now);
-        let r = &mut self.ranges[range][i];
-        (r.slots, r.reported, r.since) = (load.slots, load.busy, 0);
-        (r.leaving, r.full) = (load.leaving, false);
-        if load.step_us == 0 {
-            return false;
+        let peers = self.ranges[range].peers(now);
+        let r = &mut self.ranges[range].list[i];
+        let free = r.free(now);
+        (r.slots, r.leaving) = (load.slots, load.leaving);
+        r.report(load.busy, now.saturating_sub(load.age));
+        r.freed(free, now);
+        let mut ejected = false;
+        if load.step_us > 0 {
+            let fresh = load.step_us as f64;
+            r.smooth(fresh);
+            ejected = r.health.step(fresh, load.busy > 0, peers, &self.tuning, now);
         }
-        let fresh = load.step_us as f64;
-        r.smooth(fresh);
-        r.health.step(fresh, load.busy > 0, peers, now)
+        self.ranges[range].refresh(now);
+        ejected
     }
 
     /// A request of this router was sent to a VM, for each VM of its chain.
-    pub fn started(&mut self, vm: &str) {
-        if let Some(r) = self.get(vm) {
-            r.own += 1;
-            r.since += 1;
+    pub fn started(&mut self, vm: &str, now: Duration) {
+        if let Some((range, i)) = self.find(vm) {
+            self.ranges[range].list[i].change(1, now);
         }
     }
 
@@ -157,129 +179,72 @@
         let Some((range, i)) = self.find(vm) else {
             return false;
         };
-        let peers = self.peers(range, now);
-        let r = &mut self.ranges[range][i];
-        r.own = r.own.saturating_sub(1);
-        r.since -= 1;
-        r.full = false;
+        let peers = self.ranges[range].peers(now);
+        let r = &mut self.ranges[range].list[i];
+        let free = r.free(now);
+        r.ended(now);
+        r.freed(free, now);
         match end {
             End::Succeeded => {
                 r.health.succeeded(r.slots, now);
                 false
             }
-            End::Failed => r.health.failed(peers, now),
+            End::Failed => r.health.failed(peers, &self.tuning, now),
             End::Neutral => false,
         }
     }
 
     /// The VM refused a request for want of slots, after [`Table::started`].
-    pub fn refused(&mut self, vm: &str) {
-        if let Some(r) = self.get(vm) {
-            r.own = r.own.saturating_sub(1);
-            r.since -= 1;
-            r.full = true;
+    pub fn refused(&mut self, vm: &str, now: Duration) {
+        if let Some((range, i)) = self.find(vm) {
+            self.ranges[range].list[i].refused(now);
         }
     }
 
     /// What could start now.
     pub fn room(&self, routers: u32, now: Duration) -> Room {
-        let free = |range: &Vec<Replica>| range.iter().map(|r| r.free(now)).sum();
-        let slots = |range: &Vec<Replica>| range.iter().map(|r| r.limit(now)).sum();
+        let free = |range: &Range| range.list.iter().map(|r| r.free(now)).sum();
+        let slots = |range: &Range| range.list.iter().map(|r| r.limit(now)).sum();
         let free = self.ranges.iter().map(free).min().unwrap_or(0);
         let slots = self.ranges.iter().map(slots).min().unwrap_or(0);
         Room { free, slots, routers }
     }
 
     /// Usual time of one token through the whole chain, links not counted; for [`Cost::run`].
-    pub fn step(&self, now: Duration) -> Duration {
-        let mean = |range: &Vec<Replica>| {
-            let live = range.iter().filter(|r| r.limit(now) > 0);
-            let (sum, n) = live.fold((0.0, 0), |(s, n), r| (s + r.step(), n + 1));
-            if n > 0 { sum / f64::from(n) } else { UNKNOWN_US }
-        };
-        Duration::from_secs_f64(self.ranges.iter().map(mean).sum::<f64>() / 1e6)
+    pub fn step(&self) -> Duration {
+        let sum: f64 = self.ranges.iter().map(Range::mean_step).sum();
+        Duration::from_secs_f64(sum / 1e6)
     }
 
     /// Standing of a VM.
     pub fn state(&self, vm: &str, now: Duration) -> Option<State> {
-        self.find(vm).map(|(range, i)| self.ranges[range][i].health.state(now))
+        self.find(vm).map(|(range, i)| self.ranges[range].list[i].health.state(now))
     }
 
-    /// Chooses the chain; `None` when a range has no free slot, and the request has to wait.
+    /// Chooses the chain. `None` when a range has no free slot, or when the free ones suit each other
+    /// badly and have been free for less than [`crate::chain::HOLD`]: the request has to wait.
     pub fn chain(&self, ask: &Ask, now: Duration, rng: &mut impl Rng) -> Option<Chain> {
-        let mut chain = Vec::with_capacity(self.ranges.len());
-        let mut from = ask.from;
-        for range in &self.ranges {
-            let picks = self.pick(range, ask, from, now, rng);
-            let first = range.get(*picks.first()?)?;
-            from = first.data_centre;
-            chain.push(picks.iter().map(|&i| range[i].vm.clone()).collect());
-        }
-        Some(chain)
-    }
-
-    /// Bytes of state.
-    pub fn bytes(&self) -> usize {
-        let text = |range: &Vec<Replica>| range.iter().map(|r| r.vm.capacity()).sum::<usize>();
-        let lists = |range: &Vec<Replica>| range.capacity() * BYTES + text(range);
-        self.ranges.iter().map(lists).sum()
-    }
-
-    fn pick(
-        &self,
-        range: &[Replica],
-        ask: &Ask,
-        from: DataCentre,
-        now: Duration,
-        rng: &mut impl Rng,
-    ) -> Vec<usize> {
-        let usable = |r: &Replica| !ask.avoid.contains(&r.vm);
-        let mut weights: Vec<f64> = range
-            .iter()
-            .map(|r| if usable(r) { f64::from(r.free(now)) / r.step() } else { 0.0 })
-            .collect();
-        let mut picks: Vec<usize> = Vec::with_capacity(CANDIDATES + 1);
-        while picks.len() < CANDIDATES {
-            let Some(i) = draw(&weights, rng) else { break };
-            weights[i] = 0.0;
-            picks.push(i);
-        }
-        let home = ask.prefix.and_then(|p| home(range, p, ask, now));
-        let time = |i: usize| self.time(&range[i], ask, from, home == Some(i));
-        match picks[..] {
-            [a, b, ..] if time(b) < time(a) => picks.swap(0, 1),
-            _ => {}
-        }
-        match home {
-            Some(i) if ask.keyed || picks.first().is_none_or(|&best| time(i) <= time(best)) => {
-                picks.retain(|&p| p != i);
-                picks.insert(0, i);
-                picks.truncate(CANDIDATES);
-            }
-            _ => {}
-        }
-        picks
+        let choice =
+            Choice { ranges: &self.ranges, links: &self.links, tuning: &self.tuning, ask, now };
+        let lists = choice.make(rng)?;
+        let names = |(range, list): (&Range, &Vec<usize>)| {
+            list.iter().map(|&i| range.list[i].vm.clone()).collect()
+        };
+        Some(self.ranges.iter().zip(&lists).map(names).collect())
     }
 
-    /// Expected time of the request on a replica, in microseconds.
-    fn time(&self, r: &Replica, ask: &Ask, from: DataCentre, cached: bool) -> f64 {
-        let link = self.links.time(from, r.data_centre).as_secs_f64() * 1e6;
-        let prompt = if cached { 0.0 } else { f64::from(ask.cost.prompt.div_ceil(PREFILL)) };
-        let steps = prompt + f64::from(ask.cost.output);
-        let load = f64::from(r.busy()) / f64::from(r.slots.max(1));
-        steps * (r.step() * (1.0 + LOAD * load) + link)
+    /// In how many ranges a replica that is likely to have the prefix cached has a free slot;
+    /// for [`crate::queue::Queue::next_by`].
+    pub fn likes(&self, prefix: Prefix, now: Duration) -> u32 {
+        let free = |range: &&Range| {
+            range.homes(prefix, |r| r.limit(now) > 0).any(|i| range.list[i].free(now) > 0)
+        };
+        self.ranges.iter().filter(free).count() as u32
     }
 
-    fn peers(&self, range: usize, now: Duration) -> Peers {
-        let range = &self.ranges[range];
-        let ejected = |r: &&Replica| matches!(r.health.state(now), State::Ejected { .. });
-        let mut steps: Vec<f64> = range.iter().map(|r| r.step_us).filter(|s| *s > 0.0).collect();
-        let middle = steps.len() / 2;
-        let median_us = match steps.is_empty() {
-            true => 0.0,
-            false => *steps.select_nth_unstable_by(middle, f64::total_cmp).1,
-        };
-        Peers { replicas: range.len(), ejected: range.iter().filter(ejected).count(), median_us }
+    /// Bytes of state.
+    pub fn bytes(&self) -> usize {
+        self.ranges.iter().flat_map(|range| &range.list).map(Replica::bytes).sum()
     }
 
     fn add(
@@ -289,57 +254,25 @@
         data_centre: &str,
         slots: u32,
         ramp: Ramp,
-        again: impl Fn(Ramp) -> Ramp,
+        now: Duration,
     ) {
         let data_centre = self.links.index(data_centre);
-        let list = &mut self.ranges[range];
-        match list.binary_search_by(|r| r.vm.as_str().cmp(vm)) {
-            Ok(i) if !list[i].gone => list[i].slots = slots,
+        let range = &mut self.ranges[range];
+        match range.find(vm) {
+            Ok(i) if !range.list[i].gone => range.list[i].slots = slots,
             Ok(i) => {
-                let ramp = again(list[i].ramp);
-                let fresh = Replica::new(vm, data_centre, slots, ramp);
-                list[i] = Replica { step_us: list[i].step_us, ..fresh };
+                let old = &range.list[i];
+                let (step_us, ramp) = (old.step_us, old.ramp.again(now));
+                range.list[i] = Replica::new(vm, data_centre, slots, ramp);
+                range.list[i].step_us = step_us;
             }
-            Err(i) => list.insert(i, Replica::new(vm, data_centre, slots, ramp)),
+            Err(i) => range.list.insert(i, Replica::new(vm, data_centre, slots, ramp)),
         }
+        range.refresh(now);
     }
 
     fn find(&self, vm: &str) -> Option<(usize, usize)> {
-        self.ranges.iter().enumerate().find_map(|(range, list)| {
-            let i = list.binary_search_by(|r| r.vm.as_str().cmp(vm)).ok()?;
-            Some((range, i))
-        })
+        let found = |(range, list): (usize, &Range)| Some((range, list.find(vm).ok()?));
+        self.ranges.iter().enumerate().find_map(found)
     }
-
-    fn get(&mut self, vm: &str) -> Option<&mut Replica> {
-        let (range, i) = self.find(vm)?;
-        Some(&mut self.ranges[range][i])
-    }
-}
-
-/// Draws an index by weight; `None` when all weights are 0.
-fn draw(weights: &[f64], rng: &mut impl Rng) -> Option<usize> {
-    let sum: f64 = weights.iter().sum();
-    let mut at = rng.random::<f64>() * sum;
-    let mut last = None;
-    for (i, &w) in weights.iter().enumerate().filter(|(_, w)| **w > 0.0) {
-        last = Some(i);
-        at -= w;
-        if at < 0.0 {
-            break;
-        }
-    }
-    last
-}
-
-/// The replica a prefix belongs to, when it may take one more.
-fn home(range: &[Replica], prefix: Prefix, ask: &Ask, now: Duration) -> Option<usize> {
-    let usable = |r: &Replica| r.limit(now) > 0 && !ask.avoid.contains(&r.vm);
-    let ranked = range.iter().enumerate().filter(|(_, r)| usable(r));
-    let rank = |r: &Replica| affinity::rank(prefix, r.seed, r.slots);
-    let (i, r) = ranked.max_by(|a, b| rank(a.1).total_cmp(&rank(b.1)))?;
-    let busy = range.iter().map(Replica::busy).sum();
-    let slots = range.iter().map(|r| r.limit(now)).sum();
-    let within = r.free(now) > 0 && affinity::within_bound(r.busy(), r.limit(now), busy, slots);
-    (ask.keyed || within).then_some(i)
 }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -4,13 +4,25 @@
 //! every other workspace waits behind that flood and loses its deadlines.
 //!
 //! Each workspace has a virtual time that grows by the slot time it was given divided
-//! by its weight. A workspace is inside its share while its virtual time is
-//! not past the system's (worst-case fair weighted fair queueing, WF2Q+). Those inside
-//! their share go first, by priority and then by the earlier virtual finish, so
-//! priority can't be used to take another's share. When all that wait are past
-//! their share, the one least past it goes: unused share is lent, never left idle.
-//! A workspace that comes back after a pause starts at the system's virtual time:
-//! it neither saves up what it didn't use nor pays for what was lent to it.
+//! by its weight (start-time fair queueing). Those within [`QUANTUM`] of the least served
+//! one that waits go by priority and then by the earlier virtual finish, so that
+//! priority can't be used to take another's share. Only workspaces that wait are
+//! compared: unused share is lent, never left idle. A workspace that comes back after
+//! a pause starts at the virtual time then served: it neither saves up what
+//! it didn't use nor pays for what was lent to it.
+//!
+//! A first version kept the system's virtual time as a clock of its own (WF2Q+). Charges are corrected
+//! when a request ends early or was refused by the agents; the clock's weren't, ran ahead,
+//! and put those that came back behind the flood (Jain index 0.22 under many refusals).
+
+/// Slot time in seconds, for a weight of one, by which a workspace may be ahead of the least served one
+/// and still go before it by priority or shortness. About one middling draft: less leaves
+/// priority no effect, more is a debt that the others wait for.
+pub const QUANTUM: f64 = 10.0;
+
+/// Workspaces compared by how well their next request suits the free slots. More find better
+/// matches, but each costs a hash for each replica.
+pub const COMPARED: usize = 8;
 
 /// State of a workspace in bytes, without its name's text and its waiting requests.
 pub const BYTES: usize = size_of::<Workspace>();
@@ -34,6 +46,9 @@
     pub(crate) start: f64,
     /// Slot time that waits, in seconds.
     pub(crate) backlog: f64,
+    /// How far behind the order of its queue it was when it last started one, in seconds:
+    /// the time less the request's place in the order. `None` when nothing waits.
+    pub(crate) lag: Option<f64>,
     /// Requests that run.
     pub(crate) running: u32,
 }
@@ -47,7 +62,7 @@
     pub(crate) priority: u8,
 }
 
-/// The system's virtual time.
+/// Virtual time of the least served workspace when one was last served.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Clock {
     now: f64,
@@ -55,7 +70,7 @@
 
 impl Workspace {
     pub(crate) fn new(share: Share) -> Workspace {
-        Workspace { share, start: 0.0, backlog: 0.0, running: 0 }
+        Workspace { share, start: 0.0, backlog: 0.0, lag: None, running: 0 }
     }
 
     pub(crate) fn weight(&self) -> f64 {
@@ -64,25 +79,31 @@
 }
 
 impl Clock {
-    /// The workspace to serve, among the heads of those that wait.
-    pub(crate) fn pick(&mut self, heads: impl Iterator<Item = Head>) -> Option<usize> {
-        let mut inside: Option<Head> = None;
-        let mut past: Option<Head> = None;
-        for head in heads {
-            match head.start <= self.now {
-                true if inside.is_none_or(|best| before(&head, &best)) => inside = Some(head),
-                false if past.is_none_or(|best| head.start < best.start) => past = Some(head),
-                _ => {}
-            }
-        }
-        match (inside, past) {
-            (Some(head), _) => Some(head.index),
-            (None, Some(head)) => {
-                self.now = head.start;
-                Some(head.index)
+    /// The workspace to serve, among the heads of those that wait; `likes` tells for the first
+    /// [`COMPARED`] of equal right how well each suits the free slots.
+    pub(crate) fn pick(
+        &mut self,
+        heads: impl Iterator<Item = Head> + Clone,
+        quantum: f64,
+        likes: impl Fn(usize) -> u32,
+    ) -> Option<usize> {
+        self.now = heads.clone().map(|h| h.start).min_by(f64::total_cmp)?;
+        let limit = self.now + quantum;
+        let mut best = [None::<Head>; COMPARED];
+        for head in heads.filter(|h| h.start <= limit) {
+            let mut next = Some(head);
+            for place in &mut best {
+                match (&next, &place) {
+                    (Some(a), Some(b)) if !before(a, b) => {}
+                    _ => std::mem::swap(place, &mut next),
+                }
             }
-            (None, None) => None,
         }
+        let first = best[0]?;
+        let equal = best.iter().flatten().filter(|h| h.priority == first.priority);
+        let suits = equal.map(|h| (likes(h.index), h));
+        let best = suits.reduce(|a, b| if b.0 > a.0 { b } else { a });
+        best.map(|(_, h)| h.index)
     }
 
     /// A workspace without waiting requests gets one: it may not use what it didn't use before.
@@ -90,10 +111,9 @@
         workspace.start = workspace.start.max(self.now);
     }
 
-    /// A request of `run` seconds starts, while workspaces of `weights` in all wait or start.
-    pub(crate) fn charge(&mut self, workspace: &mut Workspace, run: f64, weights: f64) {
+    /// A request of `run` seconds starts.
+    pub(crate) fn charge(&mut self, workspace: &mut Workspace, run: f64) {
         workspace.start += run / workspace.weight();
-        self.now += run / weights.max(1.0);
     }
 }
 
