Notice a lost peer by signs of life while an answer is awaited; open at a second replica

A killed agent was noticed by the step timeout (1 s) and, at opening, by the connect timeout (1.5 s), since UDP tells nobody that a process has died. While something waits for a peer its connection is pinged each 25 ms; a closed port (port unreachable) is certain, 300 ms without a sign of life is taken for a loss, and closing the connection breaks all that waits on it at once. A slow engine beside a live agent is not replaced. Opening asks the next replica after 100 ms, a lost peer is left alone for 250 ms, a head asks a router for replicas that joined since, and a router cancels the draft at a head it gave up.

--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -42,7 +42,7 @@
             reply(&mut stream, Tell::Text(text)).await;
         }
         // Answered by the node crate before this one is asked.
-        Ask::Settings | Ask::Explain(_) => {}
+        Ask::Settings | Ask::Explain(_) | Ask::Replicas(_) => {}
     }
 }
 
--- a/crates/agent/src/chain.rs
+++ b/crates/agent/src/chain.rs
@@ -7,16 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, timeout, timeout_at};
-use wire::frame::{Ask, Cause, Hop, Open, Output, Place, Refusal, Step, Tell, Word};
+use tokio::time::{Instant, timeout_at};
+use wire::frame::{Cause, Hop, Open, Output, Place, Refusal, Step, Word};
 use wire::id;
-use wire::link::Stream;
 
-use crate::{Agent, stage};
-
-/// Time to open a session at a stage. Longer than a new connection takes over a
-/// slow link, and short against a caller's deadline.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(1500);
+use crate::Agent;
+use crate::seat::{self, Seat, lost};
 
 /// Extra patience for each position of a step beyond the first, for long prompts.
 const POSITION_PATIENCE: Duration = Duration::from_millis(10);
@@ -33,6 +29,8 @@
     pub priority: u8,
     /// Hash of the content.
     pub fingerprint: id::Fingerprint,
+    /// True when it was running at a crash of an engine.
+    pub suspect: bool,
     /// Model and start of the prompt.
     pub tag: String,
     /// Silence after which a stage is replaced.
@@ -41,14 +39,6 @@
     pub deadline: Instant,
 }
 
-/// Where a range runs now.
-#[derive(Debug)]
-enum Seat {
-    Nowhere,
-    Here(Box<stage::Session>),
-    There(Stream),
-}
-
 /// One range of a draft.
 #[derive(Debug)]
 struct Range {
@@ -57,6 +47,8 @@
     place: Option<id::Vm>,
     attempt: id::Attempt,
     kept: Vec<u64>,
+    /// True when the draft was running at a crash of an engine of this range.
+    suspect: bool,
 }
 
 /// All ranges of a draft.
@@ -83,7 +75,14 @@
     ) -> Result<Chain, Refusal> {
         let ranges = hops
             .into_iter()
-            .map(|hop| Range { hop, seat: Seat::Nowhere, place: None, attempt, kept: Vec::new() })
+            .map(|hop| Range {
+                hop,
+                seat: Seat::Nowhere,
+                place: None,
+                attempt,
+                kept: Vec::new(),
+                suspect: terms.suspect,
+            })
             .collect();
         let mut chain = Chain { agent, terms, ranges, position: 0, replaced: 0, repeated: 0 };
         for i in 0..chain.ranges.len() {
@@ -97,14 +96,7 @@
             0 => vec![self.own_place()],
             _ => self.ranges[i].hop.replicas.clone(),
         };
-        let mut last = self.no_replica(i);
-        for place in &places {
-            match self.seat(i, place).await {
-                Ok(()) => return Ok(()),
-                Err(refusal) => last = refusal,
-            }
-        }
-        Err(last)
+        self.seat(i, &places).await
     }
 
     /// Runs all ranges on the next positions and returns the token after them.
@@ -139,11 +131,7 @@
         let (position, count) = (step.position, step.inputs.len());
         let range = &mut self.ranges[i];
         let peer = range.place.clone().unwrap_or_default();
-        let ran = match &mut range.seat {
-            Seat::Nowhere => return Err(lost("step", &peer, "the range runs nowhere")),
-            Seat::Here(session) => timeout_at(until, session.step(step)).await,
-            Seat::There(stream) => timeout_at(until, exchange(stream, step)).await,
-        };
+        let ran = timeout_at(until, range.seat.step(step)).await;
         let output = ran.map_err(|_| lost("step", &peer, "no answer in time"))??;
         match output.position == position && output.outputs.len() == count {
             true => Ok(output),
@@ -155,45 +143,55 @@
 
     /// Finds a replica for a lost stage and runs its kept inputs and the new step there.
     async fn replace(&mut self, i: usize, step: &Step, cause: Refusal) -> Result<Output, Refusal> {
-        let request = self.terms.request.clone();
-        let trace = |text: String| self.agent.node.trace.add(&request, "replace", text);
-        trace(format!("layers from {} are lost: {cause}", self.ranges[i].hop.stage.first));
-        let failed = self.ranges[i].place.take();
-        self.ranges[i].seat = Seat::Nowhere;
+        let mut failed = Vec::new();
         let mut last = cause;
         while Instant::now() < self.terms.deadline {
-            for place in self.places(i, failed.as_deref()) {
-                self.ranges[i].attempt += 1;
-                match self.replay(i, &place, step).await {
-                    Ok(output) => return Ok(output),
-                    Err(refusal) => last = refusal,
-                }
-                if Instant::now() >= self.terms.deadline {
-                    break;
-                }
+            let text = format!("layers from {} are lost: {last}", self.ranges[i].hop.stage.first);
+            self.agent.node.trace.add(&self.terms.request, "replace", text);
+            if hopeless(last.cause) {
+                return Err(last);
+            }
+            let range = &mut self.ranges[i];
+            // At one crash it is not known which of the requests that ran is at
+            // fault: run beside others again, it would take them down once more.
+            range.suspect |= last.cause == Cause::Crashed;
+            range.seat = Seat::Nowhere;
+            failed.extend(range.place.take());
+            range.attempt += 1;
+            let places = self.places(i, &failed);
+            let used_up = places.iter().all(|p| failed.contains(&p.vm));
+            match self.replay(i, &places, step).await {
+                Ok(output) => return Ok(output),
+                Err(refusal) => last = refusal,
+            }
+            if used_up || self.ranges[i].place.is_none() {
+                self.look_for_more(i).await;
+                tokio::time::sleep(ROUND_PAUSE).await;
             }
-            tokio::time::sleep(ROUND_PAUSE).await;
         }
         let why = format!("no replica took over before the deadline; the last said: {last}");
         Err(Refusal::unknown(Cause::Deadline, "replace", &last.peer, why))
     }
 
-    async fn replay(&mut self, i: usize, place: &Place, step: &Step) -> Result<Output, Refusal> {
-        self.seat(i, place).await?;
+    /// Adds replicas of the range that the draft did not come with.
+    async fn look_for_more(&mut self, i: usize) {
+        let found = seat::ask_router(&self.agent, &self.ranges[i].hop.stage).await;
+        let known = &mut self.ranges[i].hop.replicas;
+        known.retain(|k| !found.iter().any(|f| f.vm == k.vm));
+        known.splice(0..0, found);
+    }
+
+    async fn replay(&mut self, i: usize, places: &[Place], step: &Step) -> Result<Output, Refusal> {
+        self.seat(i, places).await?;
         let kept = self.ranges[i].kept.len();
         let inputs = [&self.ranges[i].kept[..], &step.inputs].concat();
-        let whole = match self.step(i, Step { position: 0, inputs }).await {
-            Ok(whole) => whole,
-            Err(refusal) => {
-                self.ranges[i].seat = Seat::Nowhere;
-                return Err(refusal);
-            }
-        };
+        let whole = self.step(i, Step { position: 0, inputs }).await?;
+        self.ranges[i].suspect = false;
         let stage = &self.ranges[i].hop.stage;
         let layers = u64::from(stage.last - stage.first + 1);
         self.replaced += 1;
         self.repeated += kept as u64 * layers;
-        let text = format!("layers from {} go on at {}", stage.first, place.vm);
+        let text = format!("layers from {} go on at {:?}", stage.first, self.ranges[i].place);
         self.agent.node.trace.add(&self.terms.request, "replace", text);
         Ok(Output {
             position: step.position,
@@ -202,18 +200,18 @@
         })
     }
 
-    /// Replicas to try, the failed one last: it may have come back.
-    fn places(&self, i: usize, failed: Option<&str>) -> Vec<Place> {
+    /// Replicas to try, those that failed oftener later: they may have come back.
+    fn places(&self, i: usize, failed: &[id::Vm]) -> Vec<Place> {
         let mut places = self.ranges[i].hop.replicas.clone();
         if i == 0 && !places.iter().any(|p| p.vm == self.agent.node.process.vm) {
             places.push(self.own_place());
         }
-        places.sort_by_key(|p| Some(p.vm.as_str()) == failed);
+        places.sort_by_key(|p| failed.iter().filter(|f| **f == p.vm).count());
         places
     }
 
-    /// Opens a session of the range at a place.
-    async fn seat(&mut self, i: usize, place: &Place) -> Result<(), Refusal> {
+    /// Opens a session of the range at the first of the places that has room.
+    async fn seat(&mut self, i: usize, places: &[Place]) -> Result<(), Refusal> {
         let range = &self.ranges[i];
         let open = Open {
             request: self.terms.request.clone(),
@@ -222,13 +220,11 @@
             priority: self.terms.priority,
             fingerprint: self.terms.fingerprint,
             tag: self.terms.tag.clone(),
+            suspect: range.suspect,
         };
-        let opened = timeout(OPEN_TIMEOUT, open_at(&self.agent, place, open)).await;
-        let seat = opened.unwrap_or_else(|_| {
-            Err(Refusal::not_run(Cause::Unavailable, "open", &place.vm, "no answer in time"))
-        })?;
+        let (seat, place) = seat::open_any(&self.agent, places, &open).await?;
         self.ranges[i].seat = seat;
-        self.ranges[i].place = Some(place.vm.clone());
+        self.ranges[i].place = Some(place.vm);
         Ok(())
     }
 
@@ -236,44 +232,9 @@
         let process = &self.agent.node.process;
         Place { vm: process.vm.clone(), address: process.listen.to_string() }
     }
-
-    fn no_replica(&self, i: usize) -> Refusal {
-        let stage = &self.ranges[i].hop.stage;
-        let why = format!("no replica of layers {}-{} is known", stage.first, stage.last);
-        Refusal::not_run(Cause::Unavailable, "open", &self.agent.node.process.vm, why)
-    }
-}
-
-async fn open_at(agent: &Arc<Agent>, place: &Place, open: Open) -> Result<Seat, Refusal> {
-    if place.vm == agent.node.process.vm {
-        let table = agent.stage.as_ref().ok_or_else(|| {
-            Refusal::not_run(Cause::Unavailable, "open", &place.vm, "no engine stands here")
-        })?;
-        return table.open(&open).await.map(|s| Seat::Here(Box::new(s)));
-    }
-    let down = |e: wire::link::Error| {
-        Refusal::not_run(Cause::Unavailable, "open", &place.vm, e.to_string())
-    };
-    let mut stream =
-        agent.node.peers.open(&place.vm, &place.address, &Ask::Open(open)).await.map_err(down)?;
-    match stream.expect().await.map_err(down)? {
-        Tell::Opened => Ok(Seat::There(stream)),
-        Tell::Refused(refusal) => Err(refusal),
-        _ => Err(Refusal::not_run(Cause::Unavailable, "open", &place.vm, "unexpected frame")),
-    }
-}
-
-async fn exchange(stream: &mut Stream, step: Step) -> Result<Output, Refusal> {
-    let peer = stream.peer.clone();
-    let down = |e: wire::link::Error| lost("step", &peer, &e.to_string());
-    stream.send(&Tell::Step(step)).await.map_err(down)?;
-    match stream.expect().await.map_err(down)? {
-        Tell::Output(output) => Ok(output),
-        Tell::Refused(refusal) => Err(refusal),
-        _ => Err(lost("step", &peer, "unexpected frame")),
-    }
 }
 
-fn lost(step: &str, peer: &str, why: &str) -> Refusal {
-    Refusal::unknown(Cause::Lost, step, peer, why)
+/// True when trying elsewhere is of no use or would do harm.
+fn hopeless(cause: Cause) -> bool {
+    matches!(cause, Cause::Quarantined | Cause::Fenced | Cause::Cancelled)
 }
--- a/crates/agent/src/draft.rs
+++ b/crates/agent/src/draft.rs
@@ -166,6 +166,7 @@
         request: draft.request.clone(),
         priority: draft.priority,
         fingerprint: draft.fingerprint,
+        suspect: draft.suspect,
         tag: draft.prompt.chars().take(TAG_LENGTH).collect(),
         step_timeout: force.fleet.defaults.step_timeout,
         deadline: Instant::now() + draft.deadline,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod chain;
 pub mod draft;
 pub mod ledger;
+pub mod seat;
 pub mod slot;
 pub mod stage;
 pub mod write;
--- /dev/null
+++ b/crates/agent/src/seat.rs
@@ -0,0 +1,143 @@
+//! Where a range of a draft runs: a session here or at another agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use node::alive::Wait;
+use platform::vm::Role;
+use rand::seq::IndexedRandom;
+use tokio::time::{sleep, timeout};
+use wire::frame::{Ask, Cause, Open, Output, Place, Refusal, Stage, Step, Tell};
+use wire::link::Stream;
+
+use crate::{Agent, stage};
+
+/// Time to open a session at a stage. Longer than a new connection takes over a
+/// slow link, and short against a caller's deadline.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time after which the next replica is asked as well. A frozen or cut-off one
+/// costs this and not the time of a whole connection attempt.
+const HEDGE: Duration = Duration::from_millis(100);
+
+/// Time a router has to name replicas.
+const REPLICAS_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Where a range runs now.
+#[derive(Debug)]
+pub enum Seat {
+    /// Nowhere yet, or it was lost.
+    Nowhere,
+    /// At the engine beside this agent.
+    Here(Box<stage::Session>),
+    /// At another agent, whose loss is noticed while the draft runs.
+    There(Stream, Wait),
+}
+
+impl Seat {
+    /// Runs one step there.
+    pub async fn step(&mut self, step: Step) -> Result<Output, Refusal> {
+        match self {
+            Seat::Nowhere => Err(lost("step", "", "the range runs nowhere")),
+            Seat::Here(session) => session.step(step).await,
+            Seat::There(stream, _) => exchange(stream, step).await,
+        }
+    }
+}
+
+/// Opens a session at the first of the places that answers. The next place is
+/// asked when one refuses or does not answer within [`HEDGE`]; what is opened
+/// late is closed unused.
+pub async fn open_any(
+    agent: &Arc<Agent>,
+    places: &[Place],
+    open: &Open,
+) -> Result<(Seat, Place), Refusal> {
+    let mut last = no_replica(agent, &open.stage);
+    let mut rest = places.iter();
+    let mut opening = FuturesUnordered::new();
+    loop {
+        match rest.next() {
+            Some(place) => opening.push(open_one(agent, place, open.clone())),
+            None if opening.is_empty() => return Err(last),
+            None => {}
+        }
+        let more = rest.len() > 0;
+        tokio::select! {
+            Some((place, opened)) = opening.next() => match opened {
+                Ok(seat) => return Ok((seat, place.clone())),
+                Err(refusal) if refusal.cause == Cause::Quarantined => return Err(refusal),
+                Err(refusal) => last = refusal,
+            },
+            () = sleep(HEDGE), if more => {}
+        }
+    }
+}
+
+async fn open_one<'a>(
+    agent: &Arc<Agent>,
+    place: &'a Place,
+    open: Open,
+) -> (&'a Place, Result<Seat, Refusal>) {
+    let opened = timeout(OPEN_TIMEOUT, open_at(agent, place, open)).await;
+    let silent = Refusal::not_run(Cause::Unavailable, "open", &place.vm, "no answer in time");
+    (place, opened.unwrap_or(Err(silent)))
+}
+
+async fn open_at(agent: &Arc<Agent>, place: &Place, open: Open) -> Result<Seat, Refusal> {
+    if place.vm == agent.node.process.vm {
+        let table = agent.stage.as_ref().ok_or_else(|| {
+            Refusal::not_run(Cause::Unavailable, "open", &place.vm, "no engine stands here")
+        })?;
+        return table.open(&open).await.map(|s| Seat::Here(Box::new(s)));
+    }
+    let down = |e: wire::link::Error| {
+        Refusal::not_run(Cause::Unavailable, "open", &place.vm, e.to_string())
+    };
+    let peers = &agent.node.peers;
+    let wait = peers.wait(&place.vm, &place.address);
+    let mut stream = peers.open(&place.vm, &place.address, &Ask::Open(open)).await.map_err(down)?;
+    match stream.expect().await.map_err(down)? {
+        Tell::Opened => Ok(Seat::There(stream, wait)),
+        Tell::Refused(refusal) => Err(refusal),
+        _ => Err(Refusal::not_run(Cause::Unavailable, "open", &place.vm, "unexpected frame")),
+    }
+}
+
+async fn exchange(stream: &mut Stream, step: Step) -> Result<Output, Refusal> {
+    let peer = stream.peer.clone();
+    let down = |e: wire::link::Error| lost("step", &peer, &e.to_string());
+    stream.send(&Tell::Step(step)).await.map_err(down)?;
+    match stream.expect().await.map_err(down)? {
+        Tell::Output(output) => Ok(output),
+        Tell::Refused(refusal) => Err(refusal),
+        _ => Err(lost("step", &peer, "unexpected frame")),
+    }
+}
+
+/// Replicas of a range as a router sees them now; none when no router answers.
+/// The list a draft came with is as old as the draft: replicas that joined
+/// since, or were ordered to load the range, are not in it.
+pub async fn ask_router(agent: &Arc<Agent>, stage: &Stage) -> Vec<Place> {
+    let list = agent.node.vms.borrow().clone();
+    let routers: Vec<_> = list.iter().filter(|e| e.role == Role::Router).collect();
+    let Some(router) = routers.choose(&mut rand::rng()) else { return Vec::new() };
+    let ask = Ask::Replicas(stage.clone());
+    let asked = agent.node.peers.ask(&router.vm, &router.address, &ask);
+    match timeout(REPLICAS_TIMEOUT, asked).await {
+        Ok(Ok(Tell::Places(places))) => places,
+        _ => Vec::new(),
+    }
+}
+
+fn no_replica(agent: &Agent, stage: &Stage) -> Refusal {
+    let why = format!("no replica of layers {}-{} is known", stage.first, stage.last);
+    Refusal::not_run(Cause::Unavailable, "open", &agent.node.process.vm, why)
+}
+
+/// A step of which it is not known whether it ran.
+pub fn lost(step: &str, peer: &str, why: &str) -> Refusal {
+    Refusal::unknown(Cause::Lost, step, peer, why)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every daemon shares: its settings in force, its links to peers, the VM
 //! list, logs, metrics, health pages, a trace of requests, and stopping.
 
+pub mod alive;
 pub mod health;
 pub mod logs;
 pub mod metrics;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,20 +1,33 @@
 //! Links to other processes: one connection a peer, opened when first needed.
 
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use quinn::{Connection, Endpoint};
 use serde::{Serialize, de::DeserializeOwned};
 use wire::link::{self, Stream};
 
-/// Name and address of a peer, and its connection once there is one.
-type Peer = (String, String, Arc<tokio::sync::Mutex<Option<Connection>>>);
+use crate::alive::{self, Wait, Waits};
+
+/// A peer that was lost is not connected to again for this long. Without it all
+/// who need the peer would wait for a new connection in turn, each for a second.
+const REST: Duration = Duration::from_millis(250);
+
+/// What is known of a peer.
+#[derive(Debug, Default)]
+struct Peer {
+    link: tokio::sync::Mutex<Option<Connection>>,
+    waits: Arc<Waits>,
+    lost: Mutex<Option<Instant>>,
+}
 
 /// The open links of a process.
 #[derive(Debug, Clone)]
 pub struct Peers {
     endpoint: Endpoint,
     /// Sorted by name and address.
-    list: Arc<Mutex<Vec<Peer>>>,
+    list: Arc<Mutex<Vec<(String, String, Arc<Peer>)>>>,
 }
 
 impl Peers {
@@ -51,19 +64,32 @@
         stream.expect().await
     }
 
+    /// Says that an answer of a peer is awaited until the result is dropped. Its
+    /// loss then breaks all streams to it within a few hundred milliseconds.
+    pub fn wait(&self, vm: &str, address: &str) -> Wait {
+        self.peer(vm, address).waits.begin()
+    }
+
     /// The connection to a peer; a new one when there is none or it has ended.
     /// Callers that come together wait for the one attempt.
     pub async fn connection(&self, vm: &str, address: &str) -> Result<Connection, link::Error> {
-        let cell = self.cell(vm, address);
-        let mut held = cell.lock().await;
+        let peer = self.peer(vm, address);
+        let mut held = peer.link.lock().await;
         match &*held {
-            Some(open) if open.close_reason().is_none() => Ok(open.clone()),
-            _ => {
-                let opened = link::connect(&self.endpoint, vm, address).await?;
-                *held = Some(opened.clone());
-                Ok(opened)
-            }
+            Some(open) if open.close_reason().is_none() => return Ok(open.clone()),
+            _ if peer.rests() => return Err(error("connect", vm, "it was lost a moment ago")),
+            _ => {}
         }
+        let opened = tokio::select! {
+            opened = link::connect(&self.endpoint, vm, address) => opened,
+            () = alive::port_closed(self.own(), address) => {
+                Err(error("connect", vm, "no process holds its port"))
+            }
+        };
+        let opened = opened.inspect_err(|_| peer.lose())?;
+        *held = Some(opened.clone());
+        tokio::spawn(watch(self.own(), vm.to_string(), opened.clone(), peer.clone()));
+        Ok(opened)
     }
 
     /// Forgets peers that are not in `vms`, so that replaced VMs do not pile up.
@@ -72,15 +98,43 @@
         list.retain(|(vm, address, _)| vms.iter().any(|e| e.vm == *vm && e.address == *address));
     }
 
-    fn cell(&self, vm: &str, address: &str) -> Arc<tokio::sync::Mutex<Option<Connection>>> {
+    fn own(&self) -> IpAddr {
+        let any = IpAddr::from([0, 0, 0, 0]);
+        self.endpoint.local_addr().map_or(any, |a| a.ip())
+    }
+
+    fn peer(&self, vm: &str, address: &str) -> Arc<Peer> {
         let mut list = self.list.lock().expect("no panic while held");
         match list.binary_search_by(|(v, a, _)| (v.as_str(), a.as_str()).cmp(&(vm, address))) {
             Ok(i) => list[i].2.clone(),
             Err(i) => {
-                let cell = Arc::default();
-                list.insert(i, (vm.to_string(), address.to_string(), Arc::clone(&cell)));
-                cell
+                let peer = Arc::<Peer>::default();
+                list.insert(i, (vm.to_string(), address.to_string(), peer.clone()));
+                peer
             }
         }
     }
 }
+
+impl Peer {
+    fn lose(&self) {
+        *self.lost.lock().expect("no panic while held") = Some(Instant::now());
+    }
+
+    fn rests(&self) -> bool {
+        let lost = self.lost.lock().expect("no panic while held");
+        lost.is_some_and(|at| at.elapsed() < REST)
+    }
+}
+
+async fn watch(own: IpAddr, vm: String, connection: Connection, peer: Arc<Peer>) {
+    let why = alive::watch(own, connection.clone(), peer.waits.clone()).await;
+    if connection.close_reason() == Some(quinn::ConnectionError::LocallyClosed) {
+        peer.lose();
+        log::warn!("link: {vm} is lost: {why}");
+    }
+}
+
+fn error(step: &'static str, peer: &str, reason: &str) -> link::Error {
+    link::Error { step, peer: peer.to_string(), reason: reason.to_string() }
+}
--- a/crates/router/src/choose.rs
+++ b/crates/router/src/choose.rs
@@ -2,7 +2,7 @@
 
 use config::fleet::Model;
 use rand::seq::SliceRandom;
-use wire::frame::{Hop, Stage};
+use wire::frame::{Hop, Place, Stage};
 
 use crate::view::{self, Agent};
 
@@ -17,10 +17,14 @@
 
 fn hop(agents: &[Agent], model: &Model, first: u32, last: u32) -> Hop {
     let stage = Stage { model: model.name.clone(), version: model.version, first, last };
+    Hop { replicas: replicas(agents, stage.clone()), stage }
+}
+
+/// Replicas of a range, best first.
+pub fn replicas(agents: &[Agent], stage: Stage) -> Vec<Place> {
     let fits = |a: &&Agent| view::stage(a) == Some(&stage);
     let found: Vec<&Agent> = agents.iter().filter(fits).collect();
-    let replicas = by_load(found).into_iter().take(REPLICAS).map(|a| a.place.clone()).collect();
-    Hop { stage, replicas }
+    by_load(found).into_iter().take(REPLICAS).map(|a| a.place.clone()).collect()
 }
 
 /// Agents of a service, best first.
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -31,6 +31,13 @@
 /// How often a silent head is compared with the view of the agents.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// How long a lost head is told that its draft goes on elsewhere: as long as a
+/// head runs a draft that nobody follows.
+const ABANDONED: Duration = Duration::from_secs(15);
+
+/// Pause between two such tries.
+const CANCEL_PAUSE: Duration = Duration::from_millis(500);
+
 /// What a caller wants.
 #[derive(Debug, Clone)]
 pub struct Wanted {
@@ -83,6 +90,8 @@
     /// Tokens the caller has.
     words: Vec<Word>,
     accepted: bool,
+    /// Lost heads, each with the task that cancels the draft there.
+    given_up: Vec<(id::Vm, tokio::task::JoinHandle<()>)>,
 }
 
 /// Runs a draft until its caller has the whole answer or an honest refusal.
@@ -95,6 +104,7 @@
         head: Place { vm: String::new(), address: String::new() },
         words: Vec::new(),
         accepted: false,
+        given_up: Vec::new(),
     };
     let mut attempt = 0;
     loop {
@@ -109,6 +119,7 @@
                 let text = format!("head {} is lost: {why}", follower.head.vm);
                 follower.router.node.trace.add(&follower.request, "head", text);
                 follower.router.node.metrics.retries.add(1, &[]);
+                follower.give_up();
             }
         }
         drop(sent);
@@ -126,6 +137,7 @@
         head,
         words: Vec::new(),
         accepted: false,
+        given_up: Vec::new(),
     };
     let ask = Ask::Attach(attach);
     let opened = follower.ask(&ask).await;
@@ -188,6 +200,11 @@
         }
         self.head = chain[0].replicas[0].clone();
         self.request = self.request_id(&wanted.unique);
+        // The same process again gets the same request id: the late cancelling
+        // of its first run would end the new one.
+        for (_, task) in self.given_up.iter().filter(|(vm, _)| *vm == self.head.vm) {
+            task.abort();
+        }
         let ask = Ask::Draft(self.draft(wanted, attempt, chain));
         let sent = self.router.view.sent(&self.head.vm);
         let stream = self.ask(&ask).await?;
@@ -212,6 +229,7 @@
             priority: wanted.priority,
             deadline: wanted.until.saturating_duration_since(Instant::now()),
             fingerprint: wanted.fingerprint,
+            suspect: false,
             chain,
         }
     }
@@ -220,6 +238,7 @@
     async fn ask(&mut self, ask: &Ask) -> Result<Stream, Refusal> {
         let (vm, address) = (self.head.vm.clone(), self.head.address.clone());
         let down = |why: String| Refusal::not_run(Cause::Unavailable, "offer", &vm, why);
+        let _wait = self.router.node.peers.wait(&vm, &address);
         let asked = async {
             let mut stream = self
                 .router
@@ -249,6 +268,7 @@
 
     /// Passes tokens on until the draft ends, the caller goes or the head is lost.
     async fn follow(&mut self, mut stream: Stream) -> End {
+        let _wait = self.router.node.peers.wait(&self.head.vm, &self.head.address);
         loop {
             let tell = tokio::select! {
                 tell = stream.expect::<Tell>() => tell,
@@ -283,6 +303,26 @@
         }
     }
 
+    /// Tells a lost head that its draft goes on elsewhere, as soon as it can be
+    /// reached. A head that was only frozen would otherwise go on for [`ABANDONED`]
+    /// and take up slots for an answer that nobody reads.
+    fn give_up(&mut self) {
+        let (request, workspace) = (self.request.clone(), self.workspace.clone());
+        let (head, router) = (self.head.clone(), self.router.clone());
+        let ask = Ask::Cancel(Cancel { request, workspace });
+        let task = tokio::spawn(async move {
+            let until = Instant::now() + ABANDONED;
+            while Instant::now() < until {
+                tokio::time::sleep(CANCEL_PAUSE).await;
+                let asked = router.node.peers.ask::<_, Tell>(&head.vm, &head.address, &ask);
+                if tokio::time::timeout(CANCEL_PAUSE, asked).await.is_ok_and(|r| r.is_ok()) {
+                    return;
+                }
+            }
+        });
+        self.given_up.push((self.head.vm.clone(), task));
+    }
+
     async fn cancel(&self) {
         let (request, workspace) = (self.request.clone(), self.workspace.clone());
         let ask = Ask::Cancel(Cancel { request, workspace });
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -119,6 +119,7 @@
 async fn answer(router: Arc<Router>, ask: Ask, mut stream: Stream) {
     let tell = match ask {
         Ask::Status => Tell::Text(router.status().to_string()),
+        Ask::Replicas(stage) => Tell::Places(choose::replicas(&router.view.usable(), stage)),
         _ => return,
     };
     if stream.send(&tell).await.is_ok() {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -76,6 +76,8 @@
     Settings,
     /// Anyone: what the peer knows of a request, as JSON lines. Answer: [`Tell::Text`].
     Explain(id::Request),
+    /// Head to router: replicas of a range that can be used now. Answer: [`Tell::Places`].
+    Replicas(Stage),
 }
 
 /// Every other frame.
@@ -105,6 +107,8 @@
     Text(String),
     /// Done, nothing to say.
     Ok,
+    /// Replicas of a range, best first.
+    Places(Vec<Place>),
 }
 
 /// Asks for reports.
@@ -189,6 +193,8 @@
     pub deadline: Duration,
     /// Hash of model and prompt, for the quarantine of requests that crash engines.
     pub fingerprint: id::Fingerprint,
+    /// True when the router knows that it was running at a crash of an engine.
+    pub suspect: bool,
     /// For each range of the model in order, agents to try in this order. The
     /// first range starts at the head itself; its replicas here are the spares.
     pub chain: Vec<Hop>,
@@ -254,6 +260,8 @@
     pub fingerprint: id::Fingerprint,
     /// Model and prompt in short, shown to operators when a request crashes engines.
     pub tag: String,
+    /// True when it was running at a crash of an engine: it is run with nothing beside it.
+    pub suspect: bool,
 }
 
 /// Consecutive positions to run.
@@ -420,6 +428,9 @@
     /// The connection or the peer was lost on the way.
     #[display("lost")]
     Lost,
+    /// The engine crashed while the request ran.
+    #[display("engine crashed")]
+    Crashed,
 }
 
 /// An honest refusal.
--- a/crates/wire/src/tls.rs
+++ b/crates/wire/src/tls.rs
@@ -17,6 +17,9 @@
 /// Keeps an idle connection alive and finds a dead peer.
 pub const KEEP_ALIVE: Duration = Duration::from_millis(750);
 
+/// Bytes of unread pings that are held at most.
+const PINGS: usize = 64;
+
 /// Why the certificates can't be used.
 #[derive(Debug, Display, Error)]
 #[display("certificate step '{step}', file {file}: {reason}")]
@@ -81,7 +84,9 @@
     transport
         .max_idle_timeout(Some(IDLE.try_into().expect("a few seconds fit")))
         .keep_alive_interval(Some(KEEP_ALIVE))
-        .max_concurrent_bidi_streams(4096u32.into());
+        .max_concurrent_bidi_streams(4096u32.into())
+        // One-byte datagrams serve as pings and are never read.
+        .datagram_receive_buffer_size(Some(PINGS));
     Arc::new(transport)
 }
 
