Quarantine of requests that crash engines

The agent outlives its engine's crash and names the requests with a step in progress; each reruns that step alone, and one that crashes an engine again is refused everywhere. Decisions are records of the log stream 'quarantine', read by all daemons; while the log is out, routers learn from reports. The head stops at a refusal for quarantine: before, it took a poison request from engine to engine until the deadline, five times over.

--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -74,7 +74,9 @@
         let due = tokio::time::Instant::now() + interval;
         while tokio::time::Instant::now() < due {
             tokio::time::sleep(LOOK.min(interval)).await;
-            if agent.leaving() != sent.leaving || agent.backend() != sent.backend {
+            let refused = agent.node.quarantine.lists().1;
+            let news = agent.leaving() != sent.leaving || refused != sent.quarantined;
+            if news || agent.backend() != sent.backend {
                 break;
             }
         }
--- /dev/null
+++ b/crates/agent/src/crash.rs
@@ -0,0 +1,143 @@
+//! Crashes of the engine: which requests ran, and running suspects alone.
+//!
+//! An engine batches, so at a crash any request with a step in progress may be at
+//! fault. Each of them becomes a suspect, and the step that was in progress is run
+//! again with no other step beside it. Either it passes, then the request is
+//! cleared, or the engine crashes again, then it was at fault and is refused
+//! everywhere. Only that one step runs alone, so the others wait for milliseconds.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use node::Node;
+use policy::quarantine::Verdict;
+use tokio::sync::{RwLock, RwLockReadGuard, RwLockWriteGuard};
+use wire::frame::{Cause, Refusal};
+use wire::id::Fingerprint;
+use wire::quarantine::{Running, show};
+
+/// Engine processes remembered as crashed.
+const REMEMBERED: usize = 64;
+
+/// Time for all daemons to hear of a quarantine before its caller does: the
+/// caller may send the request again at once, through a router that does not
+/// know yet, and take down one more engine.
+pub const SPREAD: Duration = Duration::from_millis(200);
+
+/// A step in progress.
+#[derive(Debug, Clone)]
+struct Step {
+    number: u64,
+    incarnation: String,
+    running: Running,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    count: u64,
+    steps: Vec<Step>,
+    /// Incarnations of engines whose crash has been told, oldest first.
+    told: Vec<String>,
+}
+
+/// Steps in progress at the engine, and its crashes.
+#[derive(Debug, Default)]
+pub struct Watch {
+    state: Mutex<State>,
+    /// Held for reading by every step, for writing by a step that runs alone.
+    alone: RwLock<()>,
+}
+
+/// A step in progress until this is dropped.
+#[derive(Debug)]
+pub struct Entry<'a> {
+    watch: &'a Watch,
+    number: u64,
+}
+
+/// The right to run a step, with others beside it or alone.
+#[derive(Debug)]
+pub enum Right<'a> {
+    /// Others may run too.
+    Beside(RwLockReadGuard<'a, ()>),
+    /// Nothing else runs.
+    Alone(RwLockWriteGuard<'a, ()>),
+}
+
+impl Watch {
+    /// Waits until a step may run.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// use agent::crash::{Right, Watch};
+    /// let watch = Watch::default();
+    /// assert!(matches!(watch.right(true).await, Right::Alone(_)));
+    /// # });
+    /// ```
+    pub async fn right(&self, alone: bool) -> Right<'_> {
+        match alone {
+            true => Right::Alone(self.alone.write().await),
+            false => Right::Beside(self.alone.read().await),
+        }
+    }
+
+    /// Notes that a step goes to the engine.
+    pub fn enter(&self, incarnation: &str, running: Running) -> Entry<'_> {
+        let mut state = self.state.lock().expect("no panic while held");
+        state.count += 1;
+        let number = state.count;
+        state.steps.push(Step { number, incarnation: incarnation.to_string(), running });
+        Entry { watch: self, number }
+    }
+
+    /// Tells the fleet of the crash of an engine process, once for each.
+    pub fn crashed(&self, node: &Node, incarnation: &str) {
+        let running = {
+            let mut state = self.state.lock().expect("no panic while held");
+            if state.told.iter().any(|i| i == incarnation) {
+                return;
+            }
+            if state.told.len() == REMEMBERED {
+                state.told.remove(0);
+            }
+            state.told.push(incarnation.to_string());
+            let ran = state.steps.iter().filter(|s| s.incarnation == incarnation);
+            ran.map(|s| s.running.clone()).collect()
+        };
+        node.metrics.crashes.add(1, &[]);
+        node.quarantine.crashed(incarnation, running);
+    }
+}
+
+impl Drop for Entry<'_> {
+    fn drop(&mut self) {
+        let mut state = self.watch.state.lock().expect("no panic while held");
+        state.steps.retain(|s| s.number != self.number);
+    }
+}
+
+/// What to answer for a step that was in progress at a crash.
+pub async fn verdict(node: &Node, fingerprint: Fingerprint) -> Refusal {
+    let vm = &node.process.vm;
+    match node.quarantine.verdict(fingerprint) {
+        Verdict::Refused { left } => {
+            tokio::time::sleep(SPREAD).await;
+            refusal(vm, "step", left)
+        }
+        _ => Refusal::unknown(Cause::Crashed, "step", vm, "the engine crashed while it ran"),
+    }
+}
+
+/// The refusal of a request in quarantine.
+pub fn refusal(vm: &str, step: &str, left: Duration) -> Refusal {
+    let why = format!(
+        "it crashed two engines and is refused everywhere for {} s, or until an operator lifts it",
+        left.as_secs()
+    );
+    Refusal::refused(Cause::Quarantined, step, vm, why)
+}
+
+/// How a request is named in the records.
+pub fn running(fingerprint: Fingerprint, request: &str, tag: &str) -> Running {
+    Running { fingerprint: show(fingerprint), request: request.into(), tag: tag.into() }
+}
--- a/crates/agent/src/draft.rs
+++ b/crates/agent/src/draft.rs
@@ -6,14 +6,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use policy::quarantine::Verdict;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wire::frame::{Accepted, Attach, Cancel, Cause, Done, Draft, Refusal, Tell, Token, Word};
 use wire::id;
 use wire::link::Stream;
 
-use crate::Agent;
 use crate::chain::{Chain, Terms};
+use crate::{Agent, crash};
 
 /// A draft that nobody has followed for this long is given up: its caller has
 /// gone together with its router. Long enough for a caller to notice a broken
@@ -136,6 +137,9 @@
         let why = "the VM is leaving";
         return Err(Refusal::not_run(Cause::Leaving, "accept", vm, why));
     }
+    if let Verdict::Refused { left } = agent.node.quarantine.verdict(draft.fingerprint) {
+        return Err(crash::refusal(vm, "accept", left));
+    }
     let table = agent.stage.as_ref().ok_or_else(|| {
         Refusal::not_run(Cause::Unavailable, "accept", vm, "no engine stands here")
     })?;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod call;
 pub mod chain;
+pub mod crash;
 pub mod draft;
 pub mod ledger;
 pub mod seat;
@@ -58,6 +59,7 @@
 
     /// Its state for the routers.
     pub fn report(&self) -> Report {
+        let (suspects, quarantined) = self.node.quarantine.lists();
         Report {
             vm: self.node.process.vm.clone(),
             incarnation: self.node.incarnation,
@@ -68,8 +70,8 @@
             step_us: self.slots.step_us(),
             leaving: self.leaving(),
             version: self.node.settings.borrow().version,
-            quarantined: Vec::new(),
-            suspects: Vec::new(),
+            quarantined,
+            suspects,
         }
     }
 
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -5,9 +5,13 @@
 
 use engine::Client;
 use node::Node;
+use policy::quarantine::Verdict;
+use tokio::time::timeout;
 use wire::frame::{Cause, Open, Output, Refusal, Stage, Step, Word};
 use wire::id;
+use wire::quarantine::Running;
 
+use crate::crash;
 use crate::slot::{Slot, Slots};
 
 /// Longest wait for an answer of the engine. The head gives a silent stage up
@@ -17,6 +21,13 @@
 /// Pause between looks at the engine's info: a crash is noticed within this.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// Looks at an engine whose answer was lost before it is held to have lived on.
+const CRASH_LOOKS: u32 = 3;
+
+/// Longest such look, and the pause after one that told nothing.
+const CRASH_TIMEOUT: Duration = Duration::from_millis(200);
+const CRASH_PAUSE: Duration = Duration::from_millis(10);
+
 /// Highest attempts remembered for requests whose session has ended here. A
 /// frozen head that thaws after this many newer requests could open an old
 /// attempt again; its output would still be used by nobody.
@@ -36,12 +47,14 @@
 /// The sessions at the engine.
 #[derive(Debug)]
 pub struct Table {
+    node: Arc<Node>,
     vm: String,
     engine: Client,
     slots: Slots,
     info: RwLock<Option<engine::Info>>,
     /// Sorted by the unique part of the request id.
     seen: Mutex<Vec<Seen>>,
+    crash: crash::Watch,
 }
 
 /// An open session. Dropping it cancels it at the engine.
@@ -50,6 +63,11 @@
     table: Arc<Table>,
     name: String,
     unique: String,
+    running: Running,
+    fingerprint: id::Fingerprint,
+    /// Incarnation of the engine that holds it.
+    incarnation: String,
+    suspect: bool,
     attempt: id::Attempt,
     next: id::Position,
     kept: Option<(Step, Output)>,
@@ -61,11 +79,13 @@
 /// first: nobody waits for it any more, and it would hold the engine's slots.
 pub async fn start(node: &Arc<Node>, address: &str, slots: Slots) -> Arc<Table> {
     let table = Arc::new(Table {
+        node: node.clone(),
         vm: node.process.vm.clone(),
         engine: Client::new(address, ENGINE_TIMEOUT),
         slots,
         info: RwLock::new(None),
         seen: Mutex::default(),
+        crash: crash::Watch::default(),
     });
     if let Err(e) = table.engine.cancel_all().await {
         log::warn!("stage: what was left at the engine can't be cancelled: {e}");
@@ -98,6 +118,9 @@
 
     /// Opens a session or refuses at once. Nothing has run after a refusal.
     pub async fn open(self: &Arc<Table>, open: &Open) -> Result<Session, Refusal> {
+        if let Verdict::Refused { left } = self.node.quarantine.verdict(open.fingerprint) {
+            return Err(crash::refusal(&self.vm, "open", left));
+        }
         let slot = match self.held() {
             Some(held) if held == open.stage => self.slots.take(),
             Some(held) => {
@@ -113,6 +136,7 @@
         let unique = unique(&open.request).to_string();
         self.fence(&unique, open.attempt)?;
 
+        let incarnation = self.incarnation();
         let name = format!("{}.{}.{}", open.request, open.attempt, open.stage.first);
         let session = engine::Session {
             session: name.clone(),
@@ -124,6 +148,10 @@
                 table: self.clone(),
                 name,
                 unique,
+                running: crash::running(open.fingerprint, &open.request, &open.tag),
+                fingerprint: open.fingerprint,
+                incarnation,
+                suspect: open.suspect,
                 attempt: open.attempt,
                 next: 0,
                 kept: None,
@@ -182,9 +210,35 @@
         }
     }
 
+    fn incarnation(&self) -> String {
+        let info = self.info.read().expect("no panic while held");
+        info.as_ref().map(|i| i.incarnation.clone()).unwrap_or_default()
+    }
+
+    /// True when the engine process of that incarnation has ended: nothing
+    /// listens at its port, or another process does.
+    async fn ended_process(&self, incarnation: &str) -> bool {
+        for _ in 0..CRASH_LOOKS {
+            match timeout(CRASH_TIMEOUT, self.engine.info()).await {
+                Ok(Ok(info)) => {
+                    let ended = info.incarnation != incarnation;
+                    self.note(Some(info));
+                    return ended;
+                }
+                Ok(Err(e)) if e.unsent() => {
+                    self.note(None);
+                    return true;
+                }
+                // A pooled connection to the dead process may fail first.
+                _ => tokio::time::sleep(CRASH_PAUSE).await,
+            }
+        }
+        false
+    }
+
     async fn watch(&self) {
         loop {
-            let looked = tokio::time::timeout(Duration::from_secs(2), self.engine.info()).await;
+            let looked = timeout(Duration::from_secs(2), self.engine.info()).await;
             let info = looked.ok().and_then(Result::ok);
             self.note(info);
             tokio::time::sleep(LOOK).await;
@@ -229,22 +283,11 @@
             }
             _ => {}
         }
-        self.broken = true;
-        let begun = Instant::now();
-        let asked = engine::Step { position: step.position, inputs: step.inputs.clone() };
-        let ran = self
-            .table
-            .engine
-            .step(&self.name, &asked)
-            .await
-            .map_err(|e| self.table.refuse(Cause::Lost, "step", e.to_string()))?;
+        let ran = self.at_engine(&step).await?;
         if ran.outputs.len() != step.inputs.len() {
             let why = format!("{} outputs for {} inputs", ran.outputs.len(), step.inputs.len());
             return Err(self.table.refuse(Cause::Lost, "step", why));
         }
-        if step.inputs.len() == 1 {
-            self.table.slots.measured(begun.elapsed());
-        }
         self.broken = false;
         self.next += step.inputs.len() as id::Position;
         let token = ran.token.map(|t| Word { id: t.id, text: t.text, end: t.end });
@@ -252,6 +295,41 @@
         self.kept = Some((step, output.clone()));
         Ok(output)
     }
+
+    async fn at_engine(&mut self, step: &Step) -> Result<engine::Output, Refusal> {
+        let table = self.table.clone();
+        let verdict = || table.node.quarantine.verdict(self.fingerprint);
+        let alone = self.suspect || verdict() == Verdict::Alone;
+        let _right = table.crash.right(alone).await;
+        if let Verdict::Refused { left } = verdict() {
+            return Err(crash::refusal(&table.vm, "step", left));
+        }
+        self.broken = true;
+        let begun = Instant::now();
+        let asked = engine::Step { position: step.position, inputs: step.inputs.clone() };
+        let entry = table.crash.enter(&self.incarnation, self.running.clone());
+        let ran = match table.engine.step(&self.name, &asked).await {
+            Ok(ran) => ran,
+            Err(e) => {
+                // An engine that answers, or never got the step, did not crash by it.
+                let certain = e.status().is_some() || e.unsent();
+                if !certain && table.ended_process(&self.incarnation).await {
+                    table.crash.crashed(&table.node, &self.incarnation);
+                    return Err(crash::verdict(&table.node, self.fingerprint).await);
+                }
+                return Err(table.refuse(Cause::Lost, "step", e.to_string()));
+            }
+        };
+        drop(entry);
+        if step.inputs.len() == 1 {
+            table.slots.measured(begun.elapsed());
+        }
+        if alone {
+            self.suspect = false;
+            table.node.quarantine.cleared(self.fingerprint);
+        }
+        Ok(ran)
+    }
 }
 
 impl Drop for Session {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peers;
+pub mod quarantine;
 pub mod serve;
 pub mod settings;
 pub mod stop;
@@ -57,6 +58,8 @@
     pub trace: trace::Trace,
     /// Tells all tasks to stop taking new work.
     pub stop: stop::Stop,
+    /// Requests that crash engines.
+    pub quarantine: Arc<quarantine::Quarantine>,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
@@ -76,6 +79,7 @@
     let peers = peers::Peers::new(endpoint);
     let vms = vms::start(&process.platform.vms);
     let settings = settings::start(&process, peers.clone(), vms.clone());
+    let quarantine_settings = settings.clone();
     let metrics = metrics::Metrics::new(&process.vm, settings.clone())
         .map_err(|e| Error::new("metrics", e))?;
     Ok(Arc::new(Node {
@@ -85,6 +89,7 @@
         vms,
         trace: trace::Trace::default(),
         stop: stop::Stop::on_signals(),
+        quarantine: quarantine::start(&process, quarantine_settings),
         metrics,
         process,
     }))
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,6 +14,9 @@
 /// who need the peer would wait for a new connection in turn, each for a second.
 const REST: Duration = Duration::from_millis(250);
 
+/// Name and address of a peer, and what is known of it.
+type Entry = (String, String, Arc<Peer>);
+
 /// What is known of a peer.
 #[derive(Debug, Default)]
 struct Peer {
@@ -27,7 +30,7 @@
 pub struct Peers {
     endpoint: Endpoint,
     /// Sorted by name and address.
-    list: Arc<Mutex<Vec<(String, String, Arc<Peer>)>>>,
+    list: Arc<Mutex<Vec<Entry>>>,
 }
 
 impl Peers {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -68,6 +68,25 @@
         List { hold, records: Vec::new() }
     }
 
+    /// Holds what is put in from now on for another time.
+    pub fn hold_for(&mut self, hold: Duration) {
+        self.hold = hold;
+    }
+
+    /// An operator lets the request run again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::quarantine::{List, Verdict};
+    /// let mut list = List::new(Duration::from_secs(600));
+    /// list.learn(&[], &[7], Duration::ZERO);
+    /// list.lift(7);
+    /// assert_eq!(list.verdict(7, Duration::ZERO), Verdict::Clear);
+    /// ```
+    pub fn lift(&mut self, fingerprint: Fingerprint) {
+        self.records.retain(|r| r.fingerprint != fingerprint);
+    }
+
     /// What may be done with a request.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Duration) -> Verdict {
         match self.find(fingerprint).map(|i| self.records[i]) {
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::quarantine::Verdict;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use wire::frame::{
@@ -90,6 +91,8 @@
     /// Tokens the caller has.
     words: Vec<Word>,
     accepted: bool,
+    /// Hash of the content; unknown for a caller that came back.
+    fingerprint: Option<id::Fingerprint>,
     /// Lost heads, each with the task that cancels the draft there.
     given_up: Vec<(id::Vm, tokio::task::JoinHandle<()>)>,
 }
@@ -104,6 +107,7 @@
         head: Place { vm: String::new(), address: String::new() },
         words: Vec::new(),
         accepted: false,
+        fingerprint: Some(wanted.fingerprint),
         given_up: Vec::new(),
     };
     let mut attempt = 0;
@@ -137,6 +141,7 @@
         head,
         words: Vec::new(),
         accepted: false,
+        fingerprint: None,
         given_up: Vec::new(),
     };
     let ask = Ask::Attach(attach);
@@ -190,6 +195,10 @@
         wanted: &Wanted,
         attempt: id::Attempt,
     ) -> Result<(Stream, Sent), Refusal> {
+        let quarantine = &self.router.node.quarantine;
+        if let Verdict::Refused { left } = quarantine.verdict(wanted.fingerprint) {
+            return Err(quarantined(&self.router.node.process.vm, left));
+        }
         let agents = self.router.view.usable();
         let chain = choose::chain(&agents, &wanted.model);
         let vm = &self.router.node.process.vm;
@@ -229,7 +238,7 @@
             priority: wanted.priority,
             deadline: wanted.until.saturating_duration_since(Instant::now()),
             fingerprint: wanted.fingerprint,
-            suspect: false,
+            suspect: self.router.node.quarantine.verdict(wanted.fingerprint) == Verdict::Alone,
             chain,
         }
     }
@@ -334,6 +343,9 @@
 
     /// Tells the caller the end. What was accepted once may have run in part.
     async fn refuse(&self, mut refusal: Refusal) {
+        if refusal.cause == Cause::Quarantined {
+            self.fingerprint.iter().for_each(|f| self.router.node.quarantine.refused_elsewhere(*f));
+        }
         if self.accepted && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
@@ -342,6 +354,11 @@
     }
 }
 
+fn quarantined(vm: &str, left: Duration) -> Refusal {
+    let why = format!("it crashed engines and is in quarantine for {} s more", left.as_secs());
+    Refusal::refused(Cause::Quarantined, "choose", vm, why)
+}
+
 /// Resolves when an agent that is being followed can't be reached any more.
 async fn down(router: &Router, vm: &str) {
     while !router.view.down(vm) {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod frame;
 pub mod id;
 pub mod link;
+pub mod quarantine;
 pub mod tls;
