--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -90,6 +90,13 @@
         Entry { watch: self, number }
     }
 
+    /// True when the crash of that engine process has been told. All steps that
+    /// were in progress are suspects then, whatever error each of them got.
+    pub fn told(&self, incarnation: &str) -> bool {
+        let state = self.state.lock().expect("no panic while held");
+        state.told.iter().any(|i| i == incarnation)
+    }
+
     /// Tells the fleet of the crash of an engine process, once for each.
     pub fn crashed(&self, node: &Node, incarnation: &str) {
         let running = {
--- a/crates/agent/src/draft.rs
+++ b/crates/agent/src/draft.rs
@@ -60,14 +60,20 @@
         runs.iter().filter(|r| r.progress.borrow().end.is_none()).count()
     }
 
-    fn insert(&self, run: Arc<Run>) {
+    /// Puts a run in; returns the one of the same id that was there before.
+    fn replace(&self, run: Arc<Run>) -> Option<Arc<Run>> {
         let mut runs = self.runs.lock().expect("no panic while held");
-        let at = runs.partition_point(|r| r.request < run.request);
-        runs.insert(at, run);
+        match runs.binary_search_by(|r| r.request.cmp(&run.request)) {
+            Ok(i) => Some(std::mem::replace(&mut runs[i], run)),
+            Err(i) => {
+                runs.insert(i, run);
+                None
+            }
+        }
     }
 
-    fn remove(&self, request: &str) {
-        self.runs.lock().expect("no panic while held").retain(|r| r.request != request);
+    fn remove(&self, run: &Arc<Run>) {
+        self.runs.lock().expect("no panic while held").retain(|r| !Arc::ptr_eq(r, run));
     }
 
     /// The draft, if it is of that workspace.
@@ -158,7 +164,11 @@
         progress: watch::Sender::default(),
         cancelled: watch::Sender::new(false),
     });
-    agent.drafts.insert(run.clone());
+    if let Some(old) = agent.drafts.replace(run.clone()) {
+        // The router took this head for lost and came back to it: the first run
+        // would go on beside the new one, and a caller could be given either.
+        old.cancelled.send_replace(true);
+    }
     agent.node.trace.add(&draft.request, "accept", format!("accepted as head by {vm}"));
     tokio::spawn(drive(agent.clone(), run.clone(), chain, inputs, draft));
     Ok(run)
@@ -200,7 +210,7 @@
 
     let keep = agent.node.settings.borrow().fleet.defaults.keep_finished;
     tokio::time::sleep(keep).await;
-    agent.drafts.remove(&run.request);
+    agent.drafts.remove(&run);
 }
 
 async fn generate(
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -304,6 +304,9 @@
         if let Verdict::Refused { left } = verdict() {
             return Err(crash::refusal(&table.vm, "step", left));
         }
+        if alone {
+            table.node.quarantine.suspected_elsewhere(self.fingerprint);
+        }
         self.broken = true;
         let begun = Instant::now();
         let asked = engine::Step { position: step.position, inputs: step.inputs.clone() };
@@ -311,10 +314,11 @@
         let ran = match table.engine.step(&self.name, &asked).await {
             Ok(ran) => ran,
             Err(e) => {
-                // An engine that answers, or never got the step, did not crash by it.
-                let certain = e.status().is_some() || e.unsent();
-                if !certain && table.ended_process(&self.incarnation).await {
+                let unanswered = e.status().is_none();
+                if unanswered && table.ended_process(&self.incarnation).await {
                     table.crash.crashed(&table.node, &self.incarnation);
+                }
+                if table.crash.told(&self.incarnation) {
                     return Err(crash::verdict(&table.node, self.fingerprint).await);
                 }
                 return Err(table.refuse(Cause::Lost, "step", e.to_string()));
--- a/crates/ctl/src/cmd/audit.rs
+++ b/crates/ctl/src/cmd/audit.rs
@@ -59,7 +59,8 @@
     Ok(report::ok(if common.json { report::json(&trail) } else { text(&trail) }))
 }
 
-async fn raw(log: &platform::log::Client, stream: &str) -> Result<Vec<Record>, Error> {
+/// All records of a stream that are still kept.
+pub async fn raw(log: &platform::log::Client, stream: &str) -> Result<Vec<Record>, Error> {
     let mut records = vec![];
     let mut from = 0;
     loop {
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -6,5 +6,6 @@
 pub mod diff;
 pub mod explain;
 pub mod publish;
+pub mod quarantine;
 pub mod show;
 pub mod status;
--- /dev/null
+++ b/crates/ctl/src/cmd/quarantine.rs
@@ -0,0 +1,144 @@
+//! Requests that crash engines: those refused everywhere, and letting one run again.
+
+use std::time::Duration;
+
+use clap::Subcommand;
+use platform::log::{Client, Record as Raw};
+use serde::Serialize;
+use wire::quarantine::{self, LATE, Record, Running, STREAM};
+
+use crate::error::Error;
+use crate::option::Common;
+use crate::report::{self, Report};
+
+/// How long a lifted record is looked for after a lost answer of its append.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Show the requests that crashed engines, or let one run again.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example:\n  \
+    hyssopctl --log http://127.0.0.1:9000 quarantine lift 00f3a1b2c4d5e6f7 --author asel \
+    --reason 'engine fixed'")]
+pub struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Show suspects, which run only alone, and requests that are refused everywhere. Those
+    /// whose time (`quarantine` in the settings) has passed are shown until their records expire.
+    List,
+    /// Let a request run again on all VMs.
+    Lift {
+        /// Its fingerprint, as `list` shows it.
+        fingerprint: String,
+        /// Who decides.
+        #[arg(long)]
+        author: String,
+        /// Why.
+        #[arg(long)]
+        reason: String,
+    },
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct Row {
+    fingerprint: String,
+    state: &'static str,
+    since: String,
+    vm: String,
+    request: String,
+    tag: String,
+}
+
+/// Reads the stream, or appends to it.
+pub async fn run(common: &Common, args: Args) -> Result<Report, Error> {
+    let log = common.log()?;
+    match args.command {
+        Command::List => list(common, &log).await,
+        Command::Lift { fingerprint, author, reason } => {
+            if quarantine::read(&fingerprint).is_none() {
+                let why = format!("'{fingerprint}' is no fingerprint: 16 hexadecimal digits");
+                return Err(Error::Usage(why));
+            }
+            let rows = rows(&records(&log).await?);
+            if !rows.iter().any(|r| r.fingerprint == fingerprint) {
+                return Err(Error::Refused(format!("{fingerprint} is not in quarantine")));
+            }
+            lift(&log, Record::Lifted { fingerprint, author, reason }).await
+        }
+    }
+}
+
+async fn list(common: &Common, log: &Client) -> Result<Report, Error> {
+    let rows = rows(&records(log).await?);
+    let cells = |r: &Row| {
+        [&r.fingerprint, r.state, &r.since, &r.vm, &r.request, &r.tag].map(String::from).to_vec()
+    };
+    Ok(report::ok(match common.json {
+        true => report::json(&rows),
+        false => {
+            let head = ["FINGERPRINT", "STATE", "SINCE", "VM", "REQUEST", "CONTENT"];
+            report::table(&head, &rows.iter().map(cells).collect::<Vec<_>>())
+        }
+    }))
+}
+
+async fn lift(log: &Client, record: Record) -> Result<Report, Error> {
+    let data = serde_json::to_string(&record).unwrap_or_default();
+    let before = records(log).await?.last().map_or(0, |r| r.offset + 1);
+    if let Err(e) = log.append(STREAM, &data).await {
+        // The answer may be lost and the record stand all the same.
+        let page = log.read(STREAM, before, SETTLE).await?;
+        if !page.records.iter().any(|r| r.data == data) {
+            return Err(Error::Unreachable(format!("not lifted: {e}")));
+        }
+    }
+    Ok(report::ok("lifted\n".to_string()))
+}
+
+async fn records(log: &Client) -> Result<Vec<Raw>, Error> {
+    super::audit::raw(log, STREAM).await
+}
+
+/// What the records come to, in order of fingerprint.
+fn rows(records: &[Raw]) -> Vec<Row> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut cleared: Vec<(String, u64)> = Vec::new();
+    for raw in records {
+        match serde_json::from_str(&raw.data) {
+            Ok(Record::Crashed { vm, suspects, refused, .. }) => {
+                let row = |state, r: &Running| Row {
+                    fingerprint: r.fingerprint.clone(),
+                    state,
+                    since: report::utc(raw.time_ms),
+                    vm: vm.clone(),
+                    request: r.request.clone(),
+                    tag: r.tag.clone(),
+                };
+                let late = LATE.as_millis() as u64;
+                cleared.retain(|(_, at)| at + late > raw.time_ms);
+                let known = |r: &&Running| !cleared.iter().any(|(f, _)| *f == r.fingerprint);
+                suspects.iter().filter(known).for_each(|r| put(&mut rows, row("suspect", r)));
+                refused.iter().for_each(|r| put(&mut rows, row("refused", r)));
+            }
+            Ok(Record::Cleared { fingerprints, .. }) => {
+                cleared.extend(fingerprints.iter().map(|f| (f.clone(), raw.time_ms)));
+                rows.retain(|r| r.state == "refused" || !fingerprints.contains(&r.fingerprint));
+            }
+            Ok(Record::Lifted { fingerprint, .. }) => rows.retain(|r| r.fingerprint != fingerprint),
+            // The audit trail shows it as it stands.
+            Err(_) => {}
+        }
+    }
+    rows
+}
+
+fn put(rows: &mut Vec<Row>, row: Row) {
+    match rows.binary_search_by(|r| r.fingerprint.cmp(&row.fingerprint)) {
+        Ok(i) if rows[i].state == "refused" && row.state == "suspect" => {}
+        Ok(i) => rows[i] = row,
+        Err(i) => rows.insert(i, row),
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -40,6 +40,7 @@
     Show(cmd::show::Args),
     Diff(cmd::diff::Args),
     Audit(cmd::audit::Args),
+    Quarantine(cmd::quarantine::Args),
     Status(cmd::status::Args),
     Explain(cmd::explain::Args),
 }
@@ -54,6 +55,7 @@
         Command::Show(args) => cmd::show::run(&common, args).await,
         Command::Diff(args) => cmd::diff::run(&common, args).await,
         Command::Audit(args) => cmd::audit::run(&common, args).await,
+        Command::Quarantine(args) => cmd::quarantine::run(&common, args).await,
         Command::Status(args) => cmd::status::run(&common, args).await,
         Command::Explain(args) => cmd::explain::run(&common, args).await,
     };
--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -45,6 +45,8 @@
     list: List,
     /// True while the log can't be read.
     out: bool,
+    /// What was cleared lately, with the time, oldest first.
+    cleared: Vec<(Fingerprint, Duration)>,
 }
 
 /// Starts following the stream.
@@ -56,7 +58,7 @@
         vm: process.vm.clone(),
         began: Instant::now(),
         settings,
-        state: Mutex::new(State { list: List::new(hold), out: false }),
+        state: Mutex::new(State { list: List::new(hold), out: false, cleared: Vec::new() }),
         outbox,
     });
     tokio::spawn(append(log.clone(), records));
@@ -93,6 +95,13 @@
         self.tell(Record::Cleared { vm, fingerprints });
     }
 
+    /// A head says that a request was running at a crash elsewhere. The record of
+    /// that crash may come later than the request itself: without this the second
+    /// crash would be taken for the first, and a third engine would be lost.
+    pub fn suspected_elsewhere(&self, fingerprint: Fingerprint) {
+        self.with(|list, now| list.learn(&[fingerprint], &[], now));
+    }
+
     /// Another process has refused a request for its crashes.
     pub fn refused_elsewhere(&self, fingerprint: Fingerprint) {
         self.with(|list, now| list.learn(&[], &[fingerprint], now));
@@ -135,10 +144,24 @@
         }
     }
 
+    /// Fingerprints cleared lately, those of this record included.
+    fn cleared_lately(&self, record: &Record) -> Vec<Fingerprint> {
+        let now = self.began.elapsed();
+        let state = &mut *self.state.lock().expect("no panic while held");
+        state.cleared.retain(|(_, at)| *at + quarantine::LATE > now);
+        if let Record::Cleared { fingerprints, .. } = record {
+            let new = fingerprints.iter().filter_map(|f| quarantine::read(f));
+            state.cleared.extend(new.map(|f| (f, now)));
+        }
+        state.cleared.iter().map(|(f, _)| *f).collect()
+    }
+
     fn apply(&self, record: Record, age: Duration) {
+        let cleared = self.cleared_lately(&record);
         self.with(|list, now| match record {
             Record::Crashed { suspects, refused, .. } => {
-                let suspects = quarantine::fingerprints(&suspects);
+                let mut suspects = quarantine::fingerprints(&suspects);
+                suspects.retain(|s| !cleared.contains(s));
                 let refused = quarantine::fingerprints(&refused);
                 list.learn(&suspects, &refused, now - age);
             }
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -232,7 +232,7 @@
     }
 
     /// Runs `hyssopctl` and returns its output.
-    async fn ctl(&self, args: &[String]) -> Result<String, String> {
+    pub async fn ctl(&self, args: &[String]) -> Result<String, String> {
         let done = self.run_ctl(args).await?;
         match done.status.success() {
             true => Ok(String::from_utf8_lossy(&done.stdout).to_string()),
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod player;
 pub mod process;
 pub mod publish;
+pub mod quarantine;
 pub mod recovery;
 pub mod script;
 pub mod settings;
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -17,6 +17,7 @@
 use crate::load::{self, Record};
 use crate::process;
 use crate::publish;
+use crate::quarantine;
 use crate::recovery;
 use crate::script::{self, Expect, Line, Verb};
 use crate::settings;
@@ -248,6 +249,11 @@
                 fault::link(fleet, from, to, link).await
             }
             Verb::Heal => fault::heal(fleet).await,
+            Verb::Lift => {
+                let note = quarantine::lift(fleet).await?;
+                self.notes.push(note);
+                Ok(())
+            }
             Verb::Log(line) => fault::log(fleet, line).await,
             Verb::Vms { lag, outage } => fault::vms(fleet, *lag, *outage).await,
             Verb::Stay { vm } => {
@@ -327,6 +333,9 @@
             layers: settings::layers(&fleet.plan),
             crashes: watch::crashes(fleet),
         };
+        if matches!(what, Expect::Crashes { .. }) {
+            self.notes.push(format!("{} backend servers crashed", facts.crashes));
+        }
         expect::judge(what, &facts).unwrap_or_else(|| Err("can't be judged".to_string()))
     }
 
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -193,6 +193,8 @@
     },
     /// Takes all faults off the links.
     Heal,
+    /// An operator lifts all requests out of quarantine.
+    Lift,
     /// Faults of the log service.
     Log(Log),
     /// Faults of the VM list.
@@ -369,6 +371,12 @@
     /// How often its caller sends it, each time through another router.
     #[arg(long, default_value_t = 1)]
     pub times: u32,
+    /// Number of its text; lines with the same one send the same text.
+    #[arg(long)]
+    pub number: Option<u64>,
+    /// Another workspace asks for it by its id afterwards and must be told that there is none.
+    #[arg(long)]
+    pub stolen: bool,
     /// Words of the prompt.
     #[arg(long, default_value_t = 12)]
     pub prompt_words: u32,
--- a/crates/scenario/src/single.rs
+++ b/crates/scenario/src/single.rs
@@ -2,11 +2,14 @@
 
 use std::time::Instant;
 
+use bytes::Bytes;
+
 use crate::caller::Caller;
 use crate::draft;
 use crate::load::{self, Record};
 use crate::outcome::{Kind, Outcome, Verdict};
 use crate::script;
+use crate::settings;
 use crate::write;
 
 /// Plays a `draft` line.
@@ -17,6 +20,7 @@
     part: u64,
     record: &Record,
 ) -> Result<(), String> {
+    let part = line.number.unwrap_or(part);
     // Engines die of a session whose tag holds this word; the agent's tag holds the prompt.
     let name = match line.crash {
         true => format!("{}-{part}", fake::engine::CRASH),
@@ -37,17 +41,35 @@
         out.crash = line.crash;
         out.judged = line.crash || line.expect.is_some();
         let found = status(&out);
+        let id = out.id.clone();
         record.push(out, began);
         match line.expect {
             Some(status) if n + 1 == line.times && status != found.0 => {
                 return Err(format!("status {} in place of {status}: {}", found.0, found.1));
             }
+            _ if line.stolen => steal(caller, &id).await?,
             _ => {}
         }
     }
     Ok(())
 }
 
+/// Another workspace asks for a request by its id.
+async fn steal(caller: &Caller, id: &str) -> Result<(), String> {
+    for (workspace, status) in [(2, 404), (1, 200)] {
+        let bearer = format!("Bearer {}", settings::key(workspace));
+        let uri = format!("{}/v1/completions/{id}", caller.router(0));
+        let headers = [("authorization", bearer)];
+        let res = caller.send("GET", &uri, &headers, Bytes::new()).await;
+        match res.map(|r| r.status().as_u16()) {
+            Ok(found) if found == status => {}
+            Ok(found) => return Err(format!("workspace {workspace} got {found}, not {status}")),
+            Err(e) => return Err(e.to_string()),
+        }
+    }
+    Ok(())
+}
+
 /// Status and words of an end; a refusal's line begins with its status.
 fn status(out: &Outcome) -> (u16, String) {
     match &out.verdict {
--- a/crates/wire/src/quarantine.rs
+++ b/crates/wire/src/quarantine.rs
@@ -3,6 +3,8 @@
 //! Each record says what its author decided, not what it saw. So a record that
 //! stands twice, after a lost answer of an append, changes nothing the second time.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id;
@@ -10,6 +12,10 @@
 /// Name of the stream.
 pub const STREAM: &str = "quarantine";
 
+/// How much later than the clearing of a suspect the record of its crash may
+/// come: another VM runs it again while the first one still appends.
+pub const LATE: Duration = Duration::from_secs(5);
+
 /// A request that was running when an engine crashed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Running {
