--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -30,6 +30,8 @@
     number: u64,
     incarnation: String,
     running: Running,
+    /// True once it was named as running at a crash.
+    named: bool,
 }
 
 #[derive(Debug, Default)]
@@ -86,17 +88,15 @@
         let mut state = self.state.lock().expect("no panic while held");
         state.count += 1;
         let number = state.count;
-        state.steps.push(Step { number, incarnation: incarnation.to_string(), running });
+        state.steps.push(Step {
+            number,
+            incarnation: incarnation.to_string(),
+            running,
+            named: false,
+        });
         Entry { watch: self, number }
     }
 
-    /// True when the crash of that engine process has been told. All steps that
-    /// were in progress are suspects then, whatever error each of them got.
-    pub fn told(&self, incarnation: &str) -> bool {
-        let state = self.state.lock().expect("no panic while held");
-        state.told.iter().any(|i| i == incarnation)
-    }
-
     /// Tells the fleet of the crash of an engine process, once for each.
     pub fn crashed(&self, node: &Node, incarnation: &str) {
         let running = {
@@ -108,14 +108,27 @@
                 state.told.remove(0);
             }
             state.told.push(incarnation.to_string());
-            let ran = state.steps.iter().filter(|s| s.incarnation == incarnation);
-            ran.map(|s| s.running.clone()).collect()
+            let ran = state.steps.iter_mut().filter(|s| s.incarnation == incarnation);
+            let name = |step: &mut Step| {
+                step.named = true;
+                step.running.clone()
+            };
+            ran.map(name).collect()
         };
         node.metrics.crashes.add(1, &[]);
         node.quarantine.crashed(incarnation, running);
     }
 }
 
+impl Entry<'_> {
+    /// True when the engine crashed while the step was in progress. What was
+    /// begun later never reached that engine, and its loss proves nothing.
+    pub fn named(&self) -> bool {
+        let state = self.watch.state.lock().expect("no panic while held");
+        state.steps.iter().any(|s| s.number == self.number && s.named)
+    }
+}
+
 impl Drop for Entry<'_> {
     fn drop(&mut self) {
         let mut state = self.watch.state.lock().expect("no panic while held");
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -318,7 +318,7 @@
                 if unanswered && table.ended_process(&self.incarnation).await {
                     table.crash.crashed(&table.node, &self.incarnation);
                 }
-                if table.crash.told(&self.incarnation) {
+                if entry.named() {
                     return Err(crash::verdict(&table.node, self.fingerprint).await);
                 }
                 return Err(table.refuse(Cause::Lost, "step", e.to_string()));
