--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod ask;
 pub mod call;
 pub mod chain;
+pub mod crash;
 pub mod draft;
 pub mod ledger;
+pub mod seat;
 pub mod slot;
 pub mod stage;
 pub mod write;
@@ -57,6 +59,7 @@
 
     /// Its state for the routers.
     pub fn report(&self) -> Report {
+        let (suspects, quarantined) = self.node.quarantine.lists();
         Report {
             vm: self.node.process.vm.clone(),
             incarnation: self.node.incarnation,
@@ -67,8 +70,8 @@
             step_us: self.slots.step_us(),
             leaving: self.leaving(),
             version: self.node.settings.borrow().version,
-            quarantined: Vec::new(),
-            suspects: Vec::new(),
+            quarantined,
+            suspects,
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,5 @@
 mod hot;
 pub mod id;
 pub mod link;
+pub mod quarantine;
 pub mod tls;
