--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -1,91 +1,237 @@
-//! Prints what callers get under each load, beside the baselines, and what a decision costs.
+//! Prints what callers get under each load beside the baselines, sweeps of the
+//! thresholds, and what a decision costs.
 //!
-//!     cargo bench -p policy
-//!     cargo bench -p policy -- sweep
+//!     cargo bench -p policy                 # everything
+//!     cargo bench -p policy -- loads        # only the loads and baselines
+//!     cargo bench -p policy -- sweeps
+//!     cargo bench -p policy -- cost
 
+mod cost;
 mod sim;
 
-use sim::{load, variant};
+use std::thread;
+use std::time::Duration;
+
+use sim::load::{self, Load};
+use sim::result::Result;
+use sim::variant::{self, Tune, Variant};
+
+/// Each figure is the mean over these seeds.
+const SEEDS: [u64; 3] = [1, 2, 3];
 
 fn main() {
-    if std::env::args().any(|a| a == "sweep") {
-        sweep();
-        return;
+    let asked = |part: &str| {
+        let mut parts = std::env::args().skip(1).filter(|a| !a.starts_with('-')).peekable();
+        parts.peek().is_none() || parts.any(|a| a == part)
+    };
+    if asked("loads") {
+        loads();
+    }
+    if asked("sweeps") {
+        sweeps();
+    }
+    if asked("cost") {
+        cost::print();
     }
-    table();
 }
 
 /// Every load under the policy and each baseline.
-fn table() {
+fn loads() {
+    println!("\nloads, mean of seeds {SEEDS:?}");
+    header("policy");
+    for load in load::all() {
+        let late = load.lag >= Duration::from_secs(1);
+        for variant in variant::ALL.into_iter().filter(|v| v.aged || late) {
+            row(load.name, variant.name, &play(&load, variant));
+        }
+    }
+}
+
+/// Each threshold on the load that it is for: the value kept between its neighbours.
+fn sweeps() {
+    println!("\nsweeps, mean of seeds {SEEDS:?}; the middle value is the one kept");
+    header("threshold");
+    for (load, tries) in SWEEPS {
+        for (name, tune) in tries {
+            row(load, name, &play(&load::named(load), Variant { tune, ..variant::POLICY }));
+        }
+    }
+}
+
+fn play(load: &Load, variant: Variant) -> Vec<Result> {
+    thread::scope(|scope| {
+        let runs = SEEDS.map(|seed| scope.spawn(move || sim::play(load, variant, seed)));
+        runs.map(|run| run.join().expect("a run")).into()
+    })
+}
+
+fn header(what: &str) {
     println!(
-        "{:<17} {:<17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>7} {:>6} {:>5} {:>5} {:>5} {:>5}",
+        "{:<17} {what:<17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>8}",
         "load",
-        "policy",
         "bound%",
         "hits%",
+        "other%",
         "jain",
-        "p50",
-        "p95",
-        "p99",
+        "p50 s",
+        "p95 s",
+        "p99 s",
         "refus%",
-        "ref p50",
-        "ref p99",
-        "retries",
+        "held%",
         "late%",
-        "eject",
-        "lost",
-        "busy%",
-        "cach%"
+        "retries"
     );
-    for load in load::all() {
-        if !std::env::args().nth(1).is_none_or(|a| a.starts_with('-') || load.name.contains(&a)) {
-            continue;
-        }
-        for variant in variant::ALL {
-            let r = sim::play(&load, variant, 1);
-            println!(
-                "{:<17} {:<17} {:>6.1} {:>6.1} {:>6.3} {:>6.2} {:>6.2} {:>6.2} {:>6.1} {:>7.2} {:>7.2} {:>7.3} {:>6.1} {:>5} {:>5} {:>5.1} {:>5.1}",
-                r.load,
-                r.variant,
-                r.share * 100.0,
-                r.hits * 100.0,
-                r.jain,
-                r.waits[0],
-                r.waits[1],
-                r.waits[2],
-                r.refused * 100.0,
-                r.refusal[0],
-                r.refusal[1],
-                r.retried,
-                r.late * 100.0,
-                r.ejections,
-                r.lost,
-                r.busy.iter().sum::<f64>() / 3.0 * 100.0,
-                r.cached * 100.0
-            );
-        }
-    }
 }
 
-#[allow(dead_code)]
-fn sweep() {
-    use policy::tuning::Tuning;
-    use std::time::Duration;
-    let ms = |x: u64| Duration::from_millis(x);
-    let _ = ms;
-    let tries: [(&str, fn(&mut Tuning)); 2] =
-        [("default", |_| {}), ("hold 500 ", |t| t.hold = Duration::from_millis(500))];
-    for load in ["reports 2 s late", "saturation 1.5x", "saturation 3x", "late and 1.5x"] {
-        for (name, tune) in tries {
-            let r = sim::play(&load::named(load), variant::Variant { tune, ..variant::POLICY }, 1);
-            println!(
-                "{load} {name} bound {:.3} hits {:.3} busy {:.3} retr {:.2} cached {:.3}",
-                r.share,
-                r.hits,
-                r.busy.iter().sum::<f64>() / 3.0,
-                r.retried,
-                r.cached
-            );
-        }
-    }
+fn row(load: &str, name: &str, runs: &[Result]) {
+    let mean = |of: fn(&Result) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+    println!(
+        "{load:<17} {name:<17} {:>6.1} {:>6.1} {:>6.1} {:>6.3} {:>6.2} {:>6.2} {:>6.2} {:>6.1} {:>6.1} {:>6.1} {:>8.2}",
+        mean(|r| r.share * 100.0),
+        mean(|r| r.hits * 100.0),
+        mean(|r| r.others * 100.0),
+        mean(|r| r.jain),
+        mean(|r| r.waits[0]),
+        mean(|r| r.waits[1]),
+        mean(|r| r.waits[2]),
+        mean(|r| r.refused * 100.0),
+        mean(|r| r.held * 100.0),
+        mean(|r| r.late * 100.0),
+        mean(|r| r.retried),
+    );
 }
+
+const SWEEPS: [(&str, [(&str, Tune); 3]); 18] = [
+    (
+        "prefix 80%",
+        [
+            ("bound 1.0", |t| t.bound = 1.0),
+            ("bound 1.25", |_| {}),
+            ("bound 2.0", |t| t.bound = 2.0),
+        ],
+    ),
+    (
+        "steady 0.8x",
+        [("load 0", |t| t.load = 0.0), ("load 0.25", |_| {}), ("load 1", |t| t.load = 1.0)],
+    ),
+    (
+        "saturation 1.5x",
+        [
+            ("mixing 0.01", |t| t.mixing = 0.01),
+            ("mixing 0.03", |_| {}),
+            ("mixing 0.1", |t| t.mixing = 0.1),
+        ],
+    ),
+    (
+        "saturation 1.5x",
+        [
+            ("patience 0", |t| t.patience = 0.0),
+            ("patience 0.25", |_| {}),
+            ("patience 1", |t| t.patience = 1.0),
+        ],
+    ),
+    (
+        "third lost",
+        [
+            ("patience 0", |t| t.patience = 0.0),
+            ("patience 0.25", |_| {}),
+            ("patience 1", |t| t.patience = 1.0),
+        ],
+    ),
+    (
+        "saturation 1.5x",
+        [
+            ("hold 250 ms", |t| t.hold = Duration::from_millis(250)),
+            ("hold 500 ms", |_| {}),
+            ("hold 1 s", |t| t.hold = Duration::from_secs(1)),
+        ],
+    ),
+    (
+        "one 10x slower",
+        [("slow 2", |t| t.slow = 2.0), ("slow 4", |_| {}), ("slow 8", |t| t.slow = 8.0)],
+    ),
+    (
+        "one 10x slower",
+        [
+            ("strikes 1", |t| t.strikes = 1),
+            ("strikes 3", |_| {}),
+            ("strikes 12", |t| t.strikes = 12),
+        ],
+    ),
+    (
+        "one 10x slower",
+        [
+            ("eject 2 s", |t| t.eject = Duration::from_secs(2)),
+            ("eject 5 s", |_| {}),
+            ("eject 15 s", |t| t.eject = Duration::from_secs(15)),
+        ],
+    ),
+    (
+        "long among short",
+        [
+            ("stretch 1", |t| t.stretch = 1.0),
+            ("stretch 2", |_| {}),
+            ("stretch 4", |t| t.stretch = 4.0),
+        ],
+    ),
+    (
+        "burst 10x",
+        [
+            ("stretch 1", |t| t.stretch = 1.0),
+            ("stretch 2", |_| {}),
+            ("stretch 4", |t| t.stretch = 4.0),
+        ],
+    ),
+    (
+        "saturation 1.5x",
+        [
+            ("margin 1", |t| t.margin = 1.0),
+            ("margin 1.25", |_| {}),
+            ("margin 1.5", |t| t.margin = 1.5),
+        ],
+    ),
+    (
+        "saturation 1.5x",
+        [("doubt 0", |t| t.doubt = 0.0), ("doubt 0.25", |_| {}), ("doubt 1", |t| t.doubt = 1.0)],
+    ),
+    (
+        "workspace 80%",
+        [
+            ("quantum 2", |t| t.quantum = 2.0),
+            ("quantum 10", |_| {}),
+            ("quantum 50", |t| t.quantum = 50.0),
+        ],
+    ),
+    (
+        "third returns",
+        [
+            ("ramp 0", |t| t.ramp = Duration::ZERO),
+            ("ramp 500 ms", |_| {}),
+            ("ramp 2 s", |t| t.ramp = Duration::from_secs(2)),
+        ],
+    ),
+    (
+        "third lost",
+        [
+            ("retries 0.02", |t| t.retries = 0.02),
+            ("retries 0.1", |_| {}),
+            ("retries 0.5", |t| t.retries = 0.5),
+        ],
+    ),
+    (
+        "third lost",
+        [
+            ("burst 10", |t| t.burst = 10.0),
+            ("burst 50", |_| {}),
+            ("burst 200", |t| t.burst = 200.0),
+        ],
+    ),
+    (
+        "saturation 1.5x",
+        [
+            ("left free 0", |t| t.left_free = 0.0),
+            ("left free 0.02", |_| {}),
+            ("left free 0.05", |t| t.left_free = 0.05),
+        ],
+    ),
+];
--- a/crates/policy/benches/sim/mod.rs
+++ b/crates/policy/benches/sim/mod.rs
@@ -12,7 +12,6 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use policy::health::STRIKES;
 use policy::limit::{Admit, Kind, Objective, Slots};
 use policy::link::Links;
 use policy::queue::Ask;
@@ -165,20 +164,6 @@
             }
         }
         self.result.finish(&self.requests);
-        {
-            let d = self.result.diag;
-            let b = self.result.first_bound();
-            eprintln!(
-                "{} {}: late {:.3} prompt {:.3} link+wait {:.3} out {:.3}; pairing {:.3}",
-                self.load.name,
-                self.variant.name,
-                d[1] / d[0],
-                d[4] / d[0],
-                (d[0] - d[1] - d[2] - d[4]) / d[0],
-                d[2] / d[0],
-                (d[3] / d[2]) / (b / 104.0)
-            );
-        }
         self.result
     }
 
@@ -349,26 +334,6 @@
             self.leave(r, a, if good { End::Succeeded } else { End::Neutral });
         }
         let held = self.now - self.sessions[i].began;
-        if self.now.as_secs_f64() > 30.0 && self.now.as_secs_f64() < 90.0 {
-            let s = &self.sessions[i];
-            let h = held.as_secs_f64();
-            let d = &mut self.result.diag;
-            let t: f64 = s.chain.iter().map(|&a| self.agents[a].step).sum();
-            d[0] += h;
-            if !good {
-                d[1] += h;
-            } else {
-                let out = f64::from(self.requests[request].output);
-                d[2] += out * t;
-                d[3] += out;
-                d[4] += s
-                    .chain
-                    .iter()
-                    .zip(&s.steps)
-                    .map(|(&a, n)| (n - out) * self.agents[a].step)
-                    .sum::<f64>();
-            }
-        }
         if let Some(start) = self.sessions[i].start.take() {
             self.routers[r].queue.done(&start, held);
         }
@@ -611,5 +576,3 @@
     let slots = ranges.iter().map(Vec::len).min().unwrap_or(0);
     (0..slots).map(|i| 1.0 / ranges.iter().map(|s| s[i]).sum::<f64>()).sum()
 }
-
-const _: () = assert!(STRIKES > 0);
--- a/crates/policy/benches/sim/result.rs
+++ b/crates/policy/benches/sim/result.rs
@@ -27,13 +27,16 @@
     pub jain: f64,
     /// Requests answered before their deadline, of all.
     pub hits: f64,
+    /// The same of the workspaces other than 0.
+    pub others: f64,
     /// Useful tokens of each workspace, over what it offered.
     pub served: Vec<f64>,
     /// Waits of the short that were started, in seconds: p50, p95, p99.
     pub waits: [f64; 3],
+    /// Requests refused at their arrival, of all.
     pub refused: f64,
-    /// p50 and p99 of the time from arrival to refusal, in seconds.
-    pub refusal: [f64; 2],
+    /// Requests refused after they had waited, of all.
+    pub held: f64,
     /// Retries for each request of the whole run.
     pub retried: f64,
     /// Requests that were accepted and then missed their deadline, of all.
@@ -44,7 +47,6 @@
     pub cached: f64,
     samples: [(u32, u32); 3],
     lookups: (u32, u32),
-    pub diag: [f64; 5],
     fates: Vec<Fate>,
     began: Vec<Option<Duration>>,
     tokens: Vec<f64>,
@@ -62,17 +64,17 @@
             share: 0.0,
             jain: 0.0,
             hits: 0.0,
+            others: 0.0,
             served: Vec::new(),
             waits: [0.0; 3],
             refused: 0.0,
-            refusal: [0.0; 2],
+            held: 0.0,
             retried: 0.0,
             late: 0.0,
             busy: [0.0; 3],
             cached: 0.0,
             samples: [(0, 0); 3],
             lookups: (0, 0),
-            diag: [0.0; 5],
             fates: vec![Fate::Open; requests],
             began: vec![None; requests],
             tokens: vec![0.0; WORKSPACES],
@@ -121,9 +123,6 @@
         self.bounds.push((at, bound));
     }
 
-    pub fn first_bound(&self) -> f64 {
-        self.bounds[0].1
-    }
     /// Works out the figures.
     pub fn finish(&mut self, requests: &[Request]) {
         let inside = |r: &Request| (WINDOW.0..WINDOW.1).contains(&r.arrival.as_secs_f64());
@@ -133,10 +132,14 @@
             all.iter().filter(|&&i| by(&self.fates[i])).count() as f64 / n
         };
         self.hits = count(&|f| *f == Fate::Good);
-        self.refused = count(&|f| matches!(f, Fate::Refused(_)));
+        self.refused = count(&|f| matches!(f, Fate::Refused(t) if t.is_zero()));
+        self.held = count(&|f| matches!(f, Fate::Refused(t) if !t.is_zero()));
+        let others: Vec<usize> =
+            all.iter().copied().filter(|&i| requests[i].workspace > 0).collect();
+        let good = others.iter().filter(|&&i| self.fates[i] == Fate::Good).count();
+        self.others = good as f64 / others.len().max(1) as f64;
         self.late = count(&|f| *f == Fate::Late);
         let mut waits = Vec::new();
-        let mut refusals = Vec::new();
         let mut offered = vec![0.0; WORKSPACES];
         for &i in &all {
             let r = &requests[i];
@@ -144,12 +147,8 @@
             if let (true, Some(began)) = (r.most == SHORT, self.began[i]) {
                 waits.push((began - r.arrival).as_secs_f64());
             }
-            if let Fate::Refused(time) = self.fates[i] {
-                refusals.push(time.as_secs_f64());
-            }
         }
         self.waits = [0.5, 0.95, 0.99].map(|q| quantile(&mut waits, q));
-        self.refusal = [0.5, 0.99].map(|q| quantile(&mut refusals, q));
         self.busy = self.samples.map(|(busy, slots)| f64::from(busy) / f64::from(slots));
         self.cached = f64::from(self.lookups.0) / f64::from(self.lookups.1.max(1));
         self.retried = f64::from(self.retries) / requests.len() as f64;
--- a/crates/policy/benches/sim/variant.rs
+++ b/crates/policy/benches/sim/variant.rs
@@ -22,6 +22,9 @@
     TwoChoices,
 }
 
+/// A change of thresholds.
+pub type Tune = fn(&mut Tuning);
+
 /// A policy or baseline: what is replaced in the policy.
 #[derive(Debug, Clone, Copy)]
 pub struct Variant {
@@ -34,7 +37,7 @@
     /// The age of reports is known.
     pub aged: bool,
     /// Changes thresholds for a sweep.
-    pub tune: fn(&mut Tuning),
+    pub tune: Tune,
 }
 
 /// The policy.
@@ -49,7 +52,7 @@
 
 /// The policy and the baselines. The routing baselines keep the policy's queue and its
 /// view of free slots, which helps them.
-pub const ALL: [Variant; 7] = [
+pub const ALL: [Variant; 8] = [
     POLICY,
     Variant { name: "random", pick: Pick::Random, ..POLICY },
     Variant { name: "round robin", pick: Pick::RoundRobin, ..POLICY },
@@ -57,6 +60,8 @@
     Variant { name: "two choices", pick: Pick::TwoChoices, ..POLICY },
     Variant { name: "fifo queue", fifo: true, ..POLICY },
     Variant { name: "no retry budget", budget: false, ..POLICY },
+    // Only differs where reports are late.
+    Variant { name: "age unknown", aged: false, ..POLICY },
 ];
 
 /// A baseline's own count for each replica of a range.
@@ -95,6 +100,7 @@
 
 /// The queue of a variant.
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant)]
 pub enum Waiting {
     Fair(Queue<usize>),
     Fifo(VecDeque<(Ask, usize)>),
--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -55,9 +55,18 @@
     x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     x ^= x >> 33;
-    // A uniform number in (0, 1); -slots / ln(u) makes the chance to win proportional to slots.
+    // A uniform number in (0, 1); -slots / log2(u) makes the chance to win proportional to slots.
     let u = ((x >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    -f64::from(slots) / u.ln()
+    -f64::from(slots) / log2(u).min(-f64::MIN_POSITIVE)
+}
+
+/// Binary logarithm of a number in (0, 1) to about 0.01, from its exponent and a parabola
+/// through its mantissa: a choice takes hundreds of them, and all routers get the same.
+fn log2(u: f64) -> f64 {
+    let bits = u.to_bits();
+    let exponent = (bits >> 52) as i32 - 1023;
+    let mantissa = f64::from_bits((bits & ((1 << 52) - 1)) | (1023 << 52)) - 1.0;
+    f64::from(exponent) + mantissa * (1.3465 - 0.3465 * mantissa)
 }
 
 /// True when a replica with `busy` of `slots` may take one more of its own prefix, in a range
--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -29,15 +29,19 @@
 /// values draw nearly always the best fit and herd there, large ones draw by free slots alone.
 pub const MIXING: f64 = 0.03;
 
-/// Links and distance of a chain's steps from the best match, relative to the mean step, above
-/// which it is a bad match.
-pub const UNFIT: f64 = 0.025;
+/// Links and distance of a chain's steps from the best match, relative to the mean step, up to which
+/// no other head is tried.
+const FITS: f64 = 0.02;
 
-/// How long free slots that match badly are left free for a better match.
+/// Part of the time that a better match would save for which slots that match badly are left free.
 ///
 /// In a full fleet the slots of an ended draft are the only free ones, so a chain once
 /// matched badly would be filled again and again. A chain that matches well is filled
-/// at once, so what this costs falls as the matches get better.
+/// at once, so what this costs falls as the matches get better. Where no better match exists, as after
+/// the loss of a data centre, the time is wasted: hence only a part of what could be saved.
+pub const PATIENCE: f64 = 0.25;
+
+/// Longest time for which slots are left free for a better match.
 pub const HOLD: Duration = Duration::from_millis(500);
 
 /// A head with candidates for the other ranges.
@@ -72,11 +76,12 @@
 impl Choice<'_> {
     /// Indices of the candidates for each range; `None` when the request has to wait.
     pub(crate) fn make(&self, rng: &mut impl Rng) -> Option<Vec<Vec<usize>>> {
-        let mut heads = self.heads(rng);
+        let homes: Vec<Option<usize>> = self.ranges.iter().map(|r| self.home(r)).collect();
+        let mut heads = self.heads(homes[0], rng);
         let mut best: Option<Picked> = None;
         for &head in &heads {
-            let picked = self.mates(head, rng)?;
-            let fits = picked.unfit <= self.tuning.unfit;
+            let picked = self.mates(head, &homes, rng)?;
+            let fits = picked.unfit <= FITS;
             if best.as_ref().is_none_or(|b| picked.unfit < b.unfit) {
                 best = Some(picked);
             }
@@ -85,8 +90,7 @@
                 break;
             }
         }
-        let best = best
-            .filter(|b| b.unfit <= self.tuning.unfit || self.now >= b.since + self.tuning.hold)?;
+        let best = best.filter(|b| self.now >= b.since + self.hold(b.unfit))?;
         heads.retain(|&i| i != best.head);
         heads.insert(0, best.head);
         let mut lists = vec![heads];
@@ -94,34 +98,40 @@
         Some(lists)
     }
 
+    /// How long slots that match this badly are left free: what a better match would save, in part.
+    fn hold(&self, unfit: f64) -> Duration {
+        let mean: f64 = self.ranges.iter().map(Range::mean_step).sum();
+        let run = self.ask.cost.run(Duration::from_secs_f64(mean / 1e6));
+        run.mul_f64(unfit * self.tuning.patience).min(self.tuning.hold)
+    }
+
     /// Candidates for the head: those whose chains end before the deadline, if there are any.
-    fn heads(&self, rng: &mut impl Rng) -> Vec<usize> {
+    fn heads(&self, home: Option<usize>, rng: &mut impl Rng) -> Vec<usize> {
         let range = &self.ranges[0];
         let steps = f64::from(self.ask.cost.steps());
         let left = self.ask.left.as_secs_f64() * 1e6;
         let fit = Fit { from: self.ask.from, mean: range.mean_step(), target: 0.0 };
-        let in_time = |r: &Replica| {
-            let place = range.place(r.step());
-            steps * self.ranges.iter().map(|range| range.step_at(place)).sum::<f64>() <= left
-        };
-        let picks = self.pick(range, &fit, in_time, rng);
+        let chain = |place| self.ranges.iter().map(|range| range.step_at(place)).sum::<f64>();
+        let all = steps * chain(1.0) <= left;
+        let in_time = |r: &Replica| all || steps * chain(range.place(r.step())) <= left;
+        let picks = self.pick(range, &fit, home, in_time, rng);
         if !picks.is_empty() {
             return picks;
         }
-        let mut picks = self.pick(range, &fit, |_| true, rng);
+        let mut picks = self.pick(range, &fit, home, |_| true, rng);
         picks.sort_by(|&a, &b| range.list[a].step().total_cmp(&range.list[b].step()));
         picks
     }
 
     /// The ranges after the head.
-    fn mates(&self, head: usize, rng: &mut impl Rng) -> Option<Picked> {
+    fn mates(&self, head: usize, homes: &[Option<usize>], rng: &mut impl Rng) -> Option<Picked> {
         let first = &self.ranges[0].list[head];
         let place = self.ranges[0].place(first.step());
         let mut picked = Picked { head, mates: Vec::new(), unfit: 0.0, since: first.free_since };
         let (mut from, mut total) = (first.data_centre, 0.0);
-        for range in &self.ranges[1..] {
+        for (range, home) in self.ranges.iter().zip(homes).skip(1) {
             let fit = Fit { from, mean: range.mean_step(), target: range.step_at(place) };
-            let picks = self.pick(range, &fit, |_| true, rng);
+            let picks = self.pick(range, &fit, *home, |_| true, rng);
             let mate = &range.list[*picks.first()?];
             picked.unfit += self.cost(mate, &fit);
             picked.since = picked.since.min(mate.free_since);
@@ -138,6 +148,7 @@
         &self,
         range: &Range,
         fit: &Fit,
+        home: Option<usize>,
         suits: impl Fn(&Replica) -> bool,
         rng: &mut impl Rng,
     ) -> Vec<usize> {
@@ -153,7 +164,7 @@
             weights[i] = 0.0;
             picks.push(i);
         }
-        let home = self.home(range, suits);
+        let home = home.filter(|&i| suits(&range.list[i]));
         let time = |i: usize| self.time(&range.list[i], fit, home == Some(i));
         match picks[..] {
             [a, b, ..] if time(b) < time(a) => picks.swap(0, 1),
@@ -171,9 +182,8 @@
     }
 
     /// The replica of the request's prefix or key, when it may take one more.
-    fn home(&self, range: &Range, suits: impl Fn(&Replica) -> bool) -> Option<usize> {
-        let usable =
-            |r: &Replica| r.limit(self.now) > 0 && !self.ask.avoid.contains(&r.vm) && suits(r);
+    fn home(&self, range: &Range) -> Option<usize> {
+        let usable = |r: &Replica| r.limit(self.now) > 0 && !self.ask.avoid.contains(&r.vm);
         let mut homes = range.homes(self.ask.prefix?, usable);
         let bound = self.tuning.bound;
         homes.find(|&home| self.ask.keyed || range.within_bound(home, bound, self.now))
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -19,7 +19,7 @@
 
 use crate::refusal::{OUTAGE, Reason, Refusal, SOON};
 use crate::room::Room;
-use crate::share::{Clock, Head, Share, Workspace};
+use crate::share::{Clock, Share, Workspace};
 use crate::tuning::Tuning;
 
 /// Bytes of a waiting request beside its item and the text of its workspace's name.
@@ -31,6 +31,10 @@
 /// values approach shortest first, under which long ones starve. See docs/design/decisions.md.
 pub const STRETCH: f64 = 2.0;
 
+/// Factor on the part of an estimated wait that is due to requests that come later and go first. At 1 most of the
+/// middling requests that were let in at the edge were given up later; at 1.5 a burst refuses what it could do.
+pub const MARGIN: f64 = 1.25;
+
 /// A waiting request is given up when its estimated start is late by more than
 /// this part of its time left. The estimate is coarse; at 0 requests that would make it are thrown away.
 pub const DOUBT: f64 = 0.25;
@@ -159,6 +163,7 @@
                 }
             }
         }
+        (0..self.waiting.len()).for_each(|i| self.note_next(i));
         let active = self.workspaces.iter().zip(&self.waiting).filter(|(_, q)| !q.is_empty());
         self.weights = active.map(|(w, _)| w.weight()).sum();
     }
@@ -218,11 +223,10 @@
             return None;
         }
         loop {
-            let i = self.clock.pick(
-                heads(&self.workspaces, &self.waiting),
-                self.tuning.quantum,
-                |i| self.waiting[i].last().map_or(0, |e| likes(&e.item)),
-            )?;
+            let heads = self.workspaces.iter().enumerate().filter_map(|(i, w)| w.head(i));
+            let i = self.clock.pick(heads, self.tuning.quantum, |i| {
+                self.waiting[i].last().map_or(0, |e| likes(&e.item))
+            })?;
             let entry = self.take(i, self.waiting[i].len() - 1);
             match self.hopeless(&entry.ask, now) {
                 true => self.late.push(entry),
@@ -358,7 +362,8 @@
             Some(Refusal { reason, retry_after })
         };
         let workspace = &self.workspaces[i];
-        let key = now + ask.run.mul_f64(self.tuning.stretch);
+        let behind = ask.run.mul_f64(self.tuning.stretch);
+        let key = now + behind;
         let own = &self.waiting[i];
         let ahead: f64 =
             own.iter().rev().take_while(|e| e.key <= key).map(|e| e.ask.run.as_secs_f64()).sum();
@@ -367,7 +372,8 @@
             return refuse(Reason::Outage, Some(OUTAGE.as_secs_f64()));
         };
         let run = ask.run.as_secs_f64();
-        let passed = workspace.lag.map_or(0.0, |lag| lag + run * self.tuning.stretch);
+        let passed =
+            workspace.lag.map_or(0.0, |lag| lag + behind.as_secs_f64() * self.tuning.margin);
         let wait = wait.max(passed);
         let left = ask.deadline.saturating_sub(now).as_secs_f64();
         match own.len() >= workspace.share.limit as usize && self.backlogged() {
@@ -395,6 +401,7 @@
         self.backlog += run;
         let at = self.waiting[i].partition_point(|e| (e.key, e.ticket) > (entry.key, ticket));
         self.waiting[i].insert(at, entry);
+        self.note_next(i);
         ticket
     }
 
@@ -408,6 +415,7 @@
             self.workspaces[i].lag = None;
             self.weights -= self.workspaces[i].weight();
         }
+        self.note_next(i);
         // Sums of floats keep a rest; an empty queue must not look backlogged for ever.
         if self.weights < 0.5 {
             (self.weights, self.backlog) = (0.0, 0.0);
@@ -415,6 +423,13 @@
         entry
     }
 
+    fn note_next(&mut self, i: usize) {
+        let weight = self.workspaces[i].weight();
+        let next =
+            self.waiting[i].last().map(|e| (e.ask.run.as_secs_f64() / weight, e.ask.priority));
+        self.workspaces[i].next = next;
+    }
+
     fn start(&mut self, i: usize, entry: &Entry<T>) {
         let workspace = &mut self.workspaces[i];
         self.clock.charge(workspace, entry.ask.run.as_secs_f64());
@@ -422,14 +437,3 @@
         self.running += 1;
     }
 }
-
-fn heads<'a, T>(
-    workspaces: &'a [Workspace],
-    waiting: &'a [Vec<Entry<T>>],
-) -> impl Iterator<Item = Head> + Clone + 'a {
-    workspaces.iter().zip(waiting).enumerate().filter_map(|(index, (workspace, waiting))| {
-        let ask = &waiting.last()?.ask;
-        let finish = workspace.start + ask.run.as_secs_f64() / workspace.weight();
-        Some(Head { index, start: workspace.start, finish, priority: ask.priority })
-    })
-}
--- a/crates/policy/src/range.rs
+++ b/crates/policy/src/range.rs
@@ -82,6 +82,9 @@
         let mut best = [(f64::NEG_INFINITY, None); affinity::HOMES];
         for (i, r) in self.list.iter().enumerate().filter(|(_, r)| usable(r)) {
             let mut next = (affinity::rank(prefix, r.seed, r.slots), Some(i));
+            if next.0 <= best[affinity::HOMES - 1].0 {
+                continue;
+            }
             for place in &mut best {
                 if next.0 > place.0 {
                     std::mem::swap(place, &mut next);
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -49,6 +49,9 @@
     /// How far behind the order of its queue it was when it last started one, in seconds:
     /// the time less the request's place in the order. `None` when nothing waits.
     pub(crate) lag: Option<f64>,
+    /// Run in seconds by weight, and priority, of its next request, kept here so that a choice among many
+    /// workspaces reads one list.
+    pub(crate) next: Option<(f64, u8)>,
     /// Requests that run.
     pub(crate) running: u32,
 }
@@ -69,8 +72,14 @@
 }
 
 impl Workspace {
+    pub(crate) fn head(&self, index: usize) -> Option<Head> {
+        let (cost, priority) = self.next?;
+        let finish = self.start + cost;
+        Some(Head { index, start: self.start, finish, priority })
+    }
+
     pub(crate) fn new(share: Share) -> Workspace {
-        Workspace { share, start: 0.0, backlog: 0.0, lag: None, running: 0 }
+        Workspace { share, start: 0.0, backlog: 0.0, lag: None, next: None, running: 0 }
     }
 
     pub(crate) fn weight(&self) -> f64 {
@@ -91,6 +100,9 @@
         let limit = self.now + quantum;
         let mut best = [None::<Head>; COMPARED];
         for head in heads.filter(|h| h.start <= limit) {
+            if best[COMPARED - 1].is_some_and(|last| !before(&head, &last)) {
+                continue;
+            }
             let mut next = Some(head);
             for place in &mut best {
                 match (&next, &place) {
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -16,8 +16,8 @@
     pub load: f64,
     /// [`chain::MIXING`].
     pub mixing: f64,
-    /// [`chain::UNFIT`].
-    pub unfit: f64,
+    /// [`chain::PATIENCE`].
+    pub patience: f64,
     /// [`chain::HOLD`].
     pub hold: Duration,
     /// [`health::SLOW`].
@@ -28,6 +28,8 @@
     pub eject: Duration,
     /// [`queue::STRETCH`].
     pub stretch: f64,
+    /// [`queue::MARGIN`].
+    pub margin: f64,
     /// [`queue::DOUBT`].
     pub doubt: f64,
     /// [`share::QUANTUM`].
@@ -48,12 +50,13 @@
             bound: affinity::BOUND,
             load: chain::LOAD,
             mixing: chain::MIXING,
-            unfit: chain::UNFIT,
+            patience: chain::PATIENCE,
             hold: chain::HOLD,
             slow: health::SLOW,
             strikes: health::STRIKES,
             eject: health::EJECT,
             stretch: queue::STRETCH,
+            margin: queue::MARGIN,
             doubt: queue::DOUBT,
             quantum: share::QUANTUM,
             ramp: ramp::STEP,
