Tests of the decisions, alone and under loads

A test found that suspects pushed refused fingerprints out of a full quarantine list; suspects go first now.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -8,7 +8,7 @@
 //! cleared, one that runs at a second crash is refused everywhere for a set time. Two crashes
 //! are the fewest that tell the culprit from those beside it. Agents list both kinds in their reports,
 //! and a suspect learnt from a peer counts the crash it had there.
-//! At most [`LIMIT`] fingerprints are kept, the oldest goes first.
+//! At most [`LIMIT`] fingerprints are kept; the oldest suspect goes first.
 
 use std::time::Duration;
 
@@ -140,7 +140,9 @@
             self.records.retain(|r| r.until > now);
         }
         if self.records.len() > LIMIT {
-            let oldest = (0..self.records.len()).min_by_key(|&i| self.records[i].until);
+            // A caller could push its own refused fingerprint out with many that only are suspects.
+            let place = |&i: &usize| (self.records[i].refused, self.records[i].until);
+            let oldest = (0..self.records.len()).min_by_key(place);
             oldest.map(|i| self.records.remove(i));
         }
     }
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,206 @@
+//! What is let in, what waits and what is refused, without a fleet.
+
+use std::time::Duration;
+
+use policy::queue::{Admit, Ask, Entry, Queue};
+use policy::refusal::{Reason, Refusal};
+use policy::room::Room;
+use policy::share::Share;
+use rstest::rstest;
+
+fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn queue() -> Queue<u32> {
+    let share = |name: &str, weight, limit| Share { workspace: name.into(), weight, limit };
+    Queue::new(vec![share("a", 1, 100), share("b", 1, 3), share("c", 3, 100)])
+}
+
+fn ask(workspace: &str, run: u64, deadline: u64) -> Ask {
+    Ask { workspace: workspace.into(), priority: 5, run: secs(run), deadline: secs(deadline) }
+}
+
+const FULL: Room = Room { free: 0, slots: 4, routers: 1 };
+const NONE: Room = Room { free: 0, slots: 0, routers: 1 };
+const ONE: Room = Room { free: 1, slots: 4, routers: 1 };
+
+fn refusal(admit: Admit<u32>) -> Option<Refusal> {
+    match admit {
+        Admit::Refuse(_, refusal) => Some(refusal),
+        _ => None,
+    }
+}
+
+/// Takes what may start, with as much free as there are requests.
+fn order(queue: &mut Queue<u32>, now: Duration) -> Vec<Entry<u32>> {
+    std::iter::from_fn(|| queue.next(ONE, now)).collect()
+}
+
+struct Refused {
+    ahead: usize,
+    ask: Ask,
+    room: Room,
+    reason: Option<Reason>,
+}
+
+// A request is let in though it can't make its deadline: the caller waits in vain, and
+// learns it too late to go elsewhere.
+#[rstest]
+#[case(Refused { ahead: 0, ask: ask("a", 5, 9), room: FULL, reason: None })]
+#[case(Refused { ahead: 0, ask: ask("a", 10, 9), room: FULL, reason: Some(Reason::Long) })]
+#[case(Refused { ahead: 20, ask: ask("a", 4, 20), room: FULL, reason: Some(Reason::Deadline) })]
+#[case(Refused { ahead: 20, ask: ask("a", 4, 200), room: FULL, reason: None })]
+#[case(Refused { ahead: 3, ask: ask("b", 4, 200), room: FULL, reason: Some(Reason::Limit) })]
+#[case(Refused { ahead: 0, ask: ask("unknown", 4, 200), room: FULL, reason: Some(Reason::Limit) })]
+#[case(Refused { ahead: 0, ask: ask("a", 4, 200), room: NONE, reason: Some(Reason::Outage) })]
+fn refuses_at_once_what_cannot_make_it(#[case] case: Refused) {
+    let mut queue = queue();
+    for i in 0..case.ahead {
+        let ahead = ask(&case.ask.workspace, 4, 1000);
+        queue.admit(ahead, i as u32, FULL, Duration::ZERO);
+    }
+    let admit = queue.admit(case.ask, 99, case.room, Duration::ZERO);
+    assert_eq!(refusal(admit).map(|r| r.reason), case.reason);
+}
+
+// A refusal names a time to come back at which the caller is refused again: callers learn to
+// ignore it and come back at once.
+#[test]
+fn a_caller_that_comes_back_when_told_is_let_in() {
+    let mut queue = queue();
+    let mut fill = 0;
+    let told = loop {
+        let admit = queue.admit(ask("a", 4, 20), fill, FULL, Duration::ZERO);
+        match refusal(admit) {
+            Some(refusal) => break refusal.retry_after.expect("a time"),
+            None => fill += 1,
+        }
+    };
+    // The four slots serve the queue meanwhile, one request in each every 4 s.
+    let mut now = Duration::ZERO;
+    while now + secs(4) <= told + secs(4) {
+        let mut room = Room { free: 4, ..FULL };
+        while let Some(entry) = queue.next(room, now) {
+            room.free -= 1;
+            queue.done(&entry.ask, secs(4));
+        }
+        now += secs(4);
+    }
+    let again = Ask { deadline: told + secs(20), ..ask("a", 4, 0) };
+    assert!(refusal(queue.admit(again, 1, FULL, told)).is_none());
+}
+
+// One workspace sends 100 requests before another sends 5. First come first served would
+// make those 5 wait behind all of the flood.
+#[test]
+fn a_flood_waits_behind_its_own() {
+    let mut queue = queue();
+    for i in 0..100 {
+        queue.admit(ask("a", 4, 1000), i, FULL, Duration::ZERO);
+    }
+    for i in 0..5 {
+        queue.admit(ask("c", 4, 1000), 1000 + i, FULL, secs(1));
+    }
+    let first: Vec<u32> = order(&mut queue, secs(1)).iter().take(10).map(|e| e.item).collect();
+    assert_eq!(first.iter().filter(|i| **i >= 1000).count(), 5, "{first:?}");
+}
+
+// Shares are by slot time: three times the weight gets three times the slot time, also when
+// the other sends fewer but longer requests.
+#[rstest]
+#[case(4, 4)]
+#[case(12, 2)]
+#[case(2, 12)]
+fn slot_time_follows_the_weights(#[case] a: u64, #[case] c: u64) {
+    let mut queue = queue();
+    for i in 0..100 {
+        queue.admit(ask("a", a, 100_000), i, FULL, Duration::ZERO);
+        queue.admit(ask("c", c, 100_000), i, FULL, Duration::ZERO);
+    }
+    let mut given = [0.0, 0.0];
+    while given[1] < 150.0 {
+        let entry = queue.next(ONE, Duration::ZERO).expect("a request");
+        let i = usize::from(entry.ask.workspace == "c");
+        given[i] += entry.ask.run.as_secs_f64();
+    }
+    let relation = given[1] / given[0];
+    assert!((2.0..4.5).contains(&relation), "{given:?}");
+}
+
+// Priority moves a workspace ahead of the others, but a flood of high priority must not
+// take the others' shares.
+#[test]
+fn priority_does_not_take_another_share() {
+    let mut queue = queue();
+    for i in 0..50 {
+        let high = Ask { priority: 9, ..ask("a", 4, 100_000) };
+        queue.admit(high, i, FULL, Duration::ZERO);
+        let low = Ask { priority: 0, ..ask("c", 4, 100_000) };
+        queue.admit(low, 1000 + i, FULL, Duration::ZERO);
+    }
+    let order: Vec<u32> = order(&mut queue, Duration::ZERO).iter().map(|e| e.item).collect();
+    assert!(order[0] < 1000, "the higher priority goes first");
+    let low = order[..40].iter().filter(|i| **i >= 1000).count();
+    assert!(low >= 20, "{low} of the first 40 are of the workspace with three times the weight");
+}
+
+// In one workspace a clerk's short request comes behind long ones. It must pass them; and a long one
+// must not be passed for ever by short ones that keep coming.
+#[test]
+fn short_passes_long_and_long_does_not_starve() {
+    let mut queue = queue();
+    for i in 0..10 {
+        queue.admit(ask("a", 60, 100_000), i, FULL, Duration::ZERO);
+    }
+    queue.admit(ask("a", 2, 100_000), 100, FULL, secs(10));
+    assert_eq!(queue.next(ONE, secs(10)).map(|e| e.item), Some(100));
+    let mut passed = 0;
+    for second in 11.. {
+        queue.admit(ask("a", 2, 100_000), 200, FULL, secs(second));
+        if queue.next(ONE, secs(second)).is_some_and(|e| e.item < 100) {
+            break;
+        }
+        passed += 1;
+    }
+    assert!(passed <= 130, "{passed} short ones passed one of 60 s");
+}
+
+// While requests wait the fleet loses its slots. Those that can't make it any more are
+// told so when that is known, and never start.
+#[test]
+fn what_cannot_make_it_any_more_is_given_up() {
+    let mut queue = queue();
+    for i in 0..8 {
+        queue.admit(ask("a", 4, 20), i, FULL, Duration::ZERO);
+    }
+    assert!(queue.expired(FULL, secs(1)).is_empty());
+    let slow = Room { slots: 1, ..FULL };
+    let gone = queue.expired(slow, secs(2));
+    assert!(!gone.is_empty() && queue.waiting() > 0, "{} given up", gone.len());
+    assert!(gone.iter().all(|(_, r)| r.reason == Reason::Deadline && r.retry_after.is_some()));
+    assert!(queue.next(ONE, secs(19)).is_none(), "none can end by 20 s");
+    assert_eq!(queue.expired(FULL, secs(19)).len() + gone.len(), 8);
+}
+
+// Callers go, requests are refused by an agent and put back: counts must not drift, or a
+// queue that is empty looks backlogged and holds every request.
+#[test]
+fn an_empty_queue_is_empty_after_any_order_of_events() {
+    let mut queue = queue();
+    for round in 0..50u64 {
+        let now = secs(round);
+        let admit = queue.admit(ask("a", 3, 1000), 1, FULL, now);
+        let Admit::Wait(ticket) = admit else { panic!("{admit:?}") };
+        queue.admit(ask("c", 7, 1000), 2, FULL, now);
+        let entry = queue.next(ONE, now).expect("a request");
+        queue.back(entry);
+        queue.cancel("a", ticket);
+        for entry in order(&mut queue, now) {
+            queue.done(&entry.ask, secs(2));
+        }
+        assert_eq!((queue.waiting(), queue.running()), (0, 0));
+    }
+    let admit = queue.admit(ask("a", 3, 1000), 1, ONE, secs(60));
+    assert!(matches!(admit, Admit::Start(_)));
+}
