Recovery first and its reserve, a bucket of its own for refusals, entries of the queue

A draft that lost its backend server goes before all others of its workspace and may use the agents' reserve. Tries after a refusal have their own bucket: shared with failures they left none when a third of the fleet went.

--- a/crates/policy/benches/cost/mod.rs
+++ b/crates/policy/benches/cost/mod.rs
@@ -69,6 +69,7 @@
         left: Duration::from_secs(30),
         prefix: Some(7),
         keyed: false,
+        recovery: false,
         from: 0,
         avoid: &[],
     };
--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
+use policy::limit::Objective;
 use sim::load::{self, Load};
 use sim::result::Result;
 use sim::variant::{self, Tune, Variant};
@@ -41,7 +42,9 @@
     header("policy");
     for load in load::all() {
         let late = load.lag >= Duration::from_secs(1);
-        for variant in variant::ALL.into_iter().filter(|v| v.aged || late) {
+        let lost = !load.faults.is_empty();
+        let plain = |v: &Variant| v.objective == Objective::Throughput || lost;
+        for variant in variant::ALL.into_iter().filter(|v| (v.aged || late) && plain(v)) {
             row(load.name, variant.name, &play(&load, variant));
         }
     }
@@ -67,7 +70,7 @@
 
 fn header(what: &str) {
     println!(
-        "{:<17} {what:<17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>8}",
+        "{:<17} {what:<17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>8} {:>6} {:>6} {:>6}",
         "load",
         "bound%",
         "hits%",
@@ -79,14 +82,17 @@
         "refus%",
         "held%",
         "late%",
-        "retries"
+        "retries",
+        "recov%",
+        "rp50 s",
+        "rp95 s"
     );
 }
 
 fn row(load: &str, name: &str, runs: &[Result]) {
     let mean = |of: fn(&Result) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
     println!(
-        "{load:<17} {name:<17} {:>6.1} {:>6.1} {:>6.1} {:>6.3} {:>6.2} {:>6.2} {:>6.2} {:>6.1} {:>6.1} {:>6.1} {:>8.2}",
+        "{load:<17} {name:<17} {:>6.1} {:>6.1} {:>6.1} {:>6.3} {:>6.2} {:>6.2} {:>6.2} {:>6.1} {:>6.1} {:>6.1} {:>8.2} {:>6.1} {:>6.2} {:>6.2}",
         mean(|r| r.share * 100.0),
         mean(|r| r.hits * 100.0),
         mean(|r| r.others * 100.0),
@@ -98,10 +104,29 @@
         mean(|r| r.held * 100.0),
         mean(|r| r.late * 100.0),
         mean(|r| r.retried),
+        mean(|r| r.recovered * 100.0),
+        mean(|r| r.recovery[0]),
+        mean(|r| r.recovery[1]),
     );
 }
 
-const SWEEPS: [(&str, [(&str, Tune); 3]); 18] = [
+const SWEEPS: [(&str, [(&str, Tune); 3]); 20] = [
+    (
+        "burst 10x",
+        [
+            ("catch up 1", |t| t.catch_up = 1.0),
+            ("catch up 1.25", |_| {}),
+            ("catch up 2", |t| t.catch_up = 2.0),
+        ],
+    ),
+    (
+        "saturation 1.5x",
+        [
+            ("catch up 1", |t| t.catch_up = 1.0),
+            ("catch up 1.25", |_| {}),
+            ("catch up 2", |t| t.catch_up = 2.0),
+        ],
+    ),
     (
         "prefix 80%",
         [
--- a/crates/policy/benches/sim/mod.rs
+++ b/crates/policy/benches/sim/mod.rs
@@ -63,6 +63,7 @@
     table: Table,
     queue: Waiting,
     budget: Budget,
+    refusals: Budget,
     counts: Vec<Vec<Count>>,
     turn: usize,
     rng: Pcg64,
@@ -91,6 +92,7 @@
     Deliver(usize, u32, u64),
     Listed(usize, bool),
     Fault(usize),
+    Detect,
     Tick,
 }
 
@@ -117,7 +119,8 @@
 impl Fleet {
     /// A fleet of today's size.
     pub fn new(load: Load, variant: Variant, seed: u64) -> Fleet {
-        let agents: Vec<Agent> = (0..AGENTS.iter().sum()).map(agent).collect();
+        let agents: Vec<Agent> =
+            (0..AGENTS.iter().sum()).map(|i| agent(i, variant.objective)).collect();
         let bound = bound(&agents);
         let requests = load.requests(bound, ROUTERS, seed);
         let routers = (0..ROUTERS).map(|i| router(i, &agents, variant, seed)).collect();
@@ -160,6 +163,7 @@
                 Event::Deliver(i, busy, step) => self.deliver(i, busy, step),
                 Event::Listed(i, up) => self.listed(i, up),
                 Event::Fault(i) => self.fault(i),
+                Event::Detect => self.detect(),
                 Event::Tick => self.tick(),
             }
         }
@@ -186,7 +190,7 @@
         let r = request.router;
         match router.queue.admit(ask, i, room, now) {
             Ok(Some(start)) => {
-                self.launch(start, Kind::New);
+                self.launch(start, Kind::New, false);
             }
             Ok(None) => self.pump(r),
             Err(_) => self.result.refuse(i, now, now),
@@ -218,17 +222,22 @@
             let likes =
                 |i: &usize| if aware { table.likes(hash(requests[*i].prefix), now) } else { 0 };
             let Some(start) = router.queue.next(room, now, likes) else { return };
-            if !self.launch(start, Kind::New) {
+            let kind = match self.tries[start.request] {
+                0 => Kind::New,
+                _ => Kind::Recovery,
+            };
+            if !self.launch(start, kind, false) {
                 failures += 1;
             }
         }
     }
 
     /// Tries to start a request; puts it back when it was refused everywhere.
-    fn launch(&mut self, start: Start, kind: Kind) -> bool {
+    fn launch(&mut self, start: Start, kind: Kind, reserve: bool) -> bool {
         let r = self.requests[start.request].router;
-        let Some(lists) = self.choose(start.request) else {
-            self.routers[r].queue.back(start);
+        let lost = kind == Kind::Recovery;
+        let Some(lists) = self.choose(start.request, reserve) else {
+            self.routers[r].queue.back(start, lost);
             return false;
         };
         let (mut chain, mut wait) = (Vec::new(), Duration::ZERO);
@@ -240,7 +249,7 @@
         }
         if chain.len() < AGENTS.len() {
             chain.iter().for_each(|&a| self.leave(r, a, End::Neutral));
-            self.routers[r].queue.back(start);
+            self.routers[r].queue.back(start, lost);
             return false;
         }
         self.begin(start, r, chain, wait);
@@ -252,7 +261,7 @@
         for (n, &a) in list.iter().enumerate() {
             if n > 0 {
                 self.result.retries += 1;
-                if self.variant.budget && !self.routers[r].budget.take() {
+                if self.variant.budget && !self.routers[r].refusals.take() {
                     return None;
                 }
             }
@@ -289,7 +298,7 @@
             steps.push(output + f64::from(prompt));
         }
         let (i, now) = (self.sessions.len(), self.now);
-        self.result.began(start.request, &self.requests, now);
+        self.result.began(start.request, now);
         let request = start.request;
         let start = Some(start);
         let (began, changed) = (now, now + wait);
@@ -338,6 +347,7 @@
             self.routers[r].queue.done(&start, held);
         }
         self.routers[r].budget.succeeded();
+        self.routers[r].refusals.succeeded();
         let began = self.sessions[i].began;
         self.result.ended(request, &self.requests, began, self.now, good);
         self.pump(r);
@@ -358,7 +368,7 @@
         self.routers[r].count(a, -1);
     }
 
-    fn choose(&mut self, request: usize) -> Option<Vec<Vec<usize>>> {
+    fn choose(&mut self, request: usize, recovery: bool) -> Option<Vec<Vec<usize>>> {
         let request = &self.requests[request];
         let router = &mut self.routers[request.router];
         if self.variant.pick != Pick::Policy {
@@ -370,7 +380,7 @@
         let prefix = Some(hash(request.prefix));
         let from = request.router % 3;
         let left = request.deadline.saturating_sub(self.now);
-        let ask = route::Ask { cost, left, prefix, keyed: false, from, avoid: &[] };
+        let ask = route::Ask { cost, left, prefix, keyed: false, recovery, from, avoid: &[] };
         let chain = router.table.chain(&ask, self.now, &mut router.rng)?;
         let index = |vm: &String| vm[3..].parse().expect("a number");
         Some(chain.iter().map(|list| list.iter().map(index).collect()).collect())
@@ -448,15 +458,17 @@
                 for &a in &lost {
                     self.agents[a].up = false;
                     self.agents[a].cache.clear();
-                    self.at(now + DETECT, Event::Listed(a, false));
                 }
-                let running = self.running(|s| s.chain.iter().any(|a| lost.contains(a)));
-                running.into_iter().for_each(|s| self.lose(s));
+                for i in self.running(|s| s.chain.iter().any(|a| lost.contains(a))) {
+                    self.sessions[i].epoch += 1;
+                    self.result.lost(self.sessions[i].request, now);
+                }
+                self.at(now + DETECT, Event::Detect);
             }
             Fault::Return => {
                 for a in (0..self.agents.len()).filter(|a| a % 3 == 1) {
                     self.agents[a].up = true;
-                    self.agents[a].slots = Slots::new(SLOTS, Objective::Throughput);
+                    self.agents[a].slots = Slots::new(SLOTS, self.variant.objective);
                     self.at(now + TICK, Event::Listed(a, true));
                 }
             }
@@ -465,6 +477,14 @@
         self.result.bound_changed(at, bound(&self.agents));
     }
 
+    /// The routers see that their connections to the lost VMs are dead.
+    fn detect(&mut self) {
+        let dead: Vec<usize> = (0..self.agents.len()).filter(|a| !self.agents[*a].up).collect();
+        let running = self.running(|s| s.chain.iter().any(|a| dead.contains(a)));
+        dead.into_iter().for_each(|a| self.listed(a, false));
+        running.into_iter().for_each(|s| self.lose(s));
+    }
+
     fn running(&self, by: impl Fn(&Session) -> bool) -> Vec<usize> {
         (0..self.sessions.len())
             .filter(|&i| self.sessions[i].start.is_some() && by(&self.sessions[i]))
@@ -479,7 +499,6 @@
             let end = if self.agents[a].up { End::Neutral } else { End::Failed };
             self.leave(r, a, end);
         }
-        self.result.lost += 1;
         self.tries[request] += 1;
         let run = self.sessions[i].start.as_ref().map_or(Duration::ZERO, |s| s.ask.run);
         let deadline = self.requests[request].deadline;
@@ -491,7 +510,7 @@
             Retry::After(wait) => self.at(self.now + wait, Event::Retry(i)),
             Retry::Stop(_) => {
                 let start = self.sessions[i].start.take().expect("running");
-                router.queue.back(start);
+                router.queue.back(start, true);
             }
         }
     }
@@ -499,7 +518,7 @@
     fn retry(&mut self, i: usize) {
         self.result.retries += 1;
         if let Some(start) = self.sessions[i].start.take() {
-            self.launch(start, Kind::Recovery);
+            self.launch(start, Kind::Recovery, true);
         }
     }
 }
@@ -517,7 +536,7 @@
     }
 }
 
-fn agent(i: usize) -> Agent {
+fn agent(i: usize, objective: Objective) -> Agent {
     let range = (0..3).find(|r| i < AGENTS[..=*r].iter().sum()).expect("a range");
     let first: usize = AGENTS[..range].iter().sum();
     let place = i - first;
@@ -526,7 +545,7 @@
         range,
         data_centre: place % 3,
         step: STEPS[place / 3 % 3] / 1e3,
-        slots: Slots::new(SLOTS, Objective::Throughput),
+        slots: Slots::new(SLOTS, objective),
         up: true,
         cache: VecDeque::new(),
     }
@@ -547,7 +566,15 @@
     let share = |w| Share { workspace: workspace(w), weight: 1, limit: 500 };
     let queue = Waiting::new(variant.fifo, (0..WORKSPACES).map(share).collect(), tuning);
     let rng = Pcg64::seed_from_u64(seed * 1000 + i as u64);
-    Router { table, queue, budget: Budget::tuned(&tuning), counts, turn: i * 7, rng }
+    Router {
+        table,
+        queue,
+        budget: Budget::tuned(&tuning),
+        refusals: Budget::refusals(),
+        counts,
+        turn: i * 7,
+        rng,
+    }
 }
 
 fn hash(prefix: u64) -> u64 {
--- a/crates/policy/benches/sim/result.rs
+++ b/crates/policy/benches/sim/result.rs
@@ -20,6 +20,11 @@
     pub load: &'static str,
     pub retries: u32,
     pub lost: u32,
+    /// Time from the loss of a stage until the draft ran again, in seconds: p50, p95; and those that did.
+    pub recovery: [f64; 2],
+    pub recovered: f64,
+    lost_at: Vec<Option<Duration>>,
+    recoveries: Vec<f64>,
     pub ejections: u32,
     /// Useful tokens over the least of the bound and what was offered.
     pub share: f64,
@@ -60,6 +65,10 @@
             load,
             retries: 0,
             lost: 0,
+            recovery: [0.0; 2],
+            recovered: 0.0,
+            lost_at: vec![None; requests],
+            recoveries: Vec::new(),
             ejections: 0,
             share: 0.0,
             jain: 0.0,
@@ -98,7 +107,15 @@
         self.lookups.1 += 1;
     }
 
-    pub fn began(&mut self, i: usize, _requests: &[Request], now: Duration) {
+    pub fn lost(&mut self, i: usize, now: Duration) {
+        self.lost += 1;
+        self.lost_at[i] = Some(now);
+    }
+
+    pub fn began(&mut self, i: usize, now: Duration) {
+        if let Some(lost) = self.lost_at[i].take() {
+            self.recoveries.push((now - lost).as_secs_f64());
+        }
         self.began[i].get_or_insert(now);
     }
 
@@ -149,6 +166,8 @@
             }
         }
         self.waits = [0.5, 0.95, 0.99].map(|q| quantile(&mut waits, q));
+        self.recovered = self.recoveries.len() as f64 / f64::from(self.lost.max(1));
+        self.recovery = [0.5, 0.95].map(|q| quantile(&mut self.recoveries, q));
         self.busy = self.samples.map(|(busy, slots)| f64::from(busy) / f64::from(slots));
         self.cached = f64::from(self.lookups.0) / f64::from(self.lookups.1.max(1));
         self.retried = f64::from(self.retries) / requests.len() as f64;
--- a/crates/policy/benches/sim/variant.rs
+++ b/crates/policy/benches/sim/variant.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use policy::limit::Objective;
 use policy::queue::{Admit, Ask, Entry, Queue};
 use policy::refusal::{OUTAGE, Reason, Refusal};
 use policy::room::Room;
@@ -34,6 +35,8 @@
     pub fifo: bool,
     /// Retries under the budget, with backoff.
     pub budget: bool,
+    /// The agents' objective.
+    pub objective: Objective,
     /// The age of reports is known.
     pub aged: bool,
     /// Changes thresholds for a sweep.
@@ -46,13 +49,14 @@
     pick: Pick::Policy,
     fifo: false,
     budget: true,
+    objective: Objective::Throughput,
     aged: true,
     tune: |_| {},
 };
 
 /// The policy and the baselines. The routing baselines keep the policy's queue and its
 /// view of free slots, which helps them.
-pub const ALL: [Variant; 8] = [
+pub const ALL: [Variant; 9] = [
     POLICY,
     Variant { name: "random", pick: Pick::Random, ..POLICY },
     Variant { name: "round robin", pick: Pick::RoundRobin, ..POLICY },
@@ -60,6 +64,8 @@
     Variant { name: "two choices", pick: Pick::TwoChoices, ..POLICY },
     Variant { name: "fifo queue", fifo: true, ..POLICY },
     Variant { name: "no retry budget", budget: false, ..POLICY },
+    // Only differs where VMs are lost.
+    Variant { name: "objective recovery", objective: Objective::Recovery, ..POLICY },
     // Only differs where reports are late.
     Variant { name: "age unknown", aged: false, ..POLICY },
 ];
@@ -189,8 +195,9 @@
         }
     }
 
-    pub fn back(&mut self, start: Start) {
+    pub fn back(&mut self, start: Start, lost: bool) {
         match (self, start.entry) {
+            (Waiting::Fair(queue), Some(entry)) if lost => queue.lost(entry),
             (Waiting::Fair(queue), Some(entry)) => queue.back(entry),
             (Waiting::Fifo(list), _) => list.push_front((start.ask, start.request)),
             _ => {}
--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -44,6 +44,9 @@
 /// Longest time for which slots are left free for a better match.
 pub const HOLD: Duration = Duration::from_millis(500);
 
+/// What a full replica counts for a draft that lost a stage, in free slots: it may have a reserve.
+const RESERVE: f64 = 0.1;
+
 /// A head with candidates for the other ranges.
 struct Picked {
     head: usize,
@@ -102,6 +105,9 @@
     fn hold(&self, unfit: f64) -> Duration {
         let mean: f64 = self.ranges.iter().map(Range::mean_step).sum();
         let run = self.ask.cost.run(Duration::from_secs_f64(mean / 1e6));
+        if self.ask.recovery {
+            return Duration::ZERO;
+        }
         run.mul_f64(unfit * self.tuning.patience).min(self.tuning.hold)
     }
 
@@ -152,10 +158,9 @@
         suits: impl Fn(&Replica) -> bool,
         rng: &mut impl Rng,
     ) -> Vec<usize> {
-        let weight = |r: &Replica| match r.free(self.now) {
-            0 => 0.0,
-            _ if self.ask.avoid.contains(&r.vm) || !suits(r) => 0.0,
-            free => f64::from(free) / (self.cost(r, fit) / fit.mean + self.tuning.mixing).powi(2),
+        let weight = |r: &Replica| match self.free(r) {
+            free if free == 0.0 || self.ask.avoid.contains(&r.vm) || !suits(r) => 0.0,
+            free => free / (self.cost(r, fit) / fit.mean + self.tuning.mixing).powi(2),
         };
         let mut weights: Vec<f64> = range.list.iter().map(weight).collect();
         let mut picks: Vec<usize> = Vec::with_capacity(CANDIDATES + 1);
@@ -181,6 +186,14 @@
         picks
     }
 
+    /// Free slots as this request sees them.
+    fn free(&self, r: &Replica) -> f64 {
+        match r.free(self.now) {
+            0 if self.ask.recovery && r.limit(self.now) > 0 => RESERVE,
+            free => f64::from(free),
+        }
+    }
+
     /// The replica of the request's prefix or key, when it may take one more.
     fn home(&self, range: &Range) -> Option<usize> {
         let usable = |r: &Replica| r.limit(self.now) > 0 && !self.ask.avoid.contains(&r.vm);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod affinity;
 pub mod chain;
+pub mod entry;
 pub mod health;
 pub mod limit;
 pub mod link;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -37,7 +37,8 @@
     ///
     /// Throughput keeps no whole slot of an engine of less than 50 and waits out long steps. Recovery keeps
     /// an eighth, which carries the sessions of one lost replica in nine, and gives up a silent stage soon,
-    /// at the price of replacing some that were only slow.
+    /// at the price of replacing some that were only slow. The depth is 1 at both ends until engines
+    /// whose steps grow with the batch have been measured.
     ///
     /// ```
     /// use policy::limit::Objective;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -17,14 +17,12 @@
 
 use std::time::Duration;
 
+pub use crate::entry::{Admit, Ask, Entry, Ticket, WAITING_BYTES};
 use crate::refusal::{OUTAGE, Reason, Refusal, SOON};
 use crate::room::Room;
 use crate::share::{Clock, Share, Workspace};
 use crate::tuning::Tuning;
 
-/// Bytes of a waiting request beside its item and the text of its workspace's name.
-pub const WAITING_BYTES: usize = size_of::<Entry<()>>();
-
 /// How many times its own run a request is put behind its arrival.
 ///
 /// At 0 the order is first come first served and short requests wait behind long ones. Large
@@ -35,6 +33,10 @@
 /// middling requests that were let in at the edge were given up later; at 1.5 a burst refuses what it could do.
 pub const MARGIN: f64 = 1.25;
 
+/// Bound of an estimated wait, relative to the time that all that waits now takes. Without one, the middling
+/// requests that come at the end of a burst are refused although the queue soon runs empty.
+pub const CATCH_UP: f64 = 1.25;
+
 /// A waiting request is given up when its estimated start is late by more than
 /// this part of its time left. The estimate is coarse; at 0 requests that would make it are thrown away.
 pub const DOUBT: f64 = 0.25;
@@ -42,47 +44,6 @@
 /// Weight of one finished request in the smoothed ratio of used to asked run time.
 const SMOOTH: f64 = 0.02;
 
-/// Names a waiting request.
-pub type Ticket = u64;
-
-/// A request as the decision sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ask {
-    /// Whose it is.
-    pub workspace: String,
-    /// Higher goes first among workspaces inside their share.
-    pub priority: u8,
-    /// Time it will hold its slots, see [`crate::work::Cost::run`].
-    pub run: Duration,
-    /// Its deadline, since the router's start.
-    pub deadline: Duration,
-}
-
-/// A request with what belongs to it.
-#[derive(Debug, Clone)]
-pub struct Entry<T> {
-    /// The request.
-    pub ask: Ask,
-    /// When it arrived.
-    pub arrival: Duration,
-    /// Its name while it waits.
-    pub ticket: Ticket,
-    /// The router's own handle.
-    pub item: T,
-    key: Duration,
-}
-
-/// Decision on an arrival.
-#[derive(Debug, Clone)]
-pub enum Admit<T> {
-    /// Start it now.
-    Start(Entry<T>),
-    /// It waits under this name; [`Queue::next`] or [`Queue::expired`] returns it.
-    Wait(Ticket),
-    /// Refuse it at once.
-    Refuse(T, Refusal),
-}
-
 /// Requests of one model or plain service that wait at one router.
 #[derive(Debug, Clone)]
 pub struct Queue<T> {
@@ -300,6 +261,12 @@
         }
     }
 
+    /// Puts a started request back that lost its backend server, before all others of its workspace: its
+    /// caller was told that it runs and may have part of the answer.
+    pub fn lost(&mut self, entry: Entry<T>) {
+        self.back(Entry { key: Duration::ZERO, ..entry });
+    }
+
     /// Takes a waiting request out, when its caller has gone.
     pub fn cancel(&mut self, workspace: &str, ticket: Ticket) -> Option<Entry<T>> {
         let i = self.find(workspace).ok()?;
@@ -374,7 +341,9 @@
         let run = ask.run.as_secs_f64();
         let passed =
             workspace.lag.map_or(0.0, |lag| lag + behind.as_secs_f64() * self.tuning.margin);
-        let wait = wait.max(passed);
+        // After a burst the order catches up: no wait is much longer than all that waits now takes.
+        let drained = self.expected(self.backlog) / room.width(self.running) * self.tuning.catch_up;
+        let wait = wait.max(passed.min(drained));
         let left = ask.deadline.saturating_sub(now).as_secs_f64();
         match own.len() >= workspace.share.limit as usize && self.backlogged() {
             _ if self.hopeless(ask, now) => refuse(Reason::Long, None),
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -19,6 +19,11 @@
 /// Tokens a success adds.
 pub const RATIO: f64 = 0.1;
 
+/// Tokens a success adds to the bucket for refusals. Few: the next replica of a list matches the chain worse
+/// than the first, so in a full fleet a request had better go back to the queue (at 1.0 the
+/// simulator loses a point of throughput at saturation).
+pub const REFUSALS: f64 = 0.1;
+
 /// Tokens the bucket holds at most; it starts full.
 pub const BURST: f64 = 50.0;
 
@@ -96,6 +101,16 @@
 }
 
 impl Budget {
+    /// A bucket of its own for tries at the next replica after a refusal for want of slots. Counted with
+    /// the failures, these empty the bucket just when a loss needs it.
+    ///
+    /// ```
+    /// assert!(policy::retry::Budget::refusals().take());
+    /// ```
+    pub fn refusals() -> Budget {
+        Budget { ratio: REFUSALS, ..Budget::default() }
+    }
+
     /// A full bucket with other thresholds.
     pub fn tuned(tuning: &Tuning) -> Budget {
         Budget { tokens: tuning.burst, ratio: tuning.retries, burst: tuning.burst }
@@ -117,8 +132,7 @@
         self.tokens as u32
     }
 
-    /// Takes a token for a try elsewhere at once, such as at the next replica of the list after
-    /// a refusal for want of slots. False when there is none.
+    /// Takes a token for a try elsewhere at once, at the next replica of the list. False when there is none.
     ///
     /// ```
     /// assert!(policy::retry::Budget::default().take());
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -53,6 +53,9 @@
     pub prefix: Option<Prefix>,
     /// True when the preferred replica comes first whatever its load, as for a keyed call.
     pub keyed: bool,
+    /// True for a draft that lost a stage: full replicas are tried too, since they keep a reserve for
+    /// it ([`crate::limit`]), and no better match is waited for.
+    pub recovery: bool,
     /// Data centre of the router.
     pub from: DataCentre,
     /// VMs that must not be used, such as those that failed this request.
@@ -96,6 +99,7 @@
     ///     left: Duration::from_secs(10),
     ///     prefix: None,
     ///     keyed: false,
+    ///     recovery: false,
     ///     from: 0,
     ///     avoid: &[],
     /// };
--- a/crates/policy/src/tuning.rs
+++ b/crates/policy/src/tuning.rs
@@ -30,6 +30,8 @@
     pub stretch: f64,
     /// [`queue::MARGIN`].
     pub margin: f64,
+    /// [`queue::CATCH_UP`].
+    pub catch_up: f64,
     /// [`queue::DOUBT`].
     pub doubt: f64,
     /// [`share::QUANTUM`].
@@ -57,6 +59,7 @@
             eject: health::EJECT,
             stretch: queue::STRETCH,
             margin: queue::MARGIN,
+            catch_up: queue::CATCH_UP,
             doubt: queue::DOUBT,
             quantum: share::QUANTUM,
             ramp: ramp::STEP,
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -35,7 +35,7 @@
 
 fn ask(prefix: Option<u64>) -> Ask<'static> {
     let cost = Cost { prompt: 64, output: 64 };
-    Ask { cost, left: secs(1000), prefix, keyed: false, from: 0, avoid: &[] }
+    Ask { cost, left: secs(1000), prefix, keyed: false, recovery: false, from: 0, avoid: &[] }
 }
 
 /// How many of `n` choices each VM heads.
