--- a/crates/policy/src/chain.rs
+++ b/crates/policy/src/chain.rs
@@ -79,6 +79,9 @@
 impl Choice<'_> {
     /// Indices of the candidates for each range; `None` when the request has to wait.
     pub(crate) fn make(&self, rng: &mut impl Rng) -> Option<Vec<Vec<usize>>> {
+        if self.ranges.is_empty() {
+            return None;
+        }
         let homes: Vec<Option<usize>> = self.ranges.iter().map(|r| self.home(r)).collect();
         let mut heads = self.heads(homes[0], rng);
         let mut best: Option<Picked> = None;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -41,10 +41,34 @@
 /// this part of its time left. The estimate is coarse; at 0 requests that would make it are thrown away.
 pub const DOUBT: f64 = 0.25;
 
+/// No request runs longer; an absurd time must not make the sums overflow.
+const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Weight of one finished request in the smoothed ratio of used to asked run time.
 const SMOOTH: f64 = 0.02;
 
 /// Requests of one model or plain service that wait at one router.
+///
+/// ```
+/// use std::time::Duration;
+/// use policy::queue::{Admit, Ask, Queue};
+/// use policy::{room::Room, share::Share};
+/// let secs = Duration::from_secs;
+/// let share = Share { workspace: "north".into(), weight: 1, limit: 100 };
+/// let mut queue = Queue::new(vec![share]);
+/// let ask = Ask { workspace: "north".into(), priority: 5, run: secs(2), deadline: secs(30) };
+/// let full = Room { free: 0, slots: 8, routers: 1 };
+/// let Admit::Wait(_) = queue.admit(ask, "a draft", full, secs(0)) else { panic!() };
+/// // A reply came in, so a slot is free.
+/// let entry = queue.next(Room { free: 1, ..full }, secs(1)).unwrap();
+/// assert_eq!(entry.item, "a draft");
+/// // The agent refused it for want of slots: it keeps its place, and nothing is lost.
+/// queue.back(entry);
+/// assert_eq!((queue.waiting(), queue.running()), (1, 0));
+/// // It can't end before its deadline any more.
+/// let refused = queue.expired(full, secs(29));
+/// assert_eq!(refused.len(), 1);
+/// ```
 #[derive(Debug, Clone)]
 pub struct Queue<T> {
     workspaces: Vec<Workspace>,
@@ -99,10 +123,12 @@
     /// let mut queue: Queue<u64> = Queue::new(Vec::new());
     /// queue.set(vec![Share { workspace: "north".into(), weight: 3, limit: 100 }]);
     /// ```
-    pub fn set(&mut self, shares: Vec<Share>) {
+    pub fn set(&mut self, mut shares: Vec<Share>) {
+        shares.sort_by(|a, b| a.workspace.cmp(&b.workspace));
         for i in (0..self.workspaces.len()).rev() {
             let idle = self.waiting[i].is_empty() && self.workspaces[i].running == 0;
-            let gone = !shares.iter().any(|s| s.workspace == self.workspaces[i].share.workspace);
+            let name = &self.workspaces[i].share.workspace;
+            let gone = shares.binary_search_by(|s| s.workspace.cmp(name)).is_err();
             match (gone, idle) {
                 (true, true) => {
                     self.workspaces.remove(i);
@@ -226,9 +252,8 @@
         let late = std::mem::take(&mut self.late);
         late.into_iter()
             .map(|entry| {
-                let i = self.find(&entry.ask.workspace).unwrap_or(0);
-                let ahead = self.workspaces.get(i).map_or(0.0, |w| w.backlog);
-                let wait = self.wait(i, ahead, 0.0, room);
+                let place = self.find(&entry.ask.workspace).ok();
+                let wait = place.and_then(|i| self.wait(i, self.workspaces[i].backlog, 0.0, room));
                 let retry_after = wait.map_or(OUTAGE, |s| Duration::from_secs_f64(s).max(SOON));
                 (entry, Refusal { reason, retry_after: Some(retry_after) })
             })
@@ -320,7 +345,7 @@
     /// True when it would miss its deadline even if it started now. Midway between the run
     /// asked for and the usual one: some answers are short, but the caller may get all it asked for.
     fn hopeless(&self, ask: &Ask, now: Duration) -> bool {
-        now + ask.run > ask.deadline
+        ask.run > LONGEST || now.checked_add(ask.run).is_none_or(|end| end > ask.deadline)
     }
 
     fn refusal(&self, i: usize, ask: &Ask, room: Room, now: Duration) -> Option<Refusal> {
@@ -328,29 +353,18 @@
             let retry_after = seconds.map(|s| Duration::from_secs_f64(s).max(SOON));
             Some(Refusal { reason, retry_after })
         };
-        let workspace = &self.workspaces[i];
-        let behind = ask.run.mul_f64(self.tuning.stretch);
-        let key = now + behind;
-        let own = &self.waiting[i];
-        let ahead: f64 =
-            own.iter().rev().take_while(|e| e.key <= key).map(|e| e.ask.run.as_secs_f64()).sum();
-        let extra = if own.is_empty() { workspace.weight() } else { 0.0 };
-        let Some(wait) = self.wait(i, ahead, extra, room) else {
+        if self.hopeless(ask, now) {
+            return refuse(Reason::Long, None);
+        }
+        let Some(wait) = self.arrival_wait(i, ask, room, now) else {
             return refuse(Reason::Outage, Some(OUTAGE.as_secs_f64()));
         };
-        let run = ask.run.as_secs_f64();
-        let passed =
-            workspace.lag.map_or(0.0, |lag| lag + behind.as_secs_f64() * self.tuning.margin);
-        // After a burst the order catches up: no wait is much longer than all that waits now takes.
-        let drained = self.expected(self.backlog) / room.width(self.running) * self.tuning.catch_up;
-        let wait = wait.max(passed.min(drained));
+        let (own, limit) = (&self.waiting[i], self.workspaces[i].share.limit as usize);
+        let end = wait + self.expected(ask.run.as_secs_f64());
         let left = ask.deadline.saturating_sub(now).as_secs_f64();
-        match own.len() >= workspace.share.limit as usize && self.backlogged() {
-            _ if self.hopeless(ask, now) => refuse(Reason::Long, None),
-            _ if wait + self.expected(run) > left => {
-                refuse(Reason::Deadline, Some(wait + self.expected(run) - left))
-            }
-            true if workspace.share.limit == 0 => refuse(Reason::Limit, None),
+        match own.len() >= limit && self.backlogged() {
+            _ if limit == 0 => refuse(Reason::Limit, None),
+            _ if end > left => refuse(Reason::Deadline, Some(end - left)),
             true => {
                 let first = own.last().map_or(0.0, |e| e.ask.run.as_secs_f64());
                 refuse(Reason::Limit, self.wait(i, first, 0.0, room))
@@ -359,6 +373,21 @@
         }
     }
 
+    /// Seconds until an arrival starts; `None` without capacity.
+    fn arrival_wait(&self, i: usize, ask: &Ask, room: Room, now: Duration) -> Option<f64> {
+        let (workspace, own) = (&self.workspaces[i], &self.waiting[i]);
+        let behind = ask.run.mul_f64(self.tuning.stretch);
+        let before = own.iter().rev().take_while(|e| e.key <= now + behind);
+        let ahead: f64 = before.map(|e| e.ask.run.as_secs_f64()).sum();
+        let extra = if own.is_empty() { workspace.weight() } else { 0.0 };
+        let wait = self.wait(i, ahead, extra, room)?;
+        let margin = behind.as_secs_f64() * self.tuning.margin;
+        let passed = workspace.lag.map_or(0.0, |lag| lag + margin);
+        // After a burst the order catches up: no wait is much longer than all that waits now takes.
+        let drained = self.expected(self.backlog) / room.width(self.running) * self.tuning.catch_up;
+        Some(wait.max(passed.min(drained)))
+    }
+
     fn insert(&mut self, i: usize, entry: Entry<T>) -> Ticket {
         let (ticket, run) = (entry.ticket, entry.ask.run.as_secs_f64());
         let workspace = &mut self.workspaces[i];
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -27,6 +27,10 @@
 use crate::tuning::Tuning;
 use crate::work::Cost;
 
+/// Longest step time taken from a report, in microseconds: a wrong one must not make
+/// estimates overflow.
+pub const STEP_MAX: u64 = 600_000_000;
+
 /// An agent's report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
@@ -163,7 +167,7 @@
         r.freed(free, now);
         let mut ejected = false;
         if load.step_us > 0 {
-            let fresh = load.step_us as f64;
+            let fresh = load.step_us.min(STEP_MAX) as f64;
             r.smooth(fresh);
             ejected = r.health.step(fresh, load.busy > 0, peers, &self.tuning, now);
         }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -204,3 +204,35 @@
     let admit = queue.admit(ask("a", 3, 1000), 1, ONE, secs(60));
     assert!(matches!(admit, Admit::Start(_)));
 }
+
+// Operators remove a workspace, or set it up anew, while its requests wait: they still get their turn or
+// their refusal, and new ones are refused.
+#[test]
+fn settings_change_while_requests_wait() {
+    let mut queue = queue();
+    (0..3).for_each(|i| drop(queue.admit(ask("a", 4, 100), i, FULL, Duration::ZERO)));
+    queue.set(Vec::new());
+    assert_eq!(
+        refusal(queue.admit(ask("a", 4, 100), 9, ONE, secs(1))).map(|r| r.reason),
+        Some(Reason::Limit)
+    );
+    let entry = queue.next(ONE, secs(1)).expect("its turn");
+    (0..2).for_each(|_| drop(queue.next(ONE, secs(1))));
+    queue.done(&entry.ask, secs(4));
+    queue.done(&entry.ask, secs(4));
+    queue.done(&entry.ask, secs(4));
+    queue.set(Vec::new());
+    queue.back(entry);
+    assert_eq!(queue.expired(FULL, secs(2)).len(), 1, "refused, not lost");
+}
+
+// A caller names absurd numbers, or an agent reports them: they are refused, not added up.
+#[test]
+fn absurd_times_are_refused() {
+    for run in [Duration::MAX, Duration::MAX / 2, secs(1 << 40)] {
+        let mut queue = queue();
+        let absurd = Ask { run, deadline: Duration::MAX, ..ask("a", 0, 0) };
+        let admit = queue.admit(absurd, 1, ONE, secs(1));
+        assert_eq!(refusal(admit).map(|r| r.reason), Some(Reason::Long));
+    }
+}
