--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -65,6 +65,16 @@
 }
 
 /// What is remembered of one replica.
+///
+/// ```
+/// use std::time::Duration;
+/// use policy::health::{Health, Peers, State, STRIKES};
+/// use policy::tuning::Tuning;
+/// let peers = Peers { replicas: 10, ejected: 0, median_us: 10_000.0 };
+/// let (mut health, tuning, now) = (Health::default(), Tuning::default(), Duration::ZERO);
+/// let out = (0..STRIKES).any(|_| health.step(90_000.0, true, peers, &tuning, now));
+/// assert!(out && matches!(health.state(now), State::Ejected { .. }));
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Health {
     state: State,
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -81,6 +81,27 @@
 }
 
 /// Replicas of one model version or plain service, as one router sees them.
+///
+/// ```
+/// use std::time::Duration;
+/// use policy::health::State;
+/// use policy::link::Links;
+/// use policy::route::{End, Load, Table};
+/// let secs = Duration::from_secs;
+/// let mut table = Table::new(1, Links::new(Duration::from_millis(1)));
+/// table.warm(0, "gpu-1", "east", 8);
+/// table.join(0, "gpu-2", "west", 8, secs(1));
+/// assert_eq!(table.room(6, secs(1)).free, 9, "the one that joins is ramped up");
+/// let load = Load { slots: 8, busy: 3, step_us: 9000, leaving: false, age: Duration::ZERO };
+/// table.report("gpu-1", &load, secs(2));
+/// table.started("gpu-1", secs(2));
+/// table.ended("gpu-1", End::Succeeded, secs(3));
+/// table.started("gpu-1", secs(3));
+/// table.refused("gpu-1", secs(3));
+/// assert_eq!(table.state("gpu-1", secs(3)), Some(State::Live));
+/// table.gone("gpu-1", secs(4));
+/// table.forget("gpu-1", secs(600));
+/// ```
 #[derive(Debug, Clone)]
 pub struct Table {
     ranges: Vec<Range>,
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -6,6 +6,7 @@
 use policy::refusal::{Reason, Refusal};
 use policy::room::Room;
 use policy::share::Share;
+use proptest::prelude::*;
 use rstest::rstest;
 
 fn secs(n: u64) -> Duration {
@@ -236,3 +237,70 @@
         assert_eq!(refusal(admit).map(|r| r.reason), Some(Reason::Long));
     }
 }
+
+#[derive(Debug, Clone)]
+enum Event {
+    Arrive { workspace: usize, run: u64, slack: u64 },
+    Next,
+    Back,
+    Lost,
+    Done,
+    Expire,
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..3usize, 1..40u64, 0..60u64)
+            .prop_map(|(workspace, run, slack)| Event::Arrive { workspace, run, slack }),
+        3 => Just(Event::Next),
+        1 => Just(Event::Back),
+        1 => Just(Event::Lost),
+        2 => Just(Event::Done),
+        1 => Just(Event::Expire),
+        2 => (0..10u64).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    // A request that was let in falls out of the queue's lists: its caller waits for ever. Whatever
+    // happens, each comes out once, and none starts that can't end by its deadline.
+    #[test]
+    fn each_request_comes_out_once(events in prop::collection::vec(event(), 1..200)) {
+        let (mut queue, mut now) = (queue(), Duration::ZERO);
+        let (mut running, mut out, mut arrived) = (Vec::new(), 0, 0);
+        for event in events {
+            match event {
+                Event::Pass(seconds) => now += secs(seconds),
+                Event::Arrive { workspace, run, slack } => {
+                    arrived += 1;
+                    let deadline = now.as_secs() + run + slack;
+                    let ask = ask(["a", "b", "c"][workspace], run, deadline);
+                    match queue.admit(ask, arrived, FULL, now) {
+                        Admit::Refuse(..) => out += 1,
+                        Admit::Start(entry) => running.push(entry),
+                        Admit::Wait(_) => {}
+                    }
+                }
+                Event::Next => {
+                    let entry = queue.next(ONE, now);
+                    prop_assert!(entry.iter().all(|e| now + e.ask.run <= e.ask.deadline));
+                    running.extend(entry);
+                }
+                Event::Back => running.pop().into_iter().for_each(|e| queue.back(e)),
+                Event::Lost => running.pop().into_iter().for_each(|e| queue.lost(e)),
+                Event::Done => {
+                    if let Some(entry) = running.pop() {
+                        queue.done(&entry.ask, entry.ask.run);
+                        out += 1;
+                    }
+                }
+                Event::Expire => out += queue.expired(FULL, now).len(),
+            }
+            prop_assert_eq!(queue.running() as usize, running.len());
+        }
+        out += running.len() + queue.expired(FULL, now + secs(1000)).len();
+        prop_assert_eq!(out, arrived as usize);
+        prop_assert_eq!(queue.waiting(), 0);
+    }
+}
