Judge writes only when the kept log is complete; carry what would expire

Agents were ready before their writer was, and their writer was ready two seconds after its start even when that start had never been read. /readyz now waits until the log of writes has been read and the agent's own start in it. Look-ups go on meanwhile: a router that is told not run asks the next agent.

Answers are kept as text or hex instead of an array of numbers, 64 KiB at most; a repeat of a write with a longer answer is told that it ran and that the answer is not shown again.

--- a/crates/agent/src/ledger.rs
+++ b/crates/agent/src/ledger.rs
@@ -5,125 +5,29 @@
 //! to the service its intent stands in the log; the first intent of a key runs,
 //! every other gets its outcome.
 //!
+//! Records expire, so a reader may not have seen the intent that was first. It
+//! lets nothing run until it is *complete*: it has read the stream from its start,
+//! or from an offset up to which another complete reader has carried everything.
+//! `docs/design/writes.md` has the argument.
+//!
 //! The contract (key, fingerprint, receipt, replay, conflict) follows the paper
 //! "Agent tools need idempotency contracts"; what it leaves to a database table
 //! is here a stream of the platform's log.
 
-use serde::{Deserialize, Serialize};
-use wire::frame::Reply;
+mod entry;
+mod record;
+
+pub use entry::{Answer, BODY_KEPT, Batch, Body, Carry, Entry, Intent, Kept, Mark, Receipt, Try};
+
+pub use record::{Record, State};
 use wire::id;
 
 /// Shards of the table, so that an insertion moves few records.
 const SHARDS: usize = 256;
 
-/// Id of one try to write, unique in the fleet.
-pub type Try = String;
-
-/// One record of the stream: what an agent appended together.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Batch {
-    /// The agent's VM.
-    pub vm: id::Vm,
-    /// Its incarnation.
-    pub incarnation: id::Incarnation,
-    /// What it says, in order.
-    pub entries: Vec<Entry>,
-}
-
-/// One entry of a batch.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Entry {
-    /// The agent has started. Writes that earlier incarnations on its VM left
-    /// open have an unknown outcome from here on, and their later intents are void.
-    Start,
-    /// The agent wants to run a write.
-    Intent(Intent),
-    /// The agent has not run the write of its own intent and never will.
-    Void(Mark),
-    /// The agent sent the write and got no answer.
-    Lost(Mark),
-    /// The service answered.
-    Receipt(Receipt),
-    /// A settled write, appended again so that it does not expire with its record.
-    Carry(Carry),
-}
-
-/// Wants to run a write.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Intent {
-    /// Workspace and key.
-    pub key: String,
-    /// Hash of the content.
-    pub print: String,
-    /// This try.
-    pub id: Try,
-}
-
-/// Names a try.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Mark {
-    /// Workspace and key.
-    pub key: String,
-    /// The try.
-    pub id: Try,
-}
-
-/// What the service answered to a try.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Receipt {
-    /// Workspace and key.
-    pub key: String,
-    /// The try.
-    pub id: Try,
-    /// The answer.
-    pub reply: Reply,
-}
-
-/// A settled write.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Carry {
-    /// Workspace and key.
-    pub key: String,
-    /// Hash of the content.
-    pub print: String,
-    /// The try that was first.
-    pub id: Try,
-    /// When its intent was appended, by the log's clock, in milliseconds.
-    pub time_ms: u64,
-    /// The answer, or none when the outcome is unknown.
-    pub reply: Option<Reply>,
-}
-
-/// What is known of a key.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Record {
-    /// Workspace and key.
-    pub key: String,
-    /// Hash of the content.
-    pub print: String,
-    /// The try that was first.
-    pub id: Try,
-    /// Who made it.
-    pub owner: (id::Vm, id::Incarnation),
-    /// Where its newest record stands in the log.
-    pub offset: u64,
-    /// When its intent was appended, by the log's clock, in milliseconds.
-    pub time_ms: u64,
-    /// What became of it.
-    pub state: State,
-}
-
-/// What became of a write.
-#[derive(Debug, Clone, PartialEq)]
-pub enum State {
-    /// Its owner may run it now.
-    Open,
-    /// It has this answer.
-    Settled(Reply),
-    /// It may have run; nobody runs it again.
-    Unknown,
-}
+/// Age at which an open write is carried as unknown, in milliseconds by the log's
+/// clock: above the longest deadline, so that nobody still waits for its answer.
+const OPEN_MS: u64 = 5 * 60 * 1000;
 
 /// The writes of one service.
 #[derive(Debug, Clone)]
@@ -134,6 +38,14 @@
     starts: Vec<(id::Vm, id::Incarnation)>,
     /// Next offset to read.
     pub next: u64,
+    /// First offset of what was read without a gap.
+    floor: u64,
+    /// Newest offset before which everything has been carried.
+    kept: u64,
+    /// Writes older than this have been forgotten, by the log's clock.
+    cutoff_ms: u64,
+    /// The log's clock at the last record.
+    time_ms: u64,
     /// Records that did not decode.
     pub undecodable: u64,
 }
@@ -145,7 +57,139 @@
     /// assert!(agent::ledger::Ledger::new().find("w/k").is_none());
     /// ```
     pub fn new() -> Ledger {
-        Ledger { shards: vec![Vec::new(); SHARDS], starts: Vec::new(), next: 0, undecodable: 0 }
+        Ledger {
+            shards: vec![Vec::new(); SHARDS],
+            starts: Vec::new(),
+            next: 0,
+            floor: 0,
+            kept: 0,
+            cutoff_ms: 0,
+            time_ms: 0,
+            undecodable: 0,
+        }
+    }
+
+    /// Notes the oldest kept offset, which every page of the log tells. True when records
+    /// have expired unread: everything known is dropped, as in a reader that starts there.
+    ///
+    /// A process that was paused for longer than the log keeps records would else take its
+    /// own late intent for the first of its key, though another's was in the gap and has run.
+    ///
+    /// ```
+    /// let mut ledger = agent::ledger::Ledger::new();
+    /// assert!(ledger.skip(7) && !ledger.complete());
+    /// ```
+    pub fn skip(&mut self, first_kept: u64) -> bool {
+        let gap = first_kept > self.next;
+        if gap {
+            let undecodable = self.undecodable;
+            *self = Ledger { next: first_kept, floor: first_kept, undecodable, ..Ledger::new() };
+        }
+        gap
+    }
+
+    /// True when every remembered write is known here. A reader that is not complete
+    /// lets no write run.
+    ///
+    /// ```
+    /// assert!(agent::ledger::Ledger::new().complete());
+    /// ```
+    pub fn complete(&self) -> bool {
+        self.floor <= self.kept
+    }
+
+    /// Counts as complete from now on: the key window has passed since the first read, so
+    /// that whatever expired unread need not be remembered.
+    ///
+    /// ```
+    /// let mut ledger = agent::ledger::Ledger::new();
+    /// ledger.skip(7);
+    /// ledger.trust();
+    /// assert!(ledger.complete());
+    /// ```
+    pub fn trust(&mut self) {
+        self.kept = self.kept.max(self.floor);
+    }
+
+    /// Newest offset before which everything has been carried.
+    ///
+    /// ```
+    /// assert_eq!(agent::ledger::Ledger::new().kept(), 0);
+    /// ```
+    pub fn kept(&self) -> u64 {
+        self.kept
+    }
+
+    /// The latest incarnation whose start was read for a VM.
+    ///
+    /// ```
+    /// assert_eq!(agent::ledger::Ledger::new().started("desk-1"), None);
+    /// ```
+    pub fn started(&self, vm: &str) -> Option<id::Incarnation> {
+        let i = self.starts.binary_search_by(|s| s.0.as_str().cmp(vm)).ok()?;
+        Some(self.starts[i].1)
+    }
+
+    /// True when `owner` may append intents and judge them: this reader is complete and
+    /// has read the owner's start, and none after it.
+    ///
+    /// Without its own start a late reader would take its own intent for valid while others
+    /// know of a start of the same VM that it has not read, for which they hold it void.
+    ///
+    /// ```
+    /// assert!(!agent::ledger::Ledger::new().ready(&("desk-1".into(), 1)));
+    /// ```
+    pub fn ready(&self, owner: &(id::Vm, id::Incarnation)) -> bool {
+        self.complete() && self.started(&owner.0) == Some(owner.1)
+    }
+
+    /// Whether a try of `owner` runs: `None` while its intent has not been read.
+    ///
+    /// ```
+    /// let owner = ("desk-1".to_string(), 1);
+    /// assert_eq!(agent::ledger::Ledger::new().runs("w/k", "t", &owner), None);
+    /// ```
+    pub fn runs(&self, key: &str, id: &str, owner: &(id::Vm, id::Incarnation)) -> Option<bool> {
+        let record = self.find(key)?;
+        let first = record.id == id && record.owner == *owner && record.state == State::Open;
+        Some(first && self.ready(owner))
+    }
+
+    /// True when records should be carried: some have expired that nobody has carried
+    /// (`Some(true)`), or the older half of what the log keeps has not been carried yet.
+    ///
+    /// ```
+    /// assert_eq!(agent::ledger::Ledger::new().due(0, 100), None);
+    /// ```
+    pub fn due(&self, first_kept: u64, next: u64) -> Option<bool> {
+        match () {
+            () if !self.complete() || first_kept == 0 => None,
+            () if self.kept < first_kept => Some(true),
+            () if self.kept < first_kept + (next - first_kept) / 2 => Some(false),
+            () => None,
+        }
+    }
+
+    /// What has to be appended so that records before the returned offset can expire: the
+    /// writes that stand only there, and after all of them stand in the log, the `Kept`.
+    /// `None` while this reader is not complete and might miss some.
+    ///
+    /// ```
+    /// let (carried, kept) = agent::ledger::Ledger::new().carry(1_000).unwrap();
+    /// assert!(carried.is_empty() && kept.before == 0);
+    /// ```
+    pub fn carry(&self, window_ms: u64) -> Option<(Vec<Carry>, Kept)> {
+        if !self.complete() {
+            return None;
+        }
+        let cutoff_ms = self.time_ms.saturating_sub(window_ms).max(self.cutoff_ms);
+        let all = || self.shards.iter().flatten();
+        // A write that runs now is not carried, since a carried record that lands after its
+        // owner's void would bring it back and block its key.
+        let young = |r: &&Record| r.state == State::Open && r.time_ms + OPEN_MS >= self.time_ms;
+        let before = all().filter(young).map(|r| r.offset).min().unwrap_or(self.next);
+        let old = |r: &&Record| r.offset < before && r.time_ms >= cutoff_ms;
+        Some((all().filter(old).map(Record::carry).collect(), Kept { before, cutoff_ms }))
     }
 
     /// What is known of a key.
@@ -171,6 +215,7 @@
             return;
         }
         self.next = offset + 1;
+        self.time_ms = self.time_ms.max(time_ms);
         let batch: Batch = match serde_json::from_str(data) {
             Ok(batch) => batch,
             Err(_) => {
@@ -184,27 +229,6 @@
         }
     }
 
-    /// Forgets writes whose intent is older than `window_ms` before `now_ms`.
-    ///
-    /// ```
-    /// agent::ledger::Ledger::new().forget(5_000, 1_000);
-    /// ```
-    pub fn forget(&mut self, now_ms: u64, window_ms: u64) {
-        for shard in &mut self.shards {
-            shard.retain(|r| r.time_ms + window_ms >= now_ms);
-        }
-    }
-
-    /// Settled and unknown writes whose newest record stands before `offset`.
-    ///
-    /// ```
-    /// assert!(agent::ledger::Ledger::new().older_than(10).is_empty());
-    /// ```
-    pub fn older_than(&self, offset: u64) -> Vec<Carry> {
-        let old = |r: &&Record| r.offset < offset && r.state != State::Open;
-        self.shards.iter().flatten().filter(old).map(carry).collect()
-    }
-
     /// Writes known.
     ///
     /// ```
@@ -249,9 +273,10 @@
             // intent may not win. It sees that itself and does not run it.
             Entry::Intent(_) => {}
             Entry::Void(mark) => self.remove(&mark, owner),
-            Entry::Lost(mark) => self.settle(&mark.key, &mark.id, offset, State::Unknown),
-            Entry::Receipt(r) => self.settle(&r.key, &r.id, offset, State::Settled(r.reply)),
-            Entry::Carry(carry) => self.carried(owner, offset, carry),
+            Entry::Lost(mark) => self.settle(&mark.key, &mark.id, State::Unknown),
+            Entry::Receipt(r) => self.settle(&r.key, &r.id, State::Settled(r.answer)),
+            Entry::Carry(carry) => self.carried(offset, carry),
+            Entry::Kept(kept) => self.forget(&kept),
         }
     }
 
@@ -269,8 +294,11 @@
     }
 
     /// True when another incarnation has started on the VM since. A VM whose
-    /// start was never read counts as current: a reader that begins after the
-    /// start has expired must judge as those that saw it.
+    /// start was never read counts as current. A late reader may so hold an intent
+    /// for valid that others hold void: that blocks a key in its view and runs
+    /// nothing, since `ready` wants its own start. It never holds one for void that
+    /// others hold valid: the last start before an intent that it has read is the
+    /// last one for everybody.
     fn outdated(&self, owner: &(id::Vm, id::Incarnation)) -> bool {
         match self.starts.binary_search_by(|s| s.0.cmp(&owner.0)) {
             Ok(i) => self.starts[i].1 != owner.1,
@@ -297,33 +325,56 @@
         }
     }
 
-    fn settle(&mut self, key: &str, id: &str, offset: u64, state: State) {
+    fn settle(&mut self, key: &str, id: &str, state: State) {
         let shard = &mut self.shards[shard(key)];
         if let Ok(i) = shard.binary_search_by(|r| r.key.as_str().cmp(key)) {
             let record = &mut shard[i];
             // An answer is never taken back by a later word that it was lost.
             if record.id == id && !matches!(record.state, State::Settled(_)) {
                 record.state = state;
-                record.offset = offset;
             }
         }
     }
 
-    fn carried(&mut self, owner: &(id::Vm, id::Incarnation), offset: u64, carry: Carry) {
-        let state = carry.reply.map_or(State::Unknown, State::Settled);
-        self.add(Record {
-            key: carry.key.clone(),
+    fn carried(&mut self, offset: u64, carry: Carry) {
+        if carry.time_ms < self.cutoff_ms {
+            return;
+        }
+        let state = carry.answer.map_or(State::Unknown, State::Settled);
+        let complete = self.complete();
+        let shard = &mut self.shards[shard(&carry.key)];
+        let record = Record {
+            key: carry.key,
             print: carry.print,
-            id: carry.id.clone(),
-            owner: owner.clone(),
+            id: carry.id,
+            owner: carry.owner,
             offset,
             time_ms: carry.time_ms,
-            state: state.clone(),
-        });
-        self.settle(&carry.key, &carry.id, offset, state);
-        let shard = &mut self.shards[shard(&carry.key)];
-        if let Ok(i) = shard.binary_search_by(|r| r.key.cmp(&carry.key)) {
-            shard[i].offset = shard[i].offset.max(offset);
+            state,
+        };
+        match shard.binary_search_by(|r| r.key.cmp(&record.key)) {
+            Err(i) => shard.insert(i, record),
+            Ok(i) if shard[i].id == record.id => {
+                shard[i].offset = offset;
+                if !matches!(shard[i].state, State::Settled(_)) {
+                    shard[i].state = record.state;
+                }
+            }
+            // A late reader may have taken a losing intent for the first; who carries is
+            // complete and knows better. Without this the loser's void would free the key.
+            Ok(i) if !complete => shard[i] = record,
+            Ok(_) => {}
+        }
+    }
+
+    /// Forgetting is a record too, so that all forget at the same place of the stream. By
+    /// its own clock one agent would let a key run again that others still hold for used;
+    /// when they forget it later, they have not noted the second run and allow a third.
+    fn forget(&mut self, kept: &Kept) {
+        self.kept = self.kept.max(kept.before);
+        self.cutoff_ms = self.cutoff_ms.max(kept.cutoff_ms);
+        for shard in &mut self.shards {
+            shard.retain(|r| r.time_ms >= self.cutoff_ms);
         }
     }
 }
@@ -334,20 +385,6 @@
     }
 }
 
-fn carry(record: &Record) -> Carry {
-    let reply = match &record.state {
-        State::Settled(reply) => Some(reply.clone()),
-        _ => None,
-    };
-    Carry {
-        key: record.key.clone(),
-        print: record.print.clone(),
-        id: record.id.clone(),
-        time_ms: record.time_ms,
-        reply,
-    }
-}
-
 fn shard(key: &str) -> usize {
     xxhash_rust::xxh3::xxh3_64(key.as_bytes()) as usize % SHARDS
 }
--- /dev/null
+++ b/crates/agent/src/ledger/entry.rs
@@ -0,0 +1,176 @@
+//! What stands in the stream of a service, encoded as JSON.
+
+use serde::{Deserialize, Serialize};
+use wire::frame::Reply;
+use wire::id;
+
+/// Longest body of an answer that is kept, in bytes. Every agent holds all kept
+/// answers of the key window in memory, and a record of the log is limited.
+pub const BODY_KEPT: usize = 64 << 10;
+
+/// Header lines of an answer that are kept, in bytes.
+const HEADERS_KEPT: usize = 16 << 10;
+
+/// Id of one try to write, unique in the fleet.
+pub type Try = String;
+
+/// One record of the stream: what an agent appended together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    /// The agent's VM.
+    pub vm: id::Vm,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+    /// What it says, in order.
+    pub entries: Vec<Entry>,
+}
+
+/// One entry of a batch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Entry {
+    /// The agent has started. Writes that earlier incarnations on its VM left
+    /// open have an unknown outcome from here on, and their later intents are void.
+    Start,
+    /// The agent wants to run a write.
+    Intent(Intent),
+    /// The agent has not run the write of its own intent and never will.
+    Void(Mark),
+    /// The agent sent the write and got no answer.
+    Lost(Mark),
+    /// The service answered.
+    Receipt(Receipt),
+    /// A write, appended again so that it does not expire with its record.
+    Carry(Carry),
+    /// Every write that stood only in records before an offset has been carried.
+    Kept(Kept),
+}
+
+/// Wants to run a write.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Intent {
+    /// Workspace and key.
+    pub key: String,
+    /// Hash of the content.
+    pub print: String,
+    /// This try.
+    pub id: Try,
+}
+
+/// Names a try.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Workspace and key.
+    pub key: String,
+    /// The try.
+    pub id: Try,
+}
+
+/// What the service answered to a try.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// Workspace and key.
+    pub key: String,
+    /// The try.
+    pub id: Try,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// A write that is no longer open.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Carry {
+    /// Workspace and key.
+    pub key: String,
+    /// Hash of the content.
+    pub print: String,
+    /// The try that was first.
+    pub id: Try,
+    /// Who made it.
+    pub owner: (id::Vm, id::Incarnation),
+    /// When its intent was appended, by the log's clock, in milliseconds.
+    pub time_ms: u64,
+    /// The answer, or none when the outcome is unknown.
+    pub answer: Option<Answer>,
+}
+
+/// Says that records can expire without a loss.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Each write that is remembered stands in a record at this offset or later.
+    pub before: u64,
+    /// Writes whose intent is older are forgotten from here on, by the log's clock.
+    pub cutoff_ms: u64,
+}
+
+/// An answer as it is kept for repeats.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header lines.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Body,
+}
+
+/// A body in as few bytes of JSON as its kind allows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Body {
+    /// UTF-8, as it is.
+    Text(String),
+    /// Other bytes, two hexadecimal digits each.
+    Hex(String),
+    /// Not kept; so many bytes.
+    Long(u64),
+}
+
+impl Answer {
+    /// What is kept of a reply.
+    ///
+    /// ```
+    /// use agent::ledger::{Answer, Body};
+    /// let reply = wire::frame::Reply {
+    ///     status: 201, headers: vec![], body: vec![0xff, 1], replayed: false,
+    /// };
+    /// assert_eq!(Answer::keep(&reply).body, Body::Hex("ff01".into()));
+    /// assert_eq!(Answer::keep(&reply).reply().unwrap().body, reply.body);
+    /// ```
+    pub fn keep(reply: &Reply) -> Answer {
+        let size: usize = reply.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let (headers, body) = match std::str::from_utf8(&reply.body) {
+            _ if reply.body.len() > BODY_KEPT || size > HEADERS_KEPT => {
+                (vec![], Body::Long(reply.body.len() as u64))
+            }
+            Ok(text) => (reply.headers.clone(), Body::Text(text.to_string())),
+            Err(_) => (reply.headers.clone(), Body::Hex(hex(&reply.body))),
+        };
+        Answer { status: reply.status, headers, body }
+    }
+
+    /// The reply to a repeat; `None` when the answer was too long to be kept.
+    ///
+    /// ```
+    /// use agent::ledger::{Answer, Body};
+    /// let answer = Answer { status: 201, headers: vec![], body: Body::Long(100_000) };
+    /// assert!(answer.reply().is_none());
+    /// ```
+    pub fn reply(&self) -> Option<Reply> {
+        let body = match &self.body {
+            Body::Text(text) => text.clone().into_bytes(),
+            Body::Hex(digits) => bytes(digits)?,
+            Body::Long(_) => return None,
+        };
+        Some(Reply { status: self.status, headers: self.headers.clone(), body, replayed: true })
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn bytes(digits: &str) -> Option<Vec<u8>> {
+    let pair = |i| u8::from_str_radix(digits.get(i..i + 2)?, 16).ok();
+    (0..digits.len()).step_by(2).map(pair).collect()
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -72,6 +72,15 @@
         }
     }
 
+    /// False while this agent would refuse the non-idempotent writes of its service.
+    ///
+    /// Without it a rolling restart would go on to the next agent while this one still
+    /// reads the log, until no agent of the service is left that takes a write.
+    fn takes_writes(&self) -> bool {
+        // Routes that are not listed count as non-idempotent, so any service can have some.
+        self.service.as_ref().is_none_or(|service| service.writer.ready())
+    }
+
     fn ready(&self) -> Result<(), String> {
         match () {
             () if self.leaving() => Err("leaving".into()),
@@ -81,6 +90,9 @@
             () if self.backend() == Backend::None => {
                 Err("the backend server can't be used now".into())
             }
+            // Reports don't wait for this: look-ups go on while the log is out, and a
+            // router that is told "not run" asks the next agent for a write.
+            () if !self.takes_writes() => Err("the log of writes has not been read yet".into()),
             () => Ok(()),
         }
     }
--- a/crates/agent/tests/ledger.rs
+++ b/crates/agent/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger of writes, played without a network over many seeds.
 
-use agent::ledger::{Batch, Entry, Intent, Ledger, Mark, Receipt, State};
+use agent::ledger::{Answer, Batch, Body, Entry, Intent, Ledger, Mark, Receipt, State};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -10,8 +10,8 @@
 const VMS: usize = 3;
 const EVENTS: usize = 600;
 
-fn reply(n: u64) -> Reply {
-    Reply { status: 201, headers: vec![], body: n.to_be_bytes().to_vec(), replayed: false }
+fn answer(n: u64) -> Answer {
+    Answer { status: 201, headers: vec![], body: Body::Text(n.to_string()) }
 }
 
 fn record(vm: &str, incarnation: u64, entries: Vec<Entry>) -> String {
@@ -36,7 +36,7 @@
 #[test]
 fn the_log_decides() {
     let receipt =
-        |id: &str| Entry::Receipt(Receipt { key: "k".into(), id: id.into(), reply: reply(1) });
+        |id: &str| Entry::Receipt(Receipt { key: "k".into(), id: id.into(), answer: answer(1) });
     let cases = [
         Case {
             name: "the first of two intents counts",
@@ -101,7 +101,7 @@
                 record("a", 1, vec![receipt("x")]),
             ],
             first: Some("x"),
-            state: Some(State::Settled(reply(1))),
+            state: Some(State::Settled(answer(1))),
         },
         Case {
             name: "an answer is not taken back",
@@ -111,7 +111,7 @@
                 vec![intent("k", "x"), receipt("x"), Entry::Lost(mark("k", "x"))],
             )],
             first: Some("x"),
-            state: Some(State::Settled(reply(1))),
+            state: Some(State::Settled(answer(1))),
         },
         Case {
             name: "a record that does not decode is skipped",
@@ -220,7 +220,7 @@
                 }
                 _ => {
                     world.run(&key);
-                    Entry::Receipt(Receipt { key, id, reply: reply(1) })
+                    Entry::Receipt(Receipt { key, id, answer: answer(1) })
                 }
             };
             if rng.random_bool(0.8) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -92,7 +92,7 @@
 /// Milliseconds since the Unix epoch: a later start of the same VM has a higher
 /// one as long as the VM's clock does not run backwards; only its being
 /// different is relied on.
-fn incarnation() -> id::Incarnation {
+pub fn incarnation() -> id::Incarnation {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.map_or(1, |d| d.as_millis() as u64)
 }
--- a/crates/scenario/src/fault.rs
+++ b/crates/scenario/src/fault.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Map, Value, json};
 
-use crate::fleet::{CALL, Fleet, Vm, post};
+use crate::fleet::{Backend, CALL, Fleet, Vm, post};
 use crate::script;
 
 /// What datagrams of a link suffer.
@@ -120,7 +120,8 @@
         ("stall_ms", fault.stall.map(|n| json!(n))),
         ("fail_next", fault.fail.map(|n| json!(n))),
     ];
-    for vm in named(&fleet.vms, &fault.vm)? {
+    let vms = named(&fleet.vms, &fault.vm)?;
+    for vm in vms.into_iter().filter(|vm| vm.backend == Backend::Service) {
         control(&vm.backend_http(), &settings).await?;
     }
     Ok(())
