--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -22,6 +22,7 @@
 use crate::settings;
 use crate::single;
 use crate::table::{self, Figures};
+use crate::usage;
 use crate::watch::{self, Watch};
 
 /// Pause between two looks at something the script waits for.
@@ -90,6 +91,7 @@
             self.failures.push(reason);
         }
         let table = self.table().await.unwrap_or_default();
+        self.stop().await;
         End { table, failures: std::mem::take(&mut self.failures) }
     }
 
@@ -124,6 +126,13 @@
         }
     }
 
+    async fn stop(&mut self) {
+        self.watches.clear();
+        if let Some(fleet) = self.fleet.take() {
+            fleet.lock().await.stop().await;
+        }
+    }
+
     fn fleet(&self) -> Result<Arc<Mutex<Fleet>>, String> {
         self.fleet.clone().ok_or("the script has not started a fleet".to_string())
     }
@@ -266,6 +275,11 @@
                 self.notes.push(note);
                 Ok(())
             }
+            Verb::Usage { seconds } => {
+                let lines = usage::measure(fleet, Duration::from_secs(*seconds)).await?;
+                self.notes.extend(lines);
+                Ok(())
+            }
             Verb::WaitVersion { within } => {
                 let within = Duration::from_millis(*within);
                 let (version, took) = publish::wait(fleet, self.version, within).await?;
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Ends it at once, when it runs, whatever the script wants of it.
+    pub async fn end(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // An error says that it has ended already.
+            let _ = child.kill().await;
+        }
+    }
+
     /// Stands it still.
     pub fn freeze(&mut self) -> Result<(), String> {
         self.signal(Signal::SIGSTOP)?;
@@ -134,6 +142,11 @@
         self.child.take().ok_or(format!("{} does not run", self.name))
     }
 
+    /// Its process id while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// True while it runs; a process that ended by itself is counted as a crash once.
     pub fn lives(&mut self) -> bool {
         let Some(child) = self.child.as_mut() else { return false };
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -247,6 +247,13 @@
         #[command(subcommand)]
         what: Expect,
     },
+    /// Waits, then notes what the daemons of each role cost meanwhile: part of a core,
+    /// memory, bytes a second on links and by HTTP.
+    Usage {
+        /// Seconds.
+        #[arg(default_value_t = 20)]
+        seconds: u64,
+    },
     /// Prints the table so far.
     Table,
 }
@@ -307,6 +314,10 @@
     /// Engines that ignore fencing numbers.
     #[arg(long)]
     pub unfenced: bool,
+    /// What the contract promises for orders. `idempotent` shows what a repeat does
+    /// without the system's own protection.
+    #[arg(long, default_value = "non-idempotent")]
+    pub orders_class: String,
     /// More defaults, KEY=VALUE each.
     #[arg(long = "set")]
     pub settings: Vec<String>,
