--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -33,6 +33,12 @@
         }
         Expect::Right => none(books::answers(facts.outcomes)),
         Expect::NoneDoubled => none(books::doubled(&facts.books.runs)),
+        Expect::Runs { key, times } => {
+            let runs = &facts.books.runs;
+            let at = runs.binary_search_by(|(k, _)| k.as_str().cmp(key));
+            let found = at.map_or(0, |i| runs[i].1);
+            require(found == *times, format!("{key} ran {found} times"))
+        }
         Expect::NoGhosts => none(books::ghosts(facts.outcomes, facts.books)),
         Expect::LayerRuns { value, max } => layer_runs(*value, *max, facts),
         Expect::Cut { max } => require(all.lost <= *max, format!("{} were cut or lost", all.lost)),
--- a/crates/scenario/src/outcome.rs
+++ b/crates/scenario/src/outcome.rs
@@ -76,6 +76,8 @@
     pub resumes: u32,
     /// Times the caller sent it again.
     pub comebacks: u32,
+    /// How long the sending that was answered took.
+    pub took: Option<Duration>,
     /// The answer to an order, for comparing repeats.
     pub answer: Option<Vec<u8>>,
 }
@@ -101,6 +103,7 @@
             positions: 0,
             resumes: 0,
             comebacks: 0,
+            took: None,
             answer: None,
         }
     }
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -18,10 +18,12 @@
 use crate::process;
 use crate::publish;
 use crate::recovery;
+use crate::repeat;
 use crate::script::{self, Expect, Line, Verb};
 use crate::settings;
 use crate::single;
 use crate::table::{self, Figures};
+use crate::trace;
 use crate::usage;
 use crate::watch::{self, Watch};
 
@@ -40,6 +42,10 @@
     caller: Caller,
     record: Record,
     background: Vec<JoinHandle<()>>,
+    /// Single orders in the background; the number of the line tells them apart.
+    pending: Vec<JoinHandle<Result<(), String>>>,
+    /// Earlier `orders` lines with their part.
+    orders: Vec<(u64, script::Orders)>,
     watches: Vec<Watch>,
     faults: Vec<recovery::Fault>,
     notes: Vec<String>,
@@ -68,6 +74,8 @@
             caller: Caller::new(Vec::new()),
             record: Record::default(),
             background: Vec::new(),
+            pending: Vec::new(),
+            orders: Vec::new(),
             watches: Vec::new(),
             faults: Vec::new(),
             notes: Vec::new(),
@@ -154,6 +162,9 @@
         for task in self.background.drain(..) {
             task.await.map_err(|e| format!("background work: {e}"))?;
         }
+        for task in std::mem::take(&mut self.pending) {
+            task.await.map_err(|e| format!("background order: {e}"))??;
+        }
         Ok(())
     }
 
@@ -190,6 +201,7 @@
                 (task, line.background)
             }
             Verb::Orders(line) => {
+                self.orders.push((part, line.clone()));
                 let task =
                     tokio::spawn(load::play_orders(caller, line.clone(), seed, part, record));
                 (task, line.load.background)
@@ -197,6 +209,17 @@
             Verb::Draft(line) => {
                 return Some(single::draft(&caller, line, layers, part, &record).await);
             }
+            Verb::Order(line) if line.background => {
+                let line = line.clone();
+                let order = async move { single::order(&caller, &line, &record).await };
+                self.pending.push(tokio::spawn(order));
+                return Some(Ok(()));
+            }
+            Verb::Repeats(line) => {
+                let note = repeat::play(&caller, line, &self.orders, &record).await;
+                self.notes.push(note);
+                return Some(Ok(()));
+            }
             Verb::Order(line) => return Some(single::order(&caller, line, &record).await),
             _ => return None,
         };
@@ -363,15 +386,27 @@
             books::missing(&outcomes, &books.runs),
         ];
         self.failures.extend(breaches.concat().iter().map(|b| b.to_string()));
+        self.failures.extend(trace::fell(&self.applied(fleet)));
         Ok(())
     }
 
+    /// The versions that all daemons had in force since they started.
+    fn applied(&self, fleet: &Fleet) -> Vec<trace::Applied> {
+        let names: Vec<String> = fleet.vms.iter().map(|vm| vm.name.clone()).collect();
+        trace::read_all(&self.dir, &names)
+    }
+
     async fn table(&self) -> Result<String, String> {
         let shared = self.fleet()?;
         let fleet = &mut *shared.lock().await;
         let books = fleet.books().await?;
         let outcomes = self.record.outcomes();
         let mut notes = self.notes.clone();
+        notes.extend(repeat::line(&outcomes, &fleet.platform.log).await);
+        let log = platform::log::Client::new(&fleet.platform.log, Duration::from_secs(2));
+        if let Ok(page) = log.read("settings", 0, Duration::ZERO).await {
+            notes.extend(trace::line(&self.applied(fleet), &page.records));
+        }
         notes.extend(self.faults.iter().filter_map(|f| recovery::line(f, &outcomes)));
         Ok(table::render(&Figures {
             plan: &fleet.plan,
@@ -386,6 +421,7 @@
 impl Drop for Player {
     fn drop(&mut self) {
         self.background.iter().for_each(JoinHandle::abort);
+        self.pending.iter().for_each(JoinHandle::abort);
     }
 }
 
--- a/crates/scenario/src/write.rs
+++ b/crates/scenario/src/write.rs
@@ -82,7 +82,9 @@
         if began.elapsed() > GIVE_UP {
             break;
         }
+        let sent = Instant::now();
         let reply = call(caller, kind, job, job.router + turn as usize).await;
+        out.took = Some(sent.elapsed());
         let pause = match next(kind, reply, &mut out) {
             Ok(verdict) => {
                 out.verdict = verdict;
