--- a/crates/agent/src/seat.rs
+++ b/crates/agent/src/seat.rs
@@ -48,7 +48,7 @@
 }
 
 /// Opens a session at the first of the places that answers. The next place is
-/// asked when one refuses or does not answer within [`HEDGE`]; what is opened
+/// asked when one refuses or does not answer within `HEDGE`; what is opened
 /// late is closed unused.
 pub async fn open_any(
     agent: &Arc<Agent>,
