--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -58,15 +58,15 @@
     /// ```
     /// use std::time::Duration;
     /// use policy::ramp::{Ramp, STEP};
-    /// let ramp = Ramp::join(STEP, Duration::ZERO).again(Duration::from_secs(1));
+    /// let ramp = Ramp::join(STEP, Duration::ZERO).again(STEP, Duration::from_secs(1));
     /// assert_eq!(ramp.allowed(8, Duration::from_secs(1) + STEP), 1);
     /// ```
-    pub fn again(self, now: Duration) -> Ramp {
+    pub fn again(self, step: Duration, now: Duration) -> Ramp {
         let factor = match now.saturating_sub(self.since) >= FORGIVE {
             true => 1,
             false => (self.factor * 2).clamp(1, SLOWEST),
         };
-        Ramp { since: now, factor, ..self }
+        Ramp { step, since: now, factor }
     }
 
     /// Slots of `slots` that may be used at `now`.
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -285,13 +285,14 @@
         ramp: Ramp,
         now: Duration,
     ) {
+        let step = self.tuning.ramp;
         let data_centre = self.links.index(data_centre);
         let range = &mut self.ranges[range];
         match range.find(vm) {
             Ok(i) if !range.list[i].gone => range.list[i].slots = slots,
             Ok(i) => {
                 let old = &range.list[i];
-                let (step_us, ramp) = (old.step_us, old.ramp.again(now));
+                let (step_us, ramp) = (old.step_us, old.ramp.again(step, now));
                 range.list[i] = Replica::new(vm, data_centre, slots, ramp);
                 range.list[i].step_us = step_us;
             }
