Order a spare engine, or one of a range with three replicas, to load a lost range

Each agent decides for its own engine only: it sees by two routers that a range has no replica, claims the gap in the log stream 'orders', and orders its engine when its claim is the first; the claim's offset is the fencing number.

--- a/crates/agent/src/chain.rs
+++ b/crates/agent/src/chain.rs
@@ -17,6 +17,11 @@
 /// Extra patience for each position of a step beyond the first, for long prompts.
 const POSITION_PATIENCE: Duration = Duration::from_millis(10);
 
+/// Pause before a draft that ran at a crash runs alone elsewhere. Engines that
+/// die together by another cause have died by then; without it a draft that has
+/// just begun to run alone at the second of them would be held to be at fault.
+const SETTLE: Duration = Duration::from_millis(60);
+
 /// Pauses between rounds of looking for a replica.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
@@ -155,6 +160,9 @@
             // At one crash it is not known which of the requests that ran is at
             // fault: run beside others again, it would take them down once more.
             range.suspect |= last.cause == Cause::Crashed;
+            if last.cause == Cause::Crashed {
+                tokio::time::sleep(SETTLE).await;
+            }
             range.seat = Seat::Nowhere;
             failed.extend(range.place.take());
             range.attempt += 1;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash;
 pub mod draft;
 pub mod ledger;
+pub mod order;
 pub mod seat;
 pub mod slot;
 pub mod stage;
@@ -81,6 +82,8 @@
             () if !self.node.settings.borrow().caught_up => {
                 Err("the settings have not been read yet".into())
             }
+            // An engine that holds nothing is a spare: it can be ordered to load.
+            () if self.stage.as_ref().is_some_and(|t| t.spare()) => Ok(()),
             () if self.backend() == Backend::None => {
                 Err("the backend server can't be used now".into())
             }
@@ -118,6 +121,9 @@
     tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
         ask::answer(handle.clone(), ask, stream)
     }));
+    if agent.stage.is_some() {
+        tokio::spawn(order::run(agent.clone()));
+    }
     serve_health(agent.clone()).await?;
     log::info!("agent: {} listens on {}", node.process.vm, node.process.listen);
 
--- /dev/null
+++ b/crates/agent/src/order.rs
@@ -0,0 +1,158 @@
+//! Loading a range of layers of which every replica is lost.
+//!
+//! Nobody decides for others: an agent whose engine can be spared sees the gap,
+//! claims it in the log, and orders its own engine when its claim is the first.
+//! An agent is the only process that gives its engine orders, and its bound port
+//! admits one agent on a VM; so an engine that ignores fencing numbers never gets
+//! orders from two processes, and one that checks them refuses a late one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use engine::Order;
+use node::Node;
+use platform::log::Client;
+use platform::vm::Role;
+use rand::seq::IndexedRandom;
+use tokio::time::{sleep, timeout};
+use wire::frame::{Ask, Place, Stage, Tell};
+use wire::order::{Claim, HOLD, Placed, STREAM, valid};
+
+use crate::Agent;
+
+/// Pause between two looks for gaps of a spare engine, or once a gap is seen;
+/// each draws up to twice this.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The same of an engine that holds a range, while all is well. There are
+/// hundreds of them, and each look asks two routers.
+const CALM_LOOK: Duration = Duration::from_secs(1);
+
+/// Looks in a row in which a range has no replica before an engine that holds
+/// nothing is ordered, and before one that holds another range is. The first is
+/// longer than a restart of a stage takes; the second lets the first go ahead.
+const SPARE_LOOKS: u32 = 3;
+const DONOR_LOOKS: u32 = 8;
+
+/// Replicas a range has to have for one of them to be spared.
+const DONOR_REPLICAS: usize = 3;
+
+/// Time a router has to answer.
+const ANSWER: Duration = Duration::from_millis(300);
+
+/// Looks for gaps for as long as the agent runs.
+pub async fn run(agent: Arc<Agent>) {
+    let log = Client::new(&agent.node.process.platform.log, Duration::from_secs(2));
+    let (mut gap, mut seen) = (None, 0);
+    loop {
+        let holds = agent.stage.as_ref().is_some_and(|t| !t.spare());
+        let pause = if holds && gap.is_none() { CALM_LOOK } else { LOOK };
+        sleep(pause.mul_f64(rand::random_range(1.0..2.0))).await;
+        let Some(enough) = looks(&agent).await else {
+            gap = None;
+            continue;
+        };
+        let found = find_gap(&agent.node).await;
+        seen = if found.is_some() && found == gap { seen + 1 } else { 1 };
+        gap = found;
+        if let Some(stage) = gap.clone().filter(|_| seen >= enough) {
+            seen = 0;
+            if let Err(e) = fill(&agent, &log, stage).await {
+                log::warn!("order: {e}");
+            }
+        }
+    }
+}
+
+/// Looks that are needed before this engine is ordered; `None` when it can't be spared.
+async fn looks(agent: &Agent) -> Option<u32> {
+    let table = agent.stage.as_ref().filter(|t| t.up() && !agent.leaving())?;
+    match table.held() {
+        _ if table.ordered() => None,
+        None => Some(SPARE_LOOKS),
+        Some(held) => {
+            let replicas = replicas(&agent.node, &held).await?;
+            (replicas.len() >= DONOR_REPLICAS).then_some(DONOR_LOOKS)
+        }
+    }
+}
+
+/// A range of the settings that no router knows a replica of.
+async fn find_gap(node: &Node) -> Option<Stage> {
+    let fleet = node.settings.borrow().fleet.clone();
+    for model in &fleet.models {
+        for &(first, last) in &model.ranges {
+            let stage = Stage { model: model.name.clone(), version: model.version, first, last };
+            if replicas(node, &stage).await.is_some_and(|r| r.is_empty()) {
+                return Some(stage);
+            }
+        }
+    }
+    None
+}
+
+/// Replicas of a range by the view of two routers; `None` when they can't tell.
+/// One router alone may have been cut off.
+async fn replicas(node: &Node, stage: &Stage) -> Option<Vec<Place>> {
+    let list = node.vms.borrow().clone();
+    let routers: Vec<_> = list.iter().filter(|e| e.role == Role::Router).collect();
+    let mut found: Option<Vec<Place>> = None;
+    let asked: Vec<_> = routers.sample(&mut rand::rng(), 2).collect();
+    for router in asked {
+        let ask = Ask::Replicas(stage.clone());
+        let asked = node.peers.ask(&router.vm, &router.address, &ask);
+        if let Ok(Ok(Tell::Places(places))) = timeout(ANSWER, asked).await {
+            let most = found.take().filter(|f| f.len() > places.len());
+            found = Some(most.unwrap_or(places));
+        }
+    }
+    found
+}
+
+/// Claims the gap and, when the claim counts, orders the engine.
+async fn fill(agent: &Agent, log: &Client, stage: Stage) -> Result<(), String> {
+    let vm = agent.node.process.vm.clone();
+    let table = agent.stage.as_ref().ok_or("no engine stands here")?;
+    let id = uuid::Uuid::new_v4().to_string();
+    let claim = Claim { id: id.clone(), vm, stage: stage.clone(), from: table.held() };
+    let data = serde_json::to_string(&claim).map_err(|e| e.to_string())?;
+    // A lost answer is settled by reading: the record stands or it does not.
+    let appended = log.append(STREAM, &data).await;
+    let claims = valid(read(log).await?);
+    let Some(own) = claims.iter().find(|c| c.claim.id == id) else {
+        let why = appended.err().map_or("another agent was first".to_string(), |e| e.to_string());
+        log::info!("order: layers {}-{} are not loaded here: {why}", stage.first, stage.last);
+        return Ok(());
+    };
+    log::info!("order: layers {}-{} of {} are loaded here", stage.first, stage.last, stage.model);
+    let order = Order {
+        fence: own.offset,
+        model: stage.model.clone(),
+        version: stage.version,
+        first: stage.first,
+        last: stage.last,
+    };
+    table.order(&order, stage, HOLD).await.map_err(|e| e.to_string())
+}
+
+async fn read(log: &Client) -> Result<Vec<Placed>, String> {
+    let mut placed = Vec::new();
+    let mut from = 0;
+    loop {
+        let page = log
+            .read(STREAM, from, Duration::ZERO)
+            .await
+            .map_err(|e| format!("read claims: {e}"))?;
+        let Some(last) = page.records.last() else { return Ok(placed) };
+        from = last.offset + 1;
+        for record in &page.records {
+            match serde_json::from_str(&record.data) {
+                Ok(claim) => {
+                    let (offset, time_ms) = (record.offset, record.time_ms);
+                    placed.push(Placed { offset, time_ms, claim });
+                }
+                Err(e) => log::warn!("order: record {} is unreadable: {e}", record.offset),
+            }
+        }
+    }
+}
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -55,6 +55,8 @@
     /// Sorted by the unique part of the request id.
     seen: Mutex<Vec<Seen>>,
     crash: crash::Watch,
+    /// Range that was ordered, until it is loaded or the time has passed.
+    ordered: Mutex<Option<(Stage, Instant)>>,
 }
 
 /// An open session. Dropping it cancels it at the engine.
@@ -86,6 +88,7 @@
         info: RwLock::new(None),
         seen: Mutex::default(),
         crash: crash::Watch::default(),
+        ordered: Mutex::default(),
     });
     if let Err(e) = table.engine.cancel_all().await {
         log::warn!("stage: what was left at the engine can't be cancelled: {e}");
@@ -99,13 +102,49 @@
     /// The range of layers the engine holds, when it can be used.
     pub fn held(&self) -> Option<Stage> {
         let info = self.info.read().expect("no panic while held");
-        let held = info.as_ref().filter(|i| !i.model.is_empty())?;
-        Some(Stage {
-            model: held.model.clone(),
-            version: held.version,
-            first: held.first,
-            last: held.last,
-        })
+        let held = info.as_ref().and_then(range)?;
+        let ordered = self.ordered.lock().expect("no panic while held");
+        // What it held until the order is gone: nothing is to be sent there for it.
+        match &*ordered {
+            Some((stage, until)) if *until > Instant::now() && *stage != held => None,
+            _ => Some(held),
+        }
+    }
+
+    /// True when the engine answers.
+    pub fn up(&self) -> bool {
+        self.info.read().expect("no panic while held").is_some()
+    }
+
+    /// True when the engine answers and holds nothing.
+    pub fn spare(&self) -> bool {
+        let info = self.info.read().expect("no panic while held");
+        info.as_ref().is_some_and(|i| range(i).is_none())
+    }
+
+    /// True while an order is being carried out.
+    pub fn ordered(&self) -> bool {
+        let ordered = self.ordered.lock().expect("no panic while held");
+        let held = self.info.read().expect("no panic while held").as_ref().and_then(range);
+        ordered
+            .as_ref()
+            .is_some_and(|(s, until)| *until > Instant::now() && held.as_ref() != Some(s))
+    }
+
+    /// Orders the engine to load a range, which may take up to `limit`.
+    pub async fn order(
+        &self,
+        order: &engine::Order,
+        stage: Stage,
+        limit: Duration,
+    ) -> Result<(), rest::Error> {
+        let until = Instant::now() + limit;
+        *self.ordered.lock().expect("no panic while held") = Some((stage, until));
+        let done = self.engine.order(order).await;
+        if done.is_err() {
+            *self.ordered.lock().expect("no panic while held") = None;
+        }
+        done
     }
 
     /// Token ids of a text, by the engine.
@@ -315,6 +354,12 @@
             Ok(ran) => ran,
             Err(e) => {
                 let unanswered = e.status().is_none();
+                if e.unsent() {
+                    // The engine was gone before: the step is not among those that ran.
+                    drop(entry);
+                    table.ended_process(&self.incarnation).await;
+                    return Err(table.refuse(Cause::Lost, "step", e.to_string()));
+                }
                 if unanswered && table.ended_process(&self.incarnation).await {
                     table.crash.crashed(&table.node, &self.incarnation);
                 }
@@ -343,6 +388,12 @@
     }
 }
 
+fn range(info: &engine::Info) -> Option<Stage> {
+    let (model, version) = (info.model.clone(), info.version);
+    let stage = Stage { model, version, first: info.first, last: info.last };
+    (!stage.model.is_empty()).then_some(stage)
+}
+
 fn cancel(engine: Client, session: String) {
     tokio::spawn(async move {
         if let Err(e) = engine.cancel(&session).await {
--- a/crates/scenario/src/books.rs
+++ b/crates/scenario/src/books.rs
@@ -31,6 +31,8 @@
     pub layers: u32,
     /// All sessions since it started.
     pub sessions: Vec<Opened>,
+    /// Orders it took.
+    pub orders: Vec<engine::Order>,
 }
 
 /// Runs of each key at the plain services, sorted by key.
@@ -161,7 +163,7 @@
 /// Reads an engine's book.
 pub async fn engine(base: &str, vm: &str, layers: u32) -> Result<Engine, rest::Error> {
     let page: book::Books = rest::Client::new(base, READ).get("/~fake/books").await?;
-    Ok(Engine { vm: vm.to_string(), layers, sessions: page.sessions })
+    Ok(Engine { vm: vm.to_string(), layers, sessions: page.sessions, orders: page.orders })
 }
 
 /// Reads how often each key ran at the services that share the book at `base`.
--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -37,6 +37,13 @@
         Expect::Unknown { max } => {
             require(all.unknown <= *max, format!("{} ended as unknown", all.unknown))
         }
+        Expect::Loads { min, max } => {
+            let engines = &facts.books.engines;
+            let n: usize = engines.iter().map(|e| e.orders.len()).sum();
+            let rising = |e: &books::Engine| e.orders.is_sorted_by(|a, b| a.fence < b.fence);
+            let holds = (*min..=*max).contains(&n) && engines.iter().all(rising);
+            require(holds, format!("{n} orders; fencing numbers must rise"))
+        }
         Expect::Crashes { min, max } => {
             let n = facts.crashes;
             require((*min..=*max).contains(&n), format!("{n} backend servers crashed"))
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -47,6 +47,8 @@
     pub ip: IpAddr,
     /// What stands on it.
     pub backend: Backend,
+    /// True for an engine that starts with nothing loaded.
+    pub empty: bool,
 }
 
 impl Vm {
@@ -114,6 +116,7 @@
         data_centre: data_centre(i),
         ip: Ipv4Addr::new(127, octet, net as u8, host as u8).into(),
         backend,
+        empty: false,
     };
     let mut vms = Vec::new();
     for i in 0..plan.routers {
@@ -314,7 +317,8 @@
         let mut args: Vec<(&str, String)> = vec![("--listen", format!("{}:{BACKEND_PORT}", vm.ip))];
         let command = match vm.backend {
             Backend::Engine(_, first, last, step_us) => {
-                args.push(("--model", model::NAME.to_string()));
+                let name = if vm.empty { "" } else { model::NAME };
+                args.push(("--model", name.to_string()));
                 args.push(("--version", model::VERSION.to_string()));
                 args.push(("--layers", settings::layers(plan).to_string()));
                 args.push(("--first", first.to_string()));
@@ -413,7 +417,7 @@
     }
 
     /// Starts one more engine for a range.
-    pub async fn add(&mut self, range: usize, step_us: u64) -> Result<String, String> {
+    pub async fn add(&mut self, range: usize, step_us: u64, empty: bool) -> Result<String, String> {
         let span = *self.plan.ranges.get(range).ok_or(format!("there is no range {range}"))?;
         let taken = |name: &str| self.vms.iter().any(|v| v.name == name);
         let k = (1..=4).find(|k| !taken(&spare(range, *k))).ok_or("no spare name is left")?;
@@ -422,6 +426,7 @@
             data_centre: "dc-a".to_string(),
             ip: Ipv4Addr::new(127, self.octet, 10 + range as u8, 100 + k as u8).into(),
             backend: Backend::Engine(range, span.low, span.high, step_us),
+            empty,
         };
         let at = self.vms.partition_point(|v| v.name < vm.name);
         self.vms.insert(at, vm.clone());
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -233,9 +233,9 @@
             Verb::Freeze { vm, engine: true } => fleet.process(&format!("{vm}.backend"))?.freeze(),
             Verb::Freeze { vm, engine: false } => fleet.process(vm)?.freeze(),
             Verb::Thaw { vm } => thaw(fleet, vm),
-            Verb::Add { range, step_us } => {
+            Verb::Add { range, spare, step_us } => {
                 let began = Instant::now();
-                let name = fleet.add(*range, *step_us).await?;
+                let name = fleet.add(*range, *step_us, *spare).await?;
                 self.notes.push(format!("{name} ready after {} ms", began.elapsed().as_millis()));
                 Ok(())
             }
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -162,6 +162,9 @@
     Add {
         /// Number of the layer range, from 0.
         range: usize,
+        /// The engine holds nothing; the range is the one it is expected to load.
+        #[arg(long)]
+        spare: bool,
         /// Microseconds of a batch step.
         #[arg(long, default_value_t = 1000)]
         step_us: u64,
@@ -515,6 +518,15 @@
         #[arg(long, default_value_t = 0)]
         max: usize,
     },
+    /// Orders that all engines took, each engine with rising fencing numbers.
+    Loads {
+        /// At least.
+        #[arg(long, default_value_t = 1)]
+        min: usize,
+        /// At most.
+        #[arg(long)]
+        max: usize,
+    },
     /// Backend servers that crashed by themselves.
     Crashes {
         /// At least.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod frame;
 pub mod id;
 pub mod link;
+pub mod order;
 pub mod quarantine;
 pub mod tls;
--- /dev/null
+++ b/crates/wire/src/order.rs
@@ -0,0 +1,78 @@
+//! Records of the log stream that says who loads a range that no engine holds.
+//!
+//! Each agent gives orders to the engine on its own VM only; the stream decides
+//! which agent does so for a gap. The offset of its claim is the fencing number
+//! of the order.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::frame::Stage;
+use crate::id;
+
+/// Name of the stream.
+pub const STREAM: &str = "orders";
+
+/// Time in which nobody else may claim the same gap: longer than loading takes.
+/// It is counted by the log service's clock alone, so all readers agree.
+pub const HOLD: Duration = Duration::from_secs(10);
+
+/// One record, encoded as JSON.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Chosen by the agent, by which it finds its own record.
+    pub id: String,
+    /// The agent's VM.
+    pub vm: id::Vm,
+    /// The range that no engine holds.
+    pub stage: Stage,
+    /// What the engine held before; `None` for one that held nothing.
+    pub from: Option<Stage>,
+}
+
+/// A claim where it stands in the stream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placed {
+    /// Its offset.
+    pub offset: u64,
+    /// When the log service took it, in milliseconds since the Unix epoch.
+    pub time_ms: u64,
+    /// The claim.
+    pub claim: Claim,
+}
+
+/// Claims that count, out of records in the order of the stream: the first for a
+/// gap, and of engines that hold the same range only one, until [`HOLD`] has
+/// passed. Every reader gets the same answer for a recent claim, also when older
+/// records have expired, since nothing older than [`HOLD`] bears on it.
+///
+/// ```
+/// use wire::frame::Stage;
+/// use wire::order::{Claim, Placed, valid};
+/// let stage = Stage { model: "m".into(), version: 1, first: 0, last: 3 };
+/// let placed = |offset, vm: &str| Placed {
+///     offset,
+///     time_ms: 1000,
+///     claim: Claim { id: vm.into(), vm: vm.into(), stage: stage.clone(), from: None },
+/// };
+/// let found = valid(vec![placed(4, "a"), placed(5, "b")]);
+/// assert_eq!(found.len(), 1);
+/// assert_eq!(found[0].offset, 4);
+/// ```
+pub fn valid(records: Vec<Placed>) -> Vec<Placed> {
+    let mut found: Vec<Placed> = Vec::new();
+    for new in records {
+        let hold = HOLD.as_millis() as u64;
+        let clash = |old: &Placed| {
+            let same = old.claim.stage == new.claim.stage;
+            let donor = new.claim.from.is_some() && old.claim.from == new.claim.from;
+            let recent = new.time_ms < old.time_ms.saturating_add(hold);
+            recent && (same || donor || old.claim.vm == new.claim.vm)
+        };
+        if !found.iter().any(clash) {
+            found.push(new);
+        }
+    }
+    found
+}
