--- a/crates/agent/src/chain.rs
+++ b/crates/agent/src/chain.rs
@@ -20,7 +20,7 @@
 /// Pause before a draft that ran at a crash runs alone elsewhere. Engines that
 /// die together by another cause have died by then; without it a draft that has
 /// just begun to run alone at the second of them would be held to be at fault.
-const SETTLE: Duration = Duration::from_millis(60);
+const SETTLE: Duration = Duration::from_millis(100);
 
 /// Pauses between rounds of looking for a replica.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -36,9 +36,10 @@
 /// Time after which a caller may come back to a full agent.
 const BUSY_RETRY: Duration = Duration::from_millis(200);
 
-/// Highest attempt seen of a request.
+/// Highest attempt seen of a request at a range.
 #[derive(Debug)]
 struct Seen {
+    /// The part of the request id that stays the same, and the first layer.
     unique: String,
     attempt: id::Attempt,
     ended: Option<Instant>,
@@ -52,7 +53,7 @@
     engine: Client,
     slots: Slots,
     info: RwLock<Option<engine::Info>>,
-    /// Sorted by the unique part of the request id.
+    /// Sorted by request and range.
     seen: Mutex<Vec<Seen>>,
     crash: crash::Watch,
     /// Range that was ordered, until it is loaded or the time has passed.
@@ -172,7 +173,9 @@
             let why = format!("all {} slots are taken", self.slots.total());
             return Err(self.refuse(Cause::Busy, "open", why).after(BUSY_RETRY));
         };
-        let unique = unique(&open.request).to_string();
+        // An engine that was ordered to load another range may run two ranges of
+        // one request in turn; each has attempts of its own.
+        let unique = format!("{}.{}", unique(&open.request), open.stage.first);
         self.fence(&unique, open.attempt)?;
 
         let incarnation = self.incarnation();
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -15,6 +15,7 @@
 use crate::fault::{self, Link};
 use crate::fleet::{Backend, Fleet};
 use crate::load::{self, Record};
+use crate::outcome::{Outcome, Verdict};
 use crate::process;
 use crate::publish;
 use crate::quarantine;
@@ -27,6 +28,8 @@
 
 /// Pause between two looks at something the script waits for.
 const LOOK: Duration = Duration::from_millis(20);
+/// Reasons printed at most.
+const REASONS: usize = 5;
 /// Longest wait for something the script waits for.
 pub const WAIT: Duration = Duration::from_secs(90);
 
@@ -368,6 +371,7 @@
         let outcomes = self.record.outcomes();
         let mut notes = self.notes.clone();
         notes.extend(self.faults.iter().filter_map(|f| recovery::line(f, &outcomes)));
+        notes.extend(reasons(&outcomes));
         Ok(table::render(&Figures {
             plan: &fleet.plan,
             outcomes: &outcomes,
@@ -378,6 +382,22 @@
     }
 }
 
+/// Why requests ended without their answer, each reason once with its count.
+fn reasons(outcomes: &[Outcome]) -> Vec<String> {
+    let mut counted: Vec<(&str, usize)> = Vec::new();
+    for out in outcomes.iter().filter(|o| !o.judged) {
+        let why = match &out.verdict {
+            Verdict::NotRun(why) | Verdict::Refused(why) | Verdict::Unknown(why) => why,
+            _ => continue,
+        };
+        match counted.iter_mut().find(|(w, _)| w == why) {
+            Some((_, n)) => *n += 1,
+            None => counted.push((why, 1)),
+        }
+    }
+    counted.iter().take(REASONS).map(|(why, n)| format!("{n} times: {why}")).collect()
+}
+
 impl Drop for Player {
     fn drop(&mut self) {
         self.background.iter().for_each(JoinHandle::abort);
