--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,6 @@
 mod hot;
 pub mod id;
 pub mod link;
+pub mod order;
 pub mod quarantine;
 pub mod tls;
