Gather more entries after the log refuses one for its rate

Now each agent pauses 2 to 100 ms longer after a 429 and less after each success, and tries the record again.

--- a/crates/agent/src/write/append.rs
+++ b/crates/agent/src/write/append.rs
@@ -1,6 +1,7 @@
 //! Appending to the stream of a service, many entries in one record.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -14,6 +15,15 @@
 /// Text of a record at which the next entry goes into another one, in bytes.
 const RECORD: usize = 256 << 10;
 
+/// First pause between two appends after the log refused one for its rate.
+const GATHER: Duration = Duration::from_millis(2);
+
+/// Longest such pause.
+const GATHER_MOST: Duration = Duration::from_millis(100);
+
+/// Times a record is tried again that was refused for the log's rate.
+const TRIES: u32 = 10;
+
 /// What became of an append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Appended {
@@ -60,6 +70,10 @@
 /// Appends what is queued, as many entries at once as have come together.
 pub async fn run(writer: Arc<Writer>, mut queue: mpsc::Receiver<Queued>) {
     let mut taken = Vec::new();
+    // The rate of the log is shared by all agents, and none knows how many others append.
+    // So each pauses longer after a refusal and gathers more entries for its next record;
+    // without it refused receipts kept callers waiting by a fixed pause each time.
+    let mut gather = Duration::ZERO;
     while queue.recv_many(&mut taken, BATCH).await > 0 {
         let mut rest = taken.drain(..).peekable();
         while let Some(first) = rest.next() {
@@ -71,18 +85,31 @@
             }) {
                 batch.push(next);
             }
-            together(&writer, batch).await;
+            together(&writer, batch, &mut gather).await;
+            tokio::time::sleep(gather).await;
         }
     }
 }
 
-async fn together(writer: &Writer, batch: Vec<Queued>) {
+async fn together(writer: &Writer, batch: Vec<Queued>, gather: &mut Duration) {
     let (vm, incarnation) = batch[0].owner.clone();
     let (entries, waiting): (Vec<_>, Vec<_>) = batch.into_iter().map(|q| (q.entry, q.done)).unzip();
     let batch = Batch { vm, incarnation, entries };
     let data = serde_json::to_string(&batch).expect("plain data encodes");
-    let appended = match writer.log.append(&writer.stream, &data).await {
-        Ok(_) => Appended::Yes,
+    let mut result = writer.log.append(&writer.stream, &data).await;
+    for _ in 0..TRIES {
+        if !matches!(result, Err(rest::Error::Status { status: 429, .. })) {
+            break;
+        }
+        *gather = (*gather * 2).clamp(GATHER, GATHER_MOST);
+        tokio::time::sleep(gather.mul_f64(rand::random_range(0.5..1.5))).await;
+        result = writer.log.append(&writer.stream, &data).await;
+    }
+    let appended = match result {
+        Ok(_) => {
+            *gather = gather.mul_f64(0.9);
+            Appended::Yes
+        }
         Err(e) => {
             log::warn!("write: the log did not take a record: {e}");
             match e {
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -21,6 +21,9 @@
 const CLAIM_PORT: u16 = 8999;
 /// Name in the operators' certificate.
 const OPERATOR: &str = "operator";
+/// A port where nobody listens.
+const NOBODY: u16 = 9;
+
 /// Pause between two looks at a daemon that is not ready.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time one look at a daemon or control call may take.
@@ -306,8 +309,11 @@
             Backend::Service => Some(("service orders", self.plan.slots)),
         };
         let level = &self.plan.log_level;
-        let text =
-            settings::process(&vm.name, &vm.data_centre, vm.ip, level, &self.platform, backend);
+        let mut platform = self.platform.clone();
+        if self.plan.no_log.contains(&vm.name) {
+            platform.log = format!("http://127.{}.0.1:{NOBODY}", self.octet);
+        }
+        let text = settings::process(&vm.name, &vm.data_centre, vm.ip, level, &platform, backend);
         let file = self.dir.join(format!("{}.ini", vm.name));
         std::fs::write(&file, text).map_err(|e| format!("{}: settings: {e}", vm.name))?;
         let program = if vm.backend == Backend::None { "hyssop-router" } else { "hyssop-agent" };
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -44,6 +44,8 @@
     background: Vec<JoinHandle<()>>,
     /// Single orders in the background; the number of the line tells them apart.
     pending: Vec<JoinHandle<Result<(), String>>>,
+    /// Records of the stream of settings as seen so far; the log lets them expire.
+    settings: Vec<platform::log::Record>,
     /// Earlier `orders` lines with their part.
     orders: Vec<(u64, script::Orders)>,
     watches: Vec<Watch>,
@@ -75,6 +77,7 @@
             record: Record::default(),
             background: Vec::new(),
             pending: Vec::new(),
+            settings: Vec::new(),
             orders: Vec::new(),
             watches: Vec::new(),
             faults: Vec::new(),
@@ -306,6 +309,7 @@
             Verb::WaitVersion { within } => {
                 let within = Duration::from_millis(*within);
                 let (version, took) = publish::wait(fleet, self.version, within).await?;
+                trace::extend(&mut self.settings, &fleet.platform.log).await;
                 let took = took.as_millis();
                 self.notes.push(format!("version {version} in force on all after {took} ms"));
                 Ok(())
@@ -403,10 +407,9 @@
         let outcomes = self.record.outcomes();
         let mut notes = self.notes.clone();
         notes.extend(repeat::line(&outcomes, &fleet.platform.log).await);
-        let log = platform::log::Client::new(&fleet.platform.log, Duration::from_secs(2));
-        if let Ok(page) = log.read("settings", 0, Duration::ZERO).await {
-            notes.extend(trace::line(&self.applied(fleet), &page.records));
-        }
+        let mut records = self.settings.clone();
+        trace::extend(&mut records, &fleet.platform.log).await;
+        notes.extend(trace::line(&self.applied(fleet), &records));
         notes.extend(self.faults.iter().filter_map(|f| recovery::line(f, &outcomes)));
         Ok(table::render(&Figures {
             plan: &fleet.plan,
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -313,6 +313,9 @@
     /// A relay before each daemon's port, so that links can be cut and slowed.
     #[arg(long)]
     pub links: bool,
+    /// VMs whose daemons can't reach the log.
+    #[arg(long, value_delimiter = ',')]
+    pub no_log: Vec<String>,
     /// Engines that ignore fencing numbers.
     #[arg(long)]
     pub unfenced: bool,
--- a/crates/scenario/src/trace.rs
+++ b/crates/scenario/src/trace.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use platform::log::Record;
+use platform::log::{Client, Record};
 
 /// Begin of the text that a daemon writes at each change of its version.
 const MARK: &str = "settings: version ";
@@ -53,6 +53,15 @@
     vms.iter().flat_map(one).collect()
 }
 
+/// Adds what the stream of settings holds now to what was seen of it before.
+pub async fn extend(seen: &mut Vec<Record>, log: &str) {
+    let from = seen.last().map_or(0, |r| r.offset + 1);
+    let client = Client::new(log, Duration::from_secs(2));
+    if let Ok(page) = client.read("settings", from, Duration::ZERO).await {
+        seen.extend(page.records);
+    }
+}
+
 /// Daemons that went back to a lower version while they ran.
 pub fn fell(applied: &[Applied]) -> Vec<String> {
     let fell = applied.iter().filter(|a| a.before.is_some_and(|before| a.version <= before));
