--- a/crates/scenario/tests/invariants.rs
+++ b/crates/scenario/tests/invariants.rs
@@ -141,3 +141,16 @@
     let line = recovery::line(&fault, &[under_way, later]).unwrap();
     assert!(line.contains("max 300 ms over 1 drafts"), "{line}");
 }
+
+/// A daemon that went back to older settings would let callers in that were shut out; the
+/// others run on, and nothing but its own log shows it.
+#[test]
+fn a_version_that_falls_is_told() {
+    let log = "settings: version 0 is in force at the start, 5 ms\n\
+               settings: version 4 is in force after 0, 9 ms\n\
+               settings: version 3 is in force after 4, 12 ms\n\
+               settings: version 0 is in force at the start, 20 ms\n";
+    let applied = scenario::trace::read("gpu-1", log);
+    assert_eq!(applied.len(), 4);
+    assert_eq!(scenario::trace::fell(&applied).len(), 1);
+}
