Run the router on the policy crate: queue, chain, retry budget, ejection, ramp

One task (pool.rs) owns queue, table and budget of each model and service; handlers and the view talk to it by messages (admission.rs). choose.rs, the loop of tries in head.rs and the rounds in service.rs are gone. A draft refused by a stage goes back to its place in the queue; one in progress without a head goes before all others.

The player tells comebacks by kind and what each workspace got.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics by opentelemetry, shown as Prometheus text.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -9,6 +9,33 @@
 use crate::settings;
 use crate::traffic::Traffic;
 
+/// State of one model or plain service at a router.
+#[derive(Debug, Clone, Copy)]
+pub struct Gauges<'a> {
+    /// Its name.
+    pub target: &'a str,
+    /// Requests that wait.
+    pub waiting: u64,
+    /// Requests of this router that run.
+    pub running: u64,
+    /// Slots free in the scarcest range, as the router sees it.
+    pub free: u64,
+    /// Agents that get no work for being slow or failing.
+    pub ejected: u64,
+    /// Tries that the retry budget still allows.
+    pub budget: u64,
+}
+
+/// Gauges by `target`.
+#[derive(Debug)]
+struct Queues {
+    waiting: Gauge<u64>,
+    running: Gauge<u64>,
+    free: Gauge<u64>,
+    ejected: Gauge<u64>,
+    budget: Gauge<u64>,
+}
+
 /// The instruments of a daemon. What each tells an operator is in docs/OPERATORS.md.
 #[derive(Debug)]
 pub struct Metrics {
@@ -19,6 +46,9 @@
     pub requests: Counter<u64>,
     /// Requests in progress by `kind`.
     pub running: UpDownCounter<i64>,
+    /// Requests a router refused by `cause`.
+    refusals: Counter<u64>,
+    queues: Queues,
     /// Generated tokens.
     pub tokens: Counter<u64>,
     /// Seconds to the first token.
@@ -75,6 +105,14 @@
         Ok(Metrics {
             requests: meter.u64_counter("hyssop_requests").build(),
             running: meter.i64_up_down_counter("hyssop_running").build(),
+            refusals: meter.u64_counter("hyssop_refusals").build(),
+            queues: Queues {
+                waiting: meter.u64_gauge("hyssop_queue_waiting").build(),
+                running: meter.u64_gauge("hyssop_queue_running").build(),
+                free: meter.u64_gauge("hyssop_slots_free").build(),
+                ejected: meter.u64_gauge("hyssop_agents_ejected").build(),
+                budget: meter.u64_gauge("hyssop_retry_budget").build(),
+            },
             tokens: meter.u64_counter("hyssop_tokens").build(),
             first_token: meter.f64_histogram("hyssop_first_token_seconds").build(),
             between_tokens: meter.f64_histogram("hyssop_between_tokens_seconds").build(),
@@ -88,6 +126,21 @@
         })
     }
 
+    /// Counts a request that a router refused.
+    pub fn refused(&self, cause: &str) {
+        self.refusals.add(1, &[KeyValue::new("cause", cause.to_string())]);
+    }
+
+    /// Shows the state of a model or plain service.
+    pub fn gauges(&self, state: &Gauges<'_>) {
+        let target = [KeyValue::new("target", state.target.to_string())];
+        self.queues.waiting.record(state.waiting, &target);
+        self.queues.running.record(state.running, &target);
+        self.queues.free.record(state.free, &target);
+        self.queues.ejected.record(state.ejected, &target);
+        self.queues.budget.record(state.budget, &target);
+    }
+
     /// All metrics as Prometheus text.
     pub fn text(&self) -> String {
         let mut raw = Vec::new();
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -4,26 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::work::Cost;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use wire::frame::{
-    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Tell,
-    Token, Word,
+    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Stage,
+    Tell, Token, Word,
 };
 use wire::id;
 use wire::link::Stream;
 
-use crate::view::Sent;
-use crate::{Router, choose};
-
-/// Tries to get a draft accepted before the caller is told that there is no room.
-const TRIES: u32 = 6;
-
-/// Pause before the second try; doubled for each further one.
-const PAUSE: Duration = Duration::from_millis(10);
-
-/// When a caller may come back after no agent had room.
-const BUSY_RETRY: Duration = Duration::from_millis(500);
+use crate::admission::{self, Grant, Target, Want};
+use crate::{Router, view};
 
 /// Time an agent has to accept or refuse a draft.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -52,6 +44,27 @@
     pub until: Instant,
 }
 
+/// Bytes of a prompt that name its prefix: drafts that share more share an engine's cache.
+const PREFIX: usize = 256;
+
+/// Bytes of text for a token, for estimates before the engine has counted them.
+const TOKEN_BYTES: u32 = 4;
+
+impl Wanted {
+    fn want(&self) -> Want {
+        let prompt = (self.prompt.len() as u32).div_ceil(TOKEN_BYTES);
+        Want {
+            target: Target::Model(self.model.name.clone()),
+            workspace: self.workspace.clone(),
+            priority: self.priority,
+            cost: Cost { prompt, output: self.max_tokens },
+            until: self.until,
+            prefix: Some(policy::affinity::prefix(&self.prompt, PREFIX)),
+            keyed: false,
+        }
+    }
+}
+
 /// What happens to a draft, in order: one `Accepted`, tokens, one end. A refusal
 /// may come first.
 #[derive(Debug, Clone)]
@@ -68,7 +81,9 @@
 
 /// How one head ended.
 enum End {
-    /// The caller has its answer or has gone.
+    /// The caller has the whole answer.
+    Done,
+    /// The caller has gone or has a refusal.
     Over,
     /// The head is lost; another one goes on.
     Lost(String),
@@ -98,20 +113,21 @@
     };
     let mut attempt = 0;
     loop {
-        let (stream, sent) = match follower.start(&wanted, attempt).await {
+        let (stream, grant) = match follower.start(&wanted, attempt).await {
             Ok(started) => started,
             Err(refusal) => return follower.refuse(refusal).await,
         };
         match follower.follow(stream).await {
+            End::Done => return grant.succeeded(),
             End::Over => return,
             End::Lost(why) => {
                 log::warn!("head: {} lost {}: {why}", follower.head.vm, follower.request);
                 let text = format!("head {} is lost: {why}", follower.head.vm);
                 follower.router.node.trace.add(&follower.request, "head", text);
                 follower.router.node.metrics.retries.add(1, &[]);
+                grant.failed(&follower.head.vm);
             }
         }
-        drop(sent);
         attempt += HEAD_STRIDE;
     }
 }
@@ -140,58 +156,67 @@
 }
 
 impl Follower {
-    /// Gets the draft accepted by a head.
+    /// Gets the draft accepted by a head, as soon as it is its turn.
     async fn start(
         &mut self,
         wanted: &Wanted,
         attempt: id::Attempt,
-    ) -> Result<(Stream, Sent), Refusal> {
-        let mut pause = PAUSE;
-        let mut tries = 0;
+    ) -> Result<(Stream, Grant), Refusal> {
+        let admission = self.router.admission.clone();
+        let mut grant = match attempt {
+            0 => self.unless_gone(admission.ask(wanted.want())).await?,
+            _ => self.unless_gone(admission.recover(wanted.want())).await?,
+        };
         loop {
-            let refusal = match self.offer(wanted, attempt).await {
-                Ok(started) => return Ok(started),
+            let refusal = match self.offer(wanted, attempt, &grant).await {
+                Ok(stream) => return Ok((stream, grant)),
                 Err(refusal) => refusal,
             };
-            tries += 1;
             let again = matches!(
                 refusal.cause,
                 Cause::Busy | Cause::Leaving | Cause::Unavailable | Cause::Lost
             );
-            // A draft that was accepted once is looked after until its deadline.
-            let enough = tries >= TRIES && !self.accepted;
-            if !again || enough || Instant::now() + pause >= wanted.until {
-                return Err(match refusal.retry_after {
-                    None if again => refusal.after(BUSY_RETRY),
-                    _ => refusal,
-                });
+            if !again {
+                return Err(refusal);
             }
             self.router.node.metrics.retries.add(1, &[]);
-            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-            pause = (pause * 2).min(Duration::from_millis(500));
+            let outcome = admission::certain(&refusal);
+            grant = self.unless_gone(grant.again(refusal, outcome)).await?;
         }
     }
 
-    /// Offers the draft to the best head of now.
+    /// Waits for a turn as long as the caller does.
+    async fn unless_gone(
+        &self,
+        turn: impl Future<Output = Result<Grant, Refusal>>,
+    ) -> Result<Grant, Refusal> {
+        tokio::select! {
+            turn = turn => turn,
+            () = self.events.closed() => {
+                let vm = &self.router.node.process.vm;
+                Err(Refusal::not_run(Cause::Lost, "queue", vm, "the caller has gone"))
+            }
+        }
+    }
+
+    /// Offers the draft to the head of a chain.
     async fn offer(
         &mut self,
         wanted: &Wanted,
         attempt: id::Attempt,
-    ) -> Result<(Stream, Sent), Refusal> {
-        let agents = self.router.view.usable();
-        let chain = choose::chain(&agents, &wanted.model);
-        let vm = &self.router.node.process.vm;
-        if let Some(gap) = chain.iter().find(|hop| hop.replicas.is_empty()) {
-            let (first, last) = (gap.stage.first, gap.stage.last);
-            let why = format!("no backend server holds layers {first}-{last} now");
+        grant: &Grant,
+    ) -> Result<Stream, Refusal> {
+        let chain = hops(&self.router.view, &wanted.model, grant.chain());
+        let Some(head) = chain.first().and_then(|hop| hop.replicas.first()) else {
+            let why = "the head is no longer listed";
+            let vm = grant.chain().first().and_then(|list| list.first());
+            let vm = vm.map_or("", String::as_str);
             return Err(Refusal::not_run(Cause::Unavailable, "choose", vm, why));
-        }
-        self.head = chain[0].replicas[0].clone();
+        };
+        self.head = head.clone();
         self.request = self.request_id(&wanted.unique);
         let ask = Ask::Draft(self.draft(wanted, attempt, chain));
-        let sent = self.router.view.sent(&self.head.vm);
-        let stream = self.ask(&ask).await?;
-        Ok((stream, sent))
+        self.ask(&ask).await
     }
 
     fn request_id(&self, unique: &str) -> id::Request {
@@ -271,7 +296,7 @@
                 }
                 Ok(Tell::Done(done)) => {
                     let _ = self.events.send(Event::Done(done)).await;
-                    return End::Over;
+                    return End::Done;
                 }
                 Ok(Tell::Refused(refusal)) => {
                     self.refuse(refusal).await;
@@ -308,3 +333,12 @@
         tokio::time::sleep(LOOK).await;
     }
 }
+
+/// The chain in the words of the links. VMs that were unlisted meanwhile are left out.
+fn hops(view: &view::View, model: &config::fleet::Model, chain: &[Vec<id::Vm>]) -> Vec<Hop> {
+    let hop = |(&(first, last), list): (&(u32, u32), &Vec<id::Vm>)| Hop {
+        stage: Stage { model: model.name.clone(), version: model.version, first, last },
+        replicas: list.iter().filter_map(|vm| Some(view.find(vm)?.place)).collect(),
+    };
+    model.ranges.iter().zip(chain).map(hop).collect()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,10 +1,11 @@
 //! The entry daemon: takes callers' requests, chooses backend servers, keeps the
 //! caller's connection and deadline.
 
+pub mod admission;
 pub mod caller;
-pub mod choose;
 pub mod completion;
 pub mod head;
+mod pool;
 pub mod problem;
 pub mod service;
 pub mod view;
@@ -27,6 +28,8 @@
     pub node: Arc<Node>,
     /// The agents as this router sees them.
     pub view: Arc<view::View>,
+    /// What is let in and where it goes.
+    pub admission: admission::Admission,
 }
 
 impl Router {
@@ -55,7 +58,7 @@
             "incarnation": self.node.incarnation,
             "version": self.node.settings.borrow().version,
             "state": state,
-            "busy": self.view.outstanding(),
+            "busy": self.admission.running(),
         })
     }
 }
@@ -63,8 +66,10 @@
 /// Runs a router until it is told to stop and its callers have their answers.
 pub async fn run(process: Process) -> Result<(), Error> {
     let node = node::start(process).await?;
-    let view = view::start(&node);
-    let router = Arc::new(Router { node: node.clone(), view });
+    let (admission, messages) = admission::Admission::new();
+    tokio::spawn(pool::run(node.clone(), admission.clone(), messages));
+    let view = view::start(&node, admission.clone());
+    let router = Arc::new(Router { node: node.clone(), view, admission });
 
     let handle = router.clone();
     tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use config::fleet::{self, Fleet, Service, Workspace};
+use policy::work::Cost;
 use salvo::http::{HeaderName, HeaderValue, StatusCode};
 use salvo::prelude::*;
 use tokio::time::{Instant, timeout};
-use wire::frame::{Ask, Call, Cause, Class, Outcome, Refusal, Reply, Tell};
+use wire::frame::{Ask, Call, Cause, Class, Outcome, Place, Refusal, Reply, Tell};
 
-use crate::view::Agent;
-use crate::{Router, caller, choose, problem};
+use crate::admission::{self, Target, Want};
+use crate::{Router, caller, problem};
 
 /// Header with the caller's key for a write.
 pub const KEY: &str = "idempotency-key";
@@ -18,12 +19,6 @@
 /// Longest key in bytes.
 const KEY_LENGTH: usize = 200;
 
-/// Pause before a second round over the agents of a service.
-const PAUSE: Duration = Duration::from_millis(50);
-
-/// Rounds over the agents of a service.
-const ROUNDS: u32 = 2;
-
 /// When a caller may come back when no agent could take the call.
 const BUSY_RETRY: Duration = Duration::from_millis(500);
 
@@ -54,7 +49,7 @@
         match call(router, &fleet, workspace, req, body) {
             Ok((call, until)) => {
                 let request = call.request.clone();
-                match run(router, call, until).await {
+                match run(router, call, workspace.priority, until).await {
                     Ok(reply) => render(res, reply, &request),
                     Err(refusal) => problem::render(res, &refusal, &request),
                 }
@@ -138,45 +133,75 @@
         .collect()
 }
 
-/// Asks the service's agents, best first, until one gives an answer that counts.
-async fn run(router: &Arc<Router>, call: Call, until: Instant) -> Result<Reply, Refusal> {
-    let vm = &router.node.process.vm;
-    let why = format!("no backend server of service '{}' is known", call.service);
-    let mut last = Refusal::not_run(Cause::Unavailable, "choose", vm, why).after(BUSY_RETRY);
+/// Asks agents of the service, one after the other, until one gives an answer that
+/// counts, the retry budget is used up or no time is left.
+async fn run(
+    router: &Arc<Router>,
+    call: Call,
+    priority: u8,
+    until: Instant,
+) -> Result<Reply, Refusal> {
     // Once an agent may have started the call, a later "not run" of another
     // agent says nothing about the first.
     let mut maybe_run: Option<Refusal> = None;
-    for round in 0..ROUNDS {
-        let agents = router.view.usable();
-        for agent in choose::service(&agents, &call.service, call.key.as_deref()) {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
+    let mut turn = router.admission.ask(want(&call, priority, until)).await;
+    loop {
+        let grant = match turn {
+            Ok(grant) => grant,
+            Err(refusal) => return Err(in_doubt(maybe_run, refusal)),
+        };
+        let vm = grant.chain().first().and_then(|list| list.first()).cloned().unwrap_or_default();
+        let left = until.saturating_duration_since(Instant::now());
+        let asked = match router.view.find(&vm) {
+            Some(agent) => ask(router, &agent.place, &call, left).await,
+            None => {
+                let why = "the agent is no longer listed";
+                Err(Refusal::not_run(Cause::Unavailable, "choose", &vm, why))
             }
-            let refusal = match ask(router, &agent, &call, left).await {
-                Ok(reply) => return Ok(reply),
-                Err(refusal) => refusal,
-            };
-            router.node.trace.add(&call.request, "call", refusal.to_string());
-            match refusal.outcome {
-                Outcome::Refused => return Err(refusal),
-                Outcome::NotRun => last = refusal,
-                // The link was lost: the log decides whether the write may run.
-                Outcome::Unknown if refusal.step == LINK => maybe_run = Some(refusal),
-                Outcome::Unknown if call.class == Class::NonIdempotent => return Err(refusal),
-                Outcome::Unknown => maybe_run = Some(refusal),
+        };
+        let refusal = match asked {
+            Ok(reply) => {
+                grant.succeeded();
+                return Ok(reply);
             }
-            router.node.metrics.retries.add(1, &[]);
-        }
-        if round + 1 < ROUNDS {
-            tokio::time::sleep(PAUSE.min(until.saturating_duration_since(Instant::now()))).await;
+            Err(refusal) => refusal,
+        };
+        router.node.trace.add(&call.request, "call", refusal.to_string());
+        match refusal.outcome {
+            Outcome::Refused => return Err(refusal),
+            Outcome::NotRun => {}
+            // The link was lost: the log decides whether the write may run.
+            Outcome::Unknown if refusal.step == LINK => maybe_run = Some(refusal.clone()),
+            Outcome::Unknown if call.class == Class::NonIdempotent => return Err(refusal),
+            Outcome::Unknown => maybe_run = Some(refusal.clone()),
         }
+        router.node.metrics.retries.add(1, &[]);
+        let outcome = admission::certain(&refusal);
+        turn = grant.again(refusal, outcome).await;
+    }
+}
+
+fn want(call: &Call, priority: u8, until: Instant) -> Want {
+    let key = call.key.as_deref();
+    Want {
+        target: Target::Service(call.service.clone()),
+        workspace: call.workspace.clone(),
+        priority,
+        cost: Cost { prompt: 1, output: 1 },
+        until,
+        prefix: key.map(|key| policy::affinity::prefix(key, key.len())),
+        keyed: key.is_some(),
     }
+}
+
+/// The refusal that the caller gets: of an earlier try that may have run, if there is one.
+fn in_doubt(maybe_run: Option<Refusal>, last: Refusal) -> Refusal {
     let refusal = maybe_run.unwrap_or(last);
-    Err(match refusal.retry_after {
-        None => refusal.after(BUSY_RETRY),
-        Some(_) => refusal,
-    })
+    match refusal.retry_after {
+        // The queue alone knows a request that will never fit, and says so by silence.
+        None if refusal.step != admission::STEP => refusal.after(BUSY_RETRY),
+        _ => refusal,
+    }
 }
 
 /// Step name of refusals that this router makes when the link to an agent is lost.
@@ -184,12 +209,11 @@
 
 async fn ask(
     router: &Arc<Router>,
-    agent: &Agent,
+    place: &Place,
     call: &Call,
     left: Duration,
 ) -> Result<Reply, Refusal> {
-    let (vm, address) = (agent.place.vm.as_str(), agent.place.address.as_str());
-    let _sent = router.view.sent(vm);
+    let (vm, address) = (place.vm.as_str(), place.address.as_str());
     let peers = &router.node.peers;
     let connection = peers
         .connection(vm, address)
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,5 +1,6 @@
-//! The agents as this router sees them: what each last reported, and what this
-//! router has sent it since. A hint that makes refusals rare; the agents decide.
+//! The agents as this router sees them: what each last reported. A hint that makes
+//! refusals rare; the agents decide. What this router has sent them since is known to
+//! [`crate::pool`], which is told of each report.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -7,7 +8,9 @@
 use node::Node;
 use platform::vm::{self, Role};
 use tokio::time::timeout;
-use wire::frame::{Ask, Backend, Place, Report, Tell, Watch};
+use wire::frame::{Ask, Place, Report, Tell, Watch};
+
+use crate::admission::{Admission, Message};
 
 /// Pause before an agent is connected to again.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -28,8 +31,6 @@
     pub data_centre: String,
     /// Its last report; `None` while it can't be reached.
     pub report: Option<Report>,
-    /// Requests of this router in progress there.
-    pub own: u32,
     /// True when the VM list or the agent itself says that it is leaving.
     pub leaving: bool,
 }
@@ -39,13 +40,7 @@
 pub struct View {
     /// Sorted by VM.
     agents: Mutex<Vec<Agent>>,
-}
-
-/// Counts a request at an agent until it is dropped.
-#[derive(Debug)]
-pub struct Sent {
-    view: Arc<View>,
-    vm: String,
+    admission: Admission,
 }
 
 impl View {
@@ -72,17 +67,6 @@
         self.find(vm).is_none_or(|a| a.report.is_none())
     }
 
-    /// Requests of this router in progress.
-    pub fn outstanding(&self) -> u32 {
-        self.agents.lock().expect("no panic while held").iter().map(|a| a.own).sum()
-    }
-
-    /// Counts a request at an agent.
-    pub fn sent(self: &Arc<View>, vm: &str) -> Sent {
-        self.change(vm, |a| a.own += 1);
-        Sent { view: self.clone(), vm: vm.to_string() }
-    }
-
     fn change(&self, vm: &str, change: impl FnOnce(&mut Agent)) {
         let mut agents = self.agents.lock().expect("no panic while held");
         if let Ok(i) = agents.binary_search_by(|a| a.place.vm.as_str().cmp(vm)) {
@@ -94,7 +78,14 @@
     fn listed(&self, list: &[vm::Entry]) -> Vec<Place> {
         let mut agents = self.agents.lock().expect("no panic while held");
         let mut new = Vec::new();
-        agents.retain(|a| list.iter().any(|e| e.vm == a.place.vm && e.address == a.place.address));
+        let same = |a: &Agent, e: &vm::Entry| e.vm == a.place.vm && e.address == a.place.address;
+        agents.retain(|a| {
+            let listed = list.iter().any(|e| same(a, e));
+            if !listed {
+                self.admission.tell(Message::Unlisted(a.place.vm.clone()));
+            }
+            listed
+        });
         for entry in list.iter().filter(|e| e.role == Role::Agent) {
             let leaving = entry.state == vm::State::Leaving;
             match agents.binary_search_by(|a| a.place.vm.cmp(&entry.vm)) {
@@ -106,31 +97,29 @@
                     let place = Place { vm: entry.vm.clone(), address: entry.address.clone() };
                     new.push(place.clone());
                     let data_centre = entry.data_centre.clone();
-                    agents.insert(i, Agent { place, data_centre, report: None, own: 0, leaving });
+                    agents.insert(i, Agent { place, data_centre, report: None, leaving });
                 }
             }
         }
         new
     }
 
-    fn reported(&self, report: Report, listed_leaving: bool) {
+    fn reported(&self, mut report: Report, listed_leaving: bool) {
         let vm = report.vm.clone();
+        report.leaving |= listed_leaving;
+        let mut data_centre = String::new();
         self.change(&vm, |a| {
-            a.leaving = report.leaving || listed_leaving;
-            a.report = Some(report);
+            a.leaving = report.leaving;
+            a.report = Some(report.clone());
+            data_centre = a.data_centre.clone();
         });
-    }
-}
-
-impl Drop for Sent {
-    fn drop(&mut self) {
-        self.view.change(&self.vm, |a| a.own = a.own.saturating_sub(1));
+        self.admission.tell(Message::Report { data_centre, report: Box::new(report) });
     }
 }
 
 /// Starts following the VM list and the agents on it.
-pub fn start(node: &Arc<Node>) -> Arc<View> {
-    let view = Arc::new(View { agents: Mutex::default() });
+pub fn start(node: &Arc<Node>, admission: Admission) -> Arc<View> {
+    let view = Arc::new(View { agents: Mutex::default(), admission });
     tokio::spawn(follow_list(node.clone(), view.clone()));
     view
 }
@@ -162,6 +151,7 @@
             Err(e) => log::debug!("view: {e}"),
         }
         view.change(&place.vm, |a| a.report = None);
+        view.admission.tell(Message::Down(place.vm.clone()));
         tokio::time::sleep(PAUSE).await;
     }
 }
@@ -185,17 +175,3 @@
         }
     }
 }
-
-/// The range of layers an agent holds, if it stands beside an engine.
-pub fn stage(agent: &Agent) -> Option<&wire::frame::Stage> {
-    match agent.report.as_ref().map(|r| &r.backend) {
-        Some(Backend::Stage(stage)) => Some(stage),
-        _ => None,
-    }
-}
-
-/// True when an agent stands beside the named plain service.
-pub fn serves(agent: &Agent, service: &str) -> bool {
-    let backend = agent.report.as_ref().map(|r| &r.backend);
-    matches!(backend, Some(Backend::Service(name)) if name == service)
-}
--- a/crates/scenario/src/draft.rs
+++ b/crates/scenario/src/draft.rs
@@ -72,6 +72,7 @@
     let (expected, positions) = model::straight(job.layers, &job.prompt, job.max_tokens);
     let mut out = Outcome::new(Kind::Draft, "");
     out.positions = positions;
+    out.workspace = job.workspace;
     Draft { caller, job, expected, out, resume_id: None }.play().await
 }
 
--- a/crates/scenario/src/outcome.rs
+++ b/crates/scenario/src/outcome.rs
@@ -35,6 +35,8 @@
 pub struct Outcome {
     /// Kind of request.
     pub kind: Kind,
+    /// Workspace, from 1; 0 when it does not count.
+    pub workspace: usize,
     /// Request id of a draft's last sending, or key of an order.
     pub id: String,
     /// The end.
@@ -71,6 +73,7 @@
     pub fn new(kind: Kind, id: &str) -> Outcome {
         Outcome {
             kind,
+            workspace: 0,
             id: id.to_string(),
             verdict: Verdict::Lost("never answered".to_string()),
             judged: false,
--- a/crates/scenario/src/table.rs
+++ b/crates/scenario/src/table.rs
@@ -97,10 +97,15 @@
     }
     text.push_str(&drafting(figures));
     let resumes: u32 = outs.iter().map(|o| o.resumes).sum();
-    let comebacks: u32 = outs.iter().map(|o| o.comebacks).sum();
+    let comebacks =
+        |kind: Kind| -> u32 { outs.iter().filter(|o| o.kind == kind).map(|o| o.comebacks).sum() };
+    let (drafts, lookups, orders) =
+        (comebacks(Kind::Draft), comebacks(Kind::Lookup), comebacks(Kind::Order));
     let _ = writeln!(
         text,
-        "callers went on through another router {resumes} times, came back {comebacks} times"
+        "callers went on through another router {resumes} times, came back {} times: \
+         {drafts} for drafts, {lookups} for look-ups, {orders} for orders",
+        drafts + lookups + orders
     );
     for note in figures.notes {
         let _ = writeln!(text, "{note}");
@@ -127,6 +132,7 @@
         &figures.books.engines,
         crate::settings::layers(figures.plan),
     );
+    text.push_str(&shares(figures.outcomes));
     let _ = writeln!(text, "tokens a second {:.0}", tokens as f64 / secs);
     let _ = writeln!(text, "layer runs per token and layer {runs:.3}");
     let _ = writeln!(
@@ -137,6 +143,45 @@
     text
 }
 
+/// What each workspace got of its drafts, and how even that is.
+fn shares(outcomes: &[Outcome]) -> String {
+    let mut text = String::new();
+    let mut served = Vec::new();
+    let last = outcomes.iter().map(|o| o.workspace).max().unwrap_or(0);
+    for number in 1..=last {
+        let own = || outcomes.iter().filter(|o| o.kind == Kind::Draft && o.workspace == number);
+        let (sent, right) = (own().count(), own().filter(|o| o.is_right()).count());
+        if sent == 0 {
+            continue;
+        }
+        served.push(right as f64 / sent as f64);
+        let first = quantiles(own().filter_map(Outcome::first_token));
+        let came: u32 = own().map(|o| o.comebacks).sum();
+        let _ = writeln!(
+            text,
+            "workspace {number}: {right} of {sent} drafts right, came back {came} times, \
+             first token {first}"
+        );
+    }
+    let _ = writeln!(text, "Jain's index over the workspaces' part answered {:.4}", jain(&served));
+    text
+}
+
+/// Jain's index of fairness: 1 when all have the same, 1/n when one of n has all.
+///
+/// ```
+/// assert_eq!(scenario::table::jain(&[2.0, 2.0]), 1.0);
+/// assert_eq!(scenario::table::jain(&[1.0, 0.0]), 0.5);
+/// ```
+pub fn jain(values: &[f64]) -> f64 {
+    let sum: f64 = values.iter().sum();
+    let squares: f64 = values.iter().map(|v| v * v).sum();
+    match squares > 0.0 {
+        true => sum * sum / (values.len() as f64 * squares),
+        false => 1.0,
+    }
+}
+
 fn quantiles(times: impl Iterator<Item = Duration>) -> String {
     let Ok(mut histogram) = Histogram::<u64>::new_with_max(LONGEST_US, 3) else {
         return String::new();
--- a/crates/scenario/src/write.rs
+++ b/crates/scenario/src/write.rs
@@ -76,6 +76,7 @@
 /// Calls until there is a last word.
 pub async fn run(caller: &Caller, kind: Kind, job: &Job) -> Outcome {
     let mut out = Outcome::new(kind, &job.key);
+    out.workspace = job.workspace;
     let began = Instant::now();
     let mut why = String::new();
     for turn in 0..=job.tries {
