Reserve and objective of policy::limit at the agent; bound by steps; saturation scenarios

The player's old bound took a batch for 16 positions, but a whole prompt is one step of a batch: a saturated fleet reached 130% of it. The bound is now the shortest time for the steps and positions answered, and the table tells steps in a batch and busy engines. An agent reports at once when a slot frees that it last told as taken.

--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -62,7 +62,9 @@
 }
 
 /// Sends the agent's state at each report interval, and at once when a router
-/// that did not know would send work in vain: leaving, or another backend state.
+/// that did not know would send work in vain: leaving, or another backend state. Also
+/// when a slot frees that the last report told as taken: only the router whose draft
+/// ended would know of it, and drafts that wait at the others would wait on.
 async fn report(agent: Arc<Agent>, watch: Watch, mut stream: Stream) {
     log::debug!("report: {} watches", watch.vm);
     loop {
@@ -74,7 +76,8 @@
         let due = tokio::time::Instant::now() + interval;
         while tokio::time::Instant::now() < due {
             tokio::time::sleep(LOOK.min(interval)).await;
-            if agent.leaving() != sent.leaving || agent.backend() != sent.backend {
+            let freed = sent.busy >= sent.slots && agent.slots.busy() < agent.slots.open();
+            if freed || agent.leaving() != sent.leaving || agent.backend() != sent.backend {
                 break;
             }
         }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -62,7 +62,7 @@
             incarnation: self.node.incarnation,
             data_centre: self.node.process.data_centre.clone(),
             backend: self.backend(),
-            slots: self.slots.total(),
+            slots: self.slots.open(),
             busy: self.slots.busy(),
             step_us: self.slots.step_us(),
             leaving: self.leaving(),
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -1,22 +1,31 @@
 //! The agent's slots: a fixed number of requests it lets in at once.
 //!
 //! The agent alone knows what runs beside it, so it refuses at once when all
-//! slots are taken; the routers' view is only a hint.
+//! slots are taken; the routers' view is only a hint. How many are kept for sessions
+//! that replace a lost stage is decided by [`policy::limit`].
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use policy::limit::{self, Admit, Kind, Objective};
+
 /// Weight of a new reading in the smoothed step time, as one part in this many.
 const SMOOTHING: u64 = 8;
 
 #[derive(Debug)]
 struct Inner {
     total: u32,
-    busy: AtomicU32,
+    limit: Mutex<limit::Slots>,
     step_us: AtomicU64,
 }
 
+impl Inner {
+    fn limit(&self) -> MutexGuard<'_, limit::Slots> {
+        self.limit.lock().expect("no panic while held")
+    }
+}
+
 /// The slots of an agent.
 #[derive(Debug, Clone)]
 pub struct Slots {
@@ -40,16 +49,35 @@
     /// assert!(slots.take().is_some());
     /// ```
     pub fn new(total: u32) -> Slots {
-        let (busy, step_us) = (AtomicU32::new(0), AtomicU64::new(0));
-        Slots { inner: Arc::new(Inner { total, busy, step_us }) }
+        let limit = Mutex::new(limit::Slots::new(total, Objective::Throughput));
+        Slots { inner: Arc::new(Inner { total, limit, step_us: AtomicU64::new(0) }) }
     }
 
-    /// Takes a slot; `None` when all are taken.
+    /// Takes a slot for new work; `None` when all that new work may have are taken.
     pub fn take(&self) -> Option<Slot> {
-        let total = self.inner.total;
-        let up = |busy: u32| (busy < total).then_some(busy + 1);
-        self.inner.busy.fetch_update(Ordering::AcqRel, Ordering::Acquire, up).ok()?;
-        Some(Slot { inner: self.inner.clone() })
+        self.take_for(Kind::New)
+    }
+
+    /// Takes a slot; a session that replaces a lost stage may also have the reserve.
+    ///
+    /// ```
+    /// use policy::limit::{Kind, Objective};
+    /// let slots = agent::slot::Slots::new(8);
+    /// slots.favour(Objective::Recovery);
+    /// let taken: Vec<_> = std::iter::from_fn(|| slots.take()).collect();
+    /// assert_eq!(taken.len(), 7);
+    /// assert!(slots.take_for(Kind::Recovery).is_some());
+    /// ```
+    pub fn take_for(&self, kind: Kind) -> Option<Slot> {
+        match self.inner.limit().admit(kind) {
+            Admit::Granted => Some(Slot { inner: self.inner.clone() }),
+            Admit::Full { .. } => None,
+        }
+    }
+
+    /// Takes over what the fleet favours; what runs goes on.
+    pub fn favour(&self, objective: Objective) {
+        self.inner.limit().set(self.inner.total, objective);
     }
 
     /// How many there are.
@@ -57,9 +85,14 @@
         self.inner.total
     }
 
+    /// How many new work may take at once: what routers may count on.
+    pub fn open(&self) -> u32 {
+        self.inner.limit().open()
+    }
+
     /// How many are taken.
     pub fn busy(&self) -> u32 {
-        self.inner.busy.load(Ordering::Acquire)
+        self.inner.limit().busy()
     }
 
     /// Smoothed time of a step or call in microseconds; 0 before the first.
@@ -80,6 +113,6 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.inner.busy.fetch_sub(1, Ordering::AcqRel);
+        self.inner.limit().release();
     }
 }
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -5,7 +5,8 @@
 
 use engine::Client;
 use node::Node;
-use wire::frame::{Cause, Open, Output, Refusal, Stage, Step, Word};
+use policy::limit::{Kind, Objective};
+use wire::frame::{Cause, HEAD_STRIDE, Open, Output, Refusal, Stage, Step, Word};
 use wire::id;
 
 use crate::slot::{Slot, Slots};
@@ -70,11 +71,27 @@
     if let Err(e) = table.engine.cancel_all().await {
         log::warn!("stage: what was left at the engine can't be cancelled: {e}");
     }
+    tokio::spawn(follow_objective(node.clone(), table.slots.clone()));
     let watched = table.clone();
     tokio::spawn(async move { watched.watch().await });
     table
 }
 
+/// Keeps the reserve for replacements as the settings in force want it.
+async fn follow_objective(node: Arc<Node>, slots: Slots) {
+    let mut settings = node.settings.clone();
+    loop {
+        let objective = settings.borrow_and_update().fleet.defaults.objective;
+        slots.favour(match objective {
+            config::fleet::Objective::Throughput => Objective::Throughput,
+            config::fleet::Objective::Recovery => Objective::Recovery,
+        });
+        if settings.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 impl Table {
     /// The range of layers the engine holds, when it can be used.
     pub fn held(&self) -> Option<Stage> {
@@ -98,8 +115,12 @@
 
     /// Opens a session or refuses at once. Nothing has run after a refusal.
     pub async fn open(self: &Arc<Table>, open: &Open) -> Result<Session, Refusal> {
+        let kind = match open.attempt.is_multiple_of(HEAD_STRIDE) {
+            true => Kind::New,
+            false => Kind::Recovery,
+        };
         let slot = match self.held() {
-            Some(held) if held == open.stage => self.slots.take(),
+            Some(held) if held == open.stage => self.slots.take_for(kind),
             Some(held) => {
                 let why = format!("holds layers {}-{} of {}", held.first, held.last, held.model);
                 return Err(self.refuse(Cause::Unavailable, "open", why));
--- a/crates/scenario/src/books.rs
+++ b/crates/scenario/src/books.rs
@@ -29,6 +29,10 @@
     pub vm: String,
     /// All sessions since it started.
     pub sessions: Vec<Opened>,
+    /// Batches run.
+    pub batches: u64,
+    /// Microseconds that they took.
+    pub busy_us: u64,
 }
 
 /// Runs of each key at the plain services, sorted by key.
@@ -160,7 +164,8 @@
 /// Reads an engine's book.
 pub async fn engine(base: &str, vm: &str) -> Result<Engine, rest::Error> {
     let page: book::Books = rest::Client::new(base, READ).get("/~fake/books").await?;
-    Ok(Engine { vm: vm.to_string(), sessions: page.sessions })
+    let book::Books { sessions, batches, busy_us, .. } = page;
+    Ok(Engine { vm: vm.to_string(), sessions, batches, busy_us })
 }
 
 /// Reads how often each key ran at the services that share the book at `base`.
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -95,7 +95,7 @@
     let job = |n: usize| draft::Job {
         prompt: prompt(&mut rng, &format!("draft-{part}-{n}"), pick_words(line, n)),
         max_tokens: 0,
-        workspace: 1 + n % line.load.workspaces,
+        workspace: line.load.from_workspace + n % line.load.workspaces,
         router: n,
         tries: line.load.tries,
         layers,
@@ -118,7 +118,7 @@
     let job = |n: usize| write::Job {
         key: format!("{name}-{part}-{n}"),
         body: format!("{{\"bands\":{}}}", 100 + n),
-        workspace: 1 + n % load.workspaces,
+        workspace: load.from_workspace + n % load.workspaces,
         router: n,
         tries: load.tries,
     };
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -345,6 +345,9 @@
     /// Workspaces that send them in turn.
     #[arg(long, default_value_t = 3)]
     pub workspaces: usize,
+    /// The first of these workspaces.
+    #[arg(long, default_value_t = 1)]
+    pub from_workspace: usize,
     /// Goes on with the script at once; `join` waits.
     #[arg(long)]
     pub background: bool,
--- a/crates/scenario/src/table.rs
+++ b/crates/scenario/src/table.rs
@@ -45,15 +45,21 @@
     count
 }
 
-/// Positions a second that the slowest range can run at full batches.
+/// Shortest time in which the engines can run this work: `steps` steps of sessions with
+/// `positions` positions in all, at full batches.
 ///
-/// Each replica runs `batch` positions in `step_us + batch * token_us`.
-pub fn bound(plan: &script::Fleet) -> f64 {
-    let batch = f64::from(plan.batch);
-    let speeds = (0..plan.replicas).map(|k| plan.speeds[k % plan.speeds.len()] as f64);
-    let rate = |step_us: f64| batch / (step_us + batch * plan.token_us as f64) * 1e6;
+/// A batch takes `step_us` and `token_us` for each position in it. It holds `batch` steps,
+/// and the step of a whole prompt is one of them, so a bound that counts a full batch as
+/// `batch` positions is too low: a saturated fleet reached 130% of it.
+pub fn shortest(plan: &script::Fleet, steps: u64, positions: u64) -> Duration {
+    let cost = |step_us: u64| {
+        let own = steps as f64 * step_us as f64 / f64::from(plan.batch.max(1));
+        own + (positions * plan.token_us) as f64
+    };
+    let speeds = (0..plan.replicas).map(|k| plan.speeds[k % plan.speeds.len()]);
     // Every range has the same replicas, so every range is the slowest.
-    speeds.map(rate).sum()
+    let rate: f64 = speeds.map(|step_us| 1.0 / cost(step_us).max(1.0)).sum();
+    Duration::from_secs_f64(1e-6 / rate.max(1e-12))
 }
 
 /// What the table is made from.
@@ -123,7 +129,9 @@
     let tokens: u64 = drafts().map(|o| o.times.len() as u64).sum();
     let positions: u64 = drafts().filter(|o| o.is_right()).map(|o| u64::from(o.positions)).sum();
     let rate = positions as f64 / secs;
-    let bound = bound(figures.plan);
+    let steps = drafts().filter(|o| o.is_right()).map(|o| o.times.len() as u64).sum();
+    let shortest = shortest(figures.plan, steps, positions).as_secs_f64().max(1e-9);
+    let (middle, most) = (middle(figures), tokens as f64 / shortest);
     let _ =
         writeln!(text, "first token    {}", quantiles(drafts().filter_map(Outcome::first_token)));
     let _ = writeln!(text, "between tokens {}", quantiles(drafts().flat_map(Outcome::gaps)));
@@ -133,16 +141,47 @@
         crate::settings::layers(figures.plan),
     );
     text.push_str(&shares(figures.outcomes));
-    let _ = writeln!(text, "tokens a second {:.0}", tokens as f64 / secs);
+    let _ = writeln!(
+        text,
+        "tokens a second {:.0} of {most:.0}, in the middle half of the time {middle:.0}: {:.1}%",
+        tokens as f64 / secs,
+        100.0 * middle / most
+    );
     let _ = writeln!(text, "layer runs per token and layer {runs:.3}");
     let _ = writeln!(
         text,
-        "positions a second {rate:.0} of {bound:.0}, the slowest range at full batches: {:.1}%",
-        100.0 * rate / bound
+        "positions a second {rate:.0} of {:.0} with the slowest range at full batches: {:.1}%",
+        positions as f64 / shortest,
+        100.0 * shortest / secs
     );
+    text.push_str(&engines(figures, steps, secs));
     text
 }
 
+/// How full the engines were: what is missing is idle time or batches that were not full.
+fn engines(figures: &Figures<'_>, steps: u64, secs: f64) -> String {
+    let engines = &figures.books.engines;
+    let busy = |e: &books::Engine| format!("{} {:.0}%", e.vm, e.busy_us as f64 / 1e4 / secs);
+    let lines: Vec<String> = engines.iter().map(busy).collect();
+    let batches: u64 = engines.iter().map(|e| e.batches).sum();
+    let each = (steps * figures.plan.ranges.len() as u64) as f64 / batches.max(1) as f64;
+    let most = figures.plan.batch;
+    format!("steps in a batch {each:.1} of {most}, engines busy: {}\n", lines.join(", "))
+}
+
+/// Tokens a second in the middle half of the drafting: without the filling of the fleet at
+/// the start and the last drafts, which run in small batches.
+fn middle(figures: &Figures<'_>) -> f64 {
+    let times = || figures.outcomes.iter().flat_map(|o| &o.times);
+    let Some(last) = times().max() else { return 0.0 };
+    let quarter = figures.drafting / 4;
+    let (Some(from), Some(to)) = (last.checked_sub(quarter * 3), last.checked_sub(quarter)) else {
+        return 0.0;
+    };
+    let count = times().filter(|t| (from..to).contains(t)).count();
+    count as f64 / (quarter * 2).as_secs_f64().max(0.001)
+}
+
 /// What each workspace got of its drafts, and how even that is.
 fn shares(outcomes: &[Outcome]) -> String {
     let mut text = String::new();
--- a/crates/scenario/tests/invariants.rs
+++ b/crates/scenario/tests/invariants.rs
@@ -24,7 +24,7 @@
 }
 
 fn engine(sessions: Vec<Opened>) -> Engine {
-    Engine { vm: "gpu-0-1".to_string(), sessions }
+    Engine { vm: "gpu-0-1".to_string(), sessions, ..Engine::default() }
 }
 
 fn outcome(kind: Kind, id: &str, verdict: Verdict) -> Outcome {
