--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -17,14 +17,12 @@
 
 use std::time::Duration;
 
+pub use crate::entry::{Admit, Ask, Entry, Ticket, WAITING_BYTES};
 use crate::refusal::{OUTAGE, Reason, Refusal, SOON};
 use crate::room::Room;
-use crate::share::{Clock, Head, Share, Workspace};
+use crate::share::{Clock, Share, Workspace};
 use crate::tuning::Tuning;
 
-/// Bytes of a waiting request beside its item and the text of its workspace's name.
-pub const WAITING_BYTES: usize = size_of::<Entry<()>>();
-
 /// How many times its own run a request is put behind its arrival.
 ///
 /// At 0 the order is first come first served and short requests wait behind long ones. Large
@@ -38,61 +36,41 @@
 /// Weight of one finished request in the smoothed ratio of used to asked run time.
 const SMOOTH: f64 = 0.02;
 
-/// Names a waiting request.
-pub type Ticket = u64;
-
-/// A request as the decision sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ask {
-    /// Whose it is.
-    pub workspace: String,
-    /// Higher goes first among workspaces inside their share.
-    pub priority: u8,
-    /// Time it will hold its slots, see [`crate::work::Cost::run`].
-    pub run: Duration,
-    /// Its deadline, since the router's start.
-    pub deadline: Duration,
-}
-
-/// A request with what belongs to it.
-#[derive(Debug, Clone)]
-pub struct Entry<T> {
-    /// The request.
-    pub ask: Ask,
-    /// When it arrived.
-    pub arrival: Duration,
-    /// Its name while it waits.
-    pub ticket: Ticket,
-    /// The router's own handle.
-    pub item: T,
-    key: Duration,
-}
-
-/// Decision on an arrival.
-#[derive(Debug, Clone)]
-pub enum Admit<T> {
-    /// Start it now.
-    Start(Entry<T>),
-    /// It waits under this name; [`Queue::next`] or [`Queue::expired`] returns it.
-    Wait(Ticket),
-    /// Refuse it at once.
-    Refuse(T, Refusal),
-}
-
 /// Requests of one model or plain service that wait at one router.
+///
+/// ```
+/// use std::time::Duration;
+/// use policy::queue::{Admit, Ask, Queue};
+/// use policy::{room::Room, share::Share};
+/// let secs = Duration::from_secs;
+/// let share = Share { workspace: "north".into(), weight: 1, limit: 100 };
+/// let mut queue = Queue::new(vec![share]);
+/// let ask = Ask { workspace: "north".into(), priority: 5, run: secs(2), deadline: secs(30) };
+/// let full = Room { free: 0, slots: 8, routers: 1 };
+/// let Admit::Wait(_) = queue.admit(ask, "a draft", full, secs(0)) else { panic!() };
+/// // A reply came in, so a slot is free.
+/// let entry = queue.next(Room { free: 1, ..full }, secs(1)).unwrap();
+/// assert_eq!(entry.item, "a draft");
+/// // The agent refused it for want of slots: it keeps its place, and nothing is lost.
+/// queue.back(entry);
+/// assert_eq!((queue.waiting(), queue.running()), (1, 0));
+/// // It can't end before its deadline any more.
+/// let refused = queue.expired(full, secs(29));
+/// assert_eq!(refused.len(), 1);
+/// ```
 #[derive(Debug, Clone)]
 pub struct Queue<T> {
-    workspaces: Vec<Workspace>,
+    pub(crate) workspaces: Vec<Workspace>,
     /// Waiting requests of each workspace, the next one last.
-    waiting: Vec<Vec<Entry<T>>>,
-    late: Vec<Entry<T>>,
-    clock: Clock,
-    weights: f64,
-    backlog: f64,
-    running: u32,
-    used: f64,
-    tickets: Ticket,
-    tuning: Tuning,
+    pub(crate) waiting: Vec<Vec<Entry<T>>>,
+    pub(crate) late: Vec<Entry<T>>,
+    pub(crate) clock: Clock,
+    pub(crate) weights: f64,
+    pub(crate) backlog: f64,
+    pub(crate) running: u32,
+    pub(crate) used: f64,
+    pub(crate) tickets: Ticket,
+    pub(crate) tuning: Tuning,
 }
 
 impl<T> Queue<T> {
@@ -134,10 +112,12 @@
     /// let mut queue: Queue<u64> = Queue::new(Vec::new());
     /// queue.set(vec![Share { workspace: "north".into(), weight: 3, limit: 100 }]);
     /// ```
-    pub fn set(&mut self, shares: Vec<Share>) {
+    pub fn set(&mut self, mut shares: Vec<Share>) {
+        shares.sort_by(|a, b| a.workspace.cmp(&b.workspace));
         for i in (0..self.workspaces.len()).rev() {
             let idle = self.waiting[i].is_empty() && self.workspaces[i].running == 0;
-            let gone = !shares.iter().any(|s| s.workspace == self.workspaces[i].share.workspace);
+            let name = &self.workspaces[i].share.workspace;
+            let gone = shares.binary_search_by(|s| s.workspace.cmp(name)).is_err();
             match (gone, idle) {
                 (true, true) => {
                     self.workspaces.remove(i);
@@ -159,6 +139,7 @@
                 }
             }
         }
+        (0..self.waiting.len()).for_each(|i| self.note_next(i));
         let active = self.workspaces.iter().zip(&self.waiting).filter(|(_, q)| !q.is_empty());
         self.weights = active.map(|(w, _)| w.weight()).sum();
     }
@@ -218,11 +199,10 @@
             return None;
         }
         loop {
-            let i = self.clock.pick(
-                heads(&self.workspaces, &self.waiting),
-                self.tuning.quantum,
-                |i| self.waiting[i].last().map_or(0, |e| likes(&e.item)),
-            )?;
+            let heads = self.workspaces.iter().enumerate().filter_map(|(i, w)| w.head(i));
+            let i = self.clock.pick(heads, self.tuning.quantum, |i| {
+                self.waiting[i].last().map_or(0, |e| likes(&e.item))
+            })?;
             let entry = self.take(i, self.waiting[i].len() - 1);
             match self.hopeless(&entry.ask, now) {
                 true => self.late.push(entry),
@@ -261,9 +241,8 @@
         let late = std::mem::take(&mut self.late);
         late.into_iter()
             .map(|entry| {
-                let i = self.find(&entry.ask.workspace).unwrap_or(0);
-                let ahead = self.workspaces.get(i).map_or(0.0, |w| w.backlog);
-                let wait = self.wait(i, ahead, 0.0, room);
+                let place = self.find(&entry.ask.workspace).ok();
+                let wait = place.and_then(|i| self.wait(i, self.workspaces[i].backlog, 0.0, room));
                 let retry_after = wait.map_or(OUTAGE, |s| Duration::from_secs_f64(s).max(SOON));
                 (entry, Refusal { reason, retry_after: Some(retry_after) })
             })
@@ -296,6 +275,12 @@
         }
     }
 
+    /// Puts a started request back that lost its backend server, before all others of its workspace: its
+    /// caller was told that it runs and may have part of the answer.
+    pub fn lost(&mut self, entry: Entry<T>) {
+        self.back(Entry { key: Duration::ZERO, ..entry });
+    }
+
     /// Takes a waiting request out, when its caller has gone.
     pub fn cancel(&mut self, workspace: &str, ticket: Ticket) -> Option<Entry<T>> {
         let i = self.find(workspace).ok()?;
@@ -326,64 +311,10 @@
         self.workspaces.binary_search_by(|w| w.share.workspace.as_str().cmp(workspace))
     }
 
-    fn backlogged(&self) -> bool {
+    pub(crate) fn backlogged(&self) -> bool {
         self.backlog > 0.0
     }
 
-    /// Seconds until a request of workspace `i` starts that has `ahead` seconds of its own
-    /// workspace's slot time before it; `extra` is the weight that it adds. `None` without capacity.
-    fn wait(&self, i: usize, ahead: f64, extra: f64, room: Room) -> Option<f64> {
-        let width = room.width(self.running);
-        if width <= 0.0 {
-            return None;
-        }
-        let weight = self.workspaces[i].weight();
-        let fair = ahead * (self.weights + extra).max(weight) / weight;
-        Some(self.expected(fair.min(self.backlog)) / width)
-    }
-
-    fn expected(&self, run: f64) -> f64 {
-        run * self.used.min(1.0)
-    }
-
-    /// True when it would miss its deadline even if it started now. Midway between the run
-    /// asked for and the usual one: some answers are short, but the caller may get all it asked for.
-    fn hopeless(&self, ask: &Ask, now: Duration) -> bool {
-        now + ask.run > ask.deadline
-    }
-
-    fn refusal(&self, i: usize, ask: &Ask, room: Room, now: Duration) -> Option<Refusal> {
-        let refuse = |reason, seconds: Option<f64>| {
-            let retry_after = seconds.map(|s| Duration::from_secs_f64(s).max(SOON));
-            Some(Refusal { reason, retry_after })
-        };
-        let workspace = &self.workspaces[i];
-        let key = now + ask.run.mul_f64(self.tuning.stretch);
-        let own = &self.waiting[i];
-        let ahead: f64 =
-            own.iter().rev().take_while(|e| e.key <= key).map(|e| e.ask.run.as_secs_f64()).sum();
-        let extra = if own.is_empty() { workspace.weight() } else { 0.0 };
-        let Some(wait) = self.wait(i, ahead, extra, room) else {
-            return refuse(Reason::Outage, Some(OUTAGE.as_secs_f64()));
-        };
-        let run = ask.run.as_secs_f64();
-        let passed = workspace.lag.map_or(0.0, |lag| lag + run * self.tuning.stretch);
-        let wait = wait.max(passed);
-        let left = ask.deadline.saturating_sub(now).as_secs_f64();
-        match own.len() >= workspace.share.limit as usize && self.backlogged() {
-            _ if self.hopeless(ask, now) => refuse(Reason::Long, None),
-            _ if wait + self.expected(run) > left => {
-                refuse(Reason::Deadline, Some(wait + self.expected(run) - left))
-            }
-            true if workspace.share.limit == 0 => refuse(Reason::Limit, None),
-            true => {
-                let first = own.last().map_or(0.0, |e| e.ask.run.as_secs_f64());
-                refuse(Reason::Limit, self.wait(i, first, 0.0, room))
-            }
-            false => None,
-        }
-    }
-
     fn insert(&mut self, i: usize, entry: Entry<T>) -> Ticket {
         let (ticket, run) = (entry.ticket, entry.ask.run.as_secs_f64());
         let workspace = &mut self.workspaces[i];
@@ -395,6 +326,7 @@
         self.backlog += run;
         let at = self.waiting[i].partition_point(|e| (e.key, e.ticket) > (entry.key, ticket));
         self.waiting[i].insert(at, entry);
+        self.note_next(i);
         ticket
     }
 
@@ -408,6 +340,7 @@
             self.workspaces[i].lag = None;
             self.weights -= self.workspaces[i].weight();
         }
+        self.note_next(i);
         // Sums of floats keep a rest; an empty queue must not look backlogged for ever.
         if self.weights < 0.5 {
             (self.weights, self.backlog) = (0.0, 0.0);
@@ -415,6 +348,13 @@
         entry
     }
 
+    fn note_next(&mut self, i: usize) {
+        let weight = self.workspaces[i].weight();
+        let next =
+            self.waiting[i].last().map(|e| (e.ask.run.as_secs_f64() / weight, e.ask.priority));
+        self.workspaces[i].next = next;
+    }
+
     fn start(&mut self, i: usize, entry: &Entry<T>) {
         let workspace = &mut self.workspaces[i];
         self.clock.charge(workspace, entry.ask.run.as_secs_f64());
@@ -422,14 +362,3 @@
         self.running += 1;
     }
 }
-
-fn heads<'a, T>(
-    workspaces: &'a [Workspace],
-    waiting: &'a [Vec<Entry<T>>],
-) -> impl Iterator<Item = Head> + Clone + 'a {
-    workspaces.iter().zip(waiting).enumerate().filter_map(|(index, (workspace, waiting))| {
-        let ask = &waiting.last()?.ask;
-        let finish = workspace.start + ask.run.as_secs_f64() / workspace.weight();
-        Some(Head { index, start: workspace.start, finish, priority: ask.priority })
-    })
-}
