--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -42,7 +42,7 @@
             reply(&mut stream, Tell::Text(text)).await;
         }
         // Answered by the node crate before this one is asked.
-        Ask::Settings | Ask::Explain(_) => {}
+        Ask::Settings | Ask::Explain(_) | Ask::Replicas(_) => {}
     }
 }
 
@@ -77,7 +77,9 @@
         while tokio::time::Instant::now() < due {
             tokio::time::sleep(LOOK.min(interval)).await;
             let freed = sent.busy >= sent.slots && agent.slots.busy() < agent.slots.open();
-            if freed || agent.leaving() != sent.leaving || agent.backend() != sent.backend {
+            let refused = agent.node.quarantine.lists().1;
+            let news = agent.leaving() != sent.leaving || refused != sent.quarantined;
+            if freed || news || agent.backend() != sent.backend {
                 break;
             }
         }
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -15,9 +15,9 @@
 use policy::retry;
 use policy::route::Chain;
 use policy::work::Cost;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use wire::frame::{Cause, Outcome, Refusal, Report};
+use wire::frame::{Cause, Outcome, Refusal, Report, Stage};
 use wire::id;
 
 /// Answers that may wait for one request: that it waits, and that it may start.
@@ -125,6 +125,8 @@
     End { slip: Slip, chain: Chain, held: Duration, ended: Ended },
     /// A try was not run, or may run again.
     Again { slip: Slip, chain: Chain, refusal: Refusal, outcome: retry::Outcome },
+    /// A head looks for replicas of a range.
+    Replicas(Stage, oneshot::Sender<Vec<Vm>>),
     /// An agent reports.
     Report { data_centre: String, report: Box<Report> },
     /// An agent can't be reached.
@@ -285,6 +287,13 @@
         Turn { target, workspace, ticket: None, tx, answers: Some(answers) }.wait().await
     }
 
+    /// Replicas of a range that a draft may go on with after a loss, best first.
+    pub async fn replicas(&self, stage: Stage) -> Vec<Vm> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.tx.send(Message::Replicas(stage, reply));
+        answer.await.unwrap_or_default()
+    }
+
     /// Requests of this router in progress.
     pub fn running(&self) -> u32 {
         self.running.load(Ordering::Relaxed)
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::quarantine::Verdict;
 use policy::work::Cost;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -23,6 +24,13 @@
 /// How often a silent head is compared with the view of the agents.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// How long a lost head is told that its draft goes on elsewhere: as long as a
+/// head runs a draft that nobody follows.
+const ABANDONED: Duration = Duration::from_secs(15);
+
+/// Pause between two such tries.
+const CANCEL_PAUSE: Duration = Duration::from_millis(500);
+
 /// What a caller wants.
 #[derive(Debug, Clone)]
 pub struct Wanted {
@@ -98,6 +106,10 @@
     /// Tokens the caller has.
     words: Vec<Word>,
     accepted: bool,
+    /// Hash of the content; unknown for a caller that came back.
+    fingerprint: Option<id::Fingerprint>,
+    /// Lost heads, each with the task that cancels the draft there.
+    given_up: Vec<(id::Vm, tokio::task::JoinHandle<()>)>,
 }
 
 /// Runs a draft until its caller has the whole answer or an honest refusal.
@@ -110,6 +122,8 @@
         head: Place { vm: String::new(), address: String::new() },
         words: Vec::new(),
         accepted: false,
+        fingerprint: Some(wanted.fingerprint),
+        given_up: Vec::new(),
     };
     let mut attempt = 0;
     loop {
@@ -126,6 +140,7 @@
                 follower.router.node.trace.add(&follower.request, "head", text);
                 follower.router.node.metrics.retries.add(1, &[]);
                 grant.failed(&follower.head.vm);
+                follower.give_up();
             }
         }
         attempt += HEAD_STRIDE;
@@ -142,6 +157,8 @@
         head,
         words: Vec::new(),
         accepted: false,
+        fingerprint: None,
+        given_up: Vec::new(),
     };
     let ask = Ask::Attach(attach);
     let opened = follower.ask(&ask).await;
@@ -162,6 +179,7 @@
         wanted: &Wanted,
         attempt: id::Attempt,
     ) -> Result<(Stream, Grant), Refusal> {
+        self.not_quarantined(wanted)?;
         let admission = self.router.admission.clone();
         let mut grant = match attempt {
             0 => self.unless_gone(admission.ask(wanted.want())).await?,
@@ -185,6 +203,14 @@
         }
     }
 
+    fn not_quarantined(&self, wanted: &Wanted) -> Result<(), Refusal> {
+        let node = &self.router.node;
+        match node.quarantine.verdict(wanted.fingerprint) {
+            Verdict::Refused { left } => Err(quarantined(&node.process.vm, left)),
+            _ => Ok(()),
+        }
+    }
+
     /// Waits for a turn as long as the caller does.
     async fn unless_gone(
         &self,
@@ -206,6 +232,8 @@
         attempt: id::Attempt,
         grant: &Grant,
     ) -> Result<Stream, Refusal> {
+        // It may have been put there while the draft waited.
+        self.not_quarantined(wanted)?;
         let chain = hops(&self.router.view, &wanted.model, grant.chain());
         let Some(head) = chain.first().and_then(|hop| hop.replicas.first()) else {
             let why = "the head is no longer listed";
@@ -215,6 +243,11 @@
         };
         self.head = head.clone();
         self.request = self.request_id(&wanted.unique);
+        // The same process again gets the same request id: the late cancelling
+        // of its first run would end the new one.
+        for (_, task) in self.given_up.iter().filter(|(vm, _)| *vm == self.head.vm) {
+            task.abort();
+        }
         let ask = Ask::Draft(self.draft(wanted, attempt, chain));
         self.ask(&ask).await
     }
@@ -237,6 +270,7 @@
             priority: wanted.priority,
             deadline: wanted.until.saturating_duration_since(Instant::now()),
             fingerprint: wanted.fingerprint,
+            suspect: self.router.node.quarantine.verdict(wanted.fingerprint) == Verdict::Alone,
             chain,
         }
     }
@@ -245,6 +279,7 @@
     async fn ask(&mut self, ask: &Ask) -> Result<Stream, Refusal> {
         let (vm, address) = (self.head.vm.clone(), self.head.address.clone());
         let down = |why: String| Refusal::not_run(Cause::Unavailable, "offer", &vm, why);
+        let _wait = self.router.node.peers.wait(&vm, &address);
         let asked = async {
             let mut stream = self
                 .router
@@ -274,6 +309,7 @@
 
     /// Passes tokens on until the draft ends, the caller goes or the head is lost.
     async fn follow(&mut self, mut stream: Stream) -> End {
+        let _wait = self.router.node.peers.wait(&self.head.vm, &self.head.address);
         loop {
             let tell = tokio::select! {
                 tell = stream.expect::<Tell>() => tell,
@@ -308,6 +344,26 @@
         }
     }
 
+    /// Tells a lost head that its draft goes on elsewhere, as soon as it can be
+    /// reached. A head that was only frozen would otherwise go on for [`ABANDONED`]
+    /// and take up slots for an answer that nobody reads.
+    fn give_up(&mut self) {
+        let (request, workspace) = (self.request.clone(), self.workspace.clone());
+        let (head, router) = (self.head.clone(), self.router.clone());
+        let ask = Ask::Cancel(Cancel { request, workspace });
+        let task = tokio::spawn(async move {
+            let until = Instant::now() + ABANDONED;
+            while Instant::now() < until {
+                tokio::time::sleep(CANCEL_PAUSE).await;
+                let asked = router.node.peers.ask::<_, Tell>(&head.vm, &head.address, &ask);
+                if tokio::time::timeout(CANCEL_PAUSE, asked).await.is_ok_and(|r| r.is_ok()) {
+                    return;
+                }
+            }
+        });
+        self.given_up.push((self.head.vm.clone(), task));
+    }
+
     async fn cancel(&self) {
         let (request, workspace) = (self.request.clone(), self.workspace.clone());
         let ask = Ask::Cancel(Cancel { request, workspace });
@@ -319,6 +375,9 @@
 
     /// Tells the caller the end. What was accepted once may have run in part.
     async fn refuse(&self, mut refusal: Refusal) {
+        if refusal.cause == Cause::Quarantined {
+            self.fingerprint.iter().for_each(|f| self.router.node.quarantine.refused_elsewhere(*f));
+        }
         if self.accepted && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
@@ -327,6 +386,11 @@
     }
 }
 
+fn quarantined(vm: &str, left: Duration) -> Refusal {
+    let why = format!("it crashed engines and is in quarantine for {} s more", left.as_secs());
+    Refusal::refused(Cause::Quarantined, "choose", vm, why)
+}
+
 /// Resolves when an agent that is being followed can't be reached any more.
 async fn down(router: &Router, vm: &str) {
     while !router.view.down(vm) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,7 +18,7 @@
 use salvo::conn::TcpListener;
 use salvo::{Listener, Server};
 use serde_json::json;
-use wire::frame::{Ask, Tell};
+use wire::frame::{Ask, Backend, Place, Stage, Tell};
 use wire::link::Stream;
 
 /// A router and its parts.
@@ -124,6 +124,7 @@
 async fn answer(router: Arc<Router>, ask: Ask, mut stream: Stream) {
     let tell = match ask {
         Ask::Status => Tell::Text(router.status().to_string()),
+        Ask::Replicas(stage) => Tell::Places(replicas(&router, stage).await),
         _ => return,
     };
     if stream.send(&tell).await.is_ok() {
@@ -131,3 +132,18 @@
         stream.stopped().await;
     }
 }
+
+/// Replicas of a range as the policy orders them, then the others that can be used: a
+/// draft in progress tries them all before it is lost.
+async fn replicas(router: &Router, stage: Stage) -> Vec<Place> {
+    let best = router.admission.replicas(stage.clone()).await;
+    let mut places: Vec<Place> =
+        best.iter().filter_map(|vm| Some(router.view.find(vm)?.place)).collect();
+    for agent in router.view.usable() {
+        let holds = agent.report.is_some_and(|r| r.backend == Backend::Stage(stage.clone()));
+        if holds && !places.contains(&agent.place) {
+            places.push(agent.place);
+        }
+    }
+    places
+}
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -15,12 +15,13 @@
 use policy::retry::{self, Budget, Retry, Stop};
 use policy::route::{self, Chain, End, Load, Table};
 use policy::share::Share;
+use policy::work::Cost;
 use policy::{queue, refusal};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use wire::frame::{Backend, Cause, Refusal, Report};
+use wire::frame::{Backend, Cause, Refusal, Report, Stage};
 
 use crate::admission::{self, Admission, Answer, Ended, Message, Slip, Started, Target, Wait};
 
@@ -137,6 +138,9 @@
             Message::Again { slip, chain, refusal, outcome } => {
                 self.again(slip, &chain, refusal, outcome);
             }
+            Message::Replicas(stage, reply) => {
+                let _ = reply.send(self.replicas(&stage));
+            }
             Message::Report { data_centre, report } => self.report(data_centre, *report),
             Message::Down(vm) | Message::Unlisted(vm) => {
                 self.reports.retain(|r| r.1.vm != vm);
@@ -178,6 +182,7 @@
             left: wait.want.until.saturating_duration_since(Instant::now()),
             prefix: wait.want.prefix,
             keyed: wait.want.keyed,
+            recovery: matches!(slip, Slip::Recovery(_)),
             from,
             avoid: &wait.avoid,
         };
@@ -198,6 +203,26 @@
         None
     }
 
+    /// Replicas of a range for a draft that has lost its stage there, best first.
+    fn replicas(&mut self, stage: &Stage) -> Vec<Vm> {
+        let now = self.now();
+        let Some(i) = self.pool(&Target::Model(stage.model.clone())) else { return Vec::new() };
+        let pool = &mut self.pools[i];
+        let Some(range) = pool.range(&Backend::Stage(stage.clone())) else { return Vec::new() };
+        let from = pool.table.data_centre(&self.node.process.data_centre);
+        let ask = route::Ask {
+            cost: Cost { prompt: 1, output: 1 },
+            left: Duration::from_secs(1),
+            prefix: None,
+            keyed: false,
+            recovery: true,
+            from,
+            avoid: &[],
+        };
+        let chain = pool.table.chain(&ask, now, &mut self.rng).unwrap_or_default();
+        chain.into_iter().nth(range).unwrap_or_default()
+    }
+
     fn put_back(&mut self, i: usize, slip: Slip) {
         match slip {
             Slip::Queued(entry) => {
--- a/crates/scenario/src/outcome.rs
+++ b/crates/scenario/src/outcome.rs
@@ -30,6 +30,25 @@
     Lost(String),
 }
 
+impl Verdict {
+    /// One line for a list of failures.
+    ///
+    /// ```
+    /// use scenario::outcome::Verdict;
+    /// assert_eq!(Verdict::Unknown("502".into()).line(), "unknown, 502");
+    /// ```
+    pub fn line(&self) -> String {
+        match self {
+            Verdict::Right => "right".to_string(),
+            Verdict::Wrong(why) => format!("wrong, {why}"),
+            Verdict::NotRun(why) => format!("not run, {why}"),
+            Verdict::Refused(why) => format!("refused, {why}"),
+            Verdict::Unknown(why) => format!("unknown, {why}"),
+            Verdict::Lost(why) => format!("lost, {why}"),
+        }
+    }
+}
+
 /// A request from its first sending to its end.
 #[derive(Debug, Clone)]
 pub struct Outcome {
@@ -59,6 +78,8 @@
     pub resumes: u32,
     /// Times the caller sent it again.
     pub comebacks: u32,
+    /// How long the sending that was answered took.
+    pub took: Option<Duration>,
     /// The answer to an order, for comparing repeats.
     pub answer: Option<Vec<u8>>,
 }
@@ -85,6 +106,7 @@
             positions: 0,
             resumes: 0,
             comebacks: 0,
+            took: None,
             answer: None,
         }
     }
