--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -5,6 +5,7 @@
 
 use engine::Client;
 use node::Node;
+use policy::limit::{Kind, Objective};
 use policy::quarantine::Verdict;
 use tokio::time::timeout;
 use wire::frame::{Cause, Open, Output, Refusal, Stage, Step, Word};
@@ -94,11 +95,27 @@
     if let Err(e) = table.engine.cancel_all().await {
         log::warn!("stage: what was left at the engine can't be cancelled: {e}");
     }
+    tokio::spawn(follow_objective(node.clone(), table.slots.clone()));
     let watched = table.clone();
     tokio::spawn(async move { watched.watch().await });
     table
 }
 
+/// Keeps the reserve for replacements as the settings in force want it.
+async fn follow_objective(node: Arc<Node>, slots: Slots) {
+    let mut settings = node.settings.clone();
+    loop {
+        let objective = settings.borrow_and_update().fleet.defaults.objective;
+        slots.favour(match objective {
+            config::fleet::Objective::Throughput => Objective::Throughput,
+            config::fleet::Objective::Recovery => Objective::Recovery,
+        });
+        if settings.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 impl Table {
     /// The range of layers the engine holds, when it can be used.
     pub fn held(&self) -> Option<Stage> {
@@ -161,8 +178,10 @@
         if let Verdict::Refused { left } = self.node.quarantine.verdict(open.fingerprint) {
             return Err(crash::refusal(&self.vm, "open", left));
         }
+        // Any later attempt goes on with a draft that has lost a stage or its head.
+        let kind = if open.attempt == 0 { Kind::New } else { Kind::Recovery };
         let slot = match self.held() {
-            Some(held) if held == open.stage => self.slots.take(),
+            Some(held) if held == open.stage => self.slots.take_for(kind),
             Some(held) => {
                 let why = format!("holds layers {}-{} of {}", held.first, held.last, held.model);
                 return Err(self.refuse(Cause::Unavailable, "open", why));
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,10 +1,11 @@
 //! The entry daemon: takes callers' requests, chooses backend servers, keeps the
 //! caller's connection and deadline.
 
+pub mod admission;
 pub mod caller;
-pub mod choose;
 pub mod completion;
 pub mod head;
+mod pool;
 pub mod problem;
 pub mod service;
 pub mod view;
@@ -17,7 +18,7 @@
 use salvo::conn::TcpListener;
 use salvo::{Listener, Server};
 use serde_json::json;
-use wire::frame::{Ask, Tell};
+use wire::frame::{Ask, Backend, Place, Stage, Tell};
 use wire::link::Stream;
 
 /// A router and its parts.
@@ -27,6 +28,8 @@
     pub node: Arc<Node>,
     /// The agents as this router sees them.
     pub view: Arc<view::View>,
+    /// What is let in and where it goes.
+    pub admission: admission::Admission,
 }
 
 impl Router {
@@ -55,7 +58,7 @@
             "incarnation": self.node.incarnation,
             "version": self.node.settings.borrow().version,
             "state": state,
-            "busy": self.view.outstanding(),
+            "busy": self.admission.running(),
         })
     }
 }
@@ -63,8 +66,10 @@
 /// Runs a router until it is told to stop and its callers have their answers.
 pub async fn run(process: Process) -> Result<(), Error> {
     let node = node::start(process).await?;
-    let view = view::start(&node);
-    let router = Arc::new(Router { node: node.clone(), view });
+    let (admission, messages) = admission::Admission::new();
+    tokio::spawn(pool::run(node.clone(), admission.clone(), messages));
+    let view = view::start(&node, admission.clone());
+    let router = Arc::new(Router { node: node.clone(), view, admission });
 
     let handle = router.clone();
     tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
@@ -119,7 +124,7 @@
 async fn answer(router: Arc<Router>, ask: Ask, mut stream: Stream) {
     let tell = match ask {
         Ask::Status => Tell::Text(router.status().to_string()),
-        Ask::Replicas(stage) => Tell::Places(choose::replicas(&router.view.usable(), stage)),
+        Ask::Replicas(stage) => Tell::Places(replicas(&router, stage).await),
         _ => return,
     };
     if stream.send(&tell).await.is_ok() {
@@ -127,3 +132,18 @@
         stream.stopped().await;
     }
 }
+
+/// Replicas of a range as the policy orders them, then the others that can be used: a
+/// draft in progress tries them all before it is lost.
+async fn replicas(router: &Router, stage: Stage) -> Vec<Place> {
+    let best = router.admission.replicas(stage.clone()).await;
+    let mut places: Vec<Place> =
+        best.iter().filter_map(|vm| Some(router.view.find(vm)?.place)).collect();
+    for agent in router.view.usable() {
+        let holds = agent.report.is_some_and(|r| r.backend == Backend::Stage(stage.clone()));
+        if holds && !places.contains(&agent.place) {
+            places.push(agent.place);
+        }
+    }
+    places
+}
