Answer 503 without settings; give the balancer notice before the listener closes; drain down to the last answer

A restarted router answered 401 to a valid key, since it judged requests before it had read its settings. caller::identify now checks that they have been read; the test fails with 401 in place of 503 without that line. An agent's drain now waits for answers and receipts on their way, not only for slots. A draft whose head did not answer in time was told not run though the head may run it: it is unknown now.

--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -14,6 +14,10 @@
 
 /// Answers one stream.
 pub async fn answer(agent: Arc<Agent>, ask: Ask, mut stream: Stream) {
+    let _work = match ask {
+        Ask::Draft(_) | Ask::Attach(_) | Ask::Open(_) | Ask::Call(_) => Some(agent.work.begin()),
+        _ => None,
+    };
     match ask {
         Ask::Watch(watch) => report(agent, watch, stream).await,
         Ask::Draft(draft) => draft::run(agent, draft, stream).await,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use config::process::{Kind, Process};
+use node::stop::Work;
 use node::{Error, Node};
 use salvo::Listener;
 use salvo::conn::TcpListener;
@@ -35,6 +36,10 @@
     pub service: Option<Arc<call::Service>>,
     /// Drafts it drives as head.
     pub drafts: draft::Table,
+    /// Requests being answered, down to the last byte, and receipts on their way
+    /// to the log. A drain waits for them: slots alone are free again before the
+    /// answer has left, and an answer cut off there would be in doubt.
+    pub work: Work,
 }
 
 impl Agent {
@@ -100,6 +105,7 @@
         stage: None,
         service: None,
         drafts: draft::Table::default(),
+        work: Work::default(),
     };
     match backend.kind {
         Kind::Engine => {
@@ -120,7 +126,7 @@
 
     node.stop.wait().await;
     let limit = node.settings.borrow().fleet.defaults.drain;
-    let busy = || agent.slots.busy() as usize + agent.drafts.running();
+    let busy = || agent.slots.busy() as usize + agent.drafts.running() + agent.work.running();
     let left = node::stop::drain(limit, busy).await;
     if left > 0 {
         log::warn!("agent: stopping with {left} requests in progress after {limit:?}");
--- a/crates/agent/src/write.rs
+++ b/crates/agent/src/write.rs
@@ -95,6 +95,7 @@
 }
 
 async fn decide(agent: Arc<Agent>, service: Arc<Service>, call: Call) -> Result<Reply, Refusal> {
+    let _work = agent.work.begin();
     let writer = service.writer.clone();
     let vm = writer.vm.as_str();
     let Some(key) = &call.key else {
@@ -163,7 +164,12 @@
         Err(refusal) if refusal.outcome == wire::frame::Outcome::NotRun => Entry::Void(mark),
         Err(_) => Entry::Lost(mark),
     };
-    let _ = timeout(RECEIPT_WAIT, writer.append_surely(entry)).await;
+    let (writer, work) = (writer.clone(), agent.work.begin());
+    let entered = tokio::spawn(async move {
+        writer.append_surely(entry).await;
+        drop(work);
+    });
+    let _ = timeout(RECEIPT_WAIT, entered).await;
     sent
 }
 
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,5 +1,7 @@
 //! Telling the tasks of a daemon to stop, and waiting until the work is done.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
@@ -8,7 +10,7 @@
 /// A flag that is raised once: no new work from then on.
 #[derive(Debug, Clone)]
 pub struct Stop {
-    tx: std::sync::Arc<watch::Sender<bool>>,
+    tx: Arc<watch::Sender<bool>>,
     rx: watch::Receiver<bool>,
 }
 
@@ -23,7 +25,7 @@
     /// ```
     pub fn new() -> Stop {
         let (tx, rx) = watch::channel(false);
-        Stop { tx: std::sync::Arc::new(tx), rx }
+        Stop { tx: Arc::new(tx), rx }
     }
 
     /// A flag that SIGTERM and SIGINT raise.
@@ -69,6 +71,45 @@
     }
 }
 
+/// Counts work that a drain has to wait for.
+#[derive(Debug, Clone, Default)]
+pub struct Work {
+    count: Arc<AtomicUsize>,
+}
+
+/// A piece of work, in progress until this is dropped.
+#[derive(Debug)]
+pub struct Piece {
+    count: Arc<AtomicUsize>,
+}
+
+impl Work {
+    /// Counts a piece of work.
+    ///
+    /// ```
+    /// let work = node::stop::Work::default();
+    /// let piece = work.begin();
+    /// assert_eq!(work.running(), 1);
+    /// drop(piece);
+    /// assert_eq!(work.running(), 0);
+    /// ```
+    pub fn begin(&self) -> Piece {
+        self.count.fetch_add(1, Ordering::AcqRel);
+        Piece { count: self.count.clone() }
+    }
+
+    /// Pieces in progress.
+    pub fn running(&self) -> usize {
+        self.count.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Piece {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Waits until `busy` says 0 or `limit` has passed; returns what is left.
 pub async fn drain(limit: Duration, busy: impl Fn() -> usize) -> usize {
     const LOOK: Duration = Duration::from_millis(20);
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -1,16 +1,69 @@
-//! What is read from a caller's request before its body: who asks, until when.
+//! What is read from a caller's request before its content is judged: who asks,
+//! the body, and until when.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use config::fleet::{Fleet, Workspace};
 use salvo::Request;
 use wire::frame::{Cause, Refusal};
 
+use crate::Router;
+
 /// Header with the caller's deadline in milliseconds from now.
 pub const DEADLINE: &str = "x-deadline-ms";
 
-/// The workspace of a bearer key. `None` is answered with 401.
-pub fn workspace<'a>(fleet: &'a Fleet, req: &Request) -> Option<&'a Workspace> {
+/// When a caller may come back to a router that has not read its settings yet.
+const SETTINGS_RETRY: Duration = Duration::from_secs(1);
+
+/// A refusal with the HTTP status it is answered with.
+pub type Answer = (u16, Refusal);
+
+/// Who asks, and the settings by which the request is judged.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// Settings in force when the request came.
+    pub fleet: Arc<Fleet>,
+    /// The caller's workspace.
+    pub workspace: Workspace,
+}
+
+/// Finds out who asks.
+///
+/// A router that has just started knows no workspaces and no models yet. Without
+/// the look at `caught_up` it would answer 401 to a valid key, and the caller
+/// would give up in place of coming back.
+pub fn identify(router: &Router, req: &Request) -> Result<Caller, Answer> {
+    let vm = &router.node.process.vm;
+    let force = router.node.settings.borrow().clone();
+    if !force.caught_up {
+        let why = "the settings have not been read yet";
+        let refusal = Refusal::not_run(Cause::Unavailable, "authenticate", vm, why);
+        return Err((503, refusal.after(SETTINGS_RETRY)));
+    }
+    match workspace(&force.fleet, req).cloned() {
+        Some(workspace) => Ok(Caller { fleet: force.fleet, workspace }),
+        None => {
+            let why = "the bearer key is missing or belongs to no workspace";
+            Err((401, Refusal::refused(Cause::Bad, "authenticate", vm, why)))
+        }
+    }
+}
+
+/// Reads the body, up to the limit of the settings.
+pub async fn body(caller: &Caller, req: &mut Request, vm: &str) -> Result<Vec<u8>, Answer> {
+    let limit = caller.fleet.defaults.body_limit;
+    match req.payload_with_max_size(limit).await {
+        Ok(body) => Ok(body.to_vec()),
+        Err(e) => {
+            let why = format!("the body can't be read, the limit is {limit} bytes: {e}");
+            Err((413, Refusal::refused(Cause::Bad, "read", vm, why)))
+        }
+    }
+}
+
+/// The workspace of a bearer key.
+fn workspace<'a>(fleet: &'a Fleet, req: &Request) -> Option<&'a Workspace> {
     let header = req.headers().get("authorization")?.to_str().ok()?;
     let (scheme, key) = header.split_once(' ')?;
     match scheme.eq_ignore_ascii_case("bearer") {
@@ -19,12 +72,6 @@
     }
 }
 
-/// The answer to an unknown key.
-pub fn unknown_key(vm: &str) -> Refusal {
-    let why = "the bearer key is missing or belongs to no workspace";
-    Refusal::refused(Cause::Bad, "authenticate", vm, why)
-}
-
 /// How long the caller waits: its header, else its workspace's default.
 pub fn deadline(
     fleet: &Fleet,
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -14,7 +14,7 @@
 use wire::id;
 
 use crate::head::{self, Event, Wanted};
-use crate::{Router, caller, problem};
+use crate::{Router, caller, drain, problem};
 
 /// Events that may wait for a caller that reads slowly. Its draft goes on at the
 /// head; only this many tokens are held here.
@@ -49,16 +49,16 @@
 impl Post {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let router = &self.0;
-        let fleet = router.node.settings.borrow().fleet.clone();
         let vm = &router.node.process.vm;
-        let Some(workspace) = caller::workspace(&fleet, req) else {
-            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        let caller = match caller::identify(router, req) {
+            Ok(caller) => caller,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
-        let body = match req.payload_with_max_size(fleet.defaults.body_limit).await {
-            Ok(body) => body.clone(),
-            Err(e) => return too_long(res, vm, fleet.defaults.body_limit, &e.to_string()),
+        let body = match caller::body(&caller, req, vm).await {
+            Ok(body) => body,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
-        match wanted(router, &fleet, workspace, req, &body) {
+        match wanted(router, &caller.fleet, &caller.workspace, req, &body) {
             Ok((wanted, stream)) => {
                 let (tx, rx) = mpsc::channel(WAITING);
                 tokio::spawn(head::run(router.clone(), wanted.clone(), tx));
@@ -73,10 +73,10 @@
 impl Get {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let router = &self.0;
-        let fleet = router.node.settings.borrow().fleet.clone();
         let vm = &router.node.process.vm;
-        let Some(workspace) = caller::workspace(&fleet, req) else {
-            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        let workspace = match caller::identify(router, req) {
+            Ok(caller) => caller.workspace,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
         let (request, after) = resume_point(req);
         let Some(head) = place(router, &request) else {
@@ -93,10 +93,10 @@
 impl Delete {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let router = &self.0;
-        let fleet = router.node.settings.borrow().fleet.clone();
         let vm = &router.node.process.vm;
-        let Some(workspace) = caller::workspace(&fleet, req) else {
-            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        let workspace = match caller::identify(router, req) {
+            Ok(caller) => caller.workspace,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
         let request: id::Request = req.param("id").unwrap_or_default();
         let Some(head) = place(router, &request) else {
@@ -120,11 +120,10 @@
 #[handler]
 impl Models {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let fleet = self.0.node.settings.borrow().fleet.clone();
-        let vm = &self.0.node.process.vm;
-        if caller::workspace(&fleet, req).is_none() {
-            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
-        }
+        let fleet = match caller::identify(&self.0, req) {
+            Ok(caller) => caller.fleet,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
+        };
         let list: Vec<Value> =
             fleet.models.iter().map(|m| json!({"id": m.name, "object": "model"})).collect();
         res.render(Json(json!({"object": "list", "data": list})));
@@ -166,11 +165,6 @@
     Ok((wanted, body.stream))
 }
 
-fn too_long(res: &mut Response, vm: &str, limit: usize, why: &str) {
-    let why = format!("the body can't be read, the limit is {limit} bytes: {why}");
-    problem::render_as(res, 413, &Refusal::refused(Cause::Bad, "read", vm, why), "");
-}
-
 /// The request and the tokens the caller has: `Last-Event-ID: REQUEST:N`, or the
 /// path and `?after=N`. The header's request is the newer one when the draft has
 /// moved to another head.
@@ -233,6 +227,18 @@
     }
 }
 
+/// The next event; once the time to drain has passed, the refusal that sends the
+/// caller to another router. The draft goes on at its head meanwhile.
+async fn next(router: &Router, events: &mut mpsc::Receiver<Event>, request: &str) -> Option<Event> {
+    tokio::select! {
+        biased;
+        event = events.recv() => event,
+        () = router.ending.wait() => {
+            Some(Event::Refused(request.to_string(), drain::unfinished(router)))
+        }
+    }
+}
+
 async fn whole(
     router: &Router,
     res: &mut Response,
@@ -241,7 +247,7 @@
     model: &str,
 ) {
     let mut words = Vec::new();
-    while let Some(event) = events.recv().await {
+    while let Some(event) = next(router, &mut events, request).await {
         match event {
             Event::Token(_, token) => words.push(token.word),
             Event::Done(_) => {
@@ -283,7 +289,7 @@
 ) {
     let mut last = begun;
     let mut held: Option<(id::Request, Token)> = None;
-    while let Some(event) = events.recv().await {
+    while let Some(event) = next(router, &mut events, request).await {
         let text = match event {
             Event::Token(at, token) => {
                 router.node.metrics.tokens.add(1, &[]);
@@ -307,7 +313,9 @@
             Event::Done(done) => end(request, model, held.take(), &done),
             Event::Refused(at, refusal) => {
                 let body = problem::body(&refusal, &at);
-                format!("event: error\ndata: {body}\n\n")
+                let text = format!("event: error\ndata: {body}\n\n");
+                let _ = sender.send_data(text).await;
+                return;
             }
             Event::Accepted(..) => continue,
         };
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -83,6 +83,8 @@
     /// Tokens the caller has.
     words: Vec<Word>,
     accepted: bool,
+    /// A head did not answer, so it may run the draft all the same.
+    doubted: bool,
 }
 
 /// Runs a draft until its caller has the whole answer or an honest refusal.
@@ -95,6 +97,7 @@
         head: Place { vm: String::new(), address: String::new() },
         words: Vec::new(),
         accepted: false,
+        doubted: false,
     };
     let mut attempt = 0;
     loop {
@@ -126,6 +129,7 @@
         head,
         words: Vec::new(),
         accepted: false,
+        doubted: false,
     };
     let ask = Ask::Attach(attach);
     let opened = follower.ask(&ask).await;
@@ -219,20 +223,22 @@
     /// Opens a stream to the head and reads whether it accepts.
     async fn ask(&mut self, ask: &Ask) -> Result<Stream, Refusal> {
         let (vm, address) = (self.head.vm.clone(), self.head.address.clone());
-        let down = |why: String| Refusal::not_run(Cause::Unavailable, "offer", &vm, why);
+        let connection = self.router.node.peers.connection(&vm, &address).await;
+        let connection = connection
+            .map_err(|e| Refusal::not_run(Cause::Unavailable, "offer", &vm, e.to_string()))?;
+        // From here on the draft may have reached the head, and a head whose
+        // answer is late or lost may run it.
+        let down = |why: String| Refusal::unknown(Cause::Lost, "offer", &vm, why);
         let asked = async {
-            let mut stream = self
-                .router
-                .node
-                .peers
-                .open(&vm, &address, ask)
-                .await
-                .map_err(|e| down(e.to_string()))?;
+            let mut stream =
+                wire::link::open(&connection, &vm, ask).await.map_err(|e| down(e.to_string()))?;
             let tell = stream.expect::<Tell>().await.map_err(|e| down(e.to_string()))?;
             Ok((stream, tell))
         };
         let asked = tokio::time::timeout(ACCEPT_TIMEOUT, asked).await;
-        let (stream, tell) = asked.unwrap_or_else(|_| Err(down("no answer in time".into())))?;
+        let asked = asked.unwrap_or_else(|_| Err(down("no answer in time".into())));
+        self.doubted |= asked.is_err();
+        let (stream, tell) = asked?;
         match tell {
             Tell::Accepted(accepted) => {
                 if !self.accepted {
@@ -284,6 +290,13 @@
     }
 
     async fn cancel(&self) {
+        // A stopping router closes its callers' connections itself at the end of
+        // its time. The caller goes on through another router, and a draft that
+        // was cancelled here would be lost to it. The head gives up what nobody
+        // comes back for.
+        if self.router.node.stop.raised() {
+            return;
+        }
         let (request, workspace) = (self.request.clone(), self.workspace.clone());
         let ask = Ask::Cancel(Cancel { request, workspace });
         let peers = &self.router.node.peers;
@@ -292,9 +305,10 @@
         }
     }
 
-    /// Tells the caller the end. What was accepted once may have run in part.
+    /// Tells the caller the end. What was accepted once, or sent to a head that
+    /// did not answer, may have run in part.
     async fn refuse(&self, mut refusal: Refusal) {
-        if self.accepted && refusal.outcome == Outcome::NotRun {
+        if (self.accepted || self.doubted) && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
         self.router.node.trace.add(&self.request, "refuse", refusal.to_string());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod choose;
 pub mod completion;
+pub mod drain;
 pub mod head;
 pub mod problem;
 pub mod service;
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use config::process::Process;
+use node::stop::Stop;
 use node::{Error, Node};
 use salvo::conn::TcpListener;
 use salvo::{Listener, Server};
@@ -27,6 +29,8 @@
     pub node: Arc<Node>,
     /// The agents as this router sees them.
     pub view: Arc<view::View>,
+    /// Raised when the time to drain has passed: what still runs is answered now.
+    pub ending: Stop,
 }
 
 impl Router {
@@ -64,7 +68,7 @@
 pub async fn run(process: Process) -> Result<(), Error> {
     let node = node::start(process).await?;
     let view = view::start(&node);
-    let router = Arc::new(Router { node: node.clone(), view });
+    let router = Arc::new(Router { node: node.clone(), view, ending: Stop::new() });
 
     let handle = router.clone();
     tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
@@ -89,19 +93,14 @@
         TcpListener::new(http).try_bind().await.map_err(|e| Error::new("bind HTTP port", e))?;
     let server = Server::new(acceptor);
     let handle = server.handle();
-    let node = router.node.clone();
-    tokio::spawn(async move {
-        node.stop.wait().await;
-        let limit = node.settings.borrow().fleet.defaults.drain;
-        handle.stop_graceful(limit);
-    });
+    tokio::spawn(drain::run(router.clone(), handle));
     Ok(tokio::spawn(server.serve(routes(router))))
 }
 
 fn routes(router: Arc<Router>) -> salvo::Router {
     let ready = router.clone();
     let health = node::health::routes(router.node.clone(), Arc::new(move || ready.ready()));
-    let mut routes = salvo::Router::new();
+    let mut routes = salvo::Router::new().hoop(drain::Close(router.clone()));
     for route in health {
         routes = routes.push(route);
     }
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -10,7 +10,7 @@
 use wire::frame::{Ask, Call, Cause, Class, Outcome, Refusal, Reply, Tell};
 
 use crate::view::Agent;
-use crate::{Router, caller, choose, problem};
+use crate::{Router, caller, choose, drain, problem};
 
 /// Header with the caller's key for a write.
 pub const KEY: &str = "idempotency-key";
@@ -37,24 +37,23 @@
 impl Any {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let router = &self.0;
-        let fleet = router.node.settings.borrow().fleet.clone();
         let vm = &router.node.process.vm;
-        let Some(workspace) = caller::workspace(&fleet, req) else {
-            return problem::render_as(res, 401, &caller::unknown_key(vm), "");
+        let caller = match caller::identify(router, req) {
+            Ok(caller) => caller,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
-        let limit = fleet.defaults.body_limit;
-        let body = match req.payload_with_max_size(limit).await {
-            Ok(body) => body.to_vec(),
-            Err(e) => {
-                let why = format!("the body can't be read, the limit is {limit} bytes: {e}");
-                let refusal = Refusal::refused(Cause::Bad, "read", vm, why);
-                return problem::render_as(res, 413, &refusal, "");
-            }
+        let body = match caller::body(&caller, req, vm).await {
+            Ok(body) => body,
+            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
-        match call(router, &fleet, workspace, req, body) {
+        match call(router, &caller.fleet, &caller.workspace, req, body) {
             Ok((call, until)) => {
                 let request = call.request.clone();
-                match run(router, call, until).await {
+                let done = tokio::select! {
+                    done = run(router, call, until) => done,
+                    () = router.ending.wait() => Err(drain::unfinished(router)),
+                };
+                match done {
                     Ok(reply) => render(res, reply, &request),
                     Err(refusal) => problem::render(res, &refusal, &request),
                 }
--- a/crates/router/tests/work/mod.rs
+++ b/crates/router/tests/work/mod.rs
@@ -1,5 +1,7 @@
 //! A whole small fleet in one process: stand-ins, two agents and a router.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -10,6 +12,7 @@
 use fake::serve::{self, Server};
 use platform::vm::{Entry, Role, State};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use serde_json::Value;
 
 /// Looks for a condition at most, 20 ms apart.
 const LOOKS: u32 = 500;
@@ -97,6 +100,44 @@
     }
 }
 
+/// A router alone, with a log service that is out.
+pub struct Lone {
+    folder: PathBuf,
+    pub router: String,
+    _parts: Vec<Server>,
+}
+
+impl Lone {
+    /// Starts it and waits until it listens.
+    pub async fn start() -> Lone {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("lone-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        certificates(&folder, &["entry-1"]);
+        let log = fake::log::start(any(), fake::log::Options { rate: 400, retain: 10 }).unwrap();
+        let vms = fake::vms::start(any(), fake::vms::Options { lag_ms: 0 }).unwrap();
+        let outage = fake::log::Fault { outage: Some(true), ..Default::default() };
+        let control = rest::Client::new(&log.url(), Duration::from_secs(5));
+        let _: Value = control.post("/~fake/control", &outage).await.unwrap();
+        let [entry, ..] = processes(&folder, number, [&log, &vms, &log, &log]);
+        let router = format!("http://{}", entry.http);
+        tokio::spawn(router::run(entry));
+        let client = rest::Client::new(&router, Duration::from_secs(5));
+        until("the router listens", async || {
+            client.send("GET", "/livez", &[], Default::default()).await.is_ok()
+        })
+        .await;
+        Lone { folder, router, _parts: vec![log, vms] }
+    }
+}
+
+impl Drop for Lone {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// Waits for a condition; a test that never sees it fails with its name.
 pub async fn until(name: &str, holds: impl AsyncFn() -> bool) {
     for _ in 0..LOOKS {
