Player: callers behind a balancer, request ids in the services' book, load that outlasts a restart

Ghosts are looked for by request id, so an order told not run is checked whatever became of other sendings of its key, and a draft under each head's name.

--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -54,6 +54,9 @@
     pub number: u64,
     /// Header `Idempotency-Key`, or empty.
     pub key: String,
+    /// Header `X-Request-Id`, or empty.
+    #[serde(default)]
+    pub request: String,
     /// Header `X-Workspace`, or empty.
     pub workspace: String,
     /// Method in capitals.
@@ -95,8 +98,16 @@
     pub runs: u64,
 }
 
+/// Calls that this service has taken, whoever holds the book.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {
+    /// Look-ups and writes, also those that failed.
+    pub calls: u64,
+}
+
 #[derive(Default)]
 struct State {
+    calls: u64,
     writes: Vec<Write>,
     /// Sorted by key.
     runs: Vec<Runs>,
@@ -133,6 +144,10 @@
             Ok(Reply::json(200, &part))
         }
         ("GET", ["~fake", "runs"]) => Ok(runs(&serve::lock(&service.state))),
+        ("GET", ["~fake", "taken"]) => {
+            Ok(Reply::json(200, &Taken { calls: serve::lock(&service.state).calls }))
+        }
+        ("GET", ["~fake", "requests"]) => Ok(requests(&serve::lock(&service.state))),
         ("POST", ["~fake", "control"]) => {
             control(&mut serve::lock(&service.state), call.json()?);
             Ok(Reply::done())
@@ -165,6 +180,7 @@
     let write = Write {
         number: 0,
         key: call.header("idempotency-key"),
+        request: call.header("x-request-id"),
         workspace: call.header("x-workspace"),
         method: call.method.clone(),
         path: call.path.clone(),
@@ -188,7 +204,8 @@
 
 async fn pause(service: &Service) -> Result<(), Reply> {
     let (down, delay) = {
-        let state = serve::lock(&service.state);
+        let mut state = serve::lock(&service.state);
+        state.calls += 1;
         (state.down, state.delay)
     };
     match down {
@@ -226,6 +243,11 @@
     Reply::json(200, &state.runs.iter().map(pair).collect::<serde_json::Map<_, _>>())
 }
 
+/// Ids of the requests whose writes were recorded, in the order of the book.
+fn requests(state: &State) -> Reply {
+    Reply::json(200, &state.writes.iter().map(|w| w.request.as_str()).collect::<Vec<_>>())
+}
+
 fn control(state: &mut State, fault: Fault) {
     state.lose_answers = fault.lose_answers.unwrap_or(state.lose_answers);
     state.fail_next = fault.fail_next.unwrap_or(state.fail_next);
--- a/crates/scenario/src/books.rs
+++ b/crates/scenario/src/books.rs
@@ -41,6 +41,8 @@
     pub engines: Vec<Engine>,
     /// Plain services.
     pub runs: Runs,
+    /// Ids of the requests whose writes stand in the services' book, sorted.
+    pub requests: Vec<String>,
 }
 
 /// A broken invariant.
@@ -84,35 +86,35 @@
     breaches
 }
 
+/// The part of a request id that stays the same when a draft is offered to another head.
+///
+/// ```
+/// assert_eq!(scenario::books::unique("gpu-0-1.7.x"), "x");
+/// ```
+pub fn unique(request: &str) -> &str {
+    request.rsplit('.').next().unwrap_or(request)
+}
+
 /// Nothing told "not run" stands in a book.
 ///
-/// An order's key is exempt when another sending of it was answered or may have
-/// run: the one run in the book is then that sending's.
+/// A draft told so under its last head's name may have run under another's, so it is
+/// looked for by the part of its id that stays the same. Each sending of an order has
+/// an id of its own, which the service notes, so that one sending's run is not taken
+/// for another's of the same key.
 pub fn ghosts(outcomes: &[Outcome], books: &Books) -> Vec<Breach> {
-    let mut ran: Vec<&str> = Vec::new();
-    for engine in &books.engines {
-        let worked = engine.sessions.iter().filter(|s| !s.runs.is_empty());
-        ran.extend(worked.map(|s| request(&s.session)));
-    }
+    let sessions = books.engines.iter().flat_map(|e| &e.sessions);
+    let worked = sessions.filter(|s| !s.runs.is_empty());
+    let mut ran: Vec<&str> = worked.map(|s| unique(request(&s.session))).collect();
     ran.sort_unstable();
-    let mut breaches = Vec::new();
-    for out in outcomes {
-        let told = out.not_run.iter().filter(|id| !id.is_empty());
-        let found: Vec<&String> = match out.kind {
-            Kind::Draft => told.filter(|id| ran.binary_search(&id.as_str()).is_ok()).collect(),
-            Kind::Order if settled(out) => Vec::new(),
-            Kind::Order => told.filter(|key| ran_once(&books.runs, key)).take(1).collect(),
-            Kind::Lookup => Vec::new(),
-        };
-        let told = |id: &String| breach("no-ghosts", format!("{id} was told not run and ran"));
-        breaches.extend(found.into_iter().map(told));
-    }
-    breaches
-}
-
-fn settled(out: &Outcome) -> bool {
-    out.doubts > 0
-        || matches!(out.verdict, Verdict::Right | Verdict::Unknown(_) | Verdict::Refused(_))
+    let stands = |kind: Kind, id: &str| match kind {
+        Kind::Draft => ran.binary_search(&unique(id)).is_ok(),
+        Kind::Order => books.requests.binary_search_by(|r| r.as_str().cmp(id)).is_ok(),
+        Kind::Lookup => false,
+    };
+    let told = outcomes.iter().flat_map(|o| o.not_run.iter().map(|id| (o.kind, id)));
+    told.filter(|(kind, id)| !id.is_empty() && stands(*kind, id))
+        .map(|(_, id)| breach("no-ghosts", format!("{id} was told not run and ran")))
+        .collect()
 }
 
 fn ran_once(runs: &Runs, key: &str) -> bool {
@@ -169,3 +171,16 @@
         rest::Client::new(base, READ).get("/~fake/runs").await?;
     Ok(map.into_iter().collect())
 }
+
+/// Reads the ids of the requests whose writes stand in the book at `base`, sorted.
+pub async fn requests(base: &str) -> Result<Vec<String>, rest::Error> {
+    let mut ids: Vec<String> = rest::Client::new(base, READ).get("/~fake/requests").await?;
+    ids.sort_unstable();
+    Ok(ids)
+}
+
+/// Reads how many calls the service at `base` has taken.
+pub async fn taken(base: &str) -> Result<u64, rest::Error> {
+    let taken: fake::service::Taken = rest::Client::new(base, READ).get("/~fake/taken").await?;
+    Ok(taken.calls)
+}
--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -1,5 +1,7 @@
 //! HTTP as callers speak it: through any router, by workspace, streams read as they come.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +19,11 @@
 /// Longest pause before a caller comes back, whatever the refusal asks for.
 pub const PAUSE_MAX: Duration = Duration::from_secs(2);
 
+/// Pause between two looks of the balancer at a router.
+const LOOK: Duration = Duration::from_millis(100);
+/// Time a router has to answer the balancer's look.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A refusal, `application/problem+json`.
 #[derive(Debug, Clone, Default, Deserialize, PartialEq)]
 #[serde(default)]
@@ -77,6 +84,8 @@
 pub struct Caller {
     /// Routers, each `http://IP:PORT`.
     pub routers: Vec<String>,
+    /// What the last look at each router's `/readyz` said.
+    ready: Arc<Vec<AtomicBool>>,
     pool: Pool<HttpConnector, Full<Bytes>>,
 }
 
@@ -92,12 +101,31 @@
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
-        Caller { routers, pool }
+        let ready = Arc::new(routers.iter().map(|_| AtomicBool::new(true)).collect());
+        Caller { routers, ready, pool }
     }
 
-    /// A router by number; any number will do.
+    /// A router by number; any number will do. A balancer stands before the routers:
+    /// one that says it is not ready is passed over while another is ready.
     pub fn router(&self, number: usize) -> &str {
-        &self.routers[number % self.routers.len()]
+        let count = self.routers.len();
+        let turn = (number..number + count).map(|n| n % count);
+        let ready = |n: &usize| self.ready[*n].load(Ordering::Relaxed);
+        let chosen = turn.clone().find(ready).unwrap_or(number % count);
+        &self.routers[chosen]
+    }
+
+    /// Looks at the routers as a platform's balancer does, for as long as it is polled.
+    pub async fn balance(self) {
+        let looks = self.routers.iter().zip(self.ready.iter()).map(|(base, ready)| async {
+            let http = rest::Client::new(base, LOOK_TIMEOUT);
+            loop {
+                let look = http.send("GET", "/readyz", &[], Bytes::new()).await;
+                ready.store(look.is_ok_and(|a| a.status == 200), Ordering::Relaxed);
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+        futures_util::future::join_all(looks).await;
     }
 
     /// Sends a request and returns the head of the answer.
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -458,7 +458,8 @@
             }
         }
         let runs = books::runs(&self.platform.ledger).await.map_err(|e| e.to_string())?;
-        Ok(Books { engines, runs })
+        let requests = books::requests(&self.platform.ledger).await.map_err(|e| e.to_string())?;
+        Ok(Books { engines, runs, requests })
     }
 
     /// Names of processes that should live and don't.
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -126,10 +126,11 @@
 }
 
 /// Runs one future a job, so many at once, each as a task of its own.
-async fn at_once<J, F>(jobs: Vec<J>, concurrency: usize, record: Record, run: impl Fn(J) -> F)
+async fn at_once<J, F>(jobs: Vec<J>, load: &Load, record: Record, run: impl Fn(J) -> F)
 where
     F: Future<Output = Outcome> + Send + 'static,
 {
+    let (concurrency, every) = (load.concurrency, Duration::from_millis(load.every));
     let tasks = jobs.into_iter().map(|job| {
         let (record, run) = (record.clone(), run(job));
         async move {
@@ -138,23 +139,19 @@
                 record.push(run.await, began);
             });
             let _ = task.await;
+            tokio::time::sleep(every).await;
         }
     });
     futures_util::stream::iter(tasks).buffer_unordered(concurrency.max(1)).collect::<()>().await;
 }
 
 /// Plays a `drafts` line.
-pub async fn play_drafts(
-    caller: Caller,
-    jobs: Vec<draft::Job>,
-    concurrency: usize,
-    record: Record,
-) {
+pub async fn play_drafts(caller: Caller, jobs: Vec<draft::Job>, load: Load, record: Record) {
     let run = |job: draft::Job| {
         let caller = caller.clone();
         async move { draft::run(&caller, &job).await }
     };
-    at_once(jobs, concurrency, record, run).await;
+    at_once(jobs, &load, record, run).await;
 }
 
 /// Plays a `lookups` line.
@@ -163,7 +160,7 @@
         let caller = caller.clone();
         async move { write::run(&caller, Kind::Lookup, &job).await }
     };
-    at_once(calls(&load, "lookup", part), load.concurrency, record, run).await;
+    at_once(calls(&load, "lookup", part), &load, record, run).await;
 }
 
 /// Plays an `orders` line.
@@ -182,7 +179,7 @@
             }
         }
     };
-    at_once(jobs, line.load.concurrency, record, run).await;
+    at_once(jobs, &line.load, record, run).await;
 }
 
 /// The same order through two routers at once: both callers must get one answer.
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -40,6 +40,7 @@
     caller: Caller,
     record: Record,
     background: Vec<JoinHandle<()>>,
+    balancer: Option<JoinHandle<()>>,
     watches: Vec<Watch>,
     faults: Vec<recovery::Fault>,
     notes: Vec<String>,
@@ -68,6 +69,7 @@
             caller: Caller::new(Vec::new()),
             record: Record::default(),
             background: Vec::new(),
+            balancer: None,
             watches: Vec::new(),
             faults: Vec::new(),
             notes: Vec::new(),
@@ -144,6 +146,7 @@
         let began = Instant::now();
         let fleet = Fleet::start(plan.clone(), self.place.clone(), self.dir.clone()).await?;
         self.caller = Caller::new(fleet.routers());
+        self.balancer = Some(tokio::spawn(self.caller.clone().balance()));
         let n = fleet.processes.len();
         self.notes.push(format!("{n} processes ready after {} ms", began.elapsed().as_millis()));
         self.fleet = Some(Arc::new(Mutex::new(fleet)));
@@ -181,8 +184,8 @@
         let (task, background) = match verb {
             Verb::Drafts(line) => {
                 let jobs = load::drafts(line, layers, seed, part);
-                let at_once = line.load.concurrency;
-                let task = tokio::spawn(load::play_drafts(caller, jobs, at_once, record));
+                let load = line.load.clone();
+                let task = tokio::spawn(load::play_drafts(caller, jobs, load, record));
                 (task, line.load.background)
             }
             Verb::Lookups(line) => {
@@ -296,7 +299,7 @@
         let mut vms = shared.lock().await.vms.clone();
         // Agents first, in order of name.
         vms.sort_by_key(|v| v.backend == Backend::None);
-        let began = Instant::now();
+        let (began, ended) = (Instant::now(), self.record.ended());
         let wanted = vms.iter().filter(|v| match role {
             script::Role::All => true,
             script::Role::Routers => v.backend == Backend::None,
@@ -309,7 +312,11 @@
             n += 1;
         }
         let took = began.elapsed().as_millis();
-        self.notes.push(format!("rolling restart of {n} daemons took {took} ms"));
+        let ended = self.record.ended() - ended;
+        let more = if self.background.iter().all(JoinHandle::is_finished) { "no" } else { "more" };
+        self.notes.push(format!(
+            "rolling restart of {n} daemons took {took} ms; {ended} requests ended meanwhile, {more} came after"
+        ));
         Ok(())
     }
 
@@ -385,7 +392,7 @@
 
 impl Drop for Player {
     fn drop(&mut self) {
-        self.background.iter().for_each(JoinHandle::abort);
+        self.background.iter().chain(&self.balancer).for_each(JoinHandle::abort);
     }
 }
 
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -352,6 +352,9 @@
     /// Workspaces that send them in turn.
     #[arg(long, default_value_t = 3)]
     pub workspaces: usize,
+    /// Milliseconds that each sender waits after an answer, so that the load outlasts the faults.
+    #[arg(long, default_value_t = 0)]
+    pub every: u64,
     /// Goes on with the script at once; `join` waits.
     #[arg(long)]
     pub background: bool,
--- a/crates/scenario/src/single.rs
+++ b/crates/scenario/src/single.rs
@@ -101,7 +101,7 @@
     out.judged = true;
     out.verdict = match (&outcome, reply.status) {
         (Some(o), _) if o == "not-run" => {
-            out.not_run.push(line.key.clone());
+            out.not_run.push(reply.request.clone());
             Verdict::NotRun(said.clone())
         }
         (Some(o), _) if o == "unknown" => Verdict::Unknown(said.clone()),
--- a/crates/scenario/src/watch.rs
+++ b/crates/scenario/src/watch.rs
@@ -42,22 +42,21 @@
         Watch { vm: String::new(), began: now, last: Arc::new(Lock::new(now)), task }
     }
 
-    /// Notes when the engine of a VM opens a session, from now on.
+    /// Notes when the engine of a VM opens a session, or its service takes a call, from now on.
     pub fn leave(vm: &Vm) -> Watch {
         let began = Instant::now();
         let last = Arc::new(Lock::new(began));
-        let (base, name, seen) = (vm.backend_http(), vm.name.clone(), last.clone());
+        let (vm_seen, seen) = (vm.clone(), last.clone());
         let task = tokio::spawn(async move {
             let mut count = None;
             loop {
-                if let Ok(book) = books::engine(&base, &name).await {
-                    let sessions = book.sessions.len();
-                    if count.is_some_and(|n| sessions > n)
+                if let Ok(works) = works_begun(&vm_seen).await {
+                    if count.is_some_and(|n| works > n)
                         && let Ok(mut last) = seen.lock()
                     {
                         *last = Instant::now();
                     }
-                    count = Some(sessions);
+                    count = Some(works);
                 }
                 tokio::time::sleep(LOOK).await;
             }
@@ -72,6 +71,17 @@
     }
 }
 
+/// Pieces of work that the backend server of a VM has begun so far.
+async fn works_begun(vm: &Vm) -> Result<u64, rest::Error> {
+    match vm.backend {
+        Backend::Engine(..) => {
+            let book = books::engine(&vm.backend_http(), &vm.name).await?;
+            Ok(book.sessions.len() as u64)
+        }
+        _ => books::taken(&vm.backend_http()).await,
+    }
+}
+
 async fn revive(fleet: &mut Fleet) {
     for process in fleet.processes.iter_mut().filter(|p| p.name.ends_with(".backend")) {
         if process.wanted == Wanted::Running
--- a/crates/scenario/src/write.rs
+++ b/crates/scenario/src/write.rs
@@ -31,6 +31,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
+    /// Id of this sending, or empty.
+    pub request: String,
     /// It was a stored answer.
     pub replayed: bool,
     /// Body.
@@ -67,6 +69,7 @@
     let refused = header("content-type").is_some_and(|t| t.starts_with("application/problem+json"));
     Ok(Reply {
         status: answer.status,
+        request: header("x-request-id").unwrap_or_default().to_string(),
         replayed: header("idempotent-replayed") == Some("true"),
         problem: refused.then(|| Problem::read(answer.status, &answer.body)),
         body: answer.body.to_vec(),
@@ -121,7 +124,7 @@
     let line = problem.line();
     match (problem.outcome.as_str(), problem.pause()) {
         ("not-run", pause) => {
-            out.not_run.push(out.id.clone());
+            out.not_run.push(reply.request);
             pause.map_or(Ok(Verdict::NotRun(line.clone())), |pause| Err((pause, line)))
         }
         ("unknown", pause) => {
--- a/crates/scenario/tests/invariants.rs
+++ b/crates/scenario/tests/invariants.rs
@@ -70,22 +70,28 @@
     kind: Kind,
     verdict: Verdict,
     doubts: u32,
+    told: &'static str,
     found: bool,
 }
 
-/// "Not run" is said of something that ran. Users send it again and it runs twice.
+/// "Not run" is said of something that ran. Users send it again and it runs twice. Whether
+/// another sending was answered does not matter: each has an id of its own.
 #[rstest]
-#[case::draft(Ghost { kind: Kind::Draft, verdict: Verdict::NotRun(String::new()), doubts: 0, found: true })]
-#[case::draft_then_answered(Ghost { kind: Kind::Draft, verdict: Verdict::Right, doubts: 0, found: true })]
-#[case::order(Ghost { kind: Kind::Order, verdict: Verdict::NotRun(String::new()), doubts: 0, found: true })]
-#[case::order_answered_later(Ghost { kind: Kind::Order, verdict: Verdict::Right, doubts: 0, found: false })]
-#[case::order_in_doubt(Ghost { kind: Kind::Order, verdict: Verdict::NotRun(String::new()), doubts: 1, found: false })]
+#[case::draft(Ghost { kind: Kind::Draft, verdict: Verdict::NotRun(String::new()), doubts: 0, told: "gpu-1.7.x", found: true })]
+#[case::draft_then_answered(Ghost { kind: Kind::Draft, verdict: Verdict::Right, doubts: 0, told: "gpu-1.7.x", found: true })]
+#[case::draft_ran_under_another_head(Ghost { kind: Kind::Draft, verdict: Verdict::NotRun(String::new()), doubts: 0, told: "gpu-2.9.x", found: true })]
+#[case::another_draft_ran(Ghost { kind: Kind::Draft, verdict: Verdict::Right, doubts: 0, told: "gpu-1.7.y", found: false })]
+#[case::order(Ghost { kind: Kind::Order, verdict: Verdict::NotRun(String::new()), doubts: 0, told: "router-1.5.a", found: true })]
+#[case::order_answered_later(Ghost { kind: Kind::Order, verdict: Verdict::Right, doubts: 0, told: "router-1.5.a", found: true })]
+#[case::order_in_doubt(Ghost { kind: Kind::Order, verdict: Verdict::NotRun(String::new()), doubts: 1, told: "router-1.5.a", found: true })]
+#[case::another_sending_ran(Ghost { kind: Kind::Order, verdict: Verdict::Right, doubts: 0, told: "router-2.5.b", found: false })]
 fn work_that_was_told_not_run_is_found(#[case] case: Ghost) {
     let mut out = outcome(case.kind, "x", case.verdict);
     out.doubts = case.doubts;
-    out.not_run = vec!["x".to_string()];
-    let engines = vec![engine(vec![opened("x.1.0", &[(0, 3)])])];
-    let books = Books { engines, runs: vec![("x".to_string(), 1)] };
+    out.not_run = vec![case.told.to_string()];
+    let engines = vec![engine(vec![opened("gpu-1.7.x.1.0", &[(0, 3)])])];
+    let requests = vec!["router-1.5.a".to_string()];
+    let books = Books { engines, runs: vec![("x".to_string(), 1)], requests };
     assert_eq!(!books::ghosts(&[out], &books).is_empty(), case.found);
 }
 
@@ -94,7 +100,8 @@
 fn an_opened_session_without_a_step_is_no_ghost() {
     let mut out = outcome(Kind::Draft, "x", Verdict::NotRun(String::new()));
     out.not_run = vec!["x".to_string()];
-    let books = Books { engines: vec![engine(vec![opened("x.1.0", &[])])], runs: vec![] };
+    let books =
+        Books { engines: vec![engine(vec![opened("x.1.0", &[])])], runs: vec![], requests: vec![] };
     assert!(books::ghosts(&[out], &books).is_empty());
 }
 
@@ -122,7 +129,7 @@
 #[case::too_few(Layer { sessions: vec![opened("x.1.0", &[(0, 9)])], exact: false })]
 fn repeated_and_missing_layer_runs_are_found(#[case] case: Layer) {
     let outcomes = [outcome(Kind::Draft, "x", Verdict::Right)];
-    let books = Books { engines: vec![engine(case.sessions)], runs: vec![] };
+    let books = Books { engines: vec![engine(case.sessions)], runs: vec![], requests: vec![] };
     let facts = Facts { outcomes: &outcomes, books: &books, layers: 4, crashes: 0 };
     let what = Expect::LayerRuns { value: Some(1.0), max: None };
     assert_eq!(expect::judge(&what, &facts).unwrap().is_ok(), case.exact);
--- a/crates/scenario/tests/scripts.rs
+++ b/crates/scenario/tests/scripts.rs
@@ -34,8 +34,10 @@
 #[test]
 fn every_script_of_the_project_reads() {
     let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios");
-    for entry in std::fs::read_dir(dir).unwrap() {
-        let path = entry.unwrap().path();
+    let capacity = format!("{dir}/capacity");
+    let files = [dir, &capacity].map(|dir| std::fs::read_dir(dir).unwrap());
+    let paths = files.into_iter().flatten().map(|entry| entry.unwrap().path());
+    for path in paths.filter(|path| path.is_file()) {
         let text = std::fs::read_to_string(&path).unwrap();
         let lines = script::parse(&path.display().to_string(), &text).unwrap();
         assert!(!lines.is_empty(), "{} says nothing", path.display());
