--- a/crates/agent/src/draft.rs
+++ b/crates/agent/src/draft.rs
@@ -6,14 +6,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use policy::quarantine::Verdict;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wire::frame::{Accepted, Attach, Cancel, Cause, Done, Draft, Refusal, Tell, Token, Word};
 use wire::id;
 use wire::link::Stream;
 
-use crate::Agent;
 use crate::chain::{Chain, Terms};
+use crate::{Agent, crash};
 
 /// A draft that nobody has followed for this long is given up: its caller has
 /// gone together with its router. Long enough for a caller to notice a broken
@@ -59,14 +60,20 @@
         runs.iter().filter(|r| r.progress.borrow().end.is_none()).count()
     }
 
-    fn insert(&self, run: Arc<Run>) {
+    /// Puts a run in; returns the one of the same id that was there before.
+    fn replace(&self, run: Arc<Run>) -> Option<Arc<Run>> {
         let mut runs = self.runs.lock().expect("no panic while held");
-        let at = runs.partition_point(|r| r.request < run.request);
-        runs.insert(at, run);
+        match runs.binary_search_by(|r| r.request.cmp(&run.request)) {
+            Ok(i) => Some(std::mem::replace(&mut runs[i], run)),
+            Err(i) => {
+                runs.insert(i, run);
+                None
+            }
+        }
     }
 
-    fn remove(&self, request: &str) {
-        self.runs.lock().expect("no panic while held").retain(|r| r.request != request);
+    fn remove(&self, run: &Arc<Run>) {
+        self.runs.lock().expect("no panic while held").retain(|r| !Arc::ptr_eq(r, run));
     }
 
     /// The draft, if it is of that workspace.
@@ -136,6 +143,9 @@
         let why = "the VM is leaving";
         return Err(Refusal::not_run(Cause::Leaving, "accept", vm, why));
     }
+    if let Verdict::Refused { left } = agent.node.quarantine.verdict(draft.fingerprint) {
+        return Err(crash::refusal(vm, "accept", left));
+    }
     let table = agent.stage.as_ref().ok_or_else(|| {
         Refusal::not_run(Cause::Unavailable, "accept", vm, "no engine stands here")
     })?;
@@ -154,7 +164,11 @@
         progress: watch::Sender::default(),
         cancelled: watch::Sender::new(false),
     });
-    agent.drafts.insert(run.clone());
+    if let Some(old) = agent.drafts.replace(run.clone()) {
+        // The router took this head for lost and came back to it: the first run
+        // would go on beside the new one, and a caller could be given either.
+        old.cancelled.send_replace(true);
+    }
     agent.node.trace.add(&draft.request, "accept", format!("accepted as head by {vm}"));
     tokio::spawn(drive(agent.clone(), run.clone(), chain, inputs, draft));
     Ok(run)
@@ -166,6 +180,7 @@
         request: draft.request.clone(),
         priority: draft.priority,
         fingerprint: draft.fingerprint,
+        suspect: draft.suspect,
         tag: draft.prompt.chars().take(TAG_LENGTH).collect(),
         step_timeout: force.fleet.defaults.step_timeout,
         deadline: Instant::now() + draft.deadline,
@@ -195,7 +210,7 @@
 
     let keep = agent.node.settings.borrow().fleet.defaults.keep_finished;
     tokio::time::sleep(keep).await;
-    agent.drafts.remove(&run.request);
+    agent.drafts.remove(&run);
 }
 
 async fn generate(
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,364 @@
+//! What is let in, what waits and in which order, what is refused.
+//!
+//! Load patterns: saturation, a burst, one workspace's flood, long work among short.
+//! Without this a queue grows until every request in it is too old to be of use: the
+//! fleet is busy and yet no deadline is met. A caller whose request is held only
+//! to be refused at its deadline has lost the time in which it could have gone elsewhere.
+//!
+//! - A request is let in only when its estimated wait and its own run fit before its
+//!   deadline, and refused at once otherwise, with the time after which it would fit.
+//! - The order among workspaces is that of [`crate::share`]. Within a workspace a request goes by
+//!   its arrival plus [`STRETCH`] times its run: short ones pass long ones, and
+//!   a long one is passed only for a time in proportion to its own length, so neither starves.
+//! - What can no longer make its deadline comes out of [`Queue::expired`] and never starts.
+//!
+//! The wait is estimated from slot time: the work ahead divided by the slots this router
+//! has in use, which under load is what it gets of the fleet beside the other routers.
+
+use std::time::Duration;
+
+pub use crate::entry::{Admit, Ask, Entry, Ticket, WAITING_BYTES};
+use crate::refusal::{OUTAGE, Reason, Refusal, SOON};
+use crate::room::Room;
+use crate::share::{Clock, Share, Workspace};
+use crate::tuning::Tuning;
+
+/// How many times its own run a request is put behind its arrival.
+///
+/// At 0 the order is first come first served and short requests wait behind long ones. Large
+/// values approach shortest first, under which long ones starve. See docs/design/decisions.md.
+pub const STRETCH: f64 = 2.0;
+
+/// A waiting request is given up when its estimated start is late by more than
+/// this part of its time left. The estimate is coarse; at 0 requests that would make it are thrown away.
+pub const DOUBT: f64 = 0.25;
+
+/// Weight of one finished request in the smoothed ratio of used to asked run time.
+const SMOOTH: f64 = 0.02;
+
+/// Requests of one model or plain service that wait at one router.
+///
+/// ```
+/// use std::time::Duration;
+/// use policy::queue::{Admit, Ask, Queue};
+/// use policy::{room::Room, share::Share};
+/// let secs = Duration::from_secs;
+/// let share = Share { workspace: "north".into(), weight: 1, limit: 100 };
+/// let mut queue = Queue::new(vec![share]);
+/// let ask = Ask { workspace: "north".into(), priority: 5, run: secs(2), deadline: secs(30) };
+/// let full = Room { free: 0, slots: 8, routers: 1 };
+/// let Admit::Wait(_) = queue.admit(ask, "a draft", full, secs(0)) else { panic!() };
+/// // A reply came in, so a slot is free.
+/// let entry = queue.next(Room { free: 1, ..full }, secs(1)).unwrap();
+/// assert_eq!(entry.item, "a draft");
+/// // The agent refused it for want of slots: it keeps its place, and nothing is lost.
+/// queue.back(entry);
+/// assert_eq!((queue.waiting(), queue.running()), (1, 0));
+/// // It can't end before its deadline any more.
+/// let refused = queue.expired(full, secs(29));
+/// assert_eq!(refused.len(), 1);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Queue<T> {
+    pub(crate) workspaces: Vec<Workspace>,
+    /// Waiting requests of each workspace, the next one last.
+    pub(crate) waiting: Vec<Vec<Entry<T>>>,
+    pub(crate) late: Vec<Entry<T>>,
+    pub(crate) clock: Clock,
+    pub(crate) weights: f64,
+    pub(crate) backlog: f64,
+    pub(crate) running: u32,
+    pub(crate) used: f64,
+    pub(crate) tickets: Ticket,
+    pub(crate) tuning: Tuning,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue for these workspaces.
+    ///
+    /// ```
+    /// use policy::{queue::Queue, share::Share};
+    /// let share = Share { workspace: "north".into(), weight: 1, limit: 100 };
+    /// let queue: Queue<u64> = Queue::new(vec![share]);
+    /// assert_eq!(queue.waiting(), 0);
+    /// ```
+    pub fn new(shares: Vec<Share>) -> Queue<T> {
+        let mut queue = Queue {
+            workspaces: Vec::new(),
+            waiting: Vec::new(),
+            late: Vec::new(),
+            clock: Clock::default(),
+            weights: 0.0,
+            backlog: 0.0,
+            running: 0,
+            used: 1.0,
+            tickets: 0,
+            tuning: Tuning::default(),
+        };
+        queue.set(shares);
+        queue
+    }
+
+    /// The same with other thresholds, before any request is let in.
+    pub fn tuned(self, tuning: Tuning) -> Queue<T> {
+        Queue { tuning, ..self }
+    }
+
+    /// Takes over new settings. A workspace that is no longer listed keeps its place with
+    /// weight 1 until its requests have left, and new ones of it are refused.
+    ///
+    /// ```
+    /// use policy::{queue::Queue, share::Share};
+    /// let mut queue: Queue<u64> = Queue::new(Vec::new());
+    /// queue.set(vec![Share { workspace: "north".into(), weight: 3, limit: 100 }]);
+    /// ```
+    pub fn set(&mut self, mut shares: Vec<Share>) {
+        shares.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        for i in (0..self.workspaces.len()).rev() {
+            let idle = self.waiting[i].is_empty() && self.workspaces[i].running == 0;
+            let name = &self.workspaces[i].share.workspace;
+            let gone = shares.binary_search_by(|s| s.workspace.cmp(name)).is_err();
+            match (gone, idle) {
+                (true, true) => {
+                    self.workspaces.remove(i);
+                    self.waiting.remove(i);
+                }
+                (true, false) => {
+                    self.workspaces[i].share.weight = 1;
+                    self.workspaces[i].share.limit = 0;
+                }
+                (false, _) => {}
+            }
+        }
+        for share in shares {
+            match self.find(&share.workspace) {
+                Ok(i) => self.workspaces[i].share = share,
+                Err(i) => {
+                    self.workspaces.insert(i, Workspace::new(share));
+                    self.waiting.insert(i, Vec::new());
+                }
+            }
+        }
+        (0..self.waiting.len()).for_each(|i| self.note_next(i));
+        let active = self.workspaces.iter().zip(&self.waiting).filter(|(_, q)| !q.is_empty());
+        self.weights = active.map(|(w, _)| w.weight()).sum();
+    }
+
+    /// Decides on an arrival.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use policy::{queue::{Admit, Ask, Queue}, room::Room, share::Share};
+    /// let share = Share { workspace: "north".into(), weight: 1, limit: 100 };
+    /// let mut queue = Queue::new(vec![share]);
+    /// let ask = Ask {
+    ///     workspace: "north".into(),
+    ///     priority: 5,
+    ///     run: Duration::from_secs(2),
+    ///     deadline: Duration::from_secs(30),
+    /// };
+    /// let room = Room { free: 1, slots: 8, routers: 1 };
+    /// let admit = queue.admit(ask, "a draft", room, Duration::ZERO);
+    /// assert!(matches!(admit, Admit::Start(_)));
+    /// ```
+    pub fn admit(&mut self, ask: Ask, item: T, room: Room, now: Duration) -> Admit<T> {
+        let Ok(i) = self.find(&ask.workspace) else {
+            return Admit::Refuse(item, Refusal { reason: Reason::Limit, retry_after: None });
+        };
+        if let Some(refusal) = self.refusal(i, &ask, room, now) {
+            return Admit::Refuse(item, refusal);
+        }
+        self.tickets += 1;
+        let key = now + ask.run.mul_f64(self.tuning.stretch);
+        let entry = Entry { ask, arrival: now, ticket: self.tickets, item, key };
+        match self.backlogged() || !room.may_start(self.running, self.tuning.left_free) {
+            true => Admit::Wait(self.insert(i, entry)),
+            false => {
+                self.clock.wake(&mut self.workspaces[i]);
+                self.start(i, &entry);
+                Admit::Start(entry)
+            }
+        }
+    }
+
+    /// The request to start, when one may start. Called when capacity frees, until `None`;
+    /// `room.free` has to count what was started in between.
+    pub fn next(&mut self, room: Room, now: Duration) -> Option<Entry<T>> {
+        self.next_by(room, now, |_| 0)
+    }
+
+    /// The same where `likes` says how well a request suits the free slots: of requests that may go with equal
+    /// right the one that suits best goes, see [`crate::route::Table::likes`].
+    pub fn next_by(
+        &mut self,
+        room: Room,
+        now: Duration,
+        likes: impl Fn(&T) -> u32,
+    ) -> Option<Entry<T>> {
+        if !room.may_start(self.running, self.tuning.left_free) {
+            return None;
+        }
+        loop {
+            let heads = self.workspaces.iter().enumerate().filter_map(|(i, w)| w.head(i));
+            let i = self.clock.pick(heads, self.tuning.quantum, |i| {
+                self.waiting[i].last().map_or(0, |e| likes(&e.item))
+            })?;
+            let entry = self.take(i, self.waiting[i].len() - 1);
+            match self.hopeless(&entry.ask, now) {
+                true => self.late.push(entry),
+                false => {
+                    let lag = now.as_secs_f64() - entry.key.as_secs_f64();
+                    let more = !self.waiting[i].is_empty();
+                    self.workspaces[i].lag = more.then_some(lag);
+                    self.start(i, &entry);
+                    return Some(entry);
+                }
+            }
+        }
+    }
+
+    /// Requests that can't make their deadline any more by the present estimate, each with
+    /// its refusal. Called from time to time, for example every 100 ms, and after [`Queue::next`].
+    pub fn expired(&mut self, room: Room, now: Duration) -> Vec<(Entry<T>, Refusal)> {
+        for i in 0..self.waiting.len() {
+            let mut ahead = 0.0;
+            for at in (0..self.waiting[i].len()).rev() {
+                let ask = &self.waiting[i][at].ask;
+                let run = ask.run.as_secs_f64();
+                let start = self.wait(i, ahead, 0.0, room).unwrap_or(OUTAGE.as_secs_f64());
+                let left = ask.deadline.saturating_sub(now).as_secs_f64();
+                if self.hopeless(ask, now)
+                    || start + self.expected(run) > left * (1.0 + self.tuning.doubt)
+                {
+                    let entry = self.take(i, at);
+                    self.late.push(entry);
+                } else {
+                    ahead += run;
+                }
+            }
+        }
+        let reason = if room.slots == 0 { Reason::Outage } else { Reason::Deadline };
+        let late = std::mem::take(&mut self.late);
+        late.into_iter()
+            .map(|entry| {
+                let place = self.find(&entry.ask.workspace).ok();
+                let wait = place.and_then(|i| self.wait(i, self.workspaces[i].backlog, 0.0, room));
+                let retry_after = wait.map_or(OUTAGE, |s| Duration::from_secs_f64(s).max(SOON));
+                (entry, Refusal { reason, retry_after: Some(retry_after) })
+            })
+            .collect()
+    }
+
+    /// A started request has ended after holding its slots for `held`; or was not run.
+    pub fn done(&mut self, ask: &Ask, held: Duration) {
+        self.running = self.running.saturating_sub(1);
+        let (asked, held) = (ask.run.as_secs_f64().max(1e-6), held.as_secs_f64());
+        if held > 0.0 {
+            self.used += SMOOTH * ((held / asked).clamp(0.01, 4.0) - self.used);
+        }
+        if let Ok(i) = self.find(&ask.workspace) {
+            let workspace = &mut self.workspaces[i];
+            workspace.running = workspace.running.saturating_sub(1);
+            // Callers name more tokens than the answer has: what was not used is given back.
+            workspace.start -= (asked - held).max(0.0) / workspace.weight();
+        }
+    }
+
+    /// Puts a started request back that was not run, at its old place.
+    pub fn back(&mut self, entry: Entry<T>) {
+        self.done(&entry.ask, Duration::ZERO);
+        match self.find(&entry.ask.workspace) {
+            Ok(i) => {
+                self.insert(i, entry);
+            }
+            Err(_) => self.late.push(entry),
+        }
+    }
+
+    /// Puts a started request back that lost its backend server, before all others of its workspace: its
+    /// caller was told that it runs and may have part of the answer.
+    pub fn lost(&mut self, entry: Entry<T>) {
+        self.back(Entry { key: Duration::ZERO, ..entry });
+    }
+
+    /// Takes a waiting request out, when its caller has gone.
+    pub fn cancel(&mut self, workspace: &str, ticket: Ticket) -> Option<Entry<T>> {
+        let i = self.find(workspace).ok()?;
+        let at = self.waiting[i].iter().position(|e| e.ticket == ticket)?;
+        Some(self.take(i, at))
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.iter().map(Vec::len).sum()
+    }
+
+    /// Requests that were started and have not ended.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Bytes of state, with the items' own size but not what they point to.
+    pub fn bytes(&self) -> usize {
+        let names: usize = self.workspaces.iter().map(|w| w.share.workspace.capacity()).sum();
+        let waiting: usize =
+            self.waiting.iter().map(|q| q.capacity() * size_of::<Entry<T>>()).sum();
+        let lists = self.waiting.capacity() * size_of::<Vec<Entry<T>>>();
+        self.workspaces.capacity() * crate::share::BYTES + names + lists + waiting
+    }
+
+    fn find(&self, workspace: &str) -> Result<usize, usize> {
+        self.workspaces.binary_search_by(|w| w.share.workspace.as_str().cmp(workspace))
+    }
+
+    pub(crate) fn backlogged(&self) -> bool {
+        self.backlog > 0.0
+    }
+
+    fn insert(&mut self, i: usize, entry: Entry<T>) -> Ticket {
+        let (ticket, run) = (entry.ticket, entry.ask.run.as_secs_f64());
+        let workspace = &mut self.workspaces[i];
+        if self.waiting[i].is_empty() {
+            self.clock.wake(workspace);
+            self.weights += workspace.weight();
+        }
+        workspace.backlog += run;
+        self.backlog += run;
+        let at = self.waiting[i].partition_point(|e| (e.key, e.ticket) > (entry.key, ticket));
+        self.waiting[i].insert(at, entry);
+        self.note_next(i);
+        ticket
+    }
+
+    fn take(&mut self, i: usize, at: usize) -> Entry<T> {
+        let entry = self.waiting[i].remove(at);
+        let run = entry.ask.run.as_secs_f64();
+        self.workspaces[i].backlog -= run;
+        self.backlog -= run;
+        if self.waiting[i].is_empty() {
+            self.workspaces[i].backlog = 0.0;
+            self.workspaces[i].lag = None;
+            self.weights -= self.workspaces[i].weight();
+        }
+        self.note_next(i);
+        // Sums of floats keep a rest; an empty queue must not look backlogged for ever.
+        if self.weights < 0.5 {
+            (self.weights, self.backlog) = (0.0, 0.0);
+        }
+        entry
+    }
+
+    fn note_next(&mut self, i: usize) {
+        let weight = self.workspaces[i].weight();
+        let next =
+            self.waiting[i].last().map(|e| (e.ask.run.as_secs_f64() / weight, e.ask.priority));
+        self.workspaces[i].next = next;
+    }
+
+    fn start(&mut self, i: usize, entry: &Entry<T>) {
+        let workspace = &mut self.workspaces[i];
+        self.clock.charge(workspace, entry.ask.run.as_secs_f64());
+        workspace.running += 1;
+        self.running += 1;
+    }
+}
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::quarantine::Verdict;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use wire::frame::{
@@ -31,6 +32,13 @@
 /// How often a silent head is compared with the view of the agents.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// How long a lost head is told that its draft goes on elsewhere: as long as a
+/// head runs a draft that nobody follows.
+const ABANDONED: Duration = Duration::from_secs(15);
+
+/// Pause between two such tries.
+const CANCEL_PAUSE: Duration = Duration::from_millis(500);
+
 /// What a caller wants.
 #[derive(Debug, Clone)]
 pub struct Wanted {
@@ -85,6 +93,10 @@
     accepted: bool,
     /// A head did not answer, so it may run the draft all the same.
     doubted: bool,
+    /// Hash of the content; unknown for a caller that came back.
+    fingerprint: Option<id::Fingerprint>,
+    /// Lost heads, each with the task that cancels the draft there.
+    given_up: Vec<(id::Vm, tokio::task::JoinHandle<()>)>,
 }
 
 /// Runs a draft until its caller has the whole answer or an honest refusal.
@@ -98,6 +110,8 @@
         words: Vec::new(),
         accepted: false,
         doubted: false,
+        fingerprint: Some(wanted.fingerprint),
+        given_up: Vec::new(),
     };
     let mut attempt = 0;
     loop {
@@ -112,6 +126,7 @@
                 let text = format!("head {} is lost: {why}", follower.head.vm);
                 follower.router.node.trace.add(&follower.request, "head", text);
                 follower.router.node.metrics.retries.add(1, &[]);
+                follower.give_up();
             }
         }
         drop(sent);
@@ -130,6 +145,8 @@
         words: Vec::new(),
         accepted: false,
         doubted: false,
+        fingerprint: None,
+        given_up: Vec::new(),
     };
     let ask = Ask::Attach(attach);
     let opened = follower.ask(&ask).await;
@@ -182,6 +199,10 @@
         wanted: &Wanted,
         attempt: id::Attempt,
     ) -> Result<(Stream, Sent), Refusal> {
+        let quarantine = &self.router.node.quarantine;
+        if let Verdict::Refused { left } = quarantine.verdict(wanted.fingerprint) {
+            return Err(quarantined(&self.router.node.process.vm, left));
+        }
         let agents = self.router.view.usable();
         let chain = choose::chain(&agents, &wanted.model);
         let vm = &self.router.node.process.vm;
@@ -192,6 +213,11 @@
         }
         self.head = chain[0].replicas[0].clone();
         self.request = self.request_id(&wanted.unique);
+        // The same process again gets the same request id: the late cancelling
+        // of its first run would end the new one.
+        for (_, task) in self.given_up.iter().filter(|(vm, _)| *vm == self.head.vm) {
+            task.abort();
+        }
         let ask = Ask::Draft(self.draft(wanted, attempt, chain));
         let sent = self.router.view.sent(&self.head.vm);
         let stream = self.ask(&ask).await?;
@@ -216,6 +242,7 @@
             priority: wanted.priority,
             deadline: wanted.until.saturating_duration_since(Instant::now()),
             fingerprint: wanted.fingerprint,
+            suspect: self.router.node.quarantine.verdict(wanted.fingerprint) == Verdict::Alone,
             chain,
         }
     }
@@ -223,6 +250,7 @@
     /// Opens a stream to the head and reads whether it accepts.
     async fn ask(&mut self, ask: &Ask) -> Result<Stream, Refusal> {
         let (vm, address) = (self.head.vm.clone(), self.head.address.clone());
+        let _wait = self.router.node.peers.wait(&vm, &address);
         let connection = self.router.node.peers.connection(&vm, &address).await;
         let connection = connection
             .map_err(|e| Refusal::not_run(Cause::Unavailable, "offer", &vm, e.to_string()))?;
@@ -255,6 +283,7 @@
 
     /// Passes tokens on until the draft ends, the caller goes or the head is lost.
     async fn follow(&mut self, mut stream: Stream) -> End {
+        let _wait = self.router.node.peers.wait(&self.head.vm, &self.head.address);
         loop {
             let tell = tokio::select! {
                 tell = stream.expect::<Tell>() => tell,
@@ -289,6 +318,26 @@
         }
     }
 
+    /// Tells a lost head that its draft goes on elsewhere, as soon as it can be
+    /// reached. A head that was only frozen would otherwise go on for [`ABANDONED`]
+    /// and take up slots for an answer that nobody reads.
+    fn give_up(&mut self) {
+        let (request, workspace) = (self.request.clone(), self.workspace.clone());
+        let (head, router) = (self.head.clone(), self.router.clone());
+        let ask = Ask::Cancel(Cancel { request, workspace });
+        let task = tokio::spawn(async move {
+            let until = Instant::now() + ABANDONED;
+            while Instant::now() < until {
+                tokio::time::sleep(CANCEL_PAUSE).await;
+                let asked = router.node.peers.ask::<_, Tell>(&head.vm, &head.address, &ask);
+                if tokio::time::timeout(CANCEL_PAUSE, asked).await.is_ok_and(|r| r.is_ok()) {
+                    return;
+                }
+            }
+        });
+        self.given_up.push((self.head.vm.clone(), task));
+    }
+
     async fn cancel(&self) {
         // A stopping router closes its callers' connections itself at the end of
         // its time. The caller goes on through another router, and a draft that
@@ -308,6 +357,9 @@
     /// Tells the caller the end. What was accepted once, or sent to a head that
     /// did not answer, may have run in part.
     async fn refuse(&self, mut refusal: Refusal) {
+        if refusal.cause == Cause::Quarantined {
+            self.fingerprint.iter().for_each(|f| self.router.node.quarantine.refused_elsewhere(*f));
+        }
         if (self.accepted || self.doubted) && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
@@ -316,6 +368,11 @@
     }
 }
 
+fn quarantined(vm: &str, left: Duration) -> Refusal {
+    let why = format!("it crashed engines and is in quarantine for {} s more", left.as_secs());
+    Refusal::refused(Cause::Quarantined, "choose", vm, why)
+}
+
 /// Resolves when an agent that is being followed can't be reached any more.
 async fn down(router: &Router, vm: &str) {
     while !router.view.down(vm) {
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -102,6 +102,8 @@
     Lookups(Load),
     /// Sends non-idempotent orders, each with a key of its own.
     Orders(Orders),
+    /// Sends the orders of all earlier `orders` lines again, each through another router.
+    Repeats(Repeats),
     /// Sends one draft and says how it must end.
     Draft(Draft),
     /// Sends one order and says how it must end.
@@ -193,6 +195,8 @@
     },
     /// Takes all faults off the links.
     Heal,
+    /// An operator lifts all requests out of quarantine.
+    Lift,
     /// Faults of the log service.
     Log(Log),
     /// Faults of the VM list.
@@ -374,6 +378,14 @@
     pub repeat_through_other_router: f64,
 }
 
+/// Verb `repeats`.
+#[derive(Debug, Clone, Args)]
+pub struct Repeats {
+    /// At once.
+    #[arg(long, default_value_t = 20)]
+    pub concurrency: usize,
+}
+
 /// Verb `draft`.
 #[derive(Debug, Clone, Args)]
 pub struct Draft {
@@ -383,6 +395,12 @@
     /// How often its caller sends it, each time through another router.
     #[arg(long, default_value_t = 1)]
     pub times: u32,
+    /// Number of its text; lines with the same one send the same text.
+    #[arg(long)]
+    pub number: Option<u64>,
+    /// Another workspace asks for it by its id afterwards and must be told that there is none.
+    #[arg(long)]
+    pub stolen: bool,
     /// Words of the prompt.
     #[arg(long, default_value_t = 12)]
     pub prompt_words: u32,
@@ -409,15 +427,18 @@
     /// Workspace, from 1.
     #[arg(long, default_value_t = 1)]
     pub workspace: usize,
-    /// Status the answer must have.
-    #[arg(long, default_value_t = 201)]
-    pub expect: u16,
+    /// Status the answer must have; 201 when neither this nor an outcome is named.
+    #[arg(long)]
+    pub expect: Option<u16>,
     /// The answer must be one that was stored.
     #[arg(long)]
     pub replayed: bool,
     /// The refusal must name this outcome.
     #[arg(long)]
     pub outcome: Option<String>,
+    /// Goes on with the script at once; `join` waits and states what did not hold.
+    #[arg(long)]
+    pub background: bool,
 }
 
 /// Verb `log`.
@@ -497,6 +518,13 @@
     Right,
     /// No key ran more than once.
     NoneDoubled,
+    /// A key ran so many times.
+    Runs {
+        /// Key.
+        key: String,
+        /// Times.
+        times: u32,
+    },
     /// Nothing that was told "not run" stands in a book.
     NoGhosts,
     /// Runs of each layer for each token.
