--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -46,6 +46,7 @@
     caller: Caller,
     record: Record,
     background: Vec<JoinHandle<()>>,
+    balancer: Option<JoinHandle<()>>,
     /// Single orders in the background; the number of the line tells them apart.
     pending: Vec<JoinHandle<Result<(), String>>>,
     /// Records of the stream of settings as seen so far; the log lets them expire.
@@ -80,6 +81,7 @@
             caller: Caller::new(Vec::new()),
             record: Record::default(),
             background: Vec::new(),
+            balancer: None,
             pending: Vec::new(),
             settings: Vec::new(),
             orders: Vec::new(),
@@ -159,6 +161,7 @@
         let began = Instant::now();
         let fleet = Fleet::start(plan.clone(), self.place.clone(), self.dir.clone()).await?;
         self.caller = Caller::new(fleet.routers());
+        self.balancer = Some(tokio::spawn(self.caller.clone().balance()));
         let n = fleet.processes.len();
         self.notes.push(format!("{n} processes ready after {} ms", began.elapsed().as_millis()));
         self.fleet = Some(Arc::new(Mutex::new(fleet)));
@@ -199,8 +202,8 @@
         let (task, background) = match verb {
             Verb::Drafts(line) => {
                 let jobs = load::drafts(line, layers, seed, part);
-                let at_once = line.load.concurrency;
-                let task = tokio::spawn(load::play_drafts(caller, jobs, at_once, record));
+                let load = line.load.clone();
+                let task = tokio::spawn(load::play_drafts(caller, jobs, load, record));
                 (task, line.load.background)
             }
             Verb::Lookups(line) => {
@@ -332,7 +335,7 @@
         let mut vms = shared.lock().await.vms.clone();
         // Agents first, in order of name.
         vms.sort_by_key(|v| v.backend == Backend::None);
-        let began = Instant::now();
+        let (began, ended) = (Instant::now(), self.record.ended());
         let wanted = vms.iter().filter(|v| match role {
             script::Role::All => true,
             script::Role::Routers => v.backend == Backend::None,
@@ -345,7 +348,11 @@
             n += 1;
         }
         let took = began.elapsed().as_millis();
-        self.notes.push(format!("rolling restart of {n} daemons took {took} ms"));
+        let ended = self.record.ended() - ended;
+        let more = if self.background.iter().all(JoinHandle::is_finished) { "no" } else { "more" };
+        self.notes.push(format!(
+            "rolling restart of {n} daemons took {took} ms; {ended} requests ended meanwhile, {more} came after"
+        ));
         Ok(())
     }
 
@@ -452,7 +459,7 @@
 
 impl Drop for Player {
     fn drop(&mut self) {
-        self.background.iter().for_each(JoinHandle::abort);
+        self.background.iter().chain(&self.balancer).for_each(JoinHandle::abort);
         self.pending.iter().for_each(JoinHandle::abort);
     }
 }
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -365,6 +365,9 @@
     /// The first of these workspaces.
     #[arg(long, default_value_t = 1)]
     pub from_workspace: usize,
+    /// Milliseconds that each sender waits after an answer, so that the load outlasts the faults.
+    #[arg(long, default_value_t = 0)]
+    pub every: u64,
     /// Goes on with the script at once; `join` waits.
     #[arg(long)]
     pub background: bool,
