--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,6 +1,6 @@
 //! The agents as this router sees them: what each last reported. A hint that makes
 //! refusals rare; the agents decide. What this router has sent them since is known to
-//! [`crate::pool`], which is told of each report.
+//! `pool`, which is told of each report.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
