--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash;
 pub mod draft;
 pub mod ledger;
+pub mod order;
 pub mod seat;
 pub mod slot;
 pub mod stage;
@@ -19,6 +20,7 @@
 use std::time::Duration;
 
 use config::process::{Kind, Process};
+use node::stop::Work;
 use node::{Error, Node};
 use salvo::Listener;
 use salvo::conn::TcpListener;
@@ -37,6 +39,10 @@
     pub service: Option<Arc<call::Service>>,
     /// Drafts it drives as head.
     pub drafts: draft::Table,
+    /// Requests being answered, down to the last byte, and receipts on their way
+    /// to the log. A drain waits for them: slots alone are free again before the
+    /// answer has left, and an answer cut off there would be in doubt.
+    pub work: Work,
 }
 
 impl Agent {
@@ -65,7 +71,7 @@
             incarnation: self.node.incarnation,
             data_centre: self.node.process.data_centre.clone(),
             backend: self.backend(),
-            slots: self.slots.total(),
+            slots: self.slots.open(),
             busy: self.slots.busy(),
             step_us: self.slots.step_us(),
             leaving: self.leaving(),
@@ -90,6 +96,8 @@
             () if !self.node.settings.borrow().caught_up => {
                 Err("the settings have not been read yet".into())
             }
+            // An engine that holds nothing is a spare: it can be ordered to load.
+            () if self.stage.as_ref().is_some_and(|t| t.spare()) => Ok(()),
             () if self.backend() == Backend::None => {
                 Err("the backend server can't be used now".into())
             }
@@ -115,6 +123,7 @@
         stage: None,
         service: None,
         drafts: draft::Table::default(),
+        work: Work::default(),
     };
     match backend.kind {
         Kind::Engine => {
@@ -130,12 +139,15 @@
     tokio::spawn(node::serve::run(node.clone(), move |ask, stream| {
         ask::answer(handle.clone(), ask, stream)
     }));
+    if agent.stage.is_some() {
+        tokio::spawn(order::run(agent.clone()));
+    }
     serve_health(agent.clone()).await?;
     log::info!("agent: {} listens on {}", node.process.vm, node.process.listen);
 
     node.stop.wait().await;
     let limit = node.settings.borrow().fleet.defaults.drain;
-    let busy = || agent.slots.busy() as usize + agent.drafts.running();
+    let busy = || agent.slots.busy() as usize + agent.drafts.running() + agent.work.running();
     let left = node::stop::drain(limit, busy).await;
     if left > 0 {
         log::warn!("agent: stopping with {left} requests in progress after {limit:?}");
--- a/crates/scenario/src/load.rs
+++ b/crates/scenario/src/load.rs
@@ -95,8 +95,9 @@
     let job = |n: usize| draft::Job {
         prompt: prompt(&mut rng, &format!("draft-{part}-{n}"), pick_words(line, n)),
         max_tokens: 0,
-        workspace: 1 + n % line.load.workspaces,
-        router: n,
+        workspace: line.load.from_workspace + n % line.load.workspaces,
+        // Each workspace comes through all routers, as behind a balancer.
+        router: n / line.load.workspaces,
         tries: line.load.tries,
         layers,
     };
@@ -118,18 +119,19 @@
     let job = |n: usize| write::Job {
         key: format!("{name}-{part}-{n}"),
         body: format!("{{\"bands\":{}}}", 100 + n),
-        workspace: 1 + n % load.workspaces,
-        router: n,
+        workspace: load.from_workspace + n % load.workspaces,
+        router: n / load.workspaces,
         tries: load.tries,
     };
     (0..load.count).map(job).collect()
 }
 
 /// Runs one future a job, so many at once, each as a task of its own.
-async fn at_once<J, F>(jobs: Vec<J>, concurrency: usize, record: Record, run: impl Fn(J) -> F)
+async fn at_once<J, F>(jobs: Vec<J>, load: &Load, record: Record, run: impl Fn(J) -> F)
 where
     F: Future<Output = Outcome> + Send + 'static,
 {
+    let (concurrency, every) = (load.concurrency, Duration::from_millis(load.every));
     let tasks = jobs.into_iter().map(|job| {
         let (record, run) = (record.clone(), run(job));
         async move {
@@ -138,23 +140,19 @@
                 record.push(run.await, began);
             });
             let _ = task.await;
+            tokio::time::sleep(every).await;
         }
     });
     futures_util::stream::iter(tasks).buffer_unordered(concurrency.max(1)).collect::<()>().await;
 }
 
 /// Plays a `drafts` line.
-pub async fn play_drafts(
-    caller: Caller,
-    jobs: Vec<draft::Job>,
-    concurrency: usize,
-    record: Record,
-) {
+pub async fn play_drafts(caller: Caller, jobs: Vec<draft::Job>, load: Load, record: Record) {
     let run = |job: draft::Job| {
         let caller = caller.clone();
         async move { draft::run(&caller, &job).await }
     };
-    at_once(jobs, concurrency, record, run).await;
+    at_once(jobs, &load, record, run).await;
 }
 
 /// Plays a `lookups` line.
@@ -163,7 +161,7 @@
         let caller = caller.clone();
         async move { write::run(&caller, Kind::Lookup, &job).await }
     };
-    at_once(calls(&load, "lookup", part), load.concurrency, record, run).await;
+    at_once(calls(&load, "lookup", part), &load, record, run).await;
 }
 
 /// Plays an `orders` line.
@@ -182,7 +180,7 @@
             }
         }
     };
-    at_once(jobs, line.load.concurrency, record, run).await;
+    at_once(jobs, &line.load, record, run).await;
 }
 
 /// The same order through two routers at once: both callers must get one answer.
