--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,11 +9,13 @@
 pub mod chain;
 pub mod crash;
 pub mod draft;
+pub mod fence;
 pub mod ledger;
 pub mod order;
 pub mod seat;
 pub mod slot;
 pub mod stage;
+pub mod turn;
 pub mod write;
 
 use std::sync::Arc;
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -12,7 +12,9 @@
 use wire::quarantine::Running;
 
 use crate::crash;
+use crate::fence::Fence;
 use crate::slot::{Slot, Slots};
+use crate::turn::{Due, Turn};
 
 /// Longest wait for an answer of the engine. The head gives a silent stage up
 /// long before; this only frees what would otherwise wait for ever.
@@ -28,23 +30,9 @@
 const CRASH_TIMEOUT: Duration = Duration::from_millis(200);
 const CRASH_PAUSE: Duration = Duration::from_millis(10);
 
-/// Highest attempts remembered for requests whose session has ended here. A
-/// frozen head that thaws after this many newer requests could open an old
-/// attempt again; its output would still be used by nobody.
-const REMEMBERED: usize = 20_000;
-
 /// Time after which a caller may come back to a full agent.
 const BUSY_RETRY: Duration = Duration::from_millis(200);
 
-/// Highest attempt seen of a request at a range.
-#[derive(Debug)]
-struct Seen {
-    /// The part of the request id that stays the same, and the first layer.
-    unique: String,
-    attempt: id::Attempt,
-    ended: Option<Instant>,
-}
-
 /// The sessions at the engine.
 #[derive(Debug)]
 pub struct Table {
@@ -53,8 +41,7 @@
     engine: Client,
     slots: Slots,
     info: RwLock<Option<engine::Info>>,
-    /// Sorted by request and range.
-    seen: Mutex<Vec<Seen>>,
+    fence: Mutex<Fence>,
     crash: crash::Watch,
     /// Range that was ordered, until it is loaded or the time has passed.
     ordered: Mutex<Option<(Stage, Instant)>>,
@@ -72,9 +59,7 @@
     incarnation: String,
     suspect: bool,
     attempt: id::Attempt,
-    next: id::Position,
-    kept: Option<(Step, Output)>,
-    broken: bool,
+    turn: Turn,
     _slot: Slot,
 }
 
@@ -87,7 +72,7 @@
         engine: Client::new(address, ENGINE_TIMEOUT),
         slots,
         info: RwLock::new(None),
-        seen: Mutex::default(),
+        fence: Mutex::default(),
         crash: crash::Watch::default(),
         ordered: Mutex::default(),
     });
@@ -176,7 +161,11 @@
         // An engine that was ordered to load another range may run two ranges of
         // one request in turn; each has attempts of its own.
         let unique = format!("{}.{}", unique(&open.request), open.stage.first);
-        self.fence(&unique, open.attempt)?;
+        let admitted = self.fence.lock().expect("no panic while held").admit(&unique, open.attempt);
+        admitted.map_err(|newest| {
+            let why = format!("attempt {}, but {newest} was seen", open.attempt);
+            self.refuse(Cause::Fenced, "open", why)
+        })?;
 
         let incarnation = self.incarnation();
         let name = format!("{}.{}.{}", open.request, open.attempt, open.stage.first);
@@ -195,9 +184,7 @@
                 incarnation,
                 suspect: open.suspect,
                 attempt: open.attempt,
-                next: 0,
-                kept: None,
-                broken: false,
+                turn: Turn::default(),
                 _slot: slot,
             }),
             Err(e) if e.status() == Some(429) => {
@@ -212,46 +199,6 @@
         }
     }
 
-    /// Refuses an attempt older than one seen, and notes this one as the newest.
-    ///
-    /// Without it a head that was frozen and thaws would go on running a request
-    /// that another head has taken over: its layers would run twice for a token,
-    /// and the engine's books would show two sessions side by side.
-    fn fence(&self, unique: &str, attempt: id::Attempt) -> Result<(), Refusal> {
-        let mut seen = self.seen.lock().expect("no panic while held");
-        match seen.binary_search_by(|s| s.unique.as_str().cmp(unique)) {
-            Ok(i) if seen[i].attempt > attempt => {
-                let why = format!("attempt {attempt}, but {} was seen", seen[i].attempt);
-                return Err(self.refuse(Cause::Fenced, "open", why));
-            }
-            Ok(i) => {
-                seen[i].attempt = attempt;
-                seen[i].ended = None;
-            }
-            Err(_) => {
-                forget_old(&mut seen);
-                let at = seen.partition_point(|s| s.unique.as_str() < unique);
-                seen.insert(at, Seen { unique: unique.to_string(), attempt, ended: None });
-            }
-        }
-        Ok(())
-    }
-
-    fn newest(&self, unique: &str) -> id::Attempt {
-        let seen = self.seen.lock().expect("no panic while held");
-        match seen.binary_search_by(|s| s.unique.as_str().cmp(unique)) {
-            Ok(i) => seen[i].attempt,
-            Err(_) => 0,
-        }
-    }
-
-    fn ended(&self, unique: &str) {
-        let mut seen = self.seen.lock().expect("no panic while held");
-        if let Ok(i) = seen.binary_search_by(|s| s.unique.as_str().cmp(unique)) {
-            seen[i].ended = Some(Instant::now());
-        }
-    }
-
     fn incarnation(&self) -> String {
         let info = self.info.read().expect("no panic while held");
         info.as_ref().map(|i| i.incarnation.clone()).unwrap_or_default()
@@ -307,49 +254,40 @@
 impl Session {
     /// Runs a step. Positions come in order; the last step again gets the kept output.
     pub async fn step(&mut self, step: Step) -> Result<Output, Refusal> {
-        match &self.kept {
-            Some((last, output)) if *last == step => return Ok(output.clone()),
-            _ if step.position != self.next || step.inputs.is_empty() => {
-                let why = format!("position {}, the next is {}", step.position, self.next);
-                return Err(self.table.refuse(Cause::Bad, "step", why));
-            }
-            _ if self.table.newest(&self.unique) > self.attempt => {
-                let why = "a newer attempt of the request runs";
-                return Err(self.table.refuse(Cause::Fenced, "step", why));
-            }
-            // After a lost answer the engine may have run the positions or not:
-            // running them again could run a layer twice for a token.
-            _ if self.broken => {
-                let why = "an earlier step of the session was lost";
-                return Err(self.table.refuse(Cause::Lost, "step", why));
-            }
-            _ => {}
+        if let Due::Kept(output) = self.due(&step)? {
+            return Ok(output);
         }
-        let ran = self.at_engine(&step).await?;
-        if ran.outputs.len() != step.inputs.len() {
-            let why = format!("{} outputs for {} inputs", ran.outputs.len(), step.inputs.len());
-            return Err(self.table.refuse(Cause::Lost, "step", why));
+        let table = self.table.clone();
+        let alone = self.suspect || self.verdict() == Verdict::Alone;
+        let _right = table.crash.right(alone).await;
+        // A newer attempt or a quarantine may have come while the step waited.
+        self.due(&step)?;
+        if let Verdict::Refused { left } = self.verdict() {
+            return Err(crash::refusal(&table.vm, "step", left));
         }
-        self.broken = false;
-        self.next += step.inputs.len() as id::Position;
+        let ran = self.at_engine(&step, alone).await?;
         let token = ran.token.map(|t| Word { id: t.id, text: t.text, end: t.end });
         let output = Output { position: step.position, outputs: ran.outputs, token };
-        self.kept = Some((step, output.clone()));
+        self.turn.done(step, output.clone()).map_err(|r| table.refuse(r.cause, "step", r.why))?;
         Ok(output)
     }
 
-    async fn at_engine(&mut self, step: &Step) -> Result<engine::Output, Refusal> {
+    fn due(&self, step: &Step) -> Result<Due, Refusal> {
+        let newest = self.table.fence.lock().expect("no panic while held").newest(&self.unique);
+        let due = self.turn.due(step, self.attempt, newest);
+        due.map_err(|r| self.table.refuse(r.cause, "step", r.why))
+    }
+
+    fn verdict(&self) -> Verdict {
+        self.table.node.quarantine.verdict(self.fingerprint)
+    }
+
+    async fn at_engine(&mut self, step: &Step, alone: bool) -> Result<engine::Output, Refusal> {
         let table = self.table.clone();
-        let verdict = || table.node.quarantine.verdict(self.fingerprint);
-        let alone = self.suspect || verdict() == Verdict::Alone;
-        let _right = table.crash.right(alone).await;
-        if let Verdict::Refused { left } = verdict() {
-            return Err(crash::refusal(&table.vm, "step", left));
-        }
         if alone {
             table.node.quarantine.suspected_elsewhere(self.fingerprint);
         }
-        self.broken = true;
+        self.turn.begin();
         let begun = Instant::now();
         let asked = engine::Step { position: step.position, inputs: step.inputs.clone() };
         let entry = table.crash.enter(&self.incarnation, self.running.clone());
@@ -386,7 +324,9 @@
 
 impl Drop for Session {
     fn drop(&mut self) {
-        self.table.ended(&self.unique);
+        let mut fence = self.table.fence.lock().expect("no panic while held");
+        fence.ended(&self.unique, Instant::now());
+        drop(fence);
         cancel(self.table.engine.clone(), std::mem::take(&mut self.name));
     }
 }
@@ -405,18 +345,6 @@
     });
 }
 
-/// Makes room by forgetting the sessions that ended first.
-fn forget_old(seen: &mut Vec<Seen>) {
-    if seen.len() < REMEMBERED {
-        return;
-    }
-    let mut times: Vec<Instant> = seen.iter().filter_map(|s| s.ended).collect();
-    times.sort();
-    if let Some(&limit) = times.get(times.len() / 2) {
-        seen.retain(|s| s.ended.is_none_or(|t| t > limit));
-    }
-}
-
 /// The part of a request id that stays the same when the request moves to another head.
 pub fn unique(request: &str) -> &str {
     request.rsplit('.').next().unwrap_or(request)
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -44,8 +44,8 @@
 
 /// Claims that count, out of records in the order of the stream: the first for a
 /// gap, and of engines that hold the same range only one, until [`HOLD`] has
-/// passed. Every reader gets the same answer for a recent claim, also when older
-/// records have expired, since nothing older than [`HOLD`] bears on it.
+/// passed. Readers of the same records agree. When older records have expired, they
+/// agree on all claims after the first pause of [`HOLD`] without any claim.
 ///
 /// ```
 /// use wire::frame::Stage;
--- /dev/null
+++ b/crates/wire/tests/order.rs
@@ -0,0 +1,69 @@
+//! Who loads a lost range, judged by many readers of one stream.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use wire::frame::Stage;
+use wire::order::{Claim, HOLD, Placed, valid};
+
+/// Seeds played.
+const SEEDS: u64 = 2000;
+
+fn stage(i: u32) -> Stage {
+    Stage { model: "draft".into(), version: 1, first: i * 4, last: i * 4 + 3 }
+}
+
+/// Claims of six agents for three gaps at random times, with one long pause.
+fn stream(rng: &mut Pcg64) -> Vec<Placed> {
+    let mut time_ms = 0;
+    let pause = rng.random_range(5..25);
+    let placed = |offset: u64| {
+        time_ms += rng.random_range(0..4000);
+        if offset == pause {
+            time_ms += HOLD.as_millis() as u64;
+        }
+        let from = rng.random_bool(0.3).then(|| stage(rng.random_range(3..5)));
+        let vm = format!("gpu-{}", rng.random_range(0..6));
+        let claim =
+            Claim { id: offset.to_string(), vm, stage: stage(rng.random_range(0..3)), from };
+        Placed { offset, time_ms, claim }
+    };
+    (0..30).map(placed).collect()
+}
+
+/// All spare engines see the gap at the same time and claim it. Two that loaded
+/// it would leave none for the next gap; two engines taken from one range would
+/// leave that range without a replica.
+#[test]
+fn one_claim_counts_for_each_gap_and_donor() {
+    for seed in 0..SEEDS {
+        let found = valid(stream(&mut Pcg64::seed_from_u64(seed)));
+        for (i, new) in found.iter().enumerate() {
+            for old in &found[..i] {
+                let recent = new.time_ms - old.time_ms < HOLD.as_millis() as u64;
+                let (a, b) = (&old.claim, &new.claim);
+                let clash =
+                    a.stage == b.stage || a.vm == b.vm || a.from.is_some() && a.from == b.from;
+                assert!(!(recent && clash), "seed {seed}: {old:?} and {new:?}");
+                assert!(old.offset < new.offset, "seed {seed}: fencing numbers must rise");
+            }
+        }
+    }
+}
+
+/// A reader that starts late does not see expired claims. If it judged the later
+/// ones otherwise, two agents would both hold their claim for the first.
+#[test]
+fn readers_agree_after_a_pause() {
+    for seed in 0..SEEDS {
+        let all = stream(&mut Pcg64::seed_from_u64(seed));
+        let hold = HOLD.as_millis() as u64;
+        let pause = all.windows(2).rposition(|w| w[1].time_ms - w[0].time_ms >= hold).unwrap() + 1;
+        let recent = |found: Vec<Placed>| -> Vec<u64> {
+            found.iter().map(|p| p.offset).filter(|o| *o >= pause as u64).collect()
+        };
+        let whole = recent(valid(all.clone()));
+        for first in 0..=pause {
+            assert_eq!(recent(valid(all[first..].to_vec())), whole, "seed {seed} from {first}");
+        }
+    }
+}
