--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use config::process::{Kind, Process};
+use node::stop::Work;
 use node::{Error, Node};
 use salvo::Listener;
 use salvo::conn::TcpListener;
@@ -40,6 +41,10 @@
     pub service: Option<Arc<call::Service>>,
     /// Drafts it drives as head.
     pub drafts: draft::Table,
+    /// Requests being answered, down to the last byte, and receipts on their way
+    /// to the log. A drain waits for them: slots alone are free again before the
+    /// answer has left, and an answer cut off there would be in doubt.
+    pub work: Work,
 }
 
 impl Agent {
@@ -68,7 +73,7 @@
             incarnation: self.node.incarnation,
             data_centre: self.node.process.data_centre.clone(),
             backend: self.backend(),
-            slots: self.slots.total(),
+            slots: self.slots.open(),
             busy: self.slots.busy(),
             step_us: self.slots.step_us(),
             leaving: self.leaving(),
@@ -78,6 +83,15 @@
         }
     }
 
+    /// False while this agent would refuse the non-idempotent writes of its service.
+    ///
+    /// Without it a rolling restart would go on to the next agent while this one still
+    /// reads the log, until no agent of the service is left that takes a write.
+    fn takes_writes(&self) -> bool {
+        // Routes that are not listed count as non-idempotent, so any service can have some.
+        self.service.as_ref().is_none_or(|service| service.writer.ready())
+    }
+
     fn ready(&self) -> Result<(), String> {
         match () {
             () if self.leaving() => Err("leaving".into()),
@@ -89,6 +103,9 @@
             () if self.backend() == Backend::None => {
                 Err("the backend server can't be used now".into())
             }
+            // Reports don't wait for this: look-ups go on while the log is out, and a
+            // router that is told "not run" asks the next agent for a write.
+            () if !self.takes_writes() => Err("the log of writes has not been read yet".into()),
             () => Ok(()),
         }
     }
@@ -108,6 +125,7 @@
         stage: None,
         service: None,
         drafts: draft::Table::default(),
+        work: Work::default(),
     };
     match backend.kind {
         Kind::Engine => {
@@ -131,7 +149,7 @@
 
     node.stop.wait().await;
     let limit = node.settings.borrow().fleet.defaults.drain;
-    let busy = || agent.slots.busy() as usize + agent.drafts.running();
+    let busy = || agent.slots.busy() as usize + agent.drafts.running() + agent.work.running();
     let left = node::stop::drain(limit, busy).await;
     if left > 0 {
         log::warn!("agent: stopping with {left} requests in progress after {limit:?}");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod settings;
 pub mod stop;
 pub mod trace;
+pub mod traffic;
 pub mod vms;
 
 use std::path::Path;
@@ -80,7 +81,7 @@
     let vms = vms::start(&process.platform.vms);
     let settings = settings::start(&process, peers.clone(), vms.clone());
     let quarantine_settings = settings.clone();
-    let metrics = metrics::Metrics::new(&process.vm, settings.clone())
+    let metrics = metrics::Metrics::new(&process.vm, settings.clone(), peers.traffic.clone())
         .map_err(|e| Error::new("metrics", e))?;
     Ok(Arc::new(Node {
         incarnation: incarnation(),
@@ -98,7 +99,7 @@
 /// Milliseconds since the Unix epoch: a later start of the same VM has a higher
 /// one as long as the VM's clock does not run backwards; only its being
 /// different is relied on.
-fn incarnation() -> id::Incarnation {
+pub fn incarnation() -> id::Incarnation {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.map_or(1, |d| d.as_millis() as u64)
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,6 +9,7 @@
 use wire::link::{self, Stream};
 
 use crate::alive::{self, Wait, Waits};
+use crate::traffic::Traffic;
 
 /// A peer that was lost is not connected to again for this long. Without it all
 /// who need the peer would wait for a new connection in turn, each for a second.
@@ -29,6 +30,8 @@
 #[derive(Debug, Clone)]
 pub struct Peers {
     endpoint: Endpoint,
+    /// Counts the bytes of all links, opened here or by peers.
+    pub traffic: Traffic,
     /// Sorted by name and address.
     list: Arc<Mutex<Vec<Entry>>>,
 }
@@ -36,7 +39,7 @@
 impl Peers {
     /// No links yet.
     pub fn new(endpoint: Endpoint) -> Peers {
-        Peers { endpoint, list: Arc::default() }
+        Peers { endpoint, traffic: Traffic::default(), list: Arc::default() }
     }
 
     /// The endpoint, to accept connections on.
@@ -90,6 +93,7 @@
             }
         };
         let opened = opened.inspect_err(|_| peer.lose())?;
+        self.traffic.add(opened.clone());
         *held = Some(opened.clone());
         tokio::spawn(watch(self.own(), vm.to_string(), opened.clone(), peer.clone()));
         Ok(opened)
@@ -98,7 +102,15 @@
     /// Forgets peers that are not in `vms`, so that replaced VMs do not pile up.
     pub fn retain(&self, vms: &[platform::vm::Entry]) {
         let mut list = self.list.lock().expect("no panic while held");
-        list.retain(|(vm, address, _)| vms.iter().any(|e| e.vm == *vm && e.address == *address));
+        list.retain(|(vm, address, peer)| {
+            let listed = vms.iter().any(|e| e.vm == *vm && e.address == *address);
+            if let (false, Ok(held)) = (listed, peer.link.try_lock())
+                && let Some(connection) = &*held
+            {
+                connection.close(0u32.into(), b"not listed");
+            }
+            listed
+        });
     }
 
     fn own(&self) -> IpAddr {
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -27,6 +27,10 @@
 use crate::tuning::Tuning;
 use crate::work::Cost;
 
+/// Longest step time taken from a report, in microseconds: a wrong one must not make
+/// estimates overflow.
+pub const STEP_MAX: u64 = 600_000_000;
+
 /// An agent's report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
@@ -53,6 +57,9 @@
     pub prefix: Option<Prefix>,
     /// True when the preferred replica comes first whatever its load, as for a keyed call.
     pub keyed: bool,
+    /// True for a draft that lost a stage: full replicas are tried too, since they keep a reserve for
+    /// it ([`crate::limit`]), and no better match is waited for.
+    pub recovery: bool,
     /// Data centre of the router.
     pub from: DataCentre,
     /// VMs that must not be used, such as those that failed this request.
@@ -74,6 +81,27 @@
 }
 
 /// Replicas of one model version or plain service, as one router sees them.
+///
+/// ```
+/// use std::time::Duration;
+/// use policy::health::State;
+/// use policy::link::Links;
+/// use policy::route::{End, Load, Table};
+/// let secs = Duration::from_secs;
+/// let mut table = Table::new(1, Links::new(Duration::from_millis(1)));
+/// table.warm(0, "gpu-1", "east", 8);
+/// table.join(0, "gpu-2", "west", 8, secs(1));
+/// assert_eq!(table.room(6, secs(1)).free, 9, "the one that joins is ramped up");
+/// let load = Load { slots: 8, busy: 3, step_us: 9000, leaving: false, age: Duration::ZERO };
+/// table.report("gpu-1", &load, secs(2));
+/// table.started("gpu-1", secs(2));
+/// table.ended("gpu-1", End::Succeeded, secs(3));
+/// table.started("gpu-1", secs(3));
+/// table.refused("gpu-1", secs(3));
+/// assert_eq!(table.state("gpu-1", secs(3)), Some(State::Live));
+/// table.gone("gpu-1", secs(4));
+/// table.forget("gpu-1", secs(600));
+/// ```
 #[derive(Debug, Clone)]
 pub struct Table {
     ranges: Vec<Range>,
@@ -96,6 +124,7 @@
     ///     left: Duration::from_secs(10),
     ///     prefix: None,
     ///     keyed: false,
+    ///     recovery: false,
     ///     from: 0,
     ///     avoid: &[],
     /// };
@@ -159,7 +188,7 @@
         r.freed(free, now);
         let mut ejected = false;
         if load.step_us > 0 {
-            let fresh = load.step_us as f64;
+            let fresh = load.step_us.min(STEP_MAX) as f64;
             r.smooth(fresh);
             ejected = r.health.step(fresh, load.busy > 0, peers, &self.tuning, now);
         }
@@ -256,13 +285,14 @@
         ramp: Ramp,
         now: Duration,
     ) {
+        let step = self.tuning.ramp;
         let data_centre = self.links.index(data_centre);
         let range = &mut self.ranges[range];
         match range.find(vm) {
             Ok(i) if !range.list[i].gone => range.list[i].slots = slots,
             Ok(i) => {
                 let old = &range.list[i];
-                let (step_us, ramp) = (old.step_us, old.ramp.again(now));
+                let (step_us, ramp) = (old.step_us, old.ramp.again(step, now));
                 range.list[i] = Replica::new(vm, data_centre, slots, ramp);
                 range.list[i].step_us = step_us;
             }
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -5,26 +5,18 @@
 use std::time::Duration;
 
 use policy::quarantine::Verdict;
+use policy::work::Cost;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use wire::frame::{
-    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Tell,
-    Token, Word,
+    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Stage,
+    Tell, Token, Word,
 };
 use wire::id;
 use wire::link::Stream;
 
-use crate::view::Sent;
-use crate::{Router, choose};
-
-/// Tries to get a draft accepted before the caller is told that there is no room.
-const TRIES: u32 = 6;
-
-/// Pause before the second try; doubled for each further one.
-const PAUSE: Duration = Duration::from_millis(10);
-
-/// When a caller may come back after no agent had room.
-const BUSY_RETRY: Duration = Duration::from_millis(500);
+use crate::admission::{self, Grant, Target, Want};
+use crate::{Router, view};
 
 /// Time an agent has to accept or refuse a draft.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -60,6 +52,27 @@
     pub until: Instant,
 }
 
+/// Bytes of a prompt that name its prefix: drafts that share more share an engine's cache.
+const PREFIX: usize = 256;
+
+/// Bytes of text for a token, for estimates before the engine has counted them.
+const TOKEN_BYTES: u32 = 4;
+
+impl Wanted {
+    fn want(&self) -> Want {
+        let prompt = (self.prompt.len() as u32).div_ceil(TOKEN_BYTES);
+        Want {
+            target: Target::Model(self.model.name.clone()),
+            workspace: self.workspace.clone(),
+            priority: self.priority,
+            cost: Cost { prompt, output: self.max_tokens },
+            until: self.until,
+            prefix: Some(policy::affinity::prefix(&self.prompt, PREFIX)),
+            keyed: false,
+        }
+    }
+}
+
 /// What happens to a draft, in order: one `Accepted`, tokens, one end. A refusal
 /// may come first.
 #[derive(Debug, Clone)]
@@ -76,7 +89,9 @@
 
 /// How one head ended.
 enum End {
-    /// The caller has its answer or has gone.
+    /// The caller has the whole answer.
+    Done,
+    /// The caller has gone or has a refusal.
     Over,
     /// The head is lost; another one goes on.
     Lost(String),
@@ -91,6 +106,8 @@
     /// Tokens the caller has.
     words: Vec<Word>,
     accepted: bool,
+    /// A head did not answer, so it may run the draft all the same.
+    doubted: bool,
     /// Hash of the content; unknown for a caller that came back.
     fingerprint: Option<id::Fingerprint>,
     /// Lost heads, each with the task that cancels the draft there.
@@ -107,26 +124,28 @@
         head: Place { vm: String::new(), address: String::new() },
         words: Vec::new(),
         accepted: false,
+        doubted: false,
         fingerprint: Some(wanted.fingerprint),
         given_up: Vec::new(),
     };
     let mut attempt = 0;
     loop {
-        let (stream, sent) = match follower.start(&wanted, attempt).await {
+        let (stream, grant) = match follower.start(&wanted, attempt).await {
             Ok(started) => started,
             Err(refusal) => return follower.refuse(refusal).await,
         };
         match follower.follow(stream).await {
+            End::Done => return grant.succeeded(),
             End::Over => return,
             End::Lost(why) => {
                 log::warn!("head: {} lost {}: {why}", follower.head.vm, follower.request);
                 let text = format!("head {} is lost: {why}", follower.head.vm);
                 follower.router.node.trace.add(&follower.request, "head", text);
                 follower.router.node.metrics.retries.add(1, &[]);
+                grant.failed(&follower.head.vm);
                 follower.give_up();
             }
         }
-        drop(sent);
         attempt += HEAD_STRIDE;
     }
 }
@@ -141,6 +160,7 @@
         head,
         words: Vec::new(),
         accepted: false,
+        doubted: false,
         fingerprint: None,
         given_up: Vec::new(),
     };
@@ -157,57 +177,75 @@
 }
 
 impl Follower {
-    /// Gets the draft accepted by a head.
+    /// Gets the draft accepted by a head, as soon as it is its turn.
     async fn start(
         &mut self,
         wanted: &Wanted,
         attempt: id::Attempt,
-    ) -> Result<(Stream, Sent), Refusal> {
-        let mut pause = PAUSE;
-        let mut tries = 0;
+    ) -> Result<(Stream, Grant), Refusal> {
+        self.not_quarantined(wanted)?;
+        let admission = self.router.admission.clone();
+        let mut grant = match attempt {
+            0 => self.unless_gone(admission.ask(wanted.want())).await?,
+            _ => self.unless_gone(admission.recover(wanted.want())).await?,
+        };
         loop {
-            let refusal = match self.offer(wanted, attempt).await {
-                Ok(started) => return Ok(started),
+            let refusal = match self.offer(wanted, attempt, &grant).await {
+                Ok(stream) => return Ok((stream, grant)),
                 Err(refusal) => refusal,
             };
-            tries += 1;
             let again = matches!(
                 refusal.cause,
                 Cause::Busy | Cause::Leaving | Cause::Unavailable | Cause::Lost
             );
-            // A draft that was accepted once is looked after until its deadline.
-            let enough = tries >= TRIES && !self.accepted;
-            if !again || enough || Instant::now() + pause >= wanted.until {
-                return Err(match refusal.retry_after {
-                    None if again => refusal.after(BUSY_RETRY),
-                    _ => refusal,
-                });
+            if !again {
+                return Err(refusal);
             }
             self.router.node.metrics.retries.add(1, &[]);
-            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-            pause = (pause * 2).min(Duration::from_millis(500));
+            let outcome = admission::certain(&refusal);
+            grant = self.unless_gone(grant.again(refusal, outcome)).await?;
+        }
+    }
+
+    fn not_quarantined(&self, wanted: &Wanted) -> Result<(), Refusal> {
+        let node = &self.router.node;
+        match node.quarantine.verdict(wanted.fingerprint) {
+            Verdict::Refused { left } => Err(quarantined(&node.process.vm, left)),
+            _ => Ok(()),
         }
     }
 
-    /// Offers the draft to the best head of now.
+    /// Waits for a turn as long as the caller does.
+    async fn unless_gone(
+        &self,
+        turn: impl Future<Output = Result<Grant, Refusal>>,
+    ) -> Result<Grant, Refusal> {
+        tokio::select! {
+            turn = turn => turn,
+            () = self.events.closed() => {
+                let vm = &self.router.node.process.vm;
+                Err(Refusal::not_run(Cause::Lost, "queue", vm, "the caller has gone"))
+            }
+        }
+    }
+
+    /// Offers the draft to the head of a chain.
     async fn offer(
         &mut self,
         wanted: &Wanted,
         attempt: id::Attempt,
-    ) -> Result<(Stream, Sent), Refusal> {
-        let quarantine = &self.router.node.quarantine;
-        if let Verdict::Refused { left } = quarantine.verdict(wanted.fingerprint) {
-            return Err(quarantined(&self.router.node.process.vm, left));
-        }
-        let agents = self.router.view.usable();
-        let chain = choose::chain(&agents, &wanted.model);
-        let vm = &self.router.node.process.vm;
-        if let Some(gap) = chain.iter().find(|hop| hop.replicas.is_empty()) {
-            let (first, last) = (gap.stage.first, gap.stage.last);
-            let why = format!("no backend server holds layers {first}-{last} now");
+        grant: &Grant,
+    ) -> Result<Stream, Refusal> {
+        // It may have been put there while the draft waited.
+        self.not_quarantined(wanted)?;
+        let chain = hops(&self.router.view, &wanted.model, grant.chain());
+        let Some(head) = chain.first().and_then(|hop| hop.replicas.first()) else {
+            let why = "the head is no longer listed";
+            let vm = grant.chain().first().and_then(|list| list.first());
+            let vm = vm.map_or("", String::as_str);
             return Err(Refusal::not_run(Cause::Unavailable, "choose", vm, why));
-        }
-        self.head = chain[0].replicas[0].clone();
+        };
+        self.head = head.clone();
         self.request = self.request_id(&wanted.unique);
         // The same process again gets the same request id: the late cancelling
         // of its first run would end the new one.
@@ -215,9 +253,7 @@
             task.abort();
         }
         let ask = Ask::Draft(self.draft(wanted, attempt, chain));
-        let sent = self.router.view.sent(&self.head.vm);
-        let stream = self.ask(&ask).await?;
-        Ok((stream, sent))
+        self.ask(&ask).await
     }
 
     fn request_id(&self, unique: &str) -> id::Request {
@@ -246,21 +282,23 @@
     /// Opens a stream to the head and reads whether it accepts.
     async fn ask(&mut self, ask: &Ask) -> Result<Stream, Refusal> {
         let (vm, address) = (self.head.vm.clone(), self.head.address.clone());
-        let down = |why: String| Refusal::not_run(Cause::Unavailable, "offer", &vm, why);
         let _wait = self.router.node.peers.wait(&vm, &address);
+        let connection = self.router.node.peers.connection(&vm, &address).await;
+        let connection = connection
+            .map_err(|e| Refusal::not_run(Cause::Unavailable, "offer", &vm, e.to_string()))?;
+        // From here on the draft may have reached the head, and a head whose
+        // answer is late or lost may run it.
+        let down = |why: String| Refusal::unknown(Cause::Lost, "offer", &vm, why);
         let asked = async {
-            let mut stream = self
-                .router
-                .node
-                .peers
-                .open(&vm, &address, ask)
-                .await
-                .map_err(|e| down(e.to_string()))?;
+            let mut stream =
+                wire::link::open(&connection, &vm, ask).await.map_err(|e| down(e.to_string()))?;
             let tell = stream.expect::<Tell>().await.map_err(|e| down(e.to_string()))?;
             Ok((stream, tell))
         };
         let asked = tokio::time::timeout(ACCEPT_TIMEOUT, asked).await;
-        let (stream, tell) = asked.unwrap_or_else(|_| Err(down("no answer in time".into())))?;
+        let asked = asked.unwrap_or_else(|_| Err(down("no answer in time".into())));
+        self.doubted |= asked.is_err();
+        let (stream, tell) = asked?;
         match tell {
             Tell::Accepted(accepted) => {
                 if !self.accepted {
@@ -300,7 +338,7 @@
                 }
                 Ok(Tell::Done(done)) => {
                     let _ = self.events.send(Event::Done(done)).await;
-                    return End::Over;
+                    return End::Done;
                 }
                 Ok(Tell::Refused(refusal)) => {
                     self.refuse(refusal).await;
@@ -333,6 +371,13 @@
     }
 
     async fn cancel(&self) {
+        // A stopping router closes its callers' connections itself at the end of
+        // its time. The caller goes on through another router, and a draft that
+        // was cancelled here would be lost to it. The head gives up what nobody
+        // comes back for.
+        if self.router.node.stop.raised() {
+            return;
+        }
         let (request, workspace) = (self.request.clone(), self.workspace.clone());
         let ask = Ask::Cancel(Cancel { request, workspace });
         let peers = &self.router.node.peers;
@@ -341,12 +386,13 @@
         }
     }
 
-    /// Tells the caller the end. What was accepted once may have run in part.
+    /// Tells the caller the end. What was accepted once, or sent to a head that
+    /// did not answer, may have run in part.
     async fn refuse(&self, mut refusal: Refusal) {
         if refusal.cause == Cause::Quarantined {
             self.fingerprint.iter().for_each(|f| self.router.node.quarantine.refused_elsewhere(*f));
         }
-        if self.accepted && refusal.outcome == Outcome::NotRun {
+        if (self.accepted || self.doubted) && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
         self.router.node.trace.add(&self.request, "refuse", refusal.to_string());
@@ -365,3 +411,12 @@
         tokio::time::sleep(LOOK).await;
     }
 }
+
+/// The chain in the words of the links. VMs that were unlisted meanwhile are left out.
+fn hops(view: &view::View, model: &config::fleet::Model, chain: &[Vec<id::Vm>]) -> Vec<Hop> {
+    let hop = |(&(first, last), list): (&(u32, u32), &Vec<id::Vm>)| Hop {
+        stage: Stage { model: model.name.clone(), version: model.version, first, last },
+        replicas: list.iter().filter_map(|vm| Some(view.find(vm)?.place)).collect(),
+    };
+    model.ranges.iter().zip(chain).map(hop).collect()
+}
--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -27,10 +27,18 @@
     let verdict = match what {
         Expect::Answered { min } => {
             let part = all.right as f64 / all.sent.max(1) as f64;
-            require(part >= *min, format!("{:.4} of {} were answered right", part, all.sent))
+            let first = facts.outcomes.iter().find(|o| !o.judged && !o.is_right());
+            let first = first.map_or(String::new(), |o| format!(": {} {}", o.id, o.verdict.line()));
+            require(part >= *min, format!("{part:.4} of {} were answered right{first}", all.sent))
         }
         Expect::Right => none(books::answers(facts.outcomes)),
         Expect::NoneDoubled => none(books::doubled(&facts.books.runs)),
+        Expect::Runs { key, times } => {
+            let runs = &facts.books.runs;
+            let at = runs.binary_search_by(|(k, _)| k.as_str().cmp(key));
+            let found = at.map_or(0, |i| runs[i].1);
+            require(found == *times, format!("{key} ran {found} times"))
+        }
         Expect::NoGhosts => none(books::ghosts(facts.outcomes, facts.books)),
         Expect::LayerRuns { value, max } => layer_runs(*value, *max, facts),
         Expect::Cut { max } => require(all.lost <= *max, format!("{} were cut or lost", all.lost)),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -265,7 +265,7 @@
 }
 
 /// Consecutive positions to run.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Step {
     /// Position of the first input.
     pub position: id::Position,
@@ -274,7 +274,7 @@
 }
 
 /// What a step gave.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Output {
     /// Position of the first output.
     pub position: id::Position,
