--- a/crates/fake/src/vms.rs
+++ b/crates/fake/src/vms.rs
@@ -29,6 +29,8 @@
     pub lag_ms: Option<u64>,
     /// Answers 503 to every read.
     pub outage: Option<bool>,
+    /// Part of the VMs that the list lacks, from the first by name, 0 to 1.
+    pub hide: Option<f64>,
 }
 
 /// What the VM list holds.
@@ -48,6 +50,7 @@
 struct List {
     lag: Duration,
     outage: bool,
+    hide: f64,
     seen: Vec<Entry>,
     waiting: VecDeque<(Instant, Change)>,
     books: Books,
@@ -58,6 +61,7 @@
     let list = Arc::new(Mutex::new(List {
         lag: Duration::from_millis(options.lag_ms),
         outage: false,
+        hide: 0.0,
         seen: Vec::new(),
         waiting: VecDeque::new(),
         books: Books::default(),
@@ -74,7 +78,8 @@
         ("GET", ["v1", "vms"]) => {
             catch_up(list, Instant::now());
             list.books.reads += 1;
-            Ok(Reply::tagged(call, &list.seen))
+            let hidden = (list.seen.len() as f64 * list.hide).round() as usize;
+            Ok(Reply::tagged(call, &&list.seen[hidden.min(list.seen.len())..]))
         }
         ("PUT", ["v1", "vms", vm]) => {
             let entry: Entry = call.json()?;
@@ -89,6 +94,7 @@
             let fault: Fault = call.json()?;
             list.lag = fault.lag_ms.map_or(list.lag, Duration::from_millis);
             list.outage = fault.outage.unwrap_or(list.outage);
+            list.hide = fault.hide.unwrap_or(list.hide);
             Ok(Reply::done())
         }
         _ => Err(Reply::refuse(404, "no such path")),
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -110,7 +110,7 @@
     }
     let () = http.json("DELETE", "/v1/vms/c", &()).await.unwrap();
     assert_eq!(client.list().await.unwrap(), []);
-    let fault = vms::Fault { lag_ms: Some(0), outage: None };
+    let fault = vms::Fault { lag_ms: Some(0), ..vms::Fault::default() };
     let () = http.post("/~fake/control", &fault).await.unwrap();
     assert_eq!(client.list().await.unwrap(), [entry("a"), entry("b")]);
     let list = client.changed("").await.unwrap().unwrap();
--- /dev/null
+++ b/crates/node/tests/vms.rs
@@ -0,0 +1,73 @@
+//! What counts of a VM list that lags, loses entries or is empty by mistake.
+
+use std::time::Duration;
+
+use node::vms::{GRACE, Known};
+use platform::vm::{Entry, Role, State};
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// A list in short: `a b- c` has VM b leaving.
+fn list(text: &str) -> Vec<Entry> {
+    let entry = |word: &str| Entry {
+        vm: word.trim_end_matches('-').to_string(),
+        role: Role::Agent,
+        data_centre: "dc-a".to_string(),
+        address: "127.0.0.1:7000".to_string(),
+        state: if word.ends_with('-') { State::Leaving } else { State::Live },
+    };
+    text.split_whitespace().map(entry).collect()
+}
+
+fn short(entries: &[Entry]) -> String {
+    let word = |e: &Entry| match e.state {
+        State::Live => e.vm.clone(),
+        State::Leaving => format!("{}-", e.vm),
+    };
+    entries.iter().map(word).collect::<Vec<_>>().join(" ")
+}
+
+struct Case {
+    /// Lists as they are read, one a second.
+    read: &'static [&'static str],
+    counts: &'static str,
+}
+
+/// The platform's list loses entries, wholly or in part, or an entry flaps. If it were
+/// taken at its word all callers would be refused while every backend server runs; if
+/// it were not heeded at all, a VM taken out of it would get work until it is gone.
+#[rstest]
+#[case::as_read(Case { read: &["a b c"], counts: "a b c" })]
+#[case::one_missing_leaves(Case { read: &["a b c", "a c"], counts: "a b- c" })]
+#[case::half_missing_leave(Case { read: &["a b c d", "a b"], counts: "a b c- d-" })]
+#[case::most_missing_is_doubted(Case { read: &["a b c", "a"], counts: "a b c" })]
+#[case::empty_is_doubted(Case { read: &["a b c", ""], counts: "a b c" })]
+#[case::doubted_again_and_again(Case { read: &["a b c", "", "", ""], counts: "a b c" })]
+#[case::back_after_doubt(Case { read: &["a b c", "", "a b c"], counts: "a b c" })]
+#[case::the_rest_of_a_doubted_list_counts(Case { read: &["a b c", "a- d"], counts: "a- b c d" })]
+#[case::replaced_as_a_whole(Case { read: &["a b", "c d", "c d"], counts: "a- b- c d" })]
+#[case::flapping(Case { read: &["a b", "a- b", "a b", "a- b"], counts: "a- b" })]
+#[case::missing_and_back(Case { read: &["a b c", "a b", "a b c"], counts: "a b c" })]
+fn a_list_is_taken_with_care(#[case] case: Case) {
+    let mut known = Known::default();
+    let mut now = Instant::now();
+    for text in case.read {
+        known.read(&list(text), now);
+        now += Duration::from_secs(1);
+    }
+    assert_eq!(short(&known.entries()), case.counts);
+}
+
+/// A VM is taken out of the list for good. Without an end it would be asked for reports
+/// as long as the daemon lives, and replaced VMs would pile up.
+#[test]
+fn a_missing_vm_is_forgotten_after_its_time() {
+    let mut known = Known::default();
+    let now = Instant::now();
+    known.read(&list("a b c"), now);
+    known.read(&list("a c"), now);
+    known.read(&list("a c"), now + GRACE - Duration::from_secs(1));
+    assert_eq!(short(&known.entries()), "a b- c");
+    known.read(&list("a c"), now + GRACE);
+    assert_eq!(short(&known.entries()), "a c");
+}
--- a/crates/scenario/src/fault.rs
+++ b/crates/scenario/src/fault.rs
@@ -106,8 +106,13 @@
     fleet: &Fleet,
     lag: Option<u64>,
     outage: Option<script::Switch>,
+    hide: Option<f64>,
 ) -> Result<(), String> {
-    let settings = [("lag_ms", lag.map(|n| json!(n))), ("outage", switch(outage))];
+    let settings = [
+        ("lag_ms", lag.map(|n| json!(n))),
+        ("outage", switch(outage)),
+        ("hide", hide.map(|part| json!(part))),
+    ];
     control(&fleet.platform.vms, &settings).await
 }
 
--- a/crates/scenario/src/main.rs
+++ b/crates/scenario/src/main.rs
@@ -51,6 +51,9 @@
         /// First seed.
         #[arg(long, default_value_t = 1)]
         from: u64,
+        /// Faults between acceptance and answer, judged by what was told "not run".
+        #[arg(long)]
+        not_run: bool,
         /// Only prints the scripts.
         #[arg(long)]
         print: bool,
@@ -103,9 +106,9 @@
 fn scripts(command: &Command) -> Result<Vec<Script>, String> {
     match command {
         Command::Run { files, seed } => files.iter().map(|f| read(f, *seed)).collect(),
-        Command::Sweep { seeds, from, .. } => {
-            let script =
-                |seed| Script { name: format!("seed {seed}"), text: sweep::script(seed), seed };
+        Command::Sweep { seeds, from, not_run, .. } => {
+            let text = if *not_run { sweep::not_run } else { sweep::script };
+            let script = |seed| Script { name: format!("seed {seed}"), text: text(seed), seed };
             Ok((*from..from + seeds).map(script).collect())
         }
     }
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -290,7 +290,7 @@
                 Ok(())
             }
             Verb::Log(line) => fault::log(fleet, line).await,
-            Verb::Vms { lag, outage } => fault::vms(fleet, *lag, *outage).await,
+            Verb::Vms { lag, outage, hide } => fault::vms(fleet, *lag, *outage, *hide).await,
             Verb::Stay { vm } => {
                 let vm = fleet.vm(vm)?;
                 fleet.enter(&vm, State::Live).await
@@ -358,7 +358,7 @@
                 return if same { Ok(()) } else { Err(format!("versions: {versions:?}")) };
             }
             Expect::Left { vm, within } => {
-                let found = self.watches.iter().find_map(|w| w.last_work(vm));
+                let found = self.watches.iter().rev().find_map(|w| w.last_work(vm));
                 let last = found.ok_or(format!("the script has not said 'leave {vm}'"))?;
                 self.notes
                     .push(format!("{vm} got its last new work after {} ms", last.as_millis()));
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -207,6 +207,9 @@
         /// Takes the list down or up.
         #[arg(long, value_enum)]
         outage: Option<Switch>,
+        /// Part of the VMs that the list lacks by mistake, 0 to 1.
+        #[arg(long)]
+        hide: Option<f64>,
     },
     /// Marks a VM as leaving in the VM list and watches when it last gets new work.
     Leave {
--- a/crates/scenario/tests/scripts.rs
+++ b/crates/scenario/tests/scripts.rs
@@ -49,7 +49,8 @@
 #[test]
 fn every_seed_of_a_sweep_reads() {
     for seed in 0..300 {
-        let text = sweep::script(seed);
-        assert!(script::parse("sweep", &text).is_ok(), "{text}");
+        for text in [sweep::script(seed), sweep::not_run(seed)] {
+            assert!(script::parse("sweep", &text).is_ok(), "{text}");
+        }
     }
 }
