--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -66,7 +66,7 @@
     tokio::time::sleep(spans.notice).await;
     handle.stop_graceful(spans.work + spans.answers);
     tokio::time::sleep(spans.work).await;
-    let left = router.view.outstanding();
+    let left = router.admission.running();
     log::warn!("drain: {left} requests are answered as unfinished after {:?}", spans.work);
     router.ending.raise();
 }
--- a/crates/scenario/src/books.rs
+++ b/crates/scenario/src/books.rs
@@ -29,6 +29,12 @@
     pub vm: String,
     /// All sessions since it started.
     pub sessions: Vec<Opened>,
+    /// Orders it took.
+    pub orders: Vec<engine::Order>,
+    /// Batches run.
+    pub batches: u64,
+    /// Microseconds that they took.
+    pub busy_us: u64,
 }
 
 /// Runs of each key at the plain services, sorted by key.
@@ -162,7 +168,8 @@
 /// Reads an engine's book.
 pub async fn engine(base: &str, vm: &str) -> Result<Engine, rest::Error> {
     let page: book::Books = rest::Client::new(base, READ).get("/~fake/books").await?;
-    Ok(Engine { vm: vm.to_string(), sessions: page.sessions })
+    let book::Books { sessions, orders, batches, busy_us, .. } = page;
+    Ok(Engine { vm: vm.to_string(), sessions, orders, batches, busy_us })
 }
 
 /// Reads how often each key ran at the services that share the book at `base`.
