--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -1,26 +1,24 @@
 //! The fleet of a scenario: platform stand-ins, backend servers, agents and routers,
 //! each VM with a loopback address of its own.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+mod ctl;
+mod vm;
+
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::PathBuf;
-use std::process::Output;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use platform::vm::{Entry, Role, State};
-use serde::Deserialize;
 
 use crate::binary::Place;
 use crate::books::{self, Books, Engine};
 use crate::model;
 use crate::process::{Process, READY, Wanted};
 use crate::script;
-use crate::settings::{self, BACKEND_PORT, HTTP_PORT, LINK_PORT, Platform, RELAY_PORT};
+use crate::settings::{self, BACKEND_PORT, Platform};
+
+pub use vm::{Backend, Vm};
 
-/// Port by which a run claims its part of the loopback addresses.
-const CLAIM_PORT: u16 = 8999;
-/// Name in the operators' certificate.
-const OPERATOR: &str = "operator";
 /// A port where nobody listens.
 const NOBODY: u16 = 9;
 
@@ -29,54 +27,6 @@
 /// Time one look at a daemon or control call may take.
 pub const CALL: Duration = Duration::from_secs(3);
 
-/// What stands on a VM.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Backend {
-    /// Nothing: an entry VM.
-    None,
-    /// An engine: number of its range, first and last layer, microseconds of a step.
-    Engine(usize, u32, u32, u64),
-    /// A plain service.
-    Service,
-}
-
-/// One VM.
-#[derive(Debug, Clone)]
-pub struct Vm {
-    /// Name.
-    pub name: String,
-    /// Data centre.
-    pub data_centre: String,
-    /// Address.
-    pub ip: IpAddr,
-    /// What stands on it.
-    pub backend: Backend,
-    /// True for an engine that starts with nothing loaded.
-    pub empty: bool,
-}
-
-impl Vm {
-    /// `http://IP:PORT` of the daemon.
-    pub fn http(&self) -> String {
-        format!("http://{}:{HTTP_PORT}", self.ip)
-    }
-
-    /// `http://IP:PORT` of the backend server.
-    pub fn backend_http(&self) -> String {
-        format!("http://{}:{BACKEND_PORT}", self.ip)
-    }
-
-    /// Address under which other daemons find it.
-    pub fn link(&self, relayed: bool) -> SocketAddr {
-        SocketAddr::new(self.ip, if relayed { RELAY_PORT } else { LINK_PORT })
-    }
-
-    /// Name of its backend server's process.
-    pub fn backend_process(&self) -> String {
-        format!("{}.backend", self.name)
-    }
-}
-
 /// A running fleet.
 #[derive(Debug)]
 pub struct Fleet {
@@ -99,58 +49,10 @@
     _claim: TcpListener,
 }
 
-/// Runs of this process so far.
-static RUNS: AtomicU32 = AtomicU32::new(0);
-
-/// Claims a part of the loopback addresses that no other run uses.
-///
-/// Each run of a process starts its search elsewhere: the processes of the run
-/// before may still be ending, and a port that is still bound would fail the
-/// next script for no fault of its own.
-fn claim() -> Result<(u8, TcpListener), String> {
-    let start = std::process::id() + 7 * RUNS.fetch_add(1, Ordering::Relaxed);
-    for i in 0..200 {
-        let octet = (16 + (start + i) % 200) as u8;
-        let address = SocketAddr::new(Ipv4Addr::new(127, octet, 0, 1).into(), CLAIM_PORT);
-        if let Ok(listener) = TcpListener::bind(address) {
-            return Ok((octet, listener));
-        }
-    }
-    Err("no free part of the loopback addresses".to_string())
-}
-
-/// The VMs of a plan, without addresses of links or processes.
-fn vms(plan: &script::Fleet, octet: u8) -> Vec<Vm> {
-    let data_centre = |i: usize| format!("dc-{}", (b'a' + (i % plan.data_centres) as u8) as char);
-    let vm = |name: String, i: usize, net: usize, host: usize, backend: Backend| Vm {
-        name,
-        data_centre: data_centre(i),
-        ip: Ipv4Addr::new(127, octet, net as u8, host as u8).into(),
-        backend,
-        empty: false,
-    };
-    let mut vms = Vec::new();
-    for i in 0..plan.routers {
-        vms.push(vm(format!("router-{}", i + 1), i, 1, i + 1, Backend::None));
-    }
-    for i in 0..plan.services {
-        vms.push(vm(format!("desk-{}", i + 1), i, 3, i + 1, Backend::Service));
-    }
-    for (r, range) in plan.ranges.iter().enumerate() {
-        for k in 0..plan.replicas {
-            let speed = plan.speeds[k % plan.speeds.len()];
-            let backend = Backend::Engine(r, range.low, range.high, speed);
-            vms.push(vm(format!("gpu-{r}-{}", k + 1), r + k, 10 + r, k + 1, backend));
-        }
-    }
-    vms.sort_by(|a, b| a.name.cmp(&b.name));
-    vms
-}
-
 impl Fleet {
     /// Starts everything and waits until all daemons are ready.
     pub async fn start(plan: script::Fleet, place: Place, dir: PathBuf) -> Result<Fleet, String> {
-        let (octet, claim) = claim()?;
+        let (octet, claim) = vm::claim()?;
         let at = |port: u16| format!("http://127.{octet}.0.1:{port}");
         let platform = Platform {
             log: at(9000),
@@ -160,7 +62,7 @@
             ledger: at(9004),
         };
         std::fs::create_dir_all(dir.join("logs")).map_err(|e| format!("log directory: {e}"))?;
-        let vms = vms(&plan, octet);
+        let vms = vm::plan(&plan, octet);
         let mut fleet = Fleet {
             plan,
             vms,
@@ -224,69 +126,10 @@
         let spares = (0..self.plan.ranges.len()).flat_map(|r| (1..=4).map(move |k| spare(r, k)));
         let mut args =
             vec!["certs".to_string(), "--out".to_string(), ".".to_string(), "--vm".to_string()];
-        args.extend(names.chain(spares).chain([OPERATOR.to_string()]));
+        args.extend(names.chain(spares).chain([ctl::OPERATOR.to_string()]));
         self.ctl(&args).await.map(|_| ())
     }
 
-    /// Publishes a text of fleet settings as an operator does; `base` is the version it
-    /// was made from, the one in force when left out.
-    pub async fn publish(
-        &self,
-        author: &str,
-        text: &str,
-        reason: &str,
-        base: Option<u64>,
-    ) -> Result<String, String> {
-        let file = format!("fleet-{author}.ini");
-        std::fs::write(self.dir.join(&file), text).map_err(|e| format!("{file}: {e}"))?;
-        let args = ["publish", &file, "--author", author, "--reason", reason];
-        let mut args: Vec<String> = args.iter().map(|a| a.to_string()).collect();
-        args.extend(base.map(|base| format!("--base={base}")));
-        self.ctl(&args).await
-    }
-
-    /// Runs `hyssopctl` and returns its output.
-    pub async fn ctl(&self, args: &[String]) -> Result<String, String> {
-        let done = self.run_ctl(args).await?;
-        match done.status.success() {
-            true => Ok(String::from_utf8_lossy(&done.stdout).to_string()),
-            false => {
-                let said = String::from_utf8_lossy(&done.stderr);
-                Err(format!("hyssopctl {}: {}: {}", args[0], done.status, said.trim()))
-            }
-        }
-    }
-
-    async fn run_ctl(&self, args: &[String]) -> Result<Output, String> {
-        let platform = ["--log", &self.platform.log, "--vms", &self.platform.vms];
-        tokio::process::Command::new(self.place.path("hyssopctl"))
-            .args(platform)
-            .args(["--tls", ".", "--as", OPERATOR])
-            .args(args)
-            .current_dir(&self.dir)
-            .kill_on_drop(true)
-            .output()
-            .await
-            .map_err(|e| format!("hyssopctl: {e}"))
-    }
-
-    /// The version of the settings that each VM has in force, as `hyssopctl status` tells
-    /// it; none for a VM that does not answer.
-    pub async fn versions(&self) -> Result<Vec<(String, Option<u64>)>, String> {
-        #[derive(Deserialize)]
-        struct Row {
-            vm: String,
-            version: Option<u64>,
-        }
-        let args = ["status", "--json"].map(str::to_string);
-        // A VM that the script killed makes the exit code 3; the others are told all the same.
-        let done = self.run_ctl(&args).await?;
-        let rows: Vec<Row> = serde_json::from_slice(&done.stdout).map_err(|e| {
-            format!("hyssopctl status: {e}: {}", String::from_utf8_lossy(&done.stderr).trim())
-        })?;
-        Ok(rows.into_iter().map(|row| (row.vm, row.version)).collect())
-    }
-
     /// Starts the backend server and the daemon of a VM, and enters it in the VM list.
     async fn start_vm(&mut self, vm: &Vm) -> Result<(), String> {
         if self.plan.links {
--- /dev/null
+++ b/crates/scenario/src/fleet/vm.rs
@@ -0,0 +1,105 @@
+//! The VMs of a fleet and their part of the loopback addresses.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::script;
+use crate::settings::{BACKEND_PORT, HTTP_PORT, LINK_PORT, RELAY_PORT};
+
+/// Port by which a run claims its part of the loopback addresses.
+const CLAIM_PORT: u16 = 8999;
+/// What stands on a VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Backend {
+    /// Nothing: an entry VM.
+    None,
+    /// An engine: number of its range, first and last layer, microseconds of a step.
+    Engine(usize, u32, u32, u64),
+    /// A plain service.
+    Service,
+}
+
+/// One VM.
+#[derive(Debug, Clone)]
+pub struct Vm {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address.
+    pub ip: IpAddr,
+    /// What stands on it.
+    pub backend: Backend,
+    /// True for an engine that starts with nothing loaded.
+    pub empty: bool,
+}
+
+impl Vm {
+    /// `http://IP:PORT` of the daemon.
+    pub fn http(&self) -> String {
+        format!("http://{}:{HTTP_PORT}", self.ip)
+    }
+
+    /// `http://IP:PORT` of the backend server.
+    pub fn backend_http(&self) -> String {
+        format!("http://{}:{BACKEND_PORT}", self.ip)
+    }
+
+    /// Address under which other daemons find it.
+    pub fn link(&self, relayed: bool) -> SocketAddr {
+        SocketAddr::new(self.ip, if relayed { RELAY_PORT } else { LINK_PORT })
+    }
+
+    /// Name of its backend server's process.
+    pub fn backend_process(&self) -> String {
+        format!("{}.backend", self.name)
+    }
+}
+
+/// Runs of this process so far.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+/// Claims a part of the loopback addresses that no other run uses.
+///
+/// Each run of a process starts its search elsewhere: the processes of the run
+/// before may still be ending, and a port that is still bound would fail the
+/// next script for no fault of its own.
+pub fn claim() -> Result<(u8, TcpListener), String> {
+    let start = std::process::id() + 7 * RUNS.fetch_add(1, Ordering::Relaxed);
+    for i in 0..200 {
+        let octet = (16 + (start + i) % 200) as u8;
+        let address = SocketAddr::new(Ipv4Addr::new(127, octet, 0, 1).into(), CLAIM_PORT);
+        if let Ok(listener) = TcpListener::bind(address) {
+            return Ok((octet, listener));
+        }
+    }
+    Err("no free part of the loopback addresses".to_string())
+}
+
+/// The VMs of a plan, without addresses of links or processes.
+pub fn plan(plan: &script::Fleet, octet: u8) -> Vec<Vm> {
+    let data_centre = |i: usize| format!("dc-{}", (b'a' + (i % plan.data_centres) as u8) as char);
+    let vm = |name: String, i: usize, net: usize, host: usize, backend: Backend| Vm {
+        name,
+        data_centre: data_centre(i),
+        ip: Ipv4Addr::new(127, octet, net as u8, host as u8).into(),
+        backend,
+        empty: false,
+    };
+    let mut vms = Vec::new();
+    for i in 0..plan.routers {
+        vms.push(vm(format!("router-{}", i + 1), i, 1, i + 1, Backend::None));
+    }
+    for i in 0..plan.services {
+        vms.push(vm(format!("desk-{}", i + 1), i, 3, i + 1, Backend::Service));
+    }
+    for (r, range) in plan.ranges.iter().enumerate() {
+        for k in 0..plan.replicas {
+            let speed = plan.speeds[k % plan.speeds.len()];
+            let backend = Backend::Engine(r, range.low, range.high, speed);
+            vms.push(vm(format!("gpu-{r}-{}", k + 1), r + k, 10 + r, k + 1, backend));
+        }
+    }
+    vms.sort_by(|a, b| a.name.cmp(&b.name));
+    vms
+}
--- /dev/null
+++ b/crates/scenario/src/player/act.rs
@@ -0,0 +1,158 @@
+//! Verbs that act on processes, links and the platform.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use platform::vm::State;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+use super::Player;
+use crate::fault::{self, Link};
+use crate::fleet::{Backend, Fleet};
+use crate::process;
+use crate::publish;
+use crate::quarantine;
+use crate::script::{self, Verb};
+use crate::trace;
+use crate::usage;
+use crate::watch::Watch;
+
+impl Player {
+    /// Verbs that act on processes and links.
+    pub(super) async fn act(&mut self, verb: &Verb) -> Result<(), String> {
+        let shared = self.fleet()?;
+        match verb {
+            Verb::Term { vm } => return term(&shared, vm).await,
+            Verb::Rolling { role } => return self.rolling(*role).await,
+            Verb::Supervise { after } => {
+                let after = Duration::from_millis(*after);
+                self.watches.push(Watch::supervise(shared, after));
+                return Ok(());
+            }
+            Verb::Leave { vm } => {
+                let vm = shared.lock().await.vm(vm)?;
+                shared.lock().await.enter(&vm, State::Leaving).await?;
+                self.watches.push(Watch::leave(&vm));
+                return Ok(());
+            }
+            _ => {}
+        }
+        let fleet = &mut *shared.lock().await;
+        match verb {
+            Verb::Kill { vm } => fleet.process(vm)?.kill().await,
+            Verb::KillEngine { vm } => kill_engine(fleet, vm).await,
+            Verb::Restart { vm } => fleet.restart(vm).await,
+            Verb::Freeze { vm, engine: true } => fleet.process(&format!("{vm}.backend"))?.freeze(),
+            Verb::Freeze { vm, engine: false } => fleet.process(vm)?.freeze(),
+            Verb::Thaw { vm } => thaw(fleet, vm),
+            Verb::Add { range, spare, step_us } => {
+                let began = Instant::now();
+                let name = fleet.add(*range, *step_us, *spare).await?;
+                self.notes.push(format!("{name} ready after {} ms", began.elapsed().as_millis()));
+                Ok(())
+            }
+            Verb::Cut { from, to, one_way } => {
+                let link = Link { cut: true, mirror: !one_way, ..Link::default() };
+                fault::link(fleet, from, to, link).await
+            }
+            Verb::Delay { from, to, ms, loss, duplicate } => {
+                let (delay_ms, loss, duplicate) = (*ms, *loss, *duplicate);
+                let link = Link { cut: false, delay_ms, loss, duplicate, mirror: true };
+                fault::link(fleet, from, to, link).await
+            }
+            Verb::Heal => fault::heal(fleet).await,
+            Verb::Lift => {
+                let note = quarantine::lift(fleet).await?;
+                self.notes.push(note);
+                Ok(())
+            }
+            Verb::Log(line) => fault::log(fleet, line).await,
+            Verb::Vms { lag, outage, hide } => fault::vms(fleet, *lag, *outage, *hide).await,
+            Verb::Stay { vm } => {
+                let vm = fleet.vm(vm)?;
+                fleet.enter(&vm, State::Live).await
+            }
+            Verb::Service(line) => fault::service(fleet, line).await,
+            Verb::Engine(line) => fault::engine(fleet, line).await,
+            Verb::Publish { change, racing, fails } => {
+                let versions = publish::versions(fleet).await?;
+                self.version = versions.iter().map(|v| v.1).max().unwrap_or(0);
+                let note = match racing {
+                    Some(other) => publish::racing(fleet, self.version, change, other).await?,
+                    None => publish::one(fleet, change, *fails).await?,
+                };
+                self.notes.push(note);
+                Ok(())
+            }
+            Verb::Usage { seconds } => {
+                let lines = usage::measure(fleet, Duration::from_secs(*seconds)).await?;
+                self.notes.extend(lines);
+                Ok(())
+            }
+            Verb::WaitVersion { within } => {
+                let within = Duration::from_millis(*within);
+                let (version, took) = publish::wait(fleet, self.version, within).await?;
+                trace::extend(&mut self.settings, &fleet.platform.log).await;
+                let took = took.as_millis();
+                self.notes.push(format!("version {version} in force on all after {took} ms"));
+                Ok(())
+            }
+            _ => Err("the verb can't be played".to_string()),
+        }
+    }
+
+    pub(super) async fn rolling(&mut self, role: script::Role) -> Result<(), String> {
+        let shared = self.fleet()?;
+        let mut vms = shared.lock().await.vms.clone();
+        // Agents first, in order of name.
+        vms.sort_by_key(|v| v.backend == Backend::None);
+        let (began, ended) = (Instant::now(), self.record.ended());
+        let wanted = vms.iter().filter(|v| match role {
+            script::Role::All => true,
+            script::Role::Routers => v.backend == Backend::None,
+            script::Role::Agents => v.backend != Backend::None,
+        });
+        let mut n = 0;
+        for vm in wanted {
+            term(&shared, &vm.name).await?;
+            shared.lock().await.restart(&vm.name).await?;
+            n += 1;
+        }
+        let took = began.elapsed().as_millis();
+        let ended = self.record.ended() - ended;
+        let more = if self.background.iter().all(JoinHandle::is_finished) { "no" } else { "more" };
+        self.notes.push(format!(
+            "rolling restart of {n} daemons took {took} ms; {ended} requests ended meanwhile, {more} came after"
+        ));
+        Ok(())
+    }
+}
+
+/// Asks a daemon to stop. The fleet is free for other verbs while it drains.
+async fn term(shared: &Arc<Mutex<Fleet>>, vm: &str) -> Result<(), String> {
+    let child = shared.lock().await.process(vm)?.ask()?;
+    process::stopped(vm, child).await
+}
+
+/// Its book goes with the process, so it is read first.
+async fn kill_engine(fleet: &mut Fleet, vm: &str) -> Result<(), String> {
+    let vm = fleet.vm(vm)?;
+    if matches!(vm.backend, Backend::Engine(..)) {
+        let book = fleet.book(&vm).await?;
+        fleet.kept.push(book);
+    }
+    fleet.process(&vm.backend_process())?.kill().await
+}
+
+fn thaw(fleet: &mut Fleet, vm: &str) -> Result<(), String> {
+    let backend = format!("{vm}.backend");
+    for name in [vm, backend.as_str()] {
+        if let Ok(process) = fleet.process(name)
+            && process.wanted == process::Wanted::Frozen
+        {
+            process.thaw()?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/scenario/src/player/judge.rs
@@ -0,0 +1,122 @@
+//! Statements, the invariants at the end, and the table.
+
+use std::time::Duration;
+
+use super::Player;
+use crate::books;
+use crate::expect::{self, Facts};
+use crate::fleet::Fleet;
+use crate::outcome::{Outcome, Verdict};
+use crate::publish;
+use crate::recovery;
+use crate::repeat;
+use crate::script::Expect;
+use crate::settings;
+use crate::table::{self, Figures};
+use crate::trace;
+use crate::watch::{self};
+
+/// Reasons printed at most.
+const REASONS: usize = 5;
+
+impl Player {
+    pub(super) async fn expect(&mut self, what: &Expect) -> Result<(), String> {
+        let shared = self.fleet()?;
+        match what {
+            Expect::OneVersion => {
+                let versions = publish::versions(&mut *shared.lock().await).await?;
+                let same = versions.windows(2).all(|pair| pair[0].1 == pair[1].1);
+                return if same { Ok(()) } else { Err(format!("versions: {versions:?}")) };
+            }
+            Expect::Left { vm, within } => {
+                let found = self.watches.iter().rev().find_map(|w| w.last_work(vm));
+                let last = found.ok_or(format!("the script has not said 'leave {vm}'"))?;
+                self.notes
+                    .push(format!("{vm} got its last new work after {} ms", last.as_millis()));
+                let holds = last <= Duration::from_millis(*within);
+                return if holds { Ok(()) } else { Err(format!("new work after {last:?}")) };
+            }
+            Expect::Works { vm } => return watch::works(&shared, vm).await,
+            _ => {}
+        }
+        let fleet = &mut *shared.lock().await;
+        let books = fleet.books().await?;
+        let outcomes = self.record.outcomes();
+        let facts = Facts {
+            outcomes: &outcomes,
+            books: &books,
+            layers: settings::layers(&fleet.plan),
+            crashes: watch::crashes(fleet),
+        };
+        if matches!(what, Expect::Crashes { .. }) {
+            self.notes.push(format!("{} backend servers crashed", facts.crashes));
+        }
+        expect::judge(what, &facts).unwrap_or_else(|| Err("can't be judged".to_string()))
+    }
+
+    /// What must hold at the end of every script.
+    pub(super) async fn end(&mut self) -> Result<(), String> {
+        self.join().await?;
+        let Some(shared) = self.fleet.clone() else { return Ok(()) };
+        let fleet = &mut *shared.lock().await;
+        fleet.thaw_all()?;
+        for name in fleet.dead() {
+            self.failures.push(format!("{name} should live and ended"));
+        }
+        let outcomes = self.record.outcomes();
+        let books = fleet.books().await?;
+        let breaches = [
+            books::answers(&outcomes),
+            books::doubled(&books.runs),
+            books::order(&books.engines),
+            books::ghosts(&outcomes, &books),
+            books::missing(&outcomes, &books.runs),
+        ];
+        self.failures.extend(breaches.concat().iter().map(|b| b.to_string()));
+        self.failures.extend(trace::fell(&self.applied(fleet)));
+        Ok(())
+    }
+
+    /// The versions that all daemons had in force since they started.
+    fn applied(&self, fleet: &Fleet) -> Vec<trace::Applied> {
+        let names: Vec<String> = fleet.vms.iter().map(|vm| vm.name.clone()).collect();
+        trace::read_all(&self.dir, &names)
+    }
+
+    pub(super) async fn table(&self) -> Result<String, String> {
+        let shared = self.fleet()?;
+        let fleet = &mut *shared.lock().await;
+        let books = fleet.books().await?;
+        let outcomes = self.record.outcomes();
+        let mut notes = self.notes.clone();
+        notes.extend(repeat::line(&outcomes, &fleet.platform.log).await);
+        let mut records = self.settings.clone();
+        trace::extend(&mut records, &fleet.platform.log).await;
+        notes.extend(trace::line(&self.applied(fleet), &records));
+        notes.extend(self.faults.iter().filter_map(|f| recovery::line(f, &outcomes)));
+        notes.extend(reasons(&outcomes));
+        Ok(table::render(&Figures {
+            plan: &fleet.plan,
+            outcomes: &outcomes,
+            books: &books,
+            drafting: self.record.drafting(),
+            notes: &notes,
+        }))
+    }
+}
+
+/// Why requests ended without their answer, each reason once with its count.
+fn reasons(outcomes: &[Outcome]) -> Vec<String> {
+    let mut counted: Vec<(&str, usize)> = Vec::new();
+    for out in outcomes.iter().filter(|o| !o.judged) {
+        let why = match &out.verdict {
+            Verdict::NotRun(why) | Verdict::Refused(why) | Verdict::Unknown(why) => why,
+            _ => continue,
+        };
+        match counted.iter_mut().find(|(w, _)| w == why) {
+            Some((_, n)) => *n += 1,
+            None => counted.push((why, 1)),
+        }
+    }
+    counted.iter().take(REASONS).map(|(why, n)| format!("{n} times: {why}")).collect()
+}
