--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -1,5 +1,5 @@
 //! What is let in, what waits and where it goes: the handles of the task in
-//! [`crate::pool`] that drives the `policy` crate.
+//! `task` that drives the `policy` crate.
 //!
 //! Handlers and the view of the agents talk to the task by messages only. The
 //! channel is not bounded by itself: each caller has at most one message in it and
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -9,14 +9,14 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use wire::frame::{
-    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Stage,
-    Tell, Token, Word,
+    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Tell,
+    Token, Word,
 };
 use wire::id;
 use wire::link::Stream;
 
+use crate::Router;
 use crate::admission::{self, Grant, Target, Want};
-use crate::{Router, view};
 
 /// Time an agent has to accept or refuse a draft.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -234,7 +234,7 @@
     ) -> Result<Stream, Refusal> {
         // It may have been put there while the draft waited.
         self.not_quarantined(wanted)?;
-        let chain = hops(&self.router.view, &wanted.model, grant.chain());
+        let chain = self.router.view.hops(&wanted.model, grant.chain());
         let Some(head) = chain.first().and_then(|hop| hop.replicas.first()) else {
             let why = "the head is no longer listed";
             let vm = grant.chain().first().and_then(|list| list.first());
@@ -397,12 +397,3 @@
         tokio::time::sleep(LOOK).await;
     }
 }
-
-/// The chain in the words of the links. VMs that were unlisted meanwhile are left out.
-fn hops(view: &view::View, model: &config::fleet::Model, chain: &[Vec<id::Vm>]) -> Vec<Hop> {
-    let hop = |(&(first, last), list): (&(u32, u32), &Vec<id::Vm>)| Hop {
-        stage: Stage { model: model.name.clone(), version: model.version, first, last },
-        replicas: list.iter().filter_map(|vm| Some(view.find(vm)?.place)).collect(),
-    };
-    model.ranges.iter().zip(chain).map(hop).collect()
-}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod pool;
 pub mod problem;
 pub mod service;
+mod task;
 pub mod view;
 
 use std::sync::Arc;
@@ -67,7 +68,7 @@
 pub async fn run(process: Process) -> Result<(), Error> {
     let node = node::start(process).await?;
     let (admission, messages) = admission::Admission::new();
-    tokio::spawn(pool::run(node.clone(), admission.clone(), messages));
+    tokio::spawn(task::run(node.clone(), admission.clone(), messages));
     let view = view::start(&node, admission.clone());
     let router = Arc::new(Router { node: node.clone(), view, admission });
 
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,14 +1,16 @@
 //! The agents as this router sees them: what each last reported. A hint that makes
 //! refusals rare; the agents decide. What this router has sent them since is known to
-//! [`crate::pool`], which is told of each report.
+//! `task`, which is told of each report.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use config::fleet::Model;
 use node::Node;
 use platform::vm::{self, Role};
 use tokio::time::timeout;
-use wire::frame::{Ask, Place, Report, Tell, Watch};
+use wire::frame::{Ask, Hop, Place, Report, Stage, Tell, Watch};
+use wire::id;
 
 use crate::admission::{Admission, Message};
 
@@ -67,6 +69,15 @@
         self.find(vm).is_none_or(|a| a.report.is_none())
     }
 
+    /// A chain in the words of the links. VMs that were unlisted meanwhile are left out.
+    pub fn hops(&self, model: &Model, chain: &[Vec<id::Vm>]) -> Vec<Hop> {
+        let hop = |(&(first, last), list): (&(u32, u32), &Vec<id::Vm>)| Hop {
+            stage: Stage { model: model.name.clone(), version: model.version, first, last },
+            replicas: list.iter().filter_map(|vm| Some(self.find(vm)?.place)).collect(),
+        };
+        model.ranges.iter().zip(chain).map(hop).collect()
+    }
+
     fn change(&self, vm: &str, change: impl FnOnce(&mut Agent)) {
         let mut agents = self.agents.lock().expect("no panic while held");
         if let Ok(i) = agents.binary_search_by(|a| a.place.vm.as_str().cmp(vm)) {
