--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -15,6 +15,7 @@
 use crate::fault::{self, Link};
 use crate::fleet::{Backend, Fleet};
 use crate::load::{self, Record};
+use crate::outcome::{Outcome, Verdict};
 use crate::process;
 use crate::publish;
 use crate::quarantine;
@@ -30,6 +31,8 @@
 
 /// Pause between two looks at something the script waits for.
 const LOOK: Duration = Duration::from_millis(20);
+/// Reasons printed at most.
+const REASONS: usize = 5;
 /// Longest wait for something the script waits for.
 pub const WAIT: Duration = Duration::from_secs(90);
 
@@ -43,8 +46,11 @@
     caller: Caller,
     record: Record,
     background: Vec<JoinHandle<()>>,
+    balancer: Option<JoinHandle<()>>,
     /// Single orders in the background; the number of the line tells them apart.
     pending: Vec<JoinHandle<Result<(), String>>>,
+    /// Records of the stream of settings as seen so far; the log lets them expire.
+    settings: Vec<platform::log::Record>,
     /// Earlier `orders` lines with their part.
     orders: Vec<(u64, script::Orders)>,
     watches: Vec<Watch>,
@@ -75,7 +81,9 @@
             caller: Caller::new(Vec::new()),
             record: Record::default(),
             background: Vec::new(),
+            balancer: None,
             pending: Vec::new(),
+            settings: Vec::new(),
             orders: Vec::new(),
             watches: Vec::new(),
             faults: Vec::new(),
@@ -153,6 +161,7 @@
         let began = Instant::now();
         let fleet = Fleet::start(plan.clone(), self.place.clone(), self.dir.clone()).await?;
         self.caller = Caller::new(fleet.routers());
+        self.balancer = Some(tokio::spawn(self.caller.clone().balance()));
         let n = fleet.processes.len();
         self.notes.push(format!("{n} processes ready after {} ms", began.elapsed().as_millis()));
         self.fleet = Some(Arc::new(Mutex::new(fleet)));
@@ -193,8 +202,8 @@
         let (task, background) = match verb {
             Verb::Drafts(line) => {
                 let jobs = load::drafts(line, layers, seed, part);
-                let at_once = line.load.concurrency;
-                let task = tokio::spawn(load::play_drafts(caller, jobs, at_once, record));
+                let load = line.load.clone();
+                let task = tokio::spawn(load::play_drafts(caller, jobs, load, record));
                 (task, line.load.background)
             }
             Verb::Lookups(line) => {
@@ -265,9 +274,9 @@
             Verb::Freeze { vm, engine: true } => fleet.process(&format!("{vm}.backend"))?.freeze(),
             Verb::Freeze { vm, engine: false } => fleet.process(vm)?.freeze(),
             Verb::Thaw { vm } => thaw(fleet, vm),
-            Verb::Add { range, step_us } => {
+            Verb::Add { range, spare, step_us } => {
                 let began = Instant::now();
-                let name = fleet.add(*range, *step_us).await?;
+                let name = fleet.add(*range, *step_us, *spare).await?;
                 self.notes.push(format!("{name} ready after {} ms", began.elapsed().as_millis()));
                 Ok(())
             }
@@ -312,6 +321,7 @@
             Verb::WaitVersion { within } => {
                 let within = Duration::from_millis(*within);
                 let (version, took) = publish::wait(fleet, self.version, within).await?;
+                trace::extend(&mut self.settings, &fleet.platform.log).await;
                 let took = took.as_millis();
                 self.notes.push(format!("version {version} in force on all after {took} ms"));
                 Ok(())
@@ -325,7 +335,7 @@
         let mut vms = shared.lock().await.vms.clone();
         // Agents first, in order of name.
         vms.sort_by_key(|v| v.backend == Backend::None);
-        let began = Instant::now();
+        let (began, ended) = (Instant::now(), self.record.ended());
         let wanted = vms.iter().filter(|v| match role {
             script::Role::All => true,
             script::Role::Routers => v.backend == Backend::None,
@@ -338,7 +348,11 @@
             n += 1;
         }
         let took = began.elapsed().as_millis();
-        self.notes.push(format!("rolling restart of {n} daemons took {took} ms"));
+        let ended = self.record.ended() - ended;
+        let more = if self.background.iter().all(JoinHandle::is_finished) { "no" } else { "more" };
+        self.notes.push(format!(
+            "rolling restart of {n} daemons took {took} ms; {ended} requests ended meanwhile, {more} came after"
+        ));
         Ok(())
     }
 
@@ -412,11 +426,11 @@
         let outcomes = self.record.outcomes();
         let mut notes = self.notes.clone();
         notes.extend(repeat::line(&outcomes, &fleet.platform.log).await);
-        let log = platform::log::Client::new(&fleet.platform.log, Duration::from_secs(2));
-        if let Ok(page) = log.read("settings", 0, Duration::ZERO).await {
-            notes.extend(trace::line(&self.applied(fleet), &page.records));
-        }
+        let mut records = self.settings.clone();
+        trace::extend(&mut records, &fleet.platform.log).await;
+        notes.extend(trace::line(&self.applied(fleet), &records));
         notes.extend(self.faults.iter().filter_map(|f| recovery::line(f, &outcomes)));
+        notes.extend(reasons(&outcomes));
         Ok(table::render(&Figures {
             plan: &fleet.plan,
             outcomes: &outcomes,
@@ -427,9 +441,25 @@
     }
 }
 
+/// Why requests ended without their answer, each reason once with its count.
+fn reasons(outcomes: &[Outcome]) -> Vec<String> {
+    let mut counted: Vec<(&str, usize)> = Vec::new();
+    for out in outcomes.iter().filter(|o| !o.judged) {
+        let why = match &out.verdict {
+            Verdict::NotRun(why) | Verdict::Refused(why) | Verdict::Unknown(why) => why,
+            _ => continue,
+        };
+        match counted.iter_mut().find(|(w, _)| w == why) {
+            Some((_, n)) => *n += 1,
+            None => counted.push((why, 1)),
+        }
+    }
+    counted.iter().take(REASONS).map(|(why, n)| format!("{n} times: {why}")).collect()
+}
+
 impl Drop for Player {
     fn drop(&mut self) {
-        self.background.iter().for_each(JoinHandle::abort);
+        self.background.iter().chain(&self.balancer).for_each(JoinHandle::abort);
         self.pending.iter().for_each(JoinHandle::abort);
     }
 }
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -164,6 +164,9 @@
     Add {
         /// Number of the layer range, from 0.
         range: usize,
+        /// The engine holds nothing; the range is the one it is expected to load.
+        #[arg(long)]
+        spare: bool,
         /// Microseconds of a batch step.
         #[arg(long, default_value_t = 1000)]
         step_us: u64,
@@ -315,6 +318,9 @@
     /// A relay before each daemon's port, so that links can be cut and slowed.
     #[arg(long)]
     pub links: bool,
+    /// VMs whose daemons can't reach the log.
+    #[arg(long, value_delimiter = ',')]
+    pub no_log: Vec<String>,
     /// Engines that ignore fencing numbers.
     #[arg(long)]
     pub unfenced: bool,
@@ -359,6 +365,9 @@
     /// The first of these workspaces.
     #[arg(long, default_value_t = 1)]
     pub from_workspace: usize,
+    /// Milliseconds that each sender waits after an answer, so that the load outlasts the faults.
+    #[arg(long, default_value_t = 0)]
+    pub every: u64,
     /// Goes on with the script at once; `join` waits.
     #[arg(long)]
     pub background: bool,
@@ -549,6 +558,15 @@
         #[arg(long, default_value_t = 0)]
         max: usize,
     },
+    /// Orders that all engines took, each engine with rising fencing numbers.
+    Loads {
+        /// At least.
+        #[arg(long, default_value_t = 1)]
+        min: usize,
+        /// At most.
+        #[arg(long)]
+        max: usize,
+    },
     /// Backend servers that crashed by themselves.
     Crashes {
         /// At least.
