Router: a draft that no agent took waits at its place also past five tries

Cause: after a stage was killed in a full fleet, 14 drafts were told 'unavailable at open': their chains named the dead VM until its silence was noticed, and five tries passed within that second. The player prints refusals by cause and step.

--- a/crates/router/src/task.rs
+++ b/crates/router/src/task.rs
@@ -252,6 +252,7 @@
             }
             Slip::Queued(entry) => entry,
         };
+        let waits = busy || blamed && outcome == retry::Outcome::NotRun;
         let (run, deadline) = (entry.ask.run, entry.ask.deadline);
         let failure = retry::Failure { outcome, tries, run, deadline };
         let pause = match pool.budget.decide(&failure, now, &mut self.rng) {
@@ -259,7 +260,9 @@
             // try goes elsewhere or waits for a slot: a pause would only leave it idle.
             Retry::After(_) if busy => Duration::ZERO,
             Retry::After(wait) => wait.max(failed.retry_after.unwrap_or_default()),
-            Retry::Stop(Stop::Tries | Stop::Budget) if busy => PAUSE,
+            // It was not run: it waits at its place until the agents have reported again, and
+            // is refused when its deadline can't be met any more.
+            Retry::Stop(Stop::Tries | Stop::Budget) if waits => PAUSE,
             Retry::Stop(stop) => return self.give_up(i, *entry, failed, stop),
         };
         pool.paused.push((now + pause, Slip::Queued(entry)));
--- a/crates/scenario/src/draft.rs
+++ b/crates/scenario/src/draft.rs
@@ -182,6 +182,7 @@
     fn problem(&mut self, problem: Problem, resume: bool) -> Turn {
         let line = problem.line();
         let pause = problem.pause();
+        self.out.told.push(format!("{} at {}", problem.title, problem.step));
         match problem.outcome.as_str() {
             "not-run" if self.got() > 0 => Turn::End(Verdict::Lost(format!(
                 "told not run after {} tokens: {line}",
--- a/crates/scenario/src/outcome.rs
+++ b/crates/scenario/src/outcome.rs
@@ -80,6 +80,8 @@
     pub comebacks: u32,
     /// How long the sending that was answered took.
     pub took: Option<Duration>,
+    /// Cause and step of each refusal it was told.
+    pub told: Vec<String>,
     /// The answer to an order, for comparing repeats.
     pub answer: Option<Vec<u8>>,
 }
@@ -106,6 +108,7 @@
             positions: 0,
             resumes: 0,
             comebacks: 0,
+            told: Vec::new(),
             took: None,
             answer: None,
         }
--- a/crates/scenario/src/table.rs
+++ b/crates/scenario/src/table.rs
@@ -113,6 +113,7 @@
          {drafts} for drafts, {lookups} for look-ups, {orders} for orders",
         drafts + lookups + orders
     );
+    text.push_str(&refusals(outs));
     for note in figures.notes {
         let _ = writeln!(text, "{note}");
     }
@@ -158,6 +159,18 @@
     text
 }
 
+/// Refusals that callers were told, by cause and step.
+fn refusals(outcomes: &[Outcome]) -> String {
+    let mut told: Vec<&String> = outcomes.iter().flat_map(|o| &o.told).collect();
+    told.sort_unstable();
+    let each = told.chunk_by(|a, b| a == b);
+    let lines: Vec<String> = each.map(|same| format!("{} {}", same.len(), same[0])).collect();
+    match lines.is_empty() {
+        true => String::new(),
+        false => format!("refusals told: {}\n", lines.join(", ")),
+    }
+}
+
 /// How full the engines were: what is missing is idle time or batches that were not full.
 fn engines(figures: &Figures<'_>, steps: u64, secs: f64) -> String {
     let engines = &figures.books.engines;
--- a/crates/scenario/src/write.rs
+++ b/crates/scenario/src/write.rs
@@ -125,6 +125,7 @@
     };
     let Some(problem) = reply.problem else { return Ok(answered(kind, reply, out)) };
     let line = problem.line();
+    out.told.push(format!("{} at {}", problem.title, problem.step));
     match (problem.outcome.as_str(), problem.pause()) {
         ("not-run", pause) => {
             out.not_run.push(reply.request);
