--- a/crates/scenario/src/player/judge.rs
+++ b/crates/scenario/src/player/judge.rs
@@ -29,8 +29,11 @@
                 return if same { Ok(()) } else { Err(format!("versions: {versions:?}")) };
             }
             Expect::Left { vm, within } => {
-                let found = self.watches.iter().rev().find_map(|w| w.last_work(vm));
-                let last = found.ok_or(format!("the script has not said 'leave {vm}'"))?;
+                let found = self.watches.iter().rev().find_map(|w| Some((w, w.last_work(vm)?)));
+                let (watch, last) = found.ok_or(format!("the script has not said 'leave {vm}'"))?;
+                if !watch.worked() {
+                    return Err(format!("{vm} had no work before it left"));
+                }
                 self.notes
                     .push(format!("{vm} got its last new work after {} ms", last.as_millis()));
                 let holds = last <= Duration::from_millis(*within);
--- a/crates/scenario/src/watch.rs
+++ b/crates/scenario/src/watch.rs
@@ -20,6 +20,8 @@
     vm: String,
     began: Instant,
     last: Arc<Lock<Instant>>,
+    /// Pieces of work before the watch began.
+    before: Arc<Lock<u64>>,
     task: JoinHandle<()>,
 }
 
@@ -39,7 +41,13 @@
             }
         });
         let now = Instant::now();
-        Watch { vm: String::new(), began: now, last: Arc::new(Lock::new(now)), task }
+        Watch {
+            vm: String::new(),
+            began: now,
+            last: Arc::new(Lock::new(now)),
+            before: Arc::default(),
+            task,
+        }
     }
 
     /// Notes when the engine of a VM opens a session, or its service takes a call, from now on.
@@ -47,6 +55,8 @@
         let began = Instant::now();
         let last = Arc::new(Lock::new(began));
         let (vm_seen, seen) = (vm.clone(), last.clone());
+        let before = Arc::<Lock<u64>>::default();
+        let first = before.clone();
         let task = tokio::spawn(async move {
             let mut count = None;
             loop {
@@ -56,12 +66,23 @@
                     {
                         *last = Instant::now();
                     }
+                    if count.is_none()
+                        && let Ok(mut first) = first.lock()
+                    {
+                        *first = works;
+                    }
                     count = Some(works);
                 }
                 tokio::time::sleep(LOOK).await;
             }
         });
-        Watch { vm: vm.name.clone(), began, last, task }
+        Watch { vm: vm.name.clone(), began, last, before, task }
+    }
+
+    /// True when the VM had work before the watch began. Without any, its last new work
+    /// would come after 0 ms whatever the routers do.
+    pub fn worked(&self) -> bool {
+        self.before.lock().is_ok_and(|n| *n > 0)
     }
 
     /// From `leave` to the last new work of this VM.
