End slow starts in a range where nobody works in full

A third that returns beside warm replicas is ramped up as before (the test of it is unchanged). A slow start protects a new VM at the cost of warm ones; where there is none it only makes callers wait.

--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -8,6 +8,9 @@
 //! are reached after three steps. Doubling, since a fixed rate is slow for large VMs. A VM that
 //! flaps between live and gone doubles its step with each return, up to [`SLOWEST`] times, and
 //! is forgiven after [`FORGIVE`], so that flapping VMs don't drag work to and fro.
+//!
+//! A range whose replicas are all being ramped up has nobody to spare them for: there the
+//! slow start ends at once.
 
 use std::time::Duration;
 
--- a/crates/policy/src/range.rs
+++ b/crates/policy/src/range.rs
@@ -8,6 +8,7 @@
 
 use crate::affinity::{self, Prefix};
 use crate::health::{Peers, State};
+use crate::ramp::Ramp;
 use crate::replica::{Replica, UNKNOWN_US};
 
 #[derive(Debug, Clone, Default)]
@@ -26,6 +27,7 @@
 
     /// Sorts the step times again, after a change of any.
     pub(crate) fn refresh(&mut self, now: Duration) {
+        self.lift_ramps(now);
         let live = self.list.iter().filter(|r| r.limit(now) > 0);
         self.steps.clear();
         self.steps.extend(live.map(|r| (r.step(), f64::from(r.slots))));
@@ -39,6 +41,20 @@
         self.mean = if all > 0.0 { sum / all } else { UNKNOWN_US };
     }
 
+    /// Ends the slow start of all replicas when none that works in full is left.
+    ///
+    /// A slow start shifts work from warm replicas to a new one. Without a warm one it
+    /// would only make callers wait beside idle slots, for seconds after a restart.
+    fn lift_ramps(&mut self, now: Duration) {
+        let full = |r: &Replica| r.limit(now) > 0 && r.ramp.allowed(r.slots, now) >= r.slots;
+        if self.list.iter().any(full) {
+            return;
+        }
+        for r in self.list.iter_mut().filter(|r| r.limit(now) > 0) {
+            r.ramp = Ramp::warm();
+        }
+    }
+
     /// Mean step time of a slot in microseconds.
     pub(crate) fn mean_step(&self) -> f64 {
         if self.mean > 0.0 { self.mean } else { UNKNOWN_US }
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -125,6 +125,18 @@
     assert_eq!([0, 499, 500, 1000, 1500, 9000].map(slots), [1, 1, 2, 4, 8, 8]);
 }
 
+// A VM has just come back and is being ramped up when the only other replica of its range is lost. If it
+// were held to a slot or two for seconds, callers would wait beside idle slots.
+#[test]
+fn the_last_replica_is_not_held_back() {
+    let mut table = table(&[10, 10]);
+    table.gone("vm-0", secs(1));
+    table.join(0, "vm-0", "east", 8, secs(2));
+    assert_eq!(table.room(1, secs(2)).slots, 9, "ramped up while the other works");
+    table.gone("vm-1", secs(2));
+    assert_eq!(table.room(1, secs(2)).slots, 8);
+}
+
 // A VM flaps between live and gone. Each return would move work there and lose it again.
 #[test]
 fn a_flapping_server_is_ramped_up_more_slowly_each_time() {
