Ask peers for their settings only when the log's answer is overdue

Now nobody looks while the log answers; its reads wait 3 s instead of 5, so that a process whose read hangs is current within 6 s. A router also closes the link to an agent that stops reporting: a daemon started again on the address would get work on a link it does not know.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -99,6 +99,20 @@
         Ok(opened)
     }
 
+    /// Closes the link to a peer whose daemon no longer answers as it should.
+    ///
+    /// A daemon that was started again on the same address knows nothing of the old link. Work
+    /// sent on it is lost, and a write would end as unknown that the new daemon never saw.
+    pub fn close(&self, vm: &str, address: &str) {
+        let peer = self.peer(vm, address);
+        let held = peer.link.try_lock();
+        if let Ok(held) = held
+            && let Some(connection) = &*held
+        {
+            connection.close(0u32.into(), b"no reports");
+        }
+    }
+
     /// Forgets peers that are not in `vms`, so that replaced VMs do not pile up.
     pub fn retain(&self, vms: &[platform::vm::Entry]) {
         let mut list = self.list.lock().expect("no panic while held");
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,8 +17,12 @@
 use crate::peers::Peers;
 use crate::vms;
 
-/// How long one read of the stream waits for news.
-const WAIT: Duration = Duration::from_secs(5);
+/// How long one read of the stream waits for news. With [`OVERDUE`] and a few
+/// rounds of [`LOOK`] a process whose read hangs is still current within 6 s.
+const WAIT: Duration = Duration::from_secs(3);
+
+/// Time beyond its wait after which a read counts as hanging, and peers are asked.
+const OVERDUE: Duration = Duration::from_millis(500);
 
 /// Pause after a failed read. With up to 1,000 processes this is at most 1,000
 /// reads a second on the log service when it comes back, spread by jitter.
@@ -27,7 +31,8 @@
 /// Pause between two looks at a peer's version; each process draws up to twice this. A process
 /// that can't reach the log, or whose read hangs, would else keep old settings in force until
 /// its read fails, while the rest of the fleet goes on. Each look is a small question to one
-/// random peer, so a version known to few spreads to all in a few rounds.
+/// random peer, so a version known to few spreads to all in a few rounds. While the log answers
+/// nobody looks: looks at random peers open links from each daemon to each other.
 const LOOK: Duration = Duration::from_secs(1);
 
 /// Longest pause before the version in force is carried that a late starter waits for.
@@ -131,9 +136,10 @@
         }
     }
 
-    /// Reads the stream, and looks at peers meanwhile.
+    /// Reads the stream, and looks at peers when the answer is overdue.
     async fn read(&mut self, wait: Duration) -> Result<platform::log::Page, rest::Error> {
         let (log, next) = (self.log.clone(), self.state.next);
+        self.look_at = Instant::now() + wait + OVERDUE;
         let mut read = Box::pin(async move { log.read(change::STREAM, next, wait).await });
         loop {
             tokio::select! {
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -158,6 +158,7 @@
             Ok(mut stream) => {
                 let why = read_reports(&node, &view, &mut stream).await;
                 log::warn!("view: {} is down: {why}", place.vm);
+                node.peers.close(&place.vm, &place.address);
             }
             Err(e) => log::debug!("view: {e}"),
         }
