--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -46,7 +46,9 @@
             reply(&mut stream, Tell::Text(text)).await;
         }
         // Answered by the node crate before this one is asked.
-        Ask::Settings | Ask::Explain(_) | Ask::Replicas(_) => {}
+        Ask::Settings | Ask::Explain(_) => {}
+        // Only routers know the replicas of a range.
+        Ask::Replicas(_) | Ask::Gaps(_) => {}
     }
 }
 
--- a/crates/agent/src/order.rs
+++ b/crates/agent/src/order.rs
@@ -15,7 +15,7 @@
 use platform::vm::Role;
 use rand::seq::IndexedRandom;
 use tokio::time::{sleep, timeout};
-use wire::frame::{Ask, Place, Stage, Tell};
+use wire::frame::{Ask, Gaps, Stage, Tell};
 use wire::order::{Claim, HOLD, Placed, STREAM, valid};
 
 use crate::Agent;
@@ -48,11 +48,10 @@
         let holds = agent.stage.as_ref().is_some_and(|t| !t.spare());
         let pause = if holds && gap.is_none() { CALM_LOOK } else { LOOK };
         sleep(pause.mul_f64(rand::random_range(1.0..2.0))).await;
-        let Some(enough) = looks(&agent).await else {
+        let Some((enough, found)) = look(&agent).await else {
             gap = None;
             continue;
         };
-        let found = find_gap(&agent.node).await;
         seen = if found.is_some() && found == gap { seen + 1 } else { 1 };
         gap = found;
         if let Some(stage) = gap.clone().filter(|_| seen >= enough) {
@@ -64,46 +63,40 @@
     }
 }
 
-/// Looks that are needed before this engine is ordered; `None` when it can't be spared.
-async fn looks(agent: &Agent) -> Option<u32> {
-    let table = agent.stage.as_ref().filter(|t| t.up() && !agent.leaving())?;
-    match table.held() {
-        _ if table.ordered() => None,
-        None => Some(SPARE_LOOKS),
-        Some(held) => {
-            let replicas = replicas(&agent.node, &held).await?;
-            (replicas.len() >= DONOR_REPLICAS).then_some(DONOR_LOOKS)
-        }
-    }
-}
-
-/// A range of the settings that no router knows a replica of.
-async fn find_gap(node: &Node) -> Option<Stage> {
-    let fleet = node.settings.borrow().fleet.clone();
-    for model in &fleet.models {
-        for &(first, last) in &model.ranges {
-            let stage = Stage { model: model.name.clone(), version: model.version, first, last };
-            if replicas(node, &stage).await.is_some_and(|r| r.is_empty()) {
-                return Some(stage);
-            }
-        }
-    }
-    None
+/// Looks that are needed before this engine is ordered, and the first range without a
+/// replica; `None` when the engine can't be spared.
+async fn look(agent: &Agent) -> Option<(u32, Option<Stage>)> {
+    let table = agent.stage.as_ref().filter(|t| t.up() && !t.ordered() && !agent.leaving())?;
+    let held = table.held();
+    let gaps = gaps(&agent.node, held.clone()).await?;
+    let spared = gaps.replicas as usize >= DONOR_REPLICAS;
+    let enough = match held {
+        None => SPARE_LOOKS,
+        Some(_) if spared => DONOR_LOOKS,
+        Some(_) => return None,
+    };
+    Some((enough, gaps.lost.into_iter().next()))
 }
 
-/// Replicas of a range by the view of two routers; `None` when they can't tell.
-/// One router alone may have been cut off.
-async fn replicas(node: &Node, stage: &Stage) -> Option<Vec<Place>> {
+/// Ranges without a replica by the view of two routers; `None` when they can't tell.
+/// One router alone may have been cut off, so a range is lost only when both say so.
+///
+/// One question covers all ranges: asked range by range, the answers of a fleet with
+/// many agents and models would be most of its control traffic.
+async fn gaps(node: &Node, own: Option<Stage>) -> Option<Gaps> {
     let list = node.vms.borrow().clone();
     let routers: Vec<_> = list.iter().filter(|e| e.role == Role::Router).collect();
-    let mut found: Option<Vec<Place>> = None;
     let asked: Vec<_> = routers.sample(&mut rand::rng(), 2).collect();
+    let mut found: Option<Gaps> = None;
     for router in asked {
-        let ask = Ask::Replicas(stage.clone());
+        let ask = Ask::Gaps(own.clone());
         let asked = node.peers.ask(&router.vm, &router.address, &ask);
-        if let Ok(Ok(Tell::Places(places))) = timeout(ANSWER, asked).await {
-            let most = found.take().filter(|f| f.len() > places.len());
-            found = Some(most.unwrap_or(places));
+        if let Ok(Ok(Tell::Gaps(mut gaps))) = timeout(ANSWER, asked).await {
+            if let Some(other) = found.take() {
+                gaps.lost.retain(|stage| other.lost.contains(stage));
+                gaps.replicas = gaps.replicas.max(other.replicas);
+            }
+            found = Some(gaps);
         }
     }
     found
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,7 +21,7 @@
 use salvo::conn::TcpListener;
 use salvo::{Listener, Server};
 use serde_json::json;
-use wire::frame::{Ask, Backend, Place, Stage, Tell};
+use wire::frame::{Ask, Backend, Gaps, Place, Stage, Tell};
 use wire::link::Stream;
 
 /// A router and its parts.
@@ -125,6 +125,7 @@
     let tell = match ask {
         Ask::Status => Tell::Text(router.status().to_string()),
         Ask::Replicas(stage) => Tell::Places(replicas(&router, stage).await),
+        Ask::Gaps(own) => Tell::Gaps(gaps(&router, own)),
         _ => return,
     };
     if stream.send(&tell).await.is_ok() {
@@ -147,3 +148,26 @@
     }
     places
 }
+
+/// Ranges of the settings that no usable agent holds, and how many hold `own`.
+fn gaps(router: &Router, own: Option<Stage>) -> Gaps {
+    let stage = |backend| match backend {
+        Backend::Stage(stage) => Some(stage),
+        _ => None,
+    };
+    let backends = router.view.usable().into_iter().filter_map(|a| Some(a.report?.backend));
+    let mut held: Vec<Stage> = backends.filter_map(stage).collect();
+    held.sort();
+    let count =
+        |stage: &Stage| held.partition_point(|s| s <= stage) - held.partition_point(|s| s < stage);
+    let fleet = router.node.settings.borrow().fleet.clone();
+    let stages = fleet.models.iter().flat_map(|m| {
+        let stage = |&(first, last): &(u32, u32)| {
+            let (model, version) = (m.name.clone(), m.version);
+            Stage { model, version, first, last }
+        };
+        m.ranges.iter().map(stage)
+    });
+    let lost = stages.filter(|stage| count(stage) == 0).collect();
+    Gaps { lost, replicas: own.map_or(0, |own| count(&own) as u32) }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -78,6 +78,9 @@
     Explain(id::Request),
     /// Head to router: replicas of a range that can be used now. Answer: [`Tell::Places`].
     Replicas(Stage),
+    /// Agent to router: which ranges have no replica, and how many the agent's own
+    /// range has. Answer: [`Tell::Gaps`].
+    Gaps(Option<Stage>),
 }
 
 /// Every other frame.
@@ -109,6 +112,17 @@
     Ok,
     /// Replicas of a range, best first.
     Places(Vec<Place>),
+    /// Ranges without a replica.
+    Gaps(Gaps),
+}
+
+/// Ranges of the settings by a router's view.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Gaps {
+    /// Those that no usable agent holds, in the order of the settings.
+    pub lost: Vec<Stage>,
+    /// Usable agents that hold the range asked about.
+    pub replicas: u32,
 }
 
 /// Asks for reports.
