Count requests by outcome; split the wire's frames and the router's head by job

hyssop_requests was on the page and never counted; hyssop_running never either, and is dropped (hyssop_queue_running tells it).

--- a/crates/agent/src/ask.rs
+++ b/crates/agent/src/ask.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use serde_json::json;
-use wire::frame::{Ask, Backend, Cause, Open, Refusal, Tell, Watch};
+use wire::frame::{Ask, Backend, Open, Tell, Watch};
 use wire::link::Stream;
+use wire::refusal::{Cause, Refusal};
 
 use crate::{Agent, call, draft, stage};
 
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use node::Node;
-use wire::frame::{Call, Cause, Class, Refusal, Reply};
+use wire::frame::{Call, Class, Reply};
+use wire::refusal::{Cause, Refusal};
 
 use crate::slot::{Slot, Slots};
 use crate::write::Writer;
--- a/crates/agent/src/chain.rs
+++ b/crates/agent/src/chain.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, timeout_at};
-use wire::frame::{Cause, Hop, Open, Output, Place, Refusal, Step, Word};
+use wire::frame::{Hop, Open, Output, Place, Step, Word};
 use wire::id;
+use wire::refusal::{Cause, Refusal};
 
 use crate::Agent;
 use crate::seat::{self, Seat, lost};
--- a/crates/agent/src/crash.rs
+++ b/crates/agent/src/crash.rs
@@ -12,9 +12,9 @@
 use node::Node;
 use policy::quarantine::Verdict;
 use tokio::sync::{RwLock, RwLockReadGuard, RwLockWriteGuard};
-use wire::frame::{Cause, Refusal};
 use wire::id::Fingerprint;
 use wire::quarantine::{Running, show};
+use wire::refusal::{Cause, Refusal};
 
 /// Engine processes remembered as crashed.
 const REMEMBERED: usize = 64;
--- a/crates/agent/src/draft.rs
+++ b/crates/agent/src/draft.rs
@@ -9,9 +9,10 @@
 use policy::quarantine::Verdict;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use wire::frame::{Accepted, Attach, Cancel, Cause, Done, Draft, Refusal, Tell, Token, Word};
+use wire::frame::{Accepted, Attach, Cancel, Done, Draft, Tell, Token, Word};
 use wire::id;
 use wire::link::Stream;
+use wire::refusal::{Cause, Refusal};
 
 use crate::chain::{Chain, Terms};
 use crate::{Agent, crash};
--- a/crates/agent/src/seat.rs
+++ b/crates/agent/src/seat.rs
@@ -9,8 +9,9 @@
 use platform::vm::Role;
 use rand::seq::IndexedRandom;
 use tokio::time::{sleep, timeout};
-use wire::frame::{Ask, Cause, Open, Output, Place, Refusal, Stage, Step, Tell};
+use wire::frame::{Ask, Open, Output, Place, Stage, Step, Tell};
 use wire::link::Stream;
+use wire::refusal::{Cause, Refusal};
 
 use crate::{Agent, stage};
 
--- a/crates/agent/src/stage.rs
+++ b/crates/agent/src/stage.rs
@@ -8,9 +8,10 @@
 use policy::limit::{Kind, Objective};
 use policy::quarantine::Verdict;
 use tokio::time::timeout;
-use wire::frame::{Cause, Open, Output, Refusal, Stage, Step, Word};
+use wire::frame::{Open, Output, Stage, Step, Word};
 use wire::id;
 use wire::quarantine::Running;
+use wire::refusal::{Cause, Refusal};
 
 use crate::crash;
 use crate::fence::Fence;
--- a/crates/agent/src/turn.rs
+++ b/crates/agent/src/turn.rs
@@ -3,8 +3,10 @@
 //! A session runs each position once and in order. The step that ran last may be
 //! asked for again and gets the kept output; anything else is refused.
 
-use wire::frame::{Cause, Output, Step};
+use wire::frame::{Output, Step};
+
 use wire::id;
+use wire::refusal::Cause;
 
 /// What to do with a step.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/agent/src/write.rs
+++ b/crates/agent/src/write.rs
@@ -11,8 +11,9 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout, timeout_at};
-use wire::frame::{Call, Cause, Outcome, Refusal, Reply};
+use wire::frame::{Call, Reply};
 use wire::id;
+use wire::refusal::{Cause, Outcome, Refusal};
 
 use crate::call::Service;
 use crate::ledger::{Answer, Entry, Intent, Ledger, Mark, Receipt, Record, State, Try};
--- a/crates/agent/tests/turn.rs
+++ b/crates/agent/tests/turn.rs
@@ -4,7 +4,8 @@
 use agent::turn::{Due, Turn};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use wire::frame::{Cause, Output, Step};
+use wire::frame::{Output, Step};
+use wire::refusal::Cause;
 
 /// Seeds played.
 const SEEDS: u64 = 2000;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics by opentelemetry, shown as Prometheus text.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -42,10 +42,8 @@
     registry: Registry,
     /// Kept so that the instruments stay connected.
     _provider: SdkMeterProvider,
-    /// Requests by `kind` and `outcome`.
-    pub requests: Counter<u64>,
-    /// Requests in progress by `kind`.
-    pub running: UpDownCounter<i64>,
+    /// Requests that have ended, by `kind` and `outcome`.
+    requests: Counter<u64>,
     /// Requests a router refused by `cause`.
     refusals: Counter<u64>,
     queues: Queues,
@@ -104,7 +102,6 @@
             .build();
         Ok(Metrics {
             requests: meter.u64_counter("hyssop_requests").build(),
-            running: meter.i64_up_down_counter("hyssop_running").build(),
             refusals: meter.u64_counter("hyssop_refusals").build(),
             queues: Queues {
                 waiting: meter.u64_gauge("hyssop_queue_waiting").build(),
@@ -141,6 +138,13 @@
         self.queues.budget.record(state.budget, &target);
     }
 
+    /// Counts a request that has ended: `kind` is draft or call, `outcome` is answered
+    /// or that of its refusal.
+    pub fn ended(&self, kind: &'static str, outcome: &str) {
+        let outcome = KeyValue::new("outcome", outcome.to_string());
+        self.requests.add(1, &[KeyValue::new("kind", kind), outcome]);
+    }
+
     /// All metrics as Prometheus text.
     pub fn text(&self) -> String {
         let mut raw = Vec::new();
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -17,8 +17,9 @@
 use policy::work::Cost;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use wire::frame::{Cause, Outcome, Refusal, Report, Stage};
+use wire::frame::{Report, Stage};
 use wire::id;
+use wire::refusal::{Cause, Outcome, Refusal};
 
 /// Answers that may wait for one request: that it waits, and that it may start.
 const ANSWERS: usize = 4;
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -6,7 +6,7 @@
 
 use config::fleet::{Fleet, Workspace};
 use salvo::Request;
-use wire::frame::{Cause, Refusal};
+use wire::refusal::{Cause, Refusal};
 
 use crate::Router;
 
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -10,10 +10,12 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use wire::frame::{Attach, Cancel, Cause, Done, Place, Refusal, Token};
+use wire::frame::{Attach, Cancel, Done, Place, Token};
 use wire::id;
+use wire::refusal::{Cause, Refusal};
 
-use crate::head::{self, Event, Wanted};
+use crate::draft::{Event, Wanted};
+use crate::head;
 use crate::{Router, caller, drain, problem};
 
 /// Events that may wait for a caller that reads slowly. Its draft goes on at the
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -16,7 +16,7 @@
 use salvo::http::{HeaderValue, header};
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
-use wire::frame::{Cause, Refusal};
+use wire::refusal::{Cause, Refusal};
 
 use crate::Router;
 
--- a/crates/router/src/head.rs
+++ b/crates/router/src/head.rs
@@ -5,18 +5,16 @@
 use std::time::Duration;
 
 use policy::quarantine::Verdict;
-use policy::work::Cost;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use wire::frame::{
-    Ask, Attach, Cancel, Cause, Done, Draft, HEAD_STRIDE, Hop, Outcome, Place, Refusal, Tell,
-    Token, Word,
-};
+use wire::frame::{Ask, Attach, Cancel, Draft, HEAD_STRIDE, Hop, Place, Tell, Word};
 use wire::id;
 use wire::link::Stream;
+use wire::refusal::{Cause, Outcome, Refusal};
 
 use crate::Router;
-use crate::admission::{self, Grant, Target, Want};
+use crate::admission::{self, Grant};
+use crate::draft::{Event, Wanted};
 
 /// Time an agent has to accept or refuse a draft.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -31,62 +29,6 @@
 /// Pause between two such tries.
 const CANCEL_PAUSE: Duration = Duration::from_millis(500);
 
-/// What a caller wants.
-#[derive(Debug, Clone)]
-pub struct Wanted {
-    /// The part of the request id that stays the same.
-    pub unique: String,
-    /// Whose it is.
-    pub workspace: id::Workspace,
-    /// Model.
-    pub model: config::fleet::Model,
-    /// Prompt.
-    pub prompt: String,
-    /// Tokens to generate at most.
-    pub max_tokens: u32,
-    /// Engine priority.
-    pub priority: u8,
-    /// Hash of model and prompt.
-    pub fingerprint: id::Fingerprint,
-    /// When the caller no longer waits.
-    pub until: Instant,
-}
-
-/// Bytes of a prompt that name its prefix: drafts that share more share an engine's cache.
-const PREFIX: usize = 256;
-
-/// Bytes of text for a token, for estimates before the engine has counted them.
-const TOKEN_BYTES: u32 = 4;
-
-impl Wanted {
-    fn want(&self) -> Want {
-        let prompt = (self.prompt.len() as u32).div_ceil(TOKEN_BYTES);
-        Want {
-            target: Target::Model(self.model.name.clone()),
-            workspace: self.workspace.clone(),
-            priority: self.priority,
-            cost: Cost { prompt, output: self.max_tokens },
-            until: self.until,
-            prefix: Some(policy::affinity::prefix(&self.prompt, PREFIX)),
-            keyed: false,
-        }
-    }
-}
-
-/// What happens to a draft, in order: one `Accepted`, tokens, one end. A refusal
-/// may come first.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// It runs under this request id.
-    Accepted(id::Request, u32),
-    /// A token, under the id to resume with.
-    Token(id::Request, Token),
-    /// It is complete.
-    Done(Done),
-    /// It is refused or lost.
-    Refused(id::Request, Refusal),
-}
-
 /// How one head ended.
 enum End {
     /// The caller has the whole answer.
@@ -337,6 +279,7 @@
                     }
                 }
                 Ok(Tell::Done(done)) => {
+                    self.router.node.metrics.ended("draft", "answered");
                     let _ = self.events.send(Event::Done(done)).await;
                     return End::Done;
                 }
@@ -396,6 +339,7 @@
             refusal.outcome = Outcome::Unknown;
         }
         self.router.node.trace.add(&self.request, "refuse", refusal.to_string());
+        self.router.node.metrics.ended("draft", &refusal.outcome.to_string());
         let _ = self.events.send(Event::Refused(self.request.clone(), refusal)).await;
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod caller;
 pub mod completion;
+pub mod draft;
 pub mod drain;
 pub mod head;
 mod pool;
--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -5,12 +5,12 @@
 use salvo::http::{HeaderValue, StatusCode, header};
 use salvo::prelude::*;
 use serde_json::{Value, json};
-use wire::frame::{Cause, Outcome, Refusal};
+use wire::refusal::{Cause, Outcome, Refusal};
 
 /// The HTTP status of a refusal.
 ///
 /// ```
-/// use wire::frame::{Cause, Refusal};
+/// use wire::refusal::{Cause, Refusal};
 /// let busy = Refusal::not_run(Cause::Busy, "open", "gpu-1", "full");
 /// assert_eq!(router::problem::status(&busy), 503);
 /// ```
@@ -30,7 +30,7 @@
 /// The body of a refusal.
 ///
 /// ```
-/// use wire::frame::{Cause, Refusal};
+/// use wire::refusal::{Cause, Refusal};
 /// let busy = Refusal::not_run(Cause::Busy, "open", "gpu-1", "full");
 /// assert_eq!(router::problem::body(&busy, "id")["outcome"], "not-run");
 /// ```
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -8,7 +8,8 @@
 use salvo::http::{HeaderName, HeaderValue, StatusCode};
 use salvo::prelude::*;
 use tokio::time::{Instant, timeout};
-use wire::frame::{Ask, Call, Cause, Class, Outcome, Place, Refusal, Reply, Tell};
+use wire::frame::{Ask, Call, Class, Place, Reply, Tell};
+use wire::refusal::{Cause, Outcome, Refusal};
 
 use crate::admission::{self, Target, Want};
 use crate::{Router, caller, drain, problem};
@@ -48,6 +49,10 @@
                     done = run(router, call, caller.workspace.priority, until) => done,
                     () = router.ending.wait() => Err(drain::unfinished(router)),
                 };
+                let outcome = done
+                    .as_ref()
+                    .map_or_else(|refusal| refusal.outcome.to_string(), |_| "answered".into());
+                router.node.metrics.ended("call", &outcome);
                 match done {
                     Ok(reply) => render(res, reply, &request),
                     Err(refusal) => problem::render(res, &refusal, &request),
--- a/crates/router/src/task.rs
+++ b/crates/router/src/task.rs
@@ -17,7 +17,8 @@
 use rand_pcg::Pcg64;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use wire::frame::{Cause, Refusal, Report};
+use wire::frame::Report;
+use wire::refusal::{Cause, Refusal};
 
 use crate::admission::{self, Admission, Answer, Ended, Message, Slip, Started, Target, Wait};
 use crate::pool::{Pool, shares, table, targets};
--- a/crates/router/tests/callers.rs
+++ b/crates/router/tests/callers.rs
@@ -148,6 +148,23 @@
     assert_eq!(body["choices"][0]["text"], straight(40));
 }
 
+/// Operators read what callers got from the metrics; a name that is on their page and
+/// never counted would tell them that all is well.
+#[tokio::test]
+async fn the_metrics_count_what_callers_got() {
+    let fleet = Fleet::start().await;
+    let client = fleet.client();
+    let order = [header("idempotency-key", "counted")];
+    post(&client, "/orders/orders", WINERY, &order, "{}").await;
+    let page = client.send("GET", "/metrics", &[], Default::default()).await.unwrap();
+    let text = String::from_utf8_lossy(&page.body).into_owned();
+    let counted = |kind: &str| {
+        let lines = text.lines().filter(|l| l.starts_with("hyssop_requests_total"));
+        lines.filter(|l| l.contains(kind) && l.contains("outcome=\"answered\"")).count()
+    };
+    assert_eq!([counted("kind=\"draft\""), counted("kind=\"call\"")], [1, 1], "{text}");
+}
+
 /// Another workspace guesses or finds a request id. It must learn nothing, not
 /// even that the request exists.
 #[tokio::test]
--- a/crates/wire/benches/frames.rs
+++ b/crates/wire/benches/frames.rs
@@ -10,7 +10,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use wire::frame::{self, Output, Step, Word};
+use wire::codec;
+use wire::frame::{Output, Step, Word};
 
 const ROUNDS: u32 = 20_000;
 
@@ -44,12 +45,12 @@
 }
 
 fn row<T: Serialize + DeserializeOwned>(name: &str, count: usize, message: &T) {
-    let raw = frame::encode(message).expect("a message encodes");
+    let raw = codec::encode(message).expect("a message encodes");
     let encode = time(|| {
-        black_box(frame::encode(black_box(message)).expect("a message encodes"));
+        black_box(codec::encode(black_box(message)).expect("a message encodes"));
     });
     let decode = time(|| {
-        black_box(frame::decode::<T>(black_box(&raw[4..])).expect("a frame decodes"));
+        black_box(codec::decode::<T>(black_box(&raw[4..])).expect("a frame decodes"));
     });
     println!(
         "{:<28}{:>8}{:>12}{:>12}",
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,86 @@
+//! The encoding of frames: a length, a format number, postcard.
+
+use derive_more::{Display, Error};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Number of the frame format. A peer with another one is refused.
+pub const FORMAT: u8 = 1;
+
+/// Longest frame in bytes.
+pub const LIMIT: usize = 24 << 20;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// The peer speaks another format.
+    #[display("frame format {found}, this process speaks {FORMAT}")]
+    Format {
+        /// What the peer sent.
+        found: u8,
+    },
+    /// The frame is longer than [`LIMIT`].
+    #[display("frame of {length} bytes, the limit is {LIMIT}")]
+    Long {
+        /// Its length.
+        length: usize,
+    },
+    /// The bytes are no such message.
+    #[display("frame does not decode: {reason}")]
+    Decode {
+        /// The decoder's own words.
+        reason: String,
+    },
+    /// Bytes stand after the message.
+    #[display("{count} bytes after the end of the message")]
+    Trailing {
+        /// How many.
+        count: usize,
+    },
+    /// The stream ended or broke.
+    #[display("stream broke: {reason}")]
+    Stream {
+        /// The transport's own words.
+        reason: String,
+    },
+}
+
+/// Encodes a message with its length and format number.
+///
+/// ```
+/// use wire::codec::{decode, encode};
+/// use wire::frame::Ask;
+/// let raw = encode(&Ask::Status).unwrap();
+/// assert_eq!(decode::<Ask>(&raw[4..]).unwrap(), Ask::Status);
+/// ```
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, Error> {
+    let raw = vec![0, 0, 0, 0, FORMAT];
+    let mut raw =
+        postcard::to_extend(message, raw).map_err(|e| Error::Decode { reason: e.to_string() })?;
+    let length = raw.len() - 4;
+    match u32::try_from(length) {
+        Ok(n) if length <= LIMIT => raw[..4].copy_from_slice(&n.to_be_bytes()),
+        _ => return Err(Error::Long { length }),
+    }
+    Ok(raw)
+}
+
+/// Decodes what follows the length. Another format and trailing bytes are errors.
+///
+/// ```
+/// assert!(wire::codec::decode::<wire::frame::Ask>(&[9, 0]).is_err());
+/// ```
+pub fn decode<T: DeserializeOwned>(raw: &[u8]) -> Result<T, Error> {
+    let (format, body) = match raw.split_first() {
+        Some((f, body)) => (*f, body),
+        None => return Err(Error::Decode { reason: "empty frame".into() }),
+    };
+    if format != FORMAT {
+        return Err(Error::Format { found: format });
+    }
+    let (message, rest) =
+        postcard::take_from_bytes(body).map_err(|e| Error::Decode { reason: e.to_string() })?;
+    match rest.len() {
+        0 => Ok(message),
+        count => Err(Error::Trailing { count }),
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,10 +5,12 @@
 //! the answers are [`frame::Tell`]s. What each exchange looks like is written
 //! at the variants of [`frame::Ask`].
 
+pub mod codec;
 pub mod frame;
 mod hot;
 pub mod id;
 pub mod link;
 pub mod order;
 pub mod quarantine;
+pub mod refusal;
 pub mod tls;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -7,7 +7,7 @@
 use quinn::{Connection, RecvStream, SendStream};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{frame, tls};
+use crate::{codec, tls};
 
 /// Time a new connection may take.
 pub const CONNECT: Duration = Duration::from_secs(1);
@@ -86,7 +86,7 @@
 impl Stream {
     /// Sends one frame.
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), Error> {
-        let raw = frame::encode(message).map_err(|e| error("encode", &self.peer, e))?;
+        let raw = codec::encode(message).map_err(|e| error("encode", &self.peer, e))?;
         self.tx.write_all(&raw).await.map_err(|e| error("send", &self.peer, e))
     }
 
@@ -99,12 +99,12 @@
             Err(e) => return Err(error("read", &self.peer, e)),
         }
         let length = u32::from_be_bytes(head) as usize;
-        if length > frame::LIMIT {
-            return Err(error("read", &self.peer, frame::Error::Long { length }));
+        if length > codec::LIMIT {
+            return Err(error("read", &self.peer, codec::Error::Long { length }));
         }
         let mut raw = vec![0; length];
         self.rx.read_exact(&mut raw).await.map_err(|e| error("read", &self.peer, e))?;
-        frame::decode(&raw).map(Some).map_err(|e| error("decode", &self.peer, e))
+        codec::decode(&raw).map(Some).map_err(|e| error("decode", &self.peer, e))
     }
 
     /// Reads one frame where the peer owes one.
--- /dev/null
+++ b/crates/wire/src/refusal.rs
@@ -0,0 +1,140 @@
+//! Honest refusals: what is certain, why, where, and when to come back.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// What is certain about a request that got no answer of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It was not run and will not be.
+    #[display("not-run")]
+    NotRun,
+    /// It may have been run; it is never run again by the system.
+    #[display("unknown")]
+    Unknown,
+    /// It may not be asked: the caller has to change it.
+    #[display("refused")]
+    Refused,
+}
+
+/// Why a refusal was made, for the HTTP status and for retries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// The request is malformed or breaks a limit.
+    #[display("bad request")]
+    Bad,
+    /// Nothing by that name, or another workspace's.
+    #[display("not found")]
+    NotFound,
+    /// The key was used with another content.
+    #[display("conflict")]
+    Conflict,
+    /// No room now.
+    #[display("busy")]
+    Busy,
+    /// The VM is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// A backend server, peer or the platform can't be used now.
+    #[display("unavailable")]
+    Unavailable,
+    /// The deadline passed or can't be met.
+    #[display("deadline")]
+    Deadline,
+    /// The request crashed engines and is in quarantine.
+    #[display("quarantined")]
+    Quarantined,
+    /// A newer attempt exists.
+    #[display("fenced")]
+    Fenced,
+    /// The caller has gone.
+    #[display("cancelled")]
+    Cancelled,
+    /// The connection or the peer was lost on the way.
+    #[display("lost")]
+    Lost,
+    /// The engine crashed while the request ran.
+    #[display("engine crashed")]
+    Crashed,
+}
+
+/// An honest refusal.
+#[derive(Debug, Clone, PartialEq, Display, Error, Serialize, Deserialize)]
+#[display("{outcome} ({cause}) at {step} by {peer}: {reason}")]
+pub struct Refusal {
+    /// What is certain.
+    pub outcome: Outcome,
+    /// Kind of reason.
+    pub cause: Cause,
+    /// Step at which it arose.
+    pub step: String,
+    /// Peer at which it arose.
+    pub peer: String,
+    /// A sentence for the caller.
+    pub reason: String,
+    /// When coming back makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal of something that was not run.
+    ///
+    /// ```
+    /// use wire::refusal::{Cause, Outcome, Refusal};
+    /// let r = Refusal::not_run(Cause::Busy, "open", "gpu-1", "all 8 slots are taken");
+    /// assert_eq!(r.outcome, Outcome::NotRun);
+    /// ```
+    pub fn not_run(cause: Cause, step: &str, peer: &str, reason: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::NotRun, cause, step, peer, reason)
+    }
+
+    /// A refusal where it is not known whether the request ran.
+    ///
+    /// ```
+    /// use wire::refusal::{Cause, Outcome, Refusal};
+    /// let r = Refusal::unknown(Cause::Lost, "call", "desk-1", "no answer in 2 s");
+    /// assert_eq!(r.outcome, Outcome::Unknown);
+    /// ```
+    pub fn unknown(cause: Cause, step: &str, peer: &str, reason: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::Unknown, cause, step, peer, reason)
+    }
+
+    /// A refusal of what the caller has to change.
+    ///
+    /// ```
+    /// use wire::refusal::{Cause, Outcome, Refusal};
+    /// let r = Refusal::refused(Cause::Bad, "parse", "entry-1", "max_tokens is 0");
+    /// assert_eq!(r.outcome, Outcome::Refused);
+    /// ```
+    pub fn refused(cause: Cause, step: &str, peer: &str, reason: impl Into<String>) -> Refusal {
+        Refusal::new(Outcome::Refused, cause, step, peer, reason)
+    }
+
+    /// The same with a time to come back.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use wire::refusal::{Cause, Refusal};
+    /// let r = Refusal::not_run(Cause::Busy, "open", "gpu-1", "full").after(Duration::from_secs(1));
+    /// assert_eq!(r.retry_after, Some(Duration::from_secs(1)));
+    /// ```
+    pub fn after(mut self, time: Duration) -> Refusal {
+        self.retry_after = Some(time);
+        self
+    }
+
+    fn new(
+        outcome: Outcome,
+        cause: Cause,
+        step: &str,
+        peer: &str,
+        reason: impl Into<String>,
+    ) -> Refusal {
+        let (step, peer) = (step.to_string(), peer.to_string());
+        Refusal { outcome, cause, step, peer, reason: reason.into(), retry_after: None }
+    }
+}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -2,7 +2,8 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use wire::frame::{self, Ask, Error, Output, Step, Tell, Word, decode, encode};
+use wire::codec::{self, Error, decode, encode};
+use wire::frame::{Ask, Output, Step, Tell, Word};
 
 #[rstest]
 #[case::ask(encode(&Ask::Status).unwrap())]
@@ -32,7 +33,7 @@
     /// request on it would be cut off.
     #[test]
     fn any_bytes_are_a_message_or_an_error(mut raw: Vec<u8>) {
-        raw.insert(0, frame::FORMAT);
+        raw.insert(0, codec::FORMAT);
         let _ = decode::<Tell>(&raw);
         let _ = decode::<Ask>(&raw);
     }
@@ -53,10 +54,10 @@
 /// A process of another release sends frames that this one does not know. If
 /// they were half understood, a request would run with wrong content.
 #[rstest]
-#[case::other_format(vec![frame::FORMAT + 1, 0], |e: &Error| matches!(e, Error::Format { .. }))]
+#[case::other_format(vec![codec::FORMAT + 1, 0], |e: &Error| matches!(e, Error::Format { .. }))]
 #[case::empty(vec![], |e: &Error| matches!(e, Error::Decode { .. }))]
-#[case::no_such_message(vec![frame::FORMAT, 200], |e: &Error| matches!(e, Error::Decode { .. }))]
-#[case::cut_off(vec![frame::FORMAT], |e: &Error| matches!(e, Error::Decode { .. }))]
+#[case::no_such_message(vec![codec::FORMAT, 200], |e: &Error| matches!(e, Error::Decode { .. }))]
+#[case::cut_off(vec![codec::FORMAT], |e: &Error| matches!(e, Error::Decode { .. }))]
 fn a_strange_frame_is_an_error(#[case] raw: Vec<u8>, #[case] fits: fn(&Error) -> bool) {
     let error = decode::<Ask>(&raw).unwrap_err();
     assert!(fits(&error), "{error}");
