--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //! list, logs, metrics, health pages, a trace of requests, and stopping.
 
 pub mod alive;
+pub mod daemon;
 pub mod health;
 pub mod logs;
 pub mod metrics;
