--- a/crates/scenario/src/books.rs
+++ b/crates/scenario/src/books.rs
@@ -107,7 +107,7 @@
 /// looked for by the part of its id that stays the same. Each sending of an order has
 /// an id of its own, which the service notes, so that one sending's run is not taken
 /// for another's of the same key.
-pub fn ghosts(outcomes: &[Outcome], books: &Books) -> Vec<Breach> {
+pub fn run_all_the_same(outcomes: &[Outcome], books: &Books) -> Vec<Breach> {
     let sessions = books.engines.iter().flat_map(|e| &e.sessions);
     let worked = sessions.filter(|s| !s.runs.is_empty());
     let mut ran: Vec<&str> = worked.map(|s| unique(request(&s.session))).collect();
@@ -119,7 +119,7 @@
     };
     let told = outcomes.iter().flat_map(|o| o.not_run.iter().map(|id| (o.kind, id)));
     told.filter(|(kind, id)| !id.is_empty() && stands(*kind, id))
-        .map(|(_, id)| breach("no-ghosts", format!("{id} was told not run and ran")))
+        .map(|(_, id)| breach("not-run-true", format!("{id} was told not run and ran")))
         .collect()
 }
 
--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -39,7 +39,7 @@
             let found = at.map_or(0, |i| runs[i].1);
             require(found == *times, format!("{key} ran {found} times"))
         }
-        Expect::NoGhosts => none(books::ghosts(facts.outcomes, facts.books)),
+        Expect::NotRunTrue => none(books::run_all_the_same(facts.outcomes, facts.books)),
         Expect::LayerRuns { value, max } => layer_runs(*value, *max, facts),
         Expect::Cut { max } => require(all.lost <= *max, format!("{} were cut or lost", all.lost)),
         Expect::Unknown { max } => {
--- a/crates/scenario/src/player/judge.rs
+++ b/crates/scenario/src/player/judge.rs
@@ -72,7 +72,7 @@
             books::answers(&outcomes),
             books::doubled(&books.runs),
             books::order(&books.engines),
-            books::ghosts(&outcomes, &books),
+            books::run_all_the_same(&outcomes, &books),
             books::missing(&outcomes, &books.runs),
         ];
         self.failures.extend(breaches.concat().iter().map(|b| b.to_string()));
--- a/crates/scenario/src/script/option.rs
+++ b/crates/scenario/src/script/option.rs
@@ -263,7 +263,8 @@
         times: u32,
     },
     /// Nothing that was told "not run" stands in a book.
-    NoGhosts,
+    #[command(alias = "no-ghosts")]
+    NotRunTrue,
     /// Runs of each layer for each token.
     LayerRuns {
         /// Exactly this, to three places.
--- a/crates/scenario/src/sweep.rs
+++ b/crates/scenario/src/sweep.rs
@@ -74,7 +74,7 @@
     wait(&mut text, 1500);
     let first = named(BETWEEN[first].end, &vms);
     text.push_str(&ends(first, named(BETWEEN[second].end, &others)));
-    text.push_str("join\nexpect right\nexpect none-doubled\nexpect no-ghosts\n");
+    text.push_str("join\nexpect right\nexpect none-doubled\nexpect not-run-true\n");
     text
 }
 
@@ -105,7 +105,7 @@
     let _ = writeln!(text, "{}", named(FAULTS[second].bring, &others));
     let _ = writeln!(text, "sleep {}", rng.random_range(500..2500));
     text.push_str(&ends(line(FAULTS[first].end), named(FAULTS[second].end, &others)));
-    text.push_str("join\nexpect right\nexpect none-doubled\nexpect no-ghosts\n");
+    text.push_str("join\nexpect right\nexpect none-doubled\nexpect not-run-true\n");
     text
 }
 
--- a/crates/scenario/tests/invariants.rs
+++ b/crates/scenario/tests/invariants.rs
@@ -92,7 +92,7 @@
     let engines = vec![engine(vec![opened("gpu-1.7.x.1.0", &[(0, 3)])])];
     let requests = vec!["router-1.5.a".to_string()];
     let books = Books { engines, runs: vec![("x".to_string(), 1)], requests };
-    assert_eq!(!books::ghosts(&[out], &books).is_empty(), case.found);
+    assert_eq!(!books::run_all_the_same(&[out], &books).is_empty(), case.found);
 }
 
 /// A session that was opened and ran nothing is no run.
@@ -102,7 +102,7 @@
     out.not_run = vec!["x".to_string()];
     let books =
         Books { engines: vec![engine(vec![opened("x.1.0", &[])])], runs: vec![], requests: vec![] };
-    assert!(books::ghosts(&[out], &books).is_empty());
+    assert!(books::run_all_the_same(&[out], &books).is_empty());
 }
 
 /// An answer differs from the straight-through one, or breaks off. Users get half a label text.
