--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -224,6 +224,9 @@
         .await
         .map_err(|e| Refusal::not_run(Cause::Unavailable, "connect", vm, e.to_string()))?;
     let lost = |why: String| Refusal::unknown(Cause::Lost, LINK, vm, why);
+    // Without signs of life a call to an agent that has died would wait for its whole
+    // deadline, though another agent could settle it at once.
+    let _wait = peers.wait(vm, address);
     let asked = async {
         let ask = Ask::Call(Call { deadline: left, ..call.clone() });
         let mut stream = wire::link::open(&connection, vm, &ask).await?;
