--- a/crates/agent/src/turn.rs
+++ b/crates/agent/src/turn.rs
@@ -39,7 +39,8 @@
     ///
     /// ```
     /// use agent::turn::{Due, Turn};
-    /// use wire::frame::{Cause, Step};
+    /// use wire::frame::Step;
+    /// use wire::refusal::Cause;
     /// let turn = Turn::default();
     /// let step = Step { position: 0, inputs: vec![7] };
     /// assert_eq!(turn.due(&step, 1, 1), Ok(Due::Run));
