--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -50,8 +50,15 @@
     }
 }
 
+/// Finds out who asks, and reads the body.
+pub async fn receive(router: &Router, req: &mut Request) -> Result<(Caller, Vec<u8>), Answer> {
+    let caller = identify(router, req)?;
+    let body = body(&caller, req, &router.node.process.vm).await?;
+    Ok((caller, body))
+}
+
 /// Reads the body, up to the limit of the settings.
-pub async fn body(caller: &Caller, req: &mut Request, vm: &str) -> Result<Vec<u8>, Answer> {
+async fn body(caller: &Caller, req: &mut Request, vm: &str) -> Result<Vec<u8>, Answer> {
     let limit = caller.fleet.defaults.body_limit;
     match req.payload_with_max_size(limit).await {
         Ok(body) => Ok(body.to_vec()),
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -51,13 +51,8 @@
 impl Post {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let router = &self.0;
-        let vm = &router.node.process.vm;
-        let caller = match caller::identify(router, req) {
-            Ok(caller) => caller,
-            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
-        };
-        let body = match caller::body(&caller, req, vm).await {
-            Ok(body) => body,
+        let (caller, body) = match caller::receive(router, req).await {
+            Ok(received) => received,
             Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
         match wanted(router, &caller.fleet, &caller.workspace, req, &body) {
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -33,13 +33,8 @@
 impl Any {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let router = &self.0;
-        let vm = &router.node.process.vm;
-        let caller = match caller::identify(router, req) {
-            Ok(caller) => caller,
-            Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
-        };
-        let body = match caller::body(&caller, req, vm).await {
-            Ok(body) => body,
+        let (caller, body) = match caller::receive(router, req).await {
+            Ok(received) => received,
             Err((status, refusal)) => return problem::render_as(res, status, &refusal, ""),
         };
         match call(router, &caller.fleet, &caller.workspace, req, body) {
