Running streams change their path when a server dies

Cause: a lost server cut every stream that passed through it; resuming them elsewhere read whole prompts again and used up the common retry budget, and paths crossed data centres for speed alone, so one loss broke two copies. Change: the first server of a path is ordered to go on along another path; paths leave a data centre only where a layer is missing; the number of routers is taken only while seats are steady.

--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -33,6 +33,10 @@
 /// Time between two calls that keep the seat: two may be lost.
 const KEEP: Duration = Duration::from_millis(650);
 
+/// Answers of the same generation after which seats have been dealt out: a router gives seats up
+/// with its next call after a change.
+const STEADY: u32 = 2;
+
 /// Part of the seat's time in which orders are given. The rest is for the order to arrive.
 const SURE: f64 = 0.7;
 
@@ -100,7 +104,7 @@
 
 /// Holds a seat and gives orders while it is the first one.
 pub async fn run(state: Rc<State>) {
-    let mut generation = 0;
+    let (mut generation, mut steady) = (0, 0);
     let mut term: Option<Term> = None;
     let mut given: Vec<Given> = Vec::new();
     let mut kept = state.now().saturating_sub(KEEP);
@@ -110,8 +114,12 @@
             kept = state.now();
             match keep(&state, generation).await {
                 Ok((seat, until)) => {
+                    // While seats change hands, a router may hold few of its own, or none.
+                    steady = if seat.generation == generation { steady + 1 } else { 0 };
+                    if steady >= STEADY && seat.held > 0 {
+                        state.count_routers((seat.all / seat.held).max(1));
+                    }
                     generation = seat.generation;
-                    state.routers.set((seat.all / seat.held.max(1)).max(1));
                     term = renew(&state, term, seat, until, &mut given).await;
                 }
                 Err(e) => log::debug!("gateway: seat not kept: {e}"),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -129,7 +129,7 @@
         let mut text = String::from_utf8_lossy(&text).into_owned();
         text.push_str(&format!(
             "hyssop_settings_version {version}\nhyssop_servers {}\nhyssop_serving {}\nhyssop_callers {}\nhyssop_routers {}\n",
-            state.peers().len(), state.serving.get(), state.callers.get(), state.routers.get()
+            state.peers().len(), state.serving.get(), state.callers.get(), state.routers()
         ));
         text
     }
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -48,6 +48,7 @@
         Word::Silent { server } => {
             if let Some(peer) = state.peer(server).filter(|p| silent(p, now)) {
                 peer.fail(now);
+                state.lost.notify_waiters();
                 log::info!("gateway: server={server} suspect=true why=another router says so");
             }
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -7,6 +7,7 @@
 use layers::Span;
 use policy::pick::Pace;
 use policy::suspicion::Suspicion;
+use tokio::sync::Mutex;
 
 use crate::pool::Pool;
 use crate::server::{Server, State};
@@ -31,6 +32,9 @@
     pub context: Cell<f64>,
     /// Factor on the time of its steps, as it reports.
     pub slow: Cell<f64>,
+    /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
+    /// all who want to know wait for one answer.
+    pub asked: Mutex<(Duration, bool)>,
     word: Cell<Option<(Span, Duration)>>,
     lapsed: Cell<Option<Duration>>,
 }
@@ -46,6 +50,7 @@
             running: Cell::new(0),
             context: Cell::new(0.0),
             slow: Cell::new(1.0),
+            asked: Mutex::new((Duration::ZERO, true)),
             word: Cell::new(None),
             lapsed: Cell::new(None),
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -17,7 +17,11 @@
 
 /// Time a server gets to answer a probe. A round trip takes up to two milliseconds, so a live one
 /// answers far sooner; a longer wait would be added to the pause that the caller sees.
-const PROBE: Duration = Duration::from_millis(90);
+const PROBE: Duration = Duration::from_millis(60);
+
+/// Time for which the answer to a probe holds. When a server dies, all streams that pass through it
+/// fall silent within a pass of each other, and each asks all servers of its path.
+const FRESH: Duration = Duration::from_millis(150);
 
 /// Time a server gets to answer an order or a question that no caller waits for.
 pub const CALM: Duration = Duration::from_millis(600);
@@ -64,7 +68,11 @@
     if peer.suspicion.borrow().holds(state.now()) {
         return false;
     }
-    match report(state, peer, PROBE).await {
+    let mut asked = peer.asked.lock().await;
+    if state.now() < asked.0 + FRESH {
+        return asked.1;
+    }
+    let alive = match report(state, peer, PROBE).await {
         Ok(report) => {
             peer.slow.set(report.pace.max(1.0));
             peer.hear(report.span, state.now());
@@ -74,7 +82,9 @@
             log::debug!("gateway: probe failed: {why}");
             false
         }
-    }
+    };
+    *asked = (state.now(), alive);
+    alive
 }
 
 /// Passes over a server and tells the other routers.
@@ -84,6 +94,7 @@
         log::warn!("gateway: server={} suspect=true why={why}", server.id);
         state.metrics.suspected();
         state.say(Word::Silent { server: server.id.clone() });
+        state.lost.notify_waiters();
         state.changed.notify_waiters();
     }
 }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -1,6 +1,7 @@
 //! The path of a request through the model servers, from what is believed now.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use layers::path::{self, Ask, Holder};
 use layers::{Shape, Span};
@@ -23,9 +24,14 @@
 /// Time for a token to get to the next server of a path in the same data centre, in milliseconds.
 const HOP: f64 = 0.2;
 
-/// Factor on the transfer of activations between data centres: all paths share one link, so a
-/// transfer mostly waits for others.
-const SHARED: f64 = 3.0;
+/// Cost of going on in another data centre, as a part of the whole time of a request. All paths share
+/// one link between data centres, which some seventy prompts a second fill; paths that cross it
+/// for speed alone would leave nothing for those that have no other way. Such a path also ends with
+/// the loss of a server in either data centre.
+const CROSS: f64 = 0.5;
+
+/// Part of the cost of a server that has read the request already.
+const KEPT: f64 = 0.3;
 
 /// A path of one request.
 #[derive(Debug)]
@@ -43,9 +49,9 @@
         &self.peers[0]
     }
 
-    /// Memory of its parts is given back early.
-    pub fn release(&mut self) {
-        self.loads.clear();
+    /// Whether one of its servers is suspected.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        self.peers.iter().any(|p| p.suspicion.borrow().holds(now))
     }
 }
 
@@ -56,23 +62,80 @@
     model: &Model,
     tokens: Tokens,
     but: &[String],
+) -> Option<Path> {
+    let zone = zone(&state.setup.zone);
+    let want = Want { from: 0, zone, kept: &[] };
+    search(state, service, model, tokens, but, &want)
+}
+
+/// A path that begins like `path` and avoids servers that are suspected. What its servers have
+/// read of a request stays useful, so they are kept where they can be.
+pub fn mend(
+    state: &State,
+    service: &str,
+    model: &Model,
+    tokens: Tokens,
+    path: &Path,
+) -> Option<Path> {
+    let first = path.first();
+    let hop = path.hops[0];
+    if first.suspicion.borrow().holds(state.now()) {
+        return None;
+    }
+    let but = [first.server().id.clone()];
+    let want = Want { from: hop.span.to, zone: zone(&first.server().zone), kept: &path.peers };
+    let mut rest = search(state, service, model, tokens, &but, &want)?;
+    let bytes = size(model, tokens) * f64::from(hop.span.len());
+    rest.peers.insert(0, first.clone());
+    rest.hops.insert(0, hop);
+    rest.loads.push(Load::new(first.clone(), bytes));
+    Some(rest)
+}
+
+/// Where a path is to begin.
+struct Want<'a> {
+    from: u32,
+    zone: layers::server::Zone,
+    /// Servers that have read the request already.
+    kept: &'a [Rc<Peer>],
+}
+
+/// Bytes of context in one layer.
+fn size(model: &Model, tokens: Tokens) -> f64 {
+    (tokens.prompt + tokens.answer) * model.shape.token_bytes
+}
+
+fn search(
+    state: &State,
+    service: &str,
+    model: &Model,
+    tokens: Tokens,
+    but: &[String],
+    want: &Want<'_>,
 ) -> Option<Path> {
     let now = state.now();
     let peers: Vec<Rc<Peer>> = state.of(service);
     let shape = &model.shape;
-    let bytes = (tokens.prompt + tokens.answer) * shape.token_bytes;
+    let bytes = size(model, tokens);
     let holders: Vec<Holder> = peers
         .iter()
         .enumerate()
         .filter(|(_, p)| p.usable(now) && !but.contains(&p.server().id))
-        .filter_map(|(i, p)| holder(p, i, model, tokens, bytes, p.span(now)))
+        .filter_map(|(i, p)| {
+            let kept = want.kept.iter().any(|k| Rc::ptr_eq(k, p));
+            let bytes = if kept { 0.0 } else { bytes };
+            let mut holder = holder(p, i, model, tokens, bytes, p.span(now))?;
+            holder.layer_ms *= if kept { KEPT } else { 1.0 };
+            Some(holder)
+        })
         .collect();
     let whole = whole_ms(shape, tokens, 10.0);
     let ask = Ask {
+        from: want.from,
         layers: shape.layers,
-        zone: zone(&state.setup.zone),
+        zone: want.zone,
         away_ms: AWAY * whole,
-        cross_ms: tokens.answer * shape.cross_ms + SHARED * tokens.prompt * shape.cross_token_ms,
+        cross_ms: CROSS * whole + tokens.answer * shape.cross_ms,
     };
     let (parts, _) = path::find(&holders, &ask)?;
     let of = |part: &path::Part| peers[part.server].clone();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use policy::window::Budget;
+use policy::window::{Budget, Crowd};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -17,6 +17,10 @@
 use crate::store::Client;
 use crate::wire::Codec;
 
+/// Time for which a router that left the group is still counted. One that is only cut off from the
+/// store goes on sending repeats, out of its part of the common budget.
+const REMEMBERED: Duration = Duration::from_secs(30);
+
 /// Routers that are assumed until the group of routers has answered. High, so that a router that
 /// has just started does not use a larger part of the common retry budget than is its own.
 const ROUTERS: u32 = 16;
@@ -35,8 +39,7 @@
     settings: RefCell<Option<Rc<Settings>>>,
     peers: RefCell<Vec<Rc<Peer>>>,
     budgets: RefCell<Vec<(String, Budget)>>,
-    /// Routers that share the retry budget.
-    pub routers: Cell<u32>,
+    routers: RefCell<Crowd>,
     /// Whether the list of servers was read once.
     pub listed: Cell<bool>,
     /// Whether the process is stopping.
@@ -49,6 +52,8 @@
     pub bodies: Cell<usize>,
     /// Woken when servers or settings change.
     pub changed: Notify,
+    /// Woken when a server is suspected.
+    pub lost: Notify,
     /// Words for the other routers that are still to be written.
     pub words: RefCell<Vec<crate::news::Word>>,
     /// Woken when there are words to write.
@@ -67,13 +72,14 @@
             settings: RefCell::default(),
             peers: RefCell::default(),
             budgets: RefCell::default(),
-            routers: Cell::new(ROUTERS),
+            routers: RefCell::new(Crowd::new(ROUTERS, REMEMBERED)),
             listed: Cell::new(false),
             stopping: Cell::new(false),
             callers: Cell::new(0),
             serving: Cell::new(0),
             bodies: Cell::new(0),
             changed: Notify::new(),
+            lost: Notify::new(),
             words: RefCell::default(),
             spoke: Notify::new(),
             start: Instant::now(),
@@ -157,9 +163,19 @@
         work(&mut budgets[at].1)
     }
 
+    /// Notes how many routers the group has now.
+    pub fn count_routers(&self, routers: u32) {
+        self.routers.borrow_mut().note(self.now(), routers);
+    }
+
+    /// Routers that share the retry budget.
+    pub fn routers(&self) -> u32 {
+        self.routers.borrow().most(self.now())
+    }
+
     /// Takes one repeat of a service's retry budget, if one is left.
     pub fn may_repeat(&self, service: &str) -> bool {
-        let (now, routers) = (self.now(), self.routers.get());
+        let (now, routers) = (self.now(), self.routers());
         let may = self.budget(service, |budget| budget.take(now, routers));
         if !may {
             self.metrics.budget_empty();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,7 +30,7 @@
 /// Part of the longest pause that is on time, after which the servers of the path are asked
 /// whether they live. With the time to ask and to read the prompt elsewhere, the next event then
 /// still comes on time or shortly after it.
-const SILENCE: f64 = 0.55;
+const SILENCE: f64 = 0.4;
 
 /// Part of the goal after which the servers of the path are asked, before the first event.
 const SILENT_START: f64 = 0.5;
@@ -43,6 +43,12 @@
 /// Callers leave after two seconds without an event; half of it is left for the new path.
 const STUCK: Duration = Duration::from_millis(1000);
 
+/// Pause between two looks for a path for a stream that has none.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// Time the first server of a path gets to take an order for another path.
+const MEND: Duration = Duration::from_millis(150);
+
 /// Events on their way to one caller. A caller that does not read holds up its own stream only.
 const AHEAD: usize = 64;
 
@@ -75,6 +81,8 @@
     Event(Event),
     /// The stream is complete.
     End,
+    /// A server of the path does not answer.
+    Lost,
     /// The path is broken or stuck.
     Broken(&'static str),
     /// The caller's or the route's time is up.
@@ -153,6 +161,14 @@
                 return source.answer.done();
             }
             Next::Late => "time is up",
+            Next::Lost if progress.mend(&mut source).await => {
+                next = tokio::select! {
+                    next = progress.next(&mut source) => next,
+                    () = sender.closed() => return progress.gone(),
+                };
+                continue;
+            }
+            Next::Lost => "a server of the path does not answer",
             Next::Broken(why) => why,
         };
         log::info!(
@@ -203,19 +219,24 @@
         self.call.route.class.repeatable() && self.ran < self.call.route.attempts
     }
 
-    /// Goes on after the last event on another path.
+    /// Goes on after the last event on another path, for as long as the caller may still be there.
     async fn resume(&mut self) -> Option<(Source, Event)> {
-        if !self.may_run_again() || self.last.is_none() {
-            return None;
-        }
-        match self.open().await {
-            Ok(Opened::Stream(source, event)) => Some((source, event)),
-            Ok(Opened::Whole(_)) => None,
-            Err(reason) => {
-                log::info!("gateway: request={} resumed=false why={reason}", self.call.id);
-                None
+        let until = (Instant::now() + STUCK).min(self.call.until);
+        while self.may_run_again() && self.last.is_some() {
+            match self.open().await {
+                Ok(Opened::Stream(source, event)) => return Some((source, event)),
+                Ok(Opened::Whole(_)) => return None,
+                Err(reason) => {
+                    log::info!("gateway: request={} resumed=false why={reason}", self.call.id);
+                    if Instant::now() >= until || self.tries >= TRIES {
+                        return None;
+                    }
+                }
             }
+            // Layers that were just loaded, or memory that was given back, may open a path.
+            let _ = tokio::time::timeout(AGAIN, self.state.changed.notified()).await;
         }
+        None
     }
 
     /// Finds a path and waits for its first event; tries others while that is allowed.
@@ -236,7 +257,7 @@
                 Err(Failed::Late) => return Err(Reason::Late),
             };
         }
-        Err(if self.ran > 0 { Reason::Lost } else { reason })
+        Err(if self.ran > 0 && self.last.is_none() { Reason::Lost } else { reason })
     }
 
     fn path(&self) -> Option<Path> {
@@ -325,7 +346,7 @@
                 self.state.metrics.first_event(source.began.elapsed());
                 Ok(Opened::Stream(source, event))
             }
-            Next::Event(_) | Next::End | Next::Broken(_) => {
+            Next::Event(_) | Next::End | Next::Lost | Next::Broken(_) => {
                 self.but.push(id);
                 Err(Failed::Unknown)
             }
@@ -333,6 +354,29 @@
         }
     }
 
+    /// Has the request go on along another path from the same first server, which keeps the stream.
+    /// Cheaper than a new run: only the new servers read the tokens so far, and the caller's pause
+    /// is shorter by that.
+    async fn mend(&self, source: &mut Source) -> bool {
+        let size = self.call.tokens;
+        let found = route::mend(self.state, self.service, self.model, size, &source.path);
+        let Some(path) = found else { return false };
+        let ask = (self.state.codec.repath)(&self.call.id, &path.hops);
+        let answer = probe::ask(path.first(), ask, MEND).await;
+        let done = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
+        log::info!(
+            "gateway: request={} repath={done} first={} answer={:?} last_event={:?}",
+            self.call.id,
+            path.first().server().id,
+            answer.map(|(status, _)| status),
+            self.last
+        );
+        if done {
+            source.path = path;
+        }
+        done
+    }
+
     /// Whether an event may come after those that the caller has. Ids rise within a stream.
     fn follows(&self, event: &Event) -> bool {
         match (self.last, event.id) {
@@ -376,8 +420,8 @@
                 Err(_) if looked => since = Instant::now(),
                 Err(_) => {
                     looked = true;
-                    if self.look_into(&source.path).await && self.may_run_again() {
-                        return Next::Broken("a server of the path does not answer");
+                    if self.look_into(&source.path).await {
+                        return Next::Lost;
                     }
                 }
             }
@@ -406,7 +450,16 @@
             culprit.as_ref().map(|p| p.server().id.clone())
         );
         match culprit {
-            Some(peer) => self.but.push(peer.server().id.clone()),
+            Some(peer) => {
+                self.but.push(peer.server().id.clone());
+                // If it is dead rather than full, the streams that pass through it are helped at once.
+                let state = self.state.clone();
+                tokio::task::spawn_local(async move {
+                    for dead in probe::ask_all(&state, &[peer]).await {
+                        probe::suspect(&state, &dead, "no answer to a probe");
+                    }
+                });
+            }
             None => self.but.push(first.to_owned()),
         }
     }
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -88,6 +88,8 @@
     pub read_report: fn(&[u8]) -> Option<Report>,
     /// Orders a model server to hold layers.
     pub order: fn(&Order) -> Ask,
+    /// Orders the first server of a path to have a running request go on along another path.
+    pub repath: fn(&str, &[Hop]) -> Ask,
     /// Writes a path.
     pub path: fn(&[Hop]) -> String,
 }
--- a/crates/layers/src/path.rs
+++ b/crates/layers/src/path.rs
@@ -41,6 +41,8 @@
 /// Where the request comes from and what crossing links costs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ask {
+    /// First layer that is still to be run.
+    pub from: u32,
     /// Layers of the model.
     pub layers: u32,
     /// Data centre of the router that asks.
@@ -66,13 +68,13 @@
 /// use layers::path::{Ask, Holder, find};
 /// use layers::Span;
 /// let holder = |server, from, to| Holder { server, zone: 0, span: Span::new(from, to), layer_ms: 1.0, hop_ms: 0.5 };
-/// let ask = Ask { layers: 8, zone: 0, away_ms: 10.0, cross_ms: 5.0 };
+/// let ask = Ask { from: 0, layers: 8, zone: 0, away_ms: 10.0, cross_ms: 5.0 };
 /// let (path, _) = find(&[holder(0, 0, 4), holder(1, 4, 8)], &ask).unwrap();
 /// assert_eq!(path.len(), 2);
 /// assert!(find(&[holder(0, 0, 4)], &ask).is_none());
 /// ```
 pub fn find(holders: &[Holder], ask: &Ask) -> Option<(Vec<Part>, f64)> {
-    let cuts = boundaries(holders, ask.layers);
+    let cuts = boundaries(holders, ask);
     // One best entry for each boundary and data centre: what follows depends on no more.
     let mut best: Vec<Vec<Best>> = vec![Vec::new(); cuts.len()];
     for at in 0..cuts.len() {
@@ -98,11 +100,12 @@
     (parts.len() <= LONGEST).then_some((parts, end.cost))
 }
 
-/// Sorted ends of all spans, from the first layer to the end of the model.
-fn boundaries(holders: &[Holder], layers: u32) -> Vec<u32> {
-    let mut cuts = vec![0, layers];
+/// Sorted ends of all spans, from the first layer wanted to the end of the model.
+fn boundaries(holders: &[Holder], ask: &Ask) -> Vec<u32> {
+    let mut cuts = vec![ask.from, ask.layers];
     for holder in holders {
-        cuts.extend([holder.span.from, holder.span.to].into_iter().filter(|&cut| cut < layers));
+        let ends = [holder.span.from, holder.span.to];
+        cuts.extend(ends.into_iter().filter(|&cut| ask.from < cut && cut < ask.layers));
     }
     cuts.sort_unstable();
     cuts.dedup();
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -68,6 +68,53 @@
     }
 }
 
+/// How many routers share a budget: the most that were counted for some time.
+///
+/// A router that is cut off from the others is no longer counted, but goes on with its own
+/// part. If the rest divided its part among them at once, more than the whole would be used.
+#[derive(Debug, Clone)]
+pub struct Crowd {
+    assumed: u32,
+    keep: Duration,
+    counts: VecDeque<(Duration, u32)>,
+}
+
+impl Crowd {
+    /// `assumed` routers until the first count; counts hold for `keep`.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let second = Duration::from_secs(1);
+    /// let mut crowd = policy::window::Crowd::new(16, 30 * second);
+    /// assert_eq!(crowd.most(second), 16);
+    /// crowd.note(second, 4);
+    /// crowd.note(2 * second, 3);
+    /// assert_eq!(crowd.most(5 * second), 4);
+    /// assert_eq!(crowd.most(40 * second), 3);
+    /// ```
+    pub fn new(assumed: u32, keep: Duration) -> Crowd {
+        Crowd { assumed, keep, counts: VecDeque::new() }
+    }
+
+    /// Notes a count.
+    pub fn note(&mut self, now: Duration, routers: u32) {
+        // Smaller or equal counts before this one no longer matter.
+        while self.counts.back().is_some_and(|(_, count)| *count <= routers) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, routers));
+        while self.counts.len() > 1 && self.counts[0].0 + self.keep < now {
+            self.counts.pop_front();
+        }
+    }
+
+    /// The most routers counted lately.
+    pub fn most(&self, now: Duration) -> u32 {
+        let lately = self.counts.iter().find(|(at, _)| *at + self.keep >= now);
+        lately.or(self.counts.back()).map_or(self.assumed, |(_, count)| *count)
+    }
+}
+
 fn forget(times: &mut VecDeque<Duration>, now: Duration, window: Duration) {
     while times.front().is_some_and(|at| *at + window < now) {
         times.pop_front();
