Servers report whom a stalled request waits for; young processes use part of their retry share

Before the first event a path was only given up after a second though its first server names the server it waits for.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -101,7 +101,10 @@
     match exchange(state, peer, call, &extra, link, until).await {
         // A used connection that ends before any byte of the answer was most likely idle too long.
         Outcome::Unknown(why)
-            if used && call.route.class.repeatable() && Instant::now() < until =>
+            if used
+                && call.route.class.repeatable()
+                && Instant::now() < until
+                && state.may_repeat(&peer.server().service) =>
         {
             log::debug!("gateway: request={} sent anew: {why}", call.id);
             match peer.pool.connect().await {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Mutex;
 
 use crate::pool::Pool;
-use crate::server::{Server, State};
+use crate::server::{Server, Stall, State};
 
 /// How long word of layers that were just loaded goes before the server's own entry, which is
 /// written every heartbeat and read every second.
@@ -35,6 +35,8 @@
     /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
     /// all who want to know wait for one answer.
     pub asked: Mutex<(Duration, bool)>,
+    /// Requests that it last reported to wait for a server further on.
+    pub stalled: RefCell<Vec<Stall>>,
     word: Cell<Option<(Span, Duration)>>,
     lapsed: Cell<Option<Duration>>,
 }
@@ -51,6 +53,7 @@
             context: Cell::new(0.0),
             slow: Cell::new(1.0),
             asked: Mutex::new((Duration::ZERO, true)),
+            stalled: RefCell::default(),
             word: Cell::new(None),
             lapsed: Cell::new(None),
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -76,6 +76,7 @@
         Ok(report) => {
             peer.slow.set(report.pace.max(1.0));
             peer.hear(report.span, state.now());
+            *peer.stalled.borrow_mut() = report.stalled;
             true
         }
         Err(why) => {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -55,4 +55,15 @@
     pub pace: f64,
     /// When it started, in milliseconds of Unix time.
     pub born: u64,
+    /// Requests that wait for a server further on.
+    pub stalled: Vec<Stall>,
+}
+
+/// A request that makes no progress.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stall {
+    /// Id of the caller's try.
+    pub request: String,
+    /// The server that it waits for.
+    pub address: SocketAddr,
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -49,6 +49,9 @@
 /// Time the first server of a path gets to take an order for another path.
 const MEND: Duration = Duration::from_millis(150);
 
+/// Pause between two looks at a silent path. What a server reports is some hundred milliseconds old.
+const LOOK: Duration = Duration::from_millis(160);
+
 /// Events on their way to one caller. A caller that does not read holds up its own stream only.
 const AHEAD: usize = 64;
 
@@ -62,8 +65,10 @@
     but: Vec<String>,
     /// Paths asked.
     tries: u32,
-    /// Paths that may have begun to run it.
+    /// Paths that count as having run it.
     ran: u32,
+    /// Whether some server may have begun to run it.
+    sent: bool,
     /// Last event that was handed on.
     last: Option<Id>,
 }
@@ -104,6 +109,7 @@
         but: Vec::new(),
         tries: 0,
         ran: 0,
+        sent: false,
         last: None,
     };
     let (mut source, first) = match progress.open().await {
@@ -128,6 +134,7 @@
             but,
             tries,
             ran,
+            sent: true,
             last: None,
         };
         relay(progress, source, first, sender).await;
@@ -250,14 +257,14 @@
             self.tries += 1;
             reason = match self.begin(path).await {
                 Ok(opened) => return Ok(opened),
-                Err(Failed::NotRun) if self.ran == 0 => Reason::Full,
+                Err(Failed::NotRun) if !self.sent => Reason::Full,
                 Err(Failed::NotRun) => Reason::Lost,
                 Err(Failed::Unknown) if self.may_run_again() => Reason::Lost,
                 Err(Failed::Unknown) => return Err(Reason::Lost),
                 Err(Failed::Late) => return Err(Reason::Late),
             };
         }
-        Err(if self.ran > 0 && self.last.is_none() { Reason::Lost } else { reason })
+        Err(if self.sent && self.last.is_none() { Reason::Lost } else { reason })
     }
 
     fn path(&self) -> Option<Path> {
@@ -271,28 +278,42 @@
     async fn begin(&mut self, path: Path) -> Result<Opened, Failed> {
         let began = Instant::now();
         let peer = path.first().clone();
+        let hops = path.hops.clone();
         let id = peer.server().id.clone();
         let outcome = {
             let fields = self.fields(&path, &id);
             let sending = exchange::send(self.state, &peer, self.call, fields, self.call.until);
             tokio::pin!(sending);
-            let patience = self.call.route.goal.mul_f64(SILENT_START).max(SHORTEST);
-            match tokio::time::timeout(patience, &mut sending).await {
-                Ok(outcome) => outcome,
-                Err(_) => match self.look_into(&path).await {
-                    true => Outcome::Unknown("a server of the path does not answer".to_owned()),
-                    false => match tokio::time::timeout(STUCK, &mut sending).await {
-                        Ok(outcome) => outcome,
-                        Err(_) if self.call.left().is_zero() => Outcome::Late,
-                        Err(_) if self.ran + 1 >= self.call.route.attempts => sending.await,
-                        Err(_) => Outcome::Unknown("no event for too long".to_owned()),
-                    },
-                },
+            let mut wait = self.call.route.goal.mul_f64(SILENT_START).max(SHORTEST);
+            loop {
+                let until = began + wait;
+                tokio::select! {
+                    outcome = &mut sending => break outcome,
+                    () = tokio::time::sleep_until(until) => {}
+                    () = self.state.lost.notified() => {}
+                }
+                let may_go = self.ran + 1 < self.call.route.attempts;
+                if may_go && path.is_lost(self.state.now()) {
+                    break Outcome::Unknown("a server of the path is suspected".to_owned());
+                }
+                if Instant::now() < until {
+                    continue;
+                }
+                wait += LOOK;
+                match self.look_into(&path).await {
+                    true if may_go => {
+                        break Outcome::Unknown("a server of the path does not answer".to_owned());
+                    }
+                    false if may_go && wait > STUCK => {
+                        break Outcome::Unknown("no event for too long".to_owned());
+                    }
+                    _ => {}
+                }
             }
         };
         match outcome {
             Outcome::Answer(answer) => {
-                self.ran += 1;
+                (self.ran, self.sent) = (self.ran + 1, true);
                 self.first(path, answer, began).await
             }
             Outcome::NotSent(why) => {
@@ -304,10 +325,14 @@
                 Err(Failed::NotRun)
             }
             Outcome::Unknown(why) => {
-                self.ran += 1;
+                self.sent = true;
+                // A run begins with its first token, and none gets past a server that is lost.
+                let lost = path.is_lost(self.state.now());
+                self.ran += u32::from(!lost);
                 log::info!(
-                    "gateway: request={} first={id} outcome=unknown why={why}",
-                    self.call.id
+                    "gateway: request={} first={id} outcome=unknown why={why} path={}",
+                    self.call.id,
+                    (self.state.codec.path)(&hops)
                 );
                 self.but.push(id);
                 Err(Failed::Unknown)
@@ -390,7 +415,7 @@
     async fn next(&mut self, source: &mut Source) -> Next {
         let silence = self.call.route.gap.mul_f64(SILENCE).max(SHORTEST);
         let mut since = Instant::now();
-        let mut looked = false;
+        let mut wait = silence;
         loop {
             if let Some(event) = source.splitter.next() {
                 return match self.follows(&event) {
@@ -401,25 +426,23 @@
             if source.splitter.overflows() {
                 return Next::Broken("an event is too long");
             }
-            let wait = if looked { STUCK } else { silence };
             match timeout_at((since + wait).min(self.call.until), source.answer.body.frame()).await
             {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
                         source.splitter.push(data);
-                        since = Instant::now();
+                        (since, wait) = (Instant::now(), silence);
                     }
                 }
                 Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
                 Ok(None) if source.splitter.is_empty() => return Next::End,
                 Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
                 Err(_) if Instant::now() >= self.call.until => return Next::Late,
-                Err(_) if looked && self.may_run_again() => {
+                Err(_) if wait >= STUCK && self.may_run_again() => {
                     return Next::Broken("no event for too long");
                 }
-                Err(_) if looked => since = Instant::now(),
                 Err(_) => {
-                    looked = true;
+                    wait += LOOK;
                     if self.look_into(&source.path).await {
                         return Next::Lost;
                     }
@@ -428,13 +451,22 @@
         }
     }
 
-    /// Asks all servers of a silent path whether they live; true if one does not.
+    /// Asks all servers of a silent path whether they live, and the first one whom it waits for;
+    /// true if some server is found to be at fault.
     async fn look_into(&mut self, path: &Path) -> bool {
         let dead = probe::ask_all(self.state, &path.peers).await;
         for peer in &dead {
             self.suspect(peer, "no answer to a probe");
         }
-        !dead.is_empty()
+        // A server may answer us and yet not be reached by the one before it.
+        let stalled =
+            path.first().stalled.borrow().iter().find(|s| s.request == self.call.id).cloned();
+        let waited_for = stalled.and_then(|s| self.state.at(s.address));
+        let waited_for = waited_for.filter(|p| path.peers.iter().any(|q| Rc::ptr_eq(p, q)));
+        if let Some(peer) = &waited_for {
+            self.suspect(peer, "a request waits for it");
+        }
+        !dead.is_empty() || waited_for.is_some()
     }
 
     fn suspect(&self, peer: &Rc<crate::peer::Peer>, why: &str) {
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -14,6 +14,9 @@
 /// themselves in late, and windows that slide between two of ours.
 pub const MARGIN: f64 = 0.85;
 
+/// Part of the fixed number that a router uses right after its start.
+pub const YOUNG: f64 = 0.2;
+
 /// Repeats sent to one service by one router.
 #[derive(Debug, Clone)]
 pub struct Budget {
@@ -52,12 +55,19 @@
         forget(&mut self.requests, now, self.window);
         // Repeats are remembered a little longer, as they arrive later than they are sent.
         forget(&mut self.repeats, now, self.window + self.window / 10);
-        let share = self.slack / f64::from(routers.max(1));
+        let share = self.slack / f64::from(routers.max(1)) * self.grown(now);
         let allowed = MARGIN * (self.ratio * self.requests.len() as f64 + share);
         // A router alone with little to send may still repeat one thing.
         (allowed.max(1.0) as u32).saturating_sub(self.repeats.len() as u32)
     }
 
+    /// Part of the fixed number that a router uses whose process started `now` ago. What the process
+    /// before it used in the same window is not known, and when routers are restarted in turn
+    /// each would use its part twice.
+    fn grown(&self, now: Duration) -> f64 {
+        (now.as_secs_f64() / self.window.as_secs_f64()).clamp(YOUNG, 1.0)
+    }
+
     /// Takes one repeat, if one is left.
     pub fn take(&mut self, now: Duration, routers: u32) -> bool {
         let some = self.left(now, routers) > 0;
