--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -48,6 +48,9 @@
     /// Some layers of the model are held nowhere.
     #[display("part of the model is being loaded")]
     NoPath,
+    /// Some layers are held nowhere, and the store is away.
+    #[display("part of the model is lost, and the platform's store is away")]
+    NoPathAway,
     /// All servers that were asked declined.
     #[display("the backend servers are full")]
     Full,
@@ -74,6 +77,7 @@
             | Reason::NoMemory
             | Reason::NoServer
             | Reason::NoPath
+            | Reason::NoPathAway
             | Reason::Full => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -83,6 +87,8 @@
         match self {
             // The store answers again or settings are read within about this time.
             Reason::Unsettled => Some(Duration::from_millis(1500)),
+            // Without the store no router may order another server to load the lost part.
+            Reason::NoPathAway => Some(Duration::from_millis(4500)),
             // A lost part is noticed in half a second and loaded in one to one and a half.
             Reason::NoPath => Some(Duration::from_millis(1800)),
             Reason::NoServer => Some(Duration::from_millis(1000)),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -177,6 +177,11 @@
         ));
     }
     peer.answered(took);
+    let told =
+        headers.get(&names.load).and_then(|v| v.to_str().ok()?.split(',').next()?.parse().ok());
+    if let Some(running) = told {
+        peer.told.set(Some((running, state.now())));
+    }
     let (parts, body) = answer.into_parts();
     let head = Response::from_parts(parts, ());
     Outcome::Answer(Box::new(Answer { head, body, link, peer: peer.clone() }))
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,14 +15,14 @@
 
 /// Time the store may wait for new settings. An answer is overdue soon after, and a connection that
 /// went silent is given up before settings are in force too late.
-const WAIT: Duration = Duration::from_millis(900);
+const WAIT: Duration = Duration::from_millis(1500);
 
 /// Time the store may wait for news, which come rarely and are worth nothing when late.
-const NEWS: Duration = Duration::from_millis(1500);
+const NEWS: Duration = Duration::from_millis(2500);
 
 /// Time between two looks at the list of servers. Servers write every 1.2 s; half of the shortest
 /// time a leaving one may still get work.
-const LIST: Duration = Duration::from_millis(800);
+const LIST: Duration = Duration::from_millis(1000);
 
 /// Pause after the store did not answer. Short against the two seconds within which settings are
 /// to be in force; each refused call costs the platform as much as a good one.
@@ -122,6 +122,7 @@
         };
         match read {
             Ok((items, end, whole)) => {
+                state.away.set(false);
                 if let Some(since) = away.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
                     back = Some(Instant::now());
@@ -140,6 +141,7 @@
                     log::warn!("gateway: store lost log={log} why={e}");
                     away = Some(Instant::now());
                 }
+                state.away.set(true);
                 state.metrics.store_failed();
                 sleep(PAUSE).await;
             }
--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -53,6 +53,11 @@
 /// Time in which a server that got an order and does not answer counts as carrying it out.
 const LATE: Duration = Duration::from_millis(2500);
 
+/// Time after which a server's report shows an order that it has accepted. If it shows none, the
+/// order was lost; should it arrive yet, it names a number of accepted orders that is past by
+/// then, or it is just the order that is given again.
+const SHOWN: Duration = Duration::from_millis(700);
+
 /// Part of the servers that must answer for a silent one to count as dead. If most are silent, it
 /// is this router that is cut off.
 const REACHED: f64 = 0.6;
@@ -90,6 +95,7 @@
 struct Given {
     server: String,
     span: Span,
+    sent: Duration,
     until: Duration,
 }
 
@@ -200,11 +206,16 @@
             return Vec::new();
         }
     };
-    let until = state.now() + LATE;
+    let (sent, until) = (state.now(), state.now() + LATE);
     let mut given: Vec<Given> = Vec::new();
     for record in records.iter().filter_map(|r| serde_json::from_slice::<Record>(r).ok()) {
         given.retain(|g| g.server != record.server);
-        given.push(Given { server: record.server, span: Span::new(record.from, record.to), until });
+        given.push(Given {
+            server: record.server,
+            span: Span::new(record.from, record.to),
+            sent,
+            until,
+        });
     }
     given.retain(|g| state.peer(&g.server).is_some_and(|p| p.span(state.now()) != g.span));
     given
@@ -252,9 +263,29 @@
         }
     };
     let servers: Vec<Card> = peers.iter().map(server).collect();
+    say_missing(state, peers, &servers, &model.shape);
     placement::plan(&servers, &model.shape)
 }
 
+/// Says which layers each data centre lacks, when that has changed.
+fn say_missing(state: &State, peers: &[Rc<Peer>], servers: &[Card], shape: &Shape) {
+    let mut zones: Vec<String> = peers.iter().map(|p| p.server().zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    let lacks = zones.iter().map(|name| {
+        let zone = route::zone(name);
+        let usable = servers.iter().filter(|s| s.usable && s.zone == zone).count();
+        let missing = placement::missing(servers, shape, zone);
+        let missing: Vec<String> = missing.iter().map(Span::to_string).collect();
+        format!("{name}: servers={usable} missing=[{}]", missing.join(" "))
+    });
+    let text = lacks.collect::<Vec<_>>().join(", ");
+    if *state.placement.borrow() != text {
+        log::info!("gateway: placement {text}");
+        *state.placement.borrow_mut() = text;
+    }
+}
+
 /// Writes orders down and gives them.
 async fn carry_out(
     state: &Rc<State>,
@@ -275,8 +306,13 @@
         match report {
             Ok(report) if report.span == order.span => peer.hear(report.span, state.now()),
             Ok(report) if report.busy => {
-                let until = state.now() + LATE;
-                given.push(Given { server: peer.server().id.clone(), span: report.span, until });
+                let (sent, until) = (state.now(), state.now() + LATE);
+                given.push(Given {
+                    server: peer.server().id.clone(),
+                    span: report.span,
+                    sent,
+                    until,
+                });
             }
             Ok(report) => ready.push((order.span, report.orders, peer)),
             Err(why) => probe::suspect(state, &peer, &why),
@@ -291,7 +327,12 @@
     {
         if accepted {
             let until = state.now() + patience(&model.shape, model.load, *span, ready.len());
-            given.push(Given { server: peer.server().id.clone(), span: *span, until });
+            given.push(Given {
+                server: peer.server().id.clone(),
+                span: *span,
+                sent: state.now(),
+                until,
+            });
         }
     }
     Ok(())
@@ -360,7 +401,7 @@
                 log::info!("gateway: order done server={} layers={}", order.server, order.span);
                 true
             }
-            Ok(report) => !report.busy && now + LATE > order.until + LATE,
+            Ok(report) => (!report.busy && now > order.sent + SHOWN) || now > order.until,
             Err(why) => {
                 probe::suspect(state, &peer, &why);
                 now > order.until
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -24,6 +24,10 @@
     pub pool: Pool,
     /// Whether it answers.
     pub suspicion: RefCell<Suspicion>,
+    /// Whether it declines requests: it is leaving, or out of memory.
+    pub declines: RefCell<Suspicion>,
+    /// Requests of all routers that ran there, as it last told, and when.
+    pub told: Cell<Option<(u32, Duration)>>,
     /// Times of its answers.
     pub pace: Cell<Pace>,
     /// Requests of this router that run there.
@@ -48,6 +52,8 @@
             pool: Pool::new(server.address),
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
+            declines: RefCell::default(),
+            told: Cell::new(None),
             pace: Cell::default(),
             running: Cell::new(0),
             context: Cell::new(0.0),
@@ -111,6 +117,11 @@
         self.ready() && !self.suspicion.borrow().holds(now)
     }
 
+    /// Whether it is usable and has not just declined a request.
+    pub fn willing(&self, now: Duration) -> bool {
+        self.usable(now) && !self.declines.borrow().holds(now)
+    }
+
     /// Notes that it did not answer; true if this is news.
     pub fn fail(&self, now: Duration) -> bool {
         let news = !self.suspicion.borrow().holds(now);
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use layers::path::{self, Ask, Holder};
+use layers::server::Zone;
 use layers::{Shape, Span};
 
 use crate::peer::{Load, Peer};
@@ -55,16 +56,18 @@
     }
 }
 
-/// The best path for a request of that size that avoids the servers in `but`.
+/// The best path for a request of that size that avoids the servers in `but`; with `willing`, also
+/// those that have just declined others.
 pub fn find(
     state: &State,
     service: &str,
     model: &Model,
     tokens: Tokens,
     but: &[String],
+    willing: bool,
 ) -> Option<Path> {
     let zone = zone(&state.setup.zone);
-    let want = Want { from: 0, zone, kept: &[] };
+    let want = Want { from: 0, zone, kept: &[], willing };
     search(state, service, model, tokens, but, &want)
 }
 
@@ -83,7 +86,12 @@
         return None;
     }
     let but = [first.server().id.clone()];
-    let want = Want { from: hop.span.to, zone: zone(&first.server().zone), kept: &path.peers };
+    let want = Want {
+        from: hop.span.to,
+        zone: zone(&first.server().zone),
+        kept: &path.peers,
+        willing: true,
+    };
     let mut rest = search(state, service, model, tokens, &but, &want)?;
     let bytes = size(model, tokens) * f64::from(hop.span.len());
     rest.peers.insert(0, first.clone());
@@ -95,9 +103,31 @@
 /// Where a path is to begin.
 struct Want<'a> {
     from: u32,
-    zone: layers::server::Zone,
+    zone: Zone,
     /// Servers that have read the request already.
     kept: &'a [Rc<Peer>],
+    willing: bool,
+}
+
+/// How long what a server tells of its load is used.
+const TOLD: Duration = Duration::from_millis(1500);
+
+/// Requests of all routers that run through each data centre's copy, as their first servers tell.
+/// A router sees only its own; when copies are lost, the others' requests crowd into the copies
+/// that are left, and none of the routers would notice that their memory is full.
+fn crowds(peers: &[Rc<Peer>], now: Duration) -> Vec<(Zone, f64)> {
+    let mut crowds: Vec<(Zone, f64)> = Vec::new();
+    for peer in peers {
+        let Some((running, _)) = peer.told.get().filter(|(_, at)| now < *at + TOLD) else {
+            continue;
+        };
+        let zone = zone(&peer.server().zone);
+        match crowds.binary_search_by_key(&zone, |(z, _)| *z) {
+            Ok(at) => crowds[at].1 += f64::from(running),
+            Err(at) => crowds.insert(at, (zone, f64::from(running))),
+        }
+    }
+    crowds
 }
 
 /// Bytes of context in one layer.
@@ -117,14 +147,19 @@
     let peers: Vec<Rc<Peer>> = state.of(service);
     let shape = &model.shape;
     let bytes = size(model, tokens);
+    let crowds = crowds(&peers, now);
     let holders: Vec<Holder> = peers
         .iter()
         .enumerate()
-        .filter(|(_, p)| p.usable(now) && !but.contains(&p.server().id))
+        .filter(|(_, p)| if want.willing { p.willing(now) } else { p.usable(now) })
+        .filter(|(_, p)| !but.contains(&p.server().id))
         .filter_map(|(i, p)| {
             let kept = want.kept.iter().any(|k| Rc::ptr_eq(k, p));
             let bytes = if kept { 0.0 } else { bytes };
-            let mut holder = holder(p, i, model, tokens, bytes, p.span(now))?;
+            let zone = zone(&p.server().zone);
+            let crowd =
+                crowds.binary_search_by_key(&zone, |(z, _)| *z).map_or(0.0, |at| crowds[at].1);
+            let mut holder = holder(p, i, model, tokens, bytes, p.span(now), crowd)?;
             holder.layer_ms *= if kept { KEPT } else { 1.0 };
             Some(holder)
         })
@@ -158,6 +193,7 @@
     tokens: Tokens,
     bytes: f64,
     span: Span,
+    crowd: f64,
 ) -> Option<Holder> {
     let entry = peer.server();
     let card = model.card(entry.card.as_deref()?)?;
@@ -166,14 +202,17 @@
     }
     let shape = &model.shape;
     let memory = card.bytes - f64::from(span.len()) * shape.layer_bytes;
-    let taken = peer.context.get() + bytes * f64::from(span.len());
+    let crowd = crowd * model.usual * shape.token_bytes * f64::from(span.len());
+    let taken = peer.context.get().max(crowd) + bytes * f64::from(span.len());
     let full = taken / memory.max(1.0);
-    if full > FULL || peer.running.get() >= entry.slots {
+    // What it has begun, it keeps.
+    if (full > FULL && bytes > 0.0) || peer.running.get() >= entry.slots {
         return None;
     }
     let read = tokens.prompt / shape.read_per_ms * card.read;
     let write = tokens.answer * shape.step_ms * card.pace * peer.slow.get();
     // Grows without bound as memory fills, so that copies fill evenly.
+    let full = full.min(FULL);
     let crowd = 1.0 / (1.0 - full * full);
     Some(Holder {
         server,
@@ -185,6 +224,6 @@
 }
 
 /// A number for the name of a data centre; equal names have equal numbers.
-pub fn zone(name: &str) -> layers::server::Zone {
+pub fn zone(name: &str) -> Zone {
     (xxhash_rust::xxh3::xxh3_64(name.as_bytes()) & 0xffff) as u16
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -73,6 +73,8 @@
     pub shape: Shape,
     /// Accelerator types by name, sorted.
     pub cards: Vec<(String, Card)>,
+    /// Mean tokens of a request's context while it runs.
+    pub usual: f64,
     /// Time to load all layers.
     pub load: Duration,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -54,6 +54,10 @@
     pub changed: Notify,
     /// Woken when a server is suspected.
     pub lost: Notify,
+    /// Whether the store did not answer the last call.
+    pub away: Cell<bool>,
+    /// Last line that was logged of the layers that data centres lack.
+    pub placement: RefCell<String>,
     /// Words for the other routers that are still to be written.
     pub words: RefCell<Vec<crate::news::Word>>,
     /// Woken when there are words to write.
@@ -80,6 +84,8 @@
             bodies: Cell::new(0),
             changed: Notify::new(),
             lost: Notify::new(),
+            away: Cell::new(false),
+            placement: RefCell::default(),
             words: RefCell::default(),
             spoke: Notify::new(),
             start: Instant::now(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -248,7 +248,7 @@
 
     /// Finds a path and waits for its first event; tries others while that is allowed.
     async fn open(&mut self) -> Result<Opened, Reason> {
-        let mut reason = Reason::NoPath;
+        let mut reason = if self.state.away.get() { Reason::NoPathAway } else { Reason::NoPath };
         while self.tries < TRIES {
             let Some(path) = self.path() else { break };
             if self.tries > 0 && !self.state.may_repeat(self.service) {
@@ -268,10 +268,11 @@
     }
 
     fn path(&self) -> Option<Path> {
-        let size = self.call.tokens;
-        let path = route::find(self.state, self.service, self.model, size, &self.but);
-        // Servers that declined once may take it, if there is no way without them.
-        path.or_else(|| route::find(self.state, self.service, self.model, size, &[]))
+        let find = |but: &[String], willing| {
+            route::find(self.state, self.service, self.model, self.call.tokens, but, willing)
+        };
+        // Servers that declined may take it after all, if there is no way without them.
+        find(&self.but, true).or_else(|| find(&self.but, false)).or_else(|| find(&[], false))
     }
 
     /// Sends the request along a path and waits for the first event.
@@ -484,6 +485,7 @@
         match culprit {
             Some(peer) => {
                 self.but.push(peer.server().id.clone());
+                peer.declines.borrow_mut().fail(self.state.now());
                 // If it is dead rather than full, the streams that pass through it are helped at once.
                 let state = self.state.clone();
                 tokio::task::spawn_local(async move {
@@ -492,7 +494,12 @@
                     }
                 });
             }
-            None => self.but.push(first.to_owned()),
+            None => {
+                if let Some(peer) = self.state.peer(first) {
+                    peer.declines.borrow_mut().fail(self.state.now());
+                }
+                self.but.push(first.to_owned());
+            }
         }
     }
 
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -50,6 +50,7 @@
             whole &= work.missing(group, None).is_empty();
         }
         work.repair(group);
+        work.rebuild(group);
     }
     // The reserve is loaded only where nothing is missing: loads at the same time slow each other.
     if whole {
@@ -60,6 +61,21 @@
     work.orders
 }
 
+/// Layers that no usable server of a data centre holds or is loading.
+///
+/// ```
+/// # use layers::{Card, Server, Shape, Span, placement};
+/// let shape = Shape { layers: 8, layer_bytes: 1e9, token_bytes: 1e3, step_ms: 1.0,
+///     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01 };
+/// let card = Card { bytes: 9e9, pace: 1.0, read: 1.0 };
+/// let server = Server { zone: 0, card, span: Span::new(0, 5), usable: true, busy: false };
+/// assert_eq!(placement::missing(&[server], &shape, 0), [Span::new(5, 8)]);
+/// ```
+pub fn missing(servers: &[Server], shape: &Shape, zone: Zone) -> Vec<Span> {
+    let work = Work { servers: servers.to_vec(), shape, orders: Vec::new() };
+    work.missing(&[zone], None)
+}
+
 /// Data centres that hold a copy together: each alone if its memory suffices, the rest as one.
 fn groups(servers: &[Server], shape: &Shape, zones: &[Zone]) -> Vec<Vec<Zone>> {
     let holds = |zone: &Zone| {
@@ -150,6 +166,34 @@
         }
     }
 
+    /// Deals the layers of a group anew if repair could not close all gaps: memory is there, but
+    /// not beside the gap. Servers keep their order, so most keep most of what they hold. Nothing
+    /// whole is taken apart, since the group has no whole copy.
+    fn rebuild(&mut self, group: &[Zone]) {
+        let mut order: Vec<Index> = self.members(group).collect();
+        let busy = order.iter().any(|i| self.servers[*i].busy);
+        if busy || self.missing(group, None).is_empty() {
+            return;
+        }
+        let sum = |tokens: f64| -> u32 {
+            order.iter().map(|i| self.servers[*i].card.capacity(self.shape, tokens)).sum()
+        };
+        if sum(LEAST) < self.shape.layers {
+            return;
+        }
+        let tokens = most(TOKENS, |tokens| sum(tokens) >= self.shape.layers);
+        order.sort_by_key(|i| (self.servers[*i].span, *i));
+        let mut at = 0;
+        for i in order {
+            let most = self.servers[i].card.capacity(self.shape, tokens);
+            let span = Span::new(at, self.shape.layers.min(at + most));
+            at = span.to;
+            if !span.is_empty() && span != self.servers[i].span {
+                self.order(i, span);
+            }
+        }
+    }
+
     fn take_spare(&mut self, group: &[Zone], gap: Span) -> bool {
         let spare = |i: &Index| !self.servers[*i].busy && self.redundant(group, *i);
         let found: Vec<Index> = self.by_speed(group).into_iter().filter(spare).collect();
