--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -18,6 +18,13 @@
         /// The server.
         server: String,
     },
+    /// A server works so many times slower than its kind.
+    Slow {
+        /// The server.
+        server: String,
+        /// Factor on the time of its steps, in percent.
+        percent: u32,
+    },
     /// A server holds layers now.
     Holds {
         /// The server.
@@ -52,6 +59,11 @@
                 log::info!("gateway: server={server} suspect=true why=another router says so");
             }
         }
+        Word::Slow { server, percent } => {
+            if let Some(peer) = state.peer(server) {
+                peer.slow.set(f64::from(*percent) / 100.0);
+            }
+        }
         Word::Holds { server, from, to } => {
             if let Some(peer) = state.peer(server) {
                 peer.hear(Span::new(*from, *to), now);
