--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -58,6 +58,17 @@
 /// then, or it is just the order that is given again.
 const SHOWN: Duration = Duration::from_millis(700);
 
+/// Time between two visits to all model servers. Servers are slow for some seconds at least; a visit
+/// is as dear as a heartbeat of each.
+const VISIT: Duration = Duration::from_millis(1500);
+
+/// Change of a server's pace that the others are told.
+const CHANGED: f64 = 0.3;
+
+/// Factor on its steps from which on a server's layers are loaded elsewhere. Loading takes a second
+/// or two; below this, a request loses less by passing through it.
+const TOO_SLOW: f64 = 4.0;
+
 /// Part of the servers that must answer for a silent one to count as dead. If most are silent, it
 /// is this router that is cut off.
 const REACHED: f64 = 0.6;
@@ -115,6 +126,7 @@
     let mut given: Vec<Given> = Vec::new();
     let mut kept = state.now().saturating_sub(KEEP);
     let mut grown = (0, state.now());
+    let mut visited = state.now();
     loop {
         if state.now() >= kept + KEEP && !state.stopping.get() {
             kept = state.now();
@@ -136,6 +148,10 @@
             grown = (count, state.now());
         }
         if let Some(mut held) = term.filter(Term::lasts).filter(|_| !state.stopping.get()) {
+            if state.now() >= visited + VISIT {
+                visited = state.now();
+                visit(&state).await;
+            }
             let settled = state.now() > grown.1 + SETTLED;
             match give(&state, &mut held, &mut given, settled).await {
                 Ok(()) => term = Some(held),
@@ -150,6 +166,32 @@
     }
 }
 
+/// Asks all model servers for their state and tells the other routers what has changed. A server
+/// that turned slow holds up all that passes through it, and neither its entry nor a router that
+/// uses other paths shows it.
+async fn visit(state: &State) {
+    let peers = state.peers();
+    let models = peers.iter().filter(|p| p.server().card.is_some() && p.usable(state.now()));
+    let asked =
+        models.map(|peer| async move { (probe::report(state, peer, probe::CALM).await, peer) });
+    for (report, peer) in futures_util::future::join_all(asked).await {
+        let server = peer.server().id.clone();
+        let report = match report {
+            Ok(report) => report,
+            Err(why) => {
+                probe::suspect(state, peer, &why);
+                continue;
+            }
+        };
+        let (was, is) = (peer.slow.get(), report.pace.max(1.0));
+        if (is - was).abs() > CHANGED * was {
+            log::info!("gateway: server={server} slow={is:.1} before={was:.1}");
+            peer.slow.set(is);
+            state.say(Word::Slow { server, percent: (is * 100.0) as u32 });
+        }
+    }
+}
+
 async fn keep(state: &State, generation: Generation) -> Result<(Seat, Duration), Fault> {
     // The seat's time runs from the call's arrival, so counting from its sending is safe.
     let until = boot_time() + TTL.mul_f64(SURE);
@@ -258,7 +300,10 @@
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(layers::Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.map_or(peer.span(now), |g| g.span),
-            usable: card.is_some() && peer.ready() && (!reached || !peer.suspicion.borrow().open()),
+            usable: card.is_some()
+                && peer.slow.get() < TOO_SLOW
+                && peer.ready()
+                && (!reached || !peer.suspicion.borrow().open()),
             busy: order.is_some(),
         }
     };
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -17,7 +17,7 @@
 
 /// Time a server gets to answer a probe. A round trip takes up to two milliseconds, so a live one
 /// answers far sooner; a longer wait would be added to the pause that the caller sees.
-const PROBE: Duration = Duration::from_millis(60);
+const PROBE: Duration = Duration::from_millis(45);
 
 /// Time for which the answer to a probe holds. When a server dies, all streams that pass through it
 /// fall silent within a pass of each other, and each asks all servers of its path.
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -209,8 +209,9 @@
     if (full > FULL && bytes > 0.0) || peer.running.get() >= entry.slots {
         return None;
     }
-    let read = tokens.prompt / shape.read_per_ms * card.read;
-    let write = tokens.answer * shape.step_ms * card.pace * peer.slow.get();
+    let slow = peer.slow.get();
+    let read = tokens.prompt / shape.read_per_ms * card.read * slow;
+    let write = tokens.answer * shape.step_ms * card.pace * slow;
     // Grows without bound as memory fills, so that copies fill evenly.
     let full = full.min(FULL);
     let crowd = 1.0 / (1.0 - full * full);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -27,17 +27,23 @@
 /// Paths tried for one request at most, counting those whose servers decline it.
 const TRIES: u32 = 5;
 
-/// Part of the longest pause that is on time, after which the servers of the path are asked
-/// whether they live. With the time to ask and to read the prompt elsewhere, the next event then
-/// still comes on time or shortly after it.
-const SILENCE: f64 = 0.4;
+/// Multiple of a stream's usual pause after which the servers of its path are asked whether they
+/// live. With the time to ask and to read the prompt elsewhere, the next event then still comes on
+/// time or shortly after it.
+const SILENCE: f64 = 2.5;
+
+/// Usual pause that is assumed before the first ones were measured.
+const PAUSE: Duration = Duration::from_millis(30);
+
+/// Weight of the newest pause in the mean.
+const NEWEST: f64 = 0.2;
 
 /// Part of the goal after which the servers of the path are asked, before the first event.
 const SILENT_START: f64 = 0.5;
 
 /// Shortest silence that is looked into: a pass over a full batch takes some 30 ms on the slowest
 /// cards.
-const SHORTEST: Duration = Duration::from_millis(80);
+const SHORTEST: Duration = Duration::from_millis(55);
 
 /// Silence after which another path is tried even though all servers of this one answer.
 /// Callers leave after two seconds without an event; half of it is left for the new path.
@@ -50,7 +56,7 @@
 const MEND: Duration = Duration::from_millis(150);
 
 /// Pause between two looks at a silent path. What a server reports is some hundred milliseconds old.
-const LOOK: Duration = Duration::from_millis(160);
+const LOOK: Duration = Duration::from_millis(250);
 
 /// Events on their way to one caller. A caller that does not read holds up its own stream only.
 const AHEAD: usize = 64;
@@ -79,6 +85,14 @@
     answer: Box<Answer>,
     splitter: Splitter,
     began: Instant,
+    /// Mean pause between two events.
+    pause: Duration,
+}
+
+impl Source {
+    fn measure(&mut self, pause: Duration) {
+        self.pause = self.pause.mul_f64(1.0 - NEWEST) + pause.mul_f64(NEWEST);
+    }
 }
 
 /// What came next on a path.
@@ -366,7 +380,8 @@
                 }
             };
         }
-        let mut source = Source { path, answer, splitter: Splitter::default(), began };
+        let mut source =
+            Source { path, answer, splitter: Splitter::default(), began, pause: PAUSE };
         match self.next(&mut source).await {
             Next::Event(event) if self.follows(&event) => {
                 self.state.metrics.first_event(source.began.elapsed());
@@ -414,9 +429,8 @@
 
     /// The next event of a path.
     async fn next(&mut self, source: &mut Source) -> Next {
-        let silence = self.call.route.gap.mul_f64(SILENCE).max(SHORTEST);
         let mut since = Instant::now();
-        let mut wait = silence;
+        let mut wait = source.pause.mul_f64(SILENCE).max(SHORTEST);
         loop {
             if let Some(event) = source.splitter.next() {
                 return match self.follows(&event) {
@@ -432,7 +446,9 @@
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
                         source.splitter.push(data);
-                        (since, wait) = (Instant::now(), silence);
+                        source.measure(since.elapsed());
+                        (since, wait) =
+                            (Instant::now(), source.pause.mul_f64(SILENCE).max(SHORTEST));
                     }
                 }
                 Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
