--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -65,10 +65,6 @@
 /// Change of a server's pace that the others are told.
 const CHANGED: f64 = 0.3;
 
-/// Factor on its steps from which on a server's layers are loaded elsewhere. Loading takes a second
-/// or two; below this, a request loses less by passing through it.
-const TOO_SLOW: f64 = 4.0;
-
 /// Part of the servers that must answer for a silent one to count as dead. If most are silent, it
 /// is this router that is cut off.
 const REACHED: f64 = 0.6;
@@ -300,10 +296,7 @@
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(layers::Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.map_or(peer.span(now), |g| g.span),
-            usable: card.is_some()
-                && peer.slow.get() < TOO_SLOW
-                && peer.ready()
-                && (!reached || !peer.suspicion.borrow().open()),
+            usable: card.is_some() && peer.ready() && (!reached || !peer.suspicion.borrow().open()),
             busy: order.is_some(),
         }
     };
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -166,30 +166,54 @@
         }
     }
 
-    /// Deals the layers of a group anew if repair could not close all gaps: memory is there, but
-    /// not beside the gap. Servers keep their order, so most keep most of what they hold. Nothing
-    /// whole is taken apart, since the group has no whole copy.
+    /// Closes gaps beside which no memory is free: the servers around a gap share their layers and
+    /// its own anew, as few of them as have the memory together. Each keeps its place in the order,
+    /// so most of what they hold stays. Nothing whole is taken apart, as the group has no whole copy.
     fn rebuild(&mut self, group: &[Zone]) {
-        let mut order: Vec<Index> = self.members(group).collect();
-        let busy = order.iter().any(|i| self.servers[*i].busy);
-        if busy || self.missing(group, None).is_empty() {
-            return;
-        }
-        let sum = |tokens: f64| -> u32 {
-            order.iter().map(|i| self.servers[*i].card.capacity(self.shape, tokens)).sum()
-        };
-        if sum(LEAST) < self.shape.layers {
-            return;
+        for gap in self.missing(group, None) {
+            if let Some(window) = self.window(group, gap) {
+                self.deal(&window, gap);
+            }
         }
-        let tokens = most(TOKENS, |tokens| sum(tokens) >= self.shape.layers);
+    }
+
+    /// The fewest servers around a gap that can hold it and what they hold.
+    fn window(&self, group: &[Zone], gap: Span) -> Option<Vec<Index>> {
+        let free = |i: &Index| !self.servers[*i].busy && !self.servers[*i].span.is_empty();
+        let mut order: Vec<Index> = self.members(group).filter(free).collect();
         order.sort_by_key(|i| (self.servers[*i].span, *i));
-        let mut at = 0;
-        for i in order {
-            let most = self.servers[i].card.capacity(self.shape, tokens);
-            let span = Span::new(at, self.shape.layers.min(at + most));
+        let at = order.partition_point(|i| self.servers[*i].span.from < gap.from);
+        let fits = |window: &[Index]| {
+            let room: u32 =
+                window.iter().map(|i| self.servers[*i].card.capacity(self.shape, LEAST)).sum();
+            room >= self.extent(window, gap).len()
+        };
+        (2..=order.len()).find_map(|width| {
+            let starts = at.saturating_sub(width)..=at.min(order.len() - width);
+            starts.map(|from| &order[from..from + width]).find(|w| fits(w)).map(<[Index]>::to_vec)
+        })
+    }
+
+    /// The layers from the first to the last of those that servers hold and of a gap.
+    fn extent(&self, window: &[Index], gap: Span) -> Span {
+        let spans = window.iter().map(|i| self.servers[*i].span);
+        spans.fold(gap, |all, s| Span::new(all.from.min(s.from), all.to.max(s.to)))
+    }
+
+    /// Deals the layers of servers and of a gap to these servers in order.
+    fn deal(&mut self, window: &[Index], gap: Span) {
+        let extent = self.extent(window, gap);
+        let shape = *self.shape;
+        let cards: Vec<_> = window.iter().map(|i| self.servers[*i].card).collect();
+        let tokens = most(TOKENS, |t| {
+            cards.iter().map(|c| c.capacity(&shape, t)).sum::<u32>() >= extent.len()
+        });
+        let mut at = extent.from;
+        for (i, card) in window.iter().zip(&cards) {
+            let span = Span::new(at, extent.to.min(at + card.capacity(&shape, tokens)));
             at = span.to;
-            if !span.is_empty() && span != self.servers[i].span {
-                self.order(i, span);
+            if !span.is_empty() && span != self.servers[*i].span {
+                self.order(*i, span);
             }
         }
     }
