Say that layers are lost where no path is left, rather than that servers are full

Cause: after the last holder of a layer declined, the caller was told to come back in 0.7 s, while the layer is loaded at the earliest when the store is back.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -100,6 +100,17 @@
     Some(rest)
 }
 
+/// Whether each layer of the model is held by some server that takes requests.
+pub fn whole(state: &State, service: &str, model: &Model) -> bool {
+    let now = state.now();
+    let peers = state.of(service);
+    let spans = peers.iter().filter(|p| p.willing(now)).map(|p| p.span(now));
+    let mut spans: Vec<Span> = spans.collect();
+    spans.sort_unstable();
+    let reached = spans.iter().fold(0, |at, s| if s.from <= at { at.max(s.to) } else { at });
+    reached >= model.shape.layers
+}
+
 /// Where a path is to begin.
 struct Want<'a> {
     from: u32,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -262,9 +262,12 @@
 
     /// Finds a path and waits for its first event; tries others while that is allowed.
     async fn open(&mut self) -> Result<Opened, Reason> {
-        let mut reason = if self.state.away.get() { Reason::NoPathAway } else { Reason::NoPath };
+        let mut reason = self.no_path();
         while self.tries < TRIES {
-            let Some(path) = self.path() else { break };
+            let Some(path) = self.path() else {
+                reason = self.no_path();
+                break;
+            };
             if self.tries > 0 && !self.state.may_repeat(self.service) {
                 break;
             }
@@ -281,12 +284,21 @@
         Err(if self.sent && self.last.is_none() { Reason::Lost } else { reason })
     }
 
+    /// Why there is no path. Memory that is full is free again sooner than lost layers are loaded.
+    fn no_path(&self) -> Reason {
+        match self.but.is_empty() && route::whole(self.state, self.service, self.model) {
+            true => Reason::Full,
+            false if self.state.away.get() => Reason::NoPathAway,
+            false => Reason::NoPath,
+        }
+    }
+
     fn path(&self) -> Option<Path> {
         let find = |but: &[String], willing| {
             route::find(self.state, self.service, self.model, self.call.tokens, but, willing)
         };
         // Servers that declined may take it after all, if there is no way without them.
-        find(&self.but, true).or_else(|| find(&self.but, false)).or_else(|| find(&[], false))
+        find(&self.but, true).or_else(|| find(&self.but, false))
     }
 
     /// Sends the request along a path and waits for the first event.
