Repair takes the server that gives up least; probes allow for the router's own delay

Cause: a slowed router took live servers for dead; a redundant fast card that carried most paths was moved for five layers and needed eight seconds to let everything pass.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -54,6 +54,9 @@
     /// All servers that were asked declined.
     #[display("the backend servers are full")]
     Full,
+    /// This process ends before it could answer.
+    #[display("this router is stopping")]
+    Stopping,
     /// The request may have run, and its answer is lost.
     #[display("the answer was lost; the request may have run")]
     Lost,
@@ -78,7 +81,8 @@
             | Reason::NoServer
             | Reason::NoPath
             | Reason::NoPathAway
-            | Reason::Full => StatusCode::SERVICE_UNAVAILABLE,
+            | Reason::Full
+            | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -91,6 +95,8 @@
             Reason::NoPathAway => Some(Duration::from_millis(4500)),
             // A lost part is noticed in half a second and loaded in one to one and a half.
             Reason::NoPath => Some(Duration::from_millis(1800)),
+            // Another router takes it at once.
+            Reason::Stopping => Some(Duration::from_millis(100)),
             Reason::NoServer => Some(Duration::from_millis(1000)),
             // Requests end at a steady rate, so room is there soon.
             Reason::Full | Reason::NoMemory => Some(Duration::from_millis(700)),
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -25,6 +25,7 @@
 use crate::request::{self, Call};
 use crate::settings::Route;
 use crate::state::State;
+use crate::stop;
 use crate::stream;
 
 /// New connections that the kernel keeps until they are accepted. A burst after a restart of
@@ -208,7 +209,7 @@
     match activity.serving.get() {
         0 if activity.partial.get() && quiet > settings.limits.head_time => Look::Slow,
         0 if quiet > settings.limits.idle + IDLE_MORE => Look::Close,
-        0 if state.stopping.get() && quiet > LOOK => Look::Close,
+        0 if state.stopping.get().is_some() && quiet > LOOK => Look::Close,
         _ => Look::Fine,
     }
 }
@@ -224,7 +225,7 @@
     let mut response = answer(&state, request).await;
     activity.read.set(Instant::now());
     activity.partial.set(false);
-    if state.stopping.get() {
+    if state.stopping.get().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
@@ -258,6 +259,10 @@
     state.budget(&name, |budget| budget.request(now));
     let settings = call.settings.clone();
     let model = settings.service(&name).and_then(|s| s.model.as_ref());
+    if !stop::takes(state, &call, model.is_some()) {
+        state.metrics.refused(Reason::Stopping);
+        return answer::own(Reason::Stopping);
+    }
     let call = Rc::new(call);
     let response = match model {
         Some(model) => stream::serve(state, call.clone(), &name, model).await,
--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -124,7 +124,7 @@
     let mut grown = (0, state.now());
     let mut visited = state.now();
     loop {
-        if state.now() >= kept + KEEP && !state.stopping.get() {
+        if state.now() >= kept + KEEP && state.stopping.get().is_none() {
             kept = state.now();
             match keep(&state, generation).await {
                 Ok((seat, until)) => {
@@ -143,7 +143,8 @@
         if count > grown.0 {
             grown = (count, state.now());
         }
-        if let Some(mut held) = term.filter(Term::lasts).filter(|_| !state.stopping.get()) {
+        if let Some(mut held) = term.filter(Term::lasts).filter(|_| state.stopping.get().is_none())
+        {
             if state.now() >= visited + VISIT {
                 visited = state.now();
                 visit(&state).await;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::news::Word;
 use crate::peer::Peer;
@@ -19,6 +19,24 @@
 /// answers far sooner; a longer wait would be added to the pause that the caller sees.
 const PROBE: Duration = Duration::from_millis(45);
 
+/// Multiple of this process's own delay that is added to a probe's time. A VM that is slow itself
+/// would otherwise take all servers for dead.
+const LAGS: u32 = 4;
+
+/// Time between two measurements of this process's own delay.
+const LAG_LOOK: Duration = Duration::from_millis(100);
+
+/// Measures by how much timers are late here, which tells how slow this VM is.
+pub async fn measure_lag(state: Rc<State>) {
+    loop {
+        let before = Instant::now();
+        tokio::time::sleep(LAG_LOOK).await;
+        let late = before.elapsed().saturating_sub(LAG_LOOK);
+        // A delay is forgotten over about a second.
+        state.lag.set(late.max(state.lag.get().mul_f64(0.8)));
+    }
+}
+
 /// Time for which the answer to a probe holds. When a server dies, all streams that pass through it
 /// fall silent within a pass of each other, and each asks all servers of its path.
 const FRESH: Duration = Duration::from_millis(150);
@@ -35,7 +53,8 @@
 }
 
 async fn exchange(peer: &Peer, ask: Ask) -> Result<(StatusCode, Vec<u8>), String> {
-    let mut link = peer.pool.take().await.map_err(|e| e.to_string())?;
+    // A kept connection may have gone silent while its server lives.
+    let mut link = peer.pool.connect().await.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(ask.body));
     *request.method_mut() = ask.method;
     *request.uri_mut() = ask.path.parse().map_err(|e| format!("path {}: {e}", ask.path))?;
@@ -72,7 +91,7 @@
     if state.now() < asked.0 + FRESH {
         return asked.1;
     }
-    let alive = match report(state, peer, PROBE).await {
+    let alive = match report(state, peer, PROBE + state.lag.get() * LAGS).await {
         Ok(report) => {
             peer.slow.set(report.pace.max(1.0));
             peer.hear(report.span, state.now());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,8 +42,8 @@
     routers: RefCell<Crowd>,
     /// Whether the list of servers was read once.
     pub listed: Cell<bool>,
-    /// Whether the process is stopping.
-    pub stopping: Cell<bool>,
+    /// When the process was told to stop.
+    pub stopping: Cell<Option<Duration>>,
     /// Callers' connections that are open.
     pub callers: Cell<u32>,
     /// Requests that are being served.
@@ -54,6 +54,8 @@
     pub changed: Notify,
     /// Woken when a server is suspected.
     pub lost: Notify,
+    /// By how much timers are late in this process.
+    pub lag: Cell<Duration>,
     /// Whether the store did not answer the last call.
     pub away: Cell<bool>,
     /// Last line that was logged of the layers that data centres lack.
@@ -78,12 +80,13 @@
             budgets: RefCell::default(),
             routers: RefCell::new(Crowd::new(ROUTERS, REMEMBERED)),
             listed: Cell::new(false),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             callers: Cell::new(0),
             serving: Cell::new(0),
             bodies: Cell::new(0),
             changed: Notify::new(),
             lost: Notify::new(),
+            lag: Cell::default(),
             away: Cell::new(false),
             placement: RefCell::default(),
             words: RefCell::default(),
@@ -115,7 +118,7 @@
 
     /// Whether callers may be sent here.
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && self.listed.get() && self.settings.borrow().is_some()
+        self.stopping.get().is_none() && self.listed.get() && self.settings.borrow().is_some()
     }
 
     /// All servers, sorted by id.
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -159,7 +159,10 @@
     fn repair(&mut self, group: &[Zone]) {
         // Each round orders one server at least, so the rounds are bounded by the servers.
         while let Some(gap) = self.missing(group, None).first().copied() {
-            let done = self.take_spare(group, gap) || self.extend(group, gap);
+            // Longer spans leave less memory for requests, so they come last.
+            let done = self.take_spare(group, gap, true)
+                || self.take_spare(group, gap, false)
+                || self.extend(group, gap);
             if !done {
                 return;
             }
@@ -218,13 +221,20 @@
         }
     }
 
-    fn take_spare(&mut self, group: &[Zone], gap: Span) -> bool {
-        let spare = |i: &Index| !self.servers[*i].busy && self.redundant(group, *i);
-        let found: Vec<Index> = self.by_speed(group).into_iter().filter(spare).collect();
+    /// Gives a gap to a server that holds nothing or nothing needed.
+    ///
+    /// A server that gives layers up first lets everything end that passes through them, which takes
+    /// seconds on the fast cards that most paths use. So an empty server is best, and then the one
+    /// that gives up least.
+    fn take_spare(&mut self, group: &[Zone], gap: Span, empty: bool) -> bool {
+        let members: Vec<Index> = self.members(group).collect();
+        let spare = |i: &Index| {
+            let server = &self.servers[*i];
+            !server.busy && server.span.is_empty() == empty && self.redundant(group, *i)
+        };
         let most = |i: Index| self.servers[i].card.capacity(self.shape, LEAST);
-        // An empty server first; one that keeps a second copy loses it.
-        let key = |i: &Index| (most(*i) < gap.len(), !self.servers[*i].span.is_empty());
-        let Some(server) = found.iter().copied().min_by_key(key) else {
+        let key = |i: &Index| (most(*i) < gap.len(), self.servers[*i].span.len(), most(*i));
+        let Some(server) = members.into_iter().filter(spare).min_by_key(key) else {
             return false;
         };
         let len = most(server).min(gap.len());
