Meters keep requests off links and servers that can take no more

Cause: with a slow or lost server in each data centre all requests took the same way round; the links between data centres carry some seventy prompts a second and a server twelve times slower reads fewer, so nothing ended in time.

--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -60,7 +60,7 @@
 
 /// Time between two visits to all model servers. Servers are slow for some seconds at least; a visit
 /// is as dear as a heartbeat of each.
-const VISIT: Duration = Duration::from_millis(1500);
+const VISIT: Duration = Duration::from_millis(2000);
 
 /// Change of a server's pace that the others are told.
 const CHANGED: f64 = 0.3;
@@ -169,8 +169,7 @@
 async fn visit(state: &State) {
     let peers = state.peers();
     let models = peers.iter().filter(|p| p.server().card.is_some() && p.usable(state.now()));
-    let asked =
-        models.map(|peer| async move { (probe::report(state, peer, probe::CALM).await, peer) });
+    let asked = models.map(|peer| async move { (probe::visit(state, peer).await, peer) });
     for (report, peer) in futures_util::future::join_all(asked).await {
         let server = peer.server().id.clone();
         let report = match report {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use layers::Span;
+use policy::meter::Meter;
 use policy::pick::Pace;
 use policy::suspicion::Suspicion;
 use tokio::sync::Mutex;
@@ -34,6 +35,8 @@
     pub running: Cell<u32>,
     /// Bytes of context that requests of this router take there.
     pub context: Cell<f64>,
+    /// Prompts that this router sent there and that are not read yet.
+    pub reading: Cell<Meter>,
     /// Factor on the time of its steps, as it reports.
     pub slow: Cell<f64>,
     /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
@@ -57,6 +60,7 @@
             pace: Cell::default(),
             running: Cell::new(0),
             context: Cell::new(0.0),
+            reading: Cell::default(),
             slow: Cell::new(1.0),
             asked: Mutex::new((Duration::ZERO, true)),
             stalled: RefCell::default(),
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -46,15 +46,26 @@
 
 /// Sends a question or an order; the status and body of the answer.
 pub async fn ask(peer: &Peer, ask: Ask, limit: Duration) -> Result<(StatusCode, Vec<u8>), String> {
-    match timeout(limit, exchange(peer, ask)).await {
+    ask_over(peer, ask, limit, false).await
+}
+
+/// The same; over a kept connection if `kept`. A kept one may have gone silent while its server
+/// lives, so what depends on the answer goes over a new one.
+async fn ask_over(
+    peer: &Peer,
+    ask: Ask,
+    limit: Duration,
+    kept: bool,
+) -> Result<(StatusCode, Vec<u8>), String> {
+    match timeout(limit, exchange(peer, ask, kept)).await {
         Ok(answer) => answer,
         Err(_) => Err(format!("no answer from {} within {limit:?}", peer.server().address)),
     }
 }
 
-async fn exchange(peer: &Peer, ask: Ask) -> Result<(StatusCode, Vec<u8>), String> {
-    // A kept connection may have gone silent while its server lives.
-    let mut link = peer.pool.connect().await.map_err(|e| e.to_string())?;
+async fn exchange(peer: &Peer, ask: Ask, kept: bool) -> Result<(StatusCode, Vec<u8>), String> {
+    let link = if kept { peer.pool.take().await } else { peer.pool.connect().await };
+    let mut link = link.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(ask.body));
     *request.method_mut() = ask.method;
     *request.uri_mut() = ask.path.parse().map_err(|e| format!("path {}: {e}", ask.path))?;
@@ -69,10 +80,22 @@
     Ok((head.status, body.to_vec()))
 }
 
-/// Asks a server for its state.
+/// Asks a server for its state over a new connection.
 pub async fn report(state: &State, peer: &Peer, limit: Duration) -> Result<Report, String> {
     let (status, body) = ask(peer, (state.codec.report)(), limit).await?;
-    let report = (state.codec.read_report)(&body).filter(|_| status == StatusCode::OK);
+    read(state, peer, status, &body)
+}
+
+/// Asks a server for its state, over a kept connection first.
+pub async fn visit(state: &State, peer: &Peer) -> Result<Report, String> {
+    match ask_over(peer, (state.codec.report)(), CALM, true).await {
+        Ok((status, body)) => read(state, peer, status, &body),
+        Err(_) => report(state, peer, CALM).await,
+    }
+}
+
+fn read(state: &State, peer: &Peer, status: StatusCode, body: &[u8]) -> Result<Report, String> {
+    let report = (state.codec.read_report)(body).filter(|_| status == StatusCode::OK);
     report.ok_or_else(|| format!("unreadable report of {}, status {status}", peer.server().address))
 }
 
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -6,6 +6,7 @@
 use layers::path::{self, Ask, Holder};
 use layers::server::Zone;
 use layers::{Shape, Span};
+use policy::meter::Meter;
 
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
@@ -31,6 +32,21 @@
 /// the loss of a server in either data centre.
 const CROSS: f64 = 0.5;
 
+/// Part of a link between data centres that is used for prompts. The rest is for tokens, for copies
+/// of layers, and for routers that count each other late.
+const LINK: f64 = 0.7;
+
+/// Transfers that wait for a link up to which more are sent over it. Half of the usual goal for
+/// the first event is then left.
+const LINK_FULL: Duration = Duration::from_millis(250);
+
+/// Part of a server's time that is used for reading prompts. Steps of running requests take the rest;
+/// beyond this, their pauses grow.
+const READING: f64 = 0.6;
+
+/// Prompts that wait to be read at a server up to which it gets more.
+const READING_FULL: Duration = Duration::from_millis(300);
+
 /// Part of the cost of a server that has read the request already.
 const KEPT: f64 = 0.3;
 
@@ -123,20 +139,47 @@
 /// How long what a server tells of its load is used.
 const TOLD: Duration = Duration::from_millis(1500);
 
+/// Requests that run through one data centre's copy.
+#[derive(Debug, Clone, Copy)]
+struct Crowd {
+    zone: Zone,
+    /// Requests of all routers, as its first servers tell.
+    running: f64,
+    /// Requests of all routers for each of this router's, at least one.
+    others: f64,
+}
+
+impl Crowd {
+    /// Nothing is told: each router is taken to send as much as this one.
+    fn unknown(zone: Zone, routers: u32) -> Crowd {
+        Crowd { zone, running: 0.0, others: f64::from(routers).sqrt() }
+    }
+}
+
 /// Requests of all routers that run through each data centre's copy, as their first servers tell.
 /// A router sees only its own; when copies are lost, the others' requests crowd into the copies
 /// that are left, and none of the routers would notice that their memory is full.
-fn crowds(peers: &[Rc<Peer>], now: Duration) -> Vec<(Zone, f64)> {
-    let mut crowds: Vec<(Zone, f64)> = Vec::new();
+fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32) -> Vec<Crowd> {
+    let mut crowds: Vec<Crowd> = Vec::new();
+    let mut own: Vec<f64> = Vec::new();
     for peer in peers {
         let Some((running, _)) = peer.told.get().filter(|(_, at)| now < *at + TOLD) else {
             continue;
         };
         let zone = zone(&peer.server().zone);
-        match crowds.binary_search_by_key(&zone, |(z, _)| *z) {
-            Ok(at) => crowds[at].1 += f64::from(running),
-            Err(at) => crowds.insert(at, (zone, f64::from(running))),
-        }
+        let at = match crowds.binary_search_by_key(&zone, |c| c.zone) {
+            Ok(at) => at,
+            Err(at) => {
+                crowds.insert(at, Crowd { zone, running: 0.0, others: 1.0 });
+                own.insert(at, 0.0);
+                at
+            }
+        };
+        crowds[at].running += f64::from(running);
+        own[at] += f64::from(peer.running.get());
+    }
+    for (crowd, own) in crowds.iter_mut().zip(own) {
+        crowd.others = (crowd.running / own.max(1.0)).clamp(1.0, f64::from(routers.max(1)));
     }
     crowds
 }
@@ -158,7 +201,11 @@
     let peers: Vec<Rc<Peer>> = state.of(service);
     let shape = &model.shape;
     let bytes = size(model, tokens);
-    let crowds = crowds(&peers, now);
+    let crowds = crowds(&peers, now, state.routers());
+    let crowd_of = |zone: Zone| {
+        let found = crowds.binary_search_by_key(&zone, |c| c.zone);
+        found.map_or(Crowd::unknown(zone, state.routers()), |at| crowds[at])
+    };
     let holders: Vec<Holder> = peers
         .iter()
         .enumerate()
@@ -166,25 +213,47 @@
         .filter(|(_, p)| !but.contains(&p.server().id))
         .filter_map(|(i, p)| {
             let kept = want.kept.iter().any(|k| Rc::ptr_eq(k, p));
-            let bytes = if kept { 0.0 } else { bytes };
-            let zone = zone(&p.server().zone);
-            let crowd =
-                crowds.binary_search_by_key(&zone, |(z, _)| *z).map_or(0.0, |at| crowds[at].1);
-            let mut holder = holder(p, i, model, tokens, bytes, p.span(now), crowd)?;
+            let crowd = crowd_of(zone(&p.server().zone));
+            let mut holder = holder(p, i, model, tokens, kept, now, crowd)?;
             holder.layer_ms *= if kept { KEPT } else { 1.0 };
             Some(holder)
         })
         .collect();
     let whole = whole_ms(shape, tokens, 10.0);
+    let share = LINK / f64::from(state.routers());
+    let cross_ms = |from: Zone, to: Zone| {
+        let waiting = link(state, from, to).waiting(now, share);
+        match waiting > LINK_FULL {
+            true => f64::INFINITY,
+            false => CROSS * whole + tokens.answer * shape.cross_ms + millis(waiting),
+        }
+    };
     let ask = Ask {
         from: want.from,
         layers: shape.layers,
         zone: want.zone,
         away_ms: AWAY * whole,
-        cross_ms: CROSS * whole + tokens.answer * shape.cross_ms,
+        cross_ms: &cross_ms,
     };
     let (parts, _) = path::find(&holders, &ask)?;
     let of = |part: &path::Part| peers[part.server].clone();
+    for part in &parts {
+        let peer = of(part);
+        if !want.kept.iter().any(|k| Rc::ptr_eq(k, &peer)) {
+            charge_reading(
+                &peer,
+                model,
+                tokens,
+                part.span,
+                now,
+                crowd_of(zone(&peer.server().zone)),
+            );
+        }
+    }
+    for pair in parts.windows(2) {
+        let ends = (zone(&of(&pair[0]).server().zone), zone(&of(&pair[1]).server().zone));
+        charge_link(state, ends, (tokens.prompt + tokens.answer) * shape.cross_token_ms, share);
+    }
     Some(Path {
         hops: parts.iter().map(|p| Hop { address: of(p).server().address, span: p.span }).collect(),
         loads: parts.iter().map(|p| Load::new(of(p), bytes * f64::from(p.span.len()))).collect(),
@@ -192,6 +261,49 @@
     })
 }
 
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+/// The meter of the link between two data centres.
+fn link(state: &State, from: Zone, to: Zone) -> Meter {
+    let links = state.links.borrow();
+    let found = links.binary_search_by_key(&(from, to), |(ends, _)| *ends);
+    found.map_or(Meter::default(), |at| links[at].1)
+}
+
+fn charge_link(state: &State, ends: (Zone, Zone), ms: f64, share: f64) {
+    if ends.0 == ends.1 {
+        return;
+    }
+    let mut links = state.links.borrow_mut();
+    let at = match links.binary_search_by_key(&ends, |(ends, _)| *ends) {
+        Ok(at) => at,
+        Err(at) => {
+            links.insert(at, (ends, Meter::default()));
+            at
+        }
+    };
+    links[at].1.add(state.now(), Duration::from_secs_f64(ms / 1e3), share);
+}
+
+fn charge_reading(
+    peer: &Peer,
+    model: &Model,
+    tokens: Tokens,
+    span: Span,
+    now: Duration,
+    crowd: Crowd,
+) {
+    let entry = peer.server();
+    let Some(card) = entry.card.as_deref().and_then(|name| model.card(name)) else { return };
+    let part = f64::from(span.len()) / f64::from(model.shape.layers);
+    let ms = tokens.prompt / model.shape.read_per_ms * card.read * peer.slow.get() * part;
+    let mut reading = peer.reading.get();
+    reading.add(now, Duration::from_secs_f64(ms / 1e3), READING / crowd.others);
+    peer.reading.set(reading);
+}
+
 /// Time of a request on cards of that pace.
 fn whole_ms(shape: &Shape, tokens: Tokens, pace: f64) -> f64 {
     tokens.prompt / shape.read_per_ms * pace + tokens.answer * shape.step_ms * pace
@@ -202,22 +314,26 @@
     server: usize,
     model: &Model,
     tokens: Tokens,
-    bytes: f64,
-    span: Span,
-    crowd: f64,
+    kept: bool,
+    now: Duration,
+    crowd: Crowd,
 ) -> Option<Holder> {
     let entry = peer.server();
     let card = model.card(entry.card.as_deref()?)?;
+    let span = peer.span(now);
     if span.is_empty() {
         return None;
     }
     let shape = &model.shape;
-    let memory = card.bytes - f64::from(span.len()) * shape.layer_bytes;
-    let crowd = crowd * model.usual * shape.token_bytes * f64::from(span.len());
-    let taken = peer.context.get().max(crowd) + bytes * f64::from(span.len());
+    let layers = f64::from(span.len());
+    let bytes = if kept { 0.0 } else { size(model, tokens) };
+    let memory = card.bytes - layers * shape.layer_bytes;
+    let others = crowd.running * model.usual * shape.token_bytes * layers;
+    let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
+    let reading = peer.reading.get().waiting(now, READING / crowd.others);
     // What it has begun, it keeps.
-    if (full > FULL && bytes > 0.0) || peer.running.get() >= entry.slots {
+    if !kept && (full > FULL || reading > READING_FULL || peer.running.get() >= entry.slots) {
         return None;
     }
     let slow = peer.slow.get();
@@ -225,13 +341,13 @@
     let write = tokens.answer * shape.step_ms * card.pace * slow;
     // Grows without bound as memory fills, so that copies fill evenly.
     let full = full.min(FULL);
-    let crowd = 1.0 / (1.0 - full * full);
+    let scarce = 1.0 / (1.0 - full * full);
     Some(Holder {
         server,
         zone: zone(&entry.zone),
         span,
-        layer_ms: (read + write) / f64::from(shape.layers) * crowd,
-        hop_ms: HOP * tokens.answer,
+        layer_ms: (read + write) / f64::from(shape.layers) * scarce,
+        hop_ms: HOP * tokens.answer + millis(reading),
     })
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use layers::server::Zone;
+use policy::meter::Meter;
 use policy::window::{Budget, Crowd};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -54,6 +56,8 @@
     pub changed: Notify,
     /// Woken when a server is suspected.
     pub lost: Notify,
+    /// What this router sent over the links between data centres, by the pair of them.
+    pub links: RefCell<Vec<((Zone, Zone), Meter)>>,
     /// By how much timers are late in this process.
     pub lag: Cell<Duration>,
     /// Whether the store did not answer the last call.
@@ -86,6 +90,7 @@
             bodies: Cell::new(0),
             changed: Notify::new(),
             lost: Notify::new(),
+            links: RefCell::default(),
             lag: Cell::default(),
             away: Cell::new(false),
             placement: RefCell::default(),
--- a/crates/layers/src/path.rs
+++ b/crates/layers/src/path.rs
@@ -39,8 +39,8 @@
 }
 
 /// Where the request comes from and what crossing links costs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ask {
+#[derive(Clone, Copy)]
+pub struct Ask<'a> {
     /// First layer that is still to be run.
     pub from: u32,
     /// Layers of the model.
@@ -49,8 +49,9 @@
     pub zone: Zone,
     /// Cost of beginning in another data centre, in milliseconds.
     pub away_ms: f64,
-    /// Cost of going on in another data centre, in milliseconds.
-    pub cross_ms: f64,
+    /// Cost of going on from one data centre in another, in milliseconds; infinite if the link
+    /// between them carries no more.
+    pub cross_ms: &'a dyn Fn(Zone, Zone) -> f64,
 }
 
 /// Best way found to have run all layers up to a boundary, the last of them on a given holder.
@@ -68,12 +69,12 @@
 /// use layers::path::{Ask, Holder, find};
 /// use layers::Span;
 /// let holder = |server, from, to| Holder { server, zone: 0, span: Span::new(from, to), layer_ms: 1.0, hop_ms: 0.5 };
-/// let ask = Ask { from: 0, layers: 8, zone: 0, away_ms: 10.0, cross_ms: 5.0 };
+/// let ask = Ask { from: 0, layers: 8, zone: 0, away_ms: 10.0, cross_ms: &|_, _| 5.0 };
 /// let (path, _) = find(&[holder(0, 0, 4), holder(1, 4, 8)], &ask).unwrap();
 /// assert_eq!(path.len(), 2);
 /// assert!(find(&[holder(0, 0, 4)], &ask).is_none());
 /// ```
-pub fn find(holders: &[Holder], ask: &Ask) -> Option<(Vec<Part>, f64)> {
+pub fn find(holders: &[Holder], ask: &Ask<'_>) -> Option<(Vec<Part>, f64)> {
     let cuts = boundaries(holders, ask);
     // One best entry for each boundary and data centre: what follows depends on no more.
     let mut best: Vec<Vec<Best>> = vec![Vec::new(); cuts.len()];
@@ -101,7 +102,7 @@
 }
 
 /// Sorted ends of all spans, from the first layer wanted to the end of the model.
-fn boundaries(holders: &[Holder], ask: &Ask) -> Vec<u32> {
+fn boundaries(holders: &[Holder], ask: &Ask<'_>) -> Vec<u32> {
     let mut cuts = vec![ask.from, ask.layers];
     for holder in holders {
         let ends = [holder.span.from, holder.span.to];
@@ -117,17 +118,18 @@
     ends: &[Best],
     holder: &Holder,
     holders: &[Holder],
-    ask: &Ask,
+    ask: &Ask<'_>,
     first: bool,
 ) -> Option<(f64, Option<usize>)> {
     if first {
         return Some((if holder.zone == ask.zone { 0.0 } else { ask.away_ms }, None));
     }
     let costs = ends.iter().enumerate().map(|(i, end)| {
-        let cross = if holders[end.holder].zone == holder.zone { 0.0 } else { ask.cross_ms };
+        let before = holders[end.holder].zone;
+        let cross = if before == holder.zone { 0.0 } else { (ask.cross_ms)(before, holder.zone) };
         (end.cost + cross, Some(i))
     });
-    costs.min_by(|a, b| a.0.total_cmp(&b.0))
+    costs.filter(|(cost, _)| cost.is_finite()).min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
 fn keep(ends: &mut Vec<Best>, found: Best, holders: &[Holder]) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod limit;
 pub mod link;
+pub mod meter;
 pub mod pick;
 pub mod quarantine;
 pub mod queue;
--- /dev/null
+++ b/crates/policy/src/meter.rs
@@ -0,0 +1,45 @@
+//! How much work waits at something that does one thing after another.
+//!
+//! Load pattern: two data centres lose a server each, or a server turns twelve times slower, and all
+//! requests take the one way round that is left. Each router sees a free way; together they send more
+//! than a link between data centres carries, or more prompts than a slow server reads, and from then
+//! on nothing ends in time, the requests included that had another way.
+//!
+//! A meter holds what this router has sent less what has been worked off since, as a leaky bucket. It
+//! needs no answer from the other end, so it can't be late.
+
+use std::time::Duration;
+
+/// Work that was sent and is not yet done, in the time it takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Meter {
+    level: Duration,
+    at: Duration,
+}
+
+impl Meter {
+    /// Adds work that takes `work`, of a worker that gives this router `share` of its time.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let ms = Duration::from_millis;
+    /// let mut meter = policy::meter::Meter::default();
+    /// meter.add(ms(0), ms(100), 0.5);
+    /// assert_eq!(meter.waiting(ms(0), 0.5), ms(200));
+    /// assert_eq!(meter.waiting(ms(100), 0.5), ms(100));
+    /// assert_eq!(meter.waiting(ms(900), 0.5), ms(0));
+    /// ```
+    pub fn add(&mut self, now: Duration, work: Duration, share: f64) {
+        self.level = self.left(now, share) + work;
+        self.at = now;
+    }
+
+    /// Time until what was sent is done.
+    pub fn waiting(&self, now: Duration, share: f64) -> Duration {
+        self.left(now, share).div_f64(share)
+    }
+
+    fn left(&self, now: Duration, share: f64) -> Duration {
+        self.level.saturating_sub(now.saturating_sub(self.at).mul_f64(share))
+    }
+}
