--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -199,7 +199,8 @@
             progress.last,
             progress.call.came.elapsed()
         );
-        // The old path stops work before the new one begins.
+        // The old path stops work before the new one begins, and is not taken again.
+        progress.but.push(source.path.first().server().id.clone());
         drop(source);
         let opened = tokio::select! {
             opened = progress.resume() => opened,
@@ -394,7 +395,11 @@
         }
         let mut source =
             Source { path, answer, splitter: Splitter::default(), began, pause: PAUSE };
-        match self.next(&mut source).await {
+        let mut next = self.next(&mut source).await;
+        while matches!(next, Next::Lost) && self.mend(&mut source).await {
+            next = self.next(&mut source).await;
+        }
+        match next {
             Next::Event(event) if self.follows(&event) => {
                 self.state.metrics.first_event(source.began.elapsed());
                 Ok(Opened::Stream(source, event))
