--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -65,6 +65,10 @@
 /// Change of a server's pace that the others are told.
 const CHANGED: f64 = 0.3;
 
+/// Time in which a crashed server comes back, from the runs of both deployments: two to four and
+/// a half seconds.
+const RETURN: Duration = Duration::from_secs(5);
+
 /// Part of the servers that must answer for a silent one to count as dead. If most are silent, it
 /// is this router that is cut off.
 const REACHED: f64 = 0.6;
@@ -302,7 +306,22 @@
     };
     let servers: Vec<Card> = peers.iter().map(server).collect();
     say_missing(state, peers, &servers, &model.shape);
-    placement::plan(&servers, &model.shape)
+    let lasting = missing_for(state, &servers, &model.shape) > RETURN;
+    placement::plan(&servers, &model.shape, lasting)
+}
+
+/// How long some data centre has lacked layers that nobody is loading.
+fn missing_for(state: &State, servers: &[Card], shape: &Shape) -> Duration {
+    let mut zones: Vec<_> = servers.iter().map(|s| s.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let whole = zones.iter().all(|zone| placement::missing(servers, shape, *zone).is_empty());
+    match (whole, state.broken_since.get()) {
+        (true, _) => state.broken_since.set(None),
+        (false, None) => state.broken_since.set(Some(state.now())),
+        (false, Some(_)) => {}
+    }
+    state.broken_since.get().map_or(Duration::ZERO, |since| state.now().saturating_sub(since))
 }
 
 /// Says which layers each data centre lacks, when that has changed.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -64,6 +64,8 @@
     pub away: Cell<bool>,
     /// Last line that was logged of the layers that data centres lack.
     pub placement: RefCell<String>,
+    /// Since when some data centre lacks layers, as the router sees it that gives orders.
+    pub broken_since: Cell<Option<Duration>>,
     /// Words for the other routers that are still to be written.
     pub words: RefCell<Vec<crate::news::Word>>,
     /// Woken when there are words to write.
@@ -94,6 +96,7 @@
             lag: Cell::default(),
             away: Cell::new(false),
             placement: RefCell::default(),
+            broken_since: Cell::new(None),
             words: RefCell::default(),
             spoke: Notify::new(),
             start: Instant::now(),
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -23,6 +23,10 @@
 /// Tokens of context beside a second copy.
 pub const SPARE: f64 = 60_000.0;
 
+/// Whole copies that carry the load of all data centres for the seconds in which a crashed server
+/// comes back. Dealing a copy anew loads most of its layers again and holds up what passes through.
+pub const COPIES: usize = 2;
+
 /// An order to hold layers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Place {
@@ -35,7 +39,13 @@
 /// Orders that lead from what is held to a whole copy in each data centre.
 ///
 /// Servers that are busy count as holding what they were ordered to hold and get no second order.
-pub fn plan(servers: &[Server], shape: &Shape) -> Vec<Place> {
+/// `lasting` says that layers have been missing for longer than a crashed server needs to come back:
+/// then, or if few whole copies are left, what is held is dealt anew where it can't be repaired.
+pub fn plan(servers: &[Server], shape: &Shape, lasting: bool) -> Vec<Place> {
+    let room = servers.iter().filter(|s| s.usable).map(|s| s.card.capacity(shape, LEAST));
+    if room.sum::<u32>() < shape.layers {
+        return Vec::new();
+    }
     let mut work = Work { servers: servers.to_vec(), shape, orders: Vec::new() };
     let mut zones: Vec<Zone> = servers.iter().map(|s| s.zone).collect();
     zones.sort_unstable();
@@ -50,7 +60,11 @@
             whole &= work.missing(group, None).is_empty();
         }
         work.repair(group);
-        work.rebuild(group);
+    }
+    let broken = |group: &&Vec<Zone>| !work.missing(group, None).is_empty();
+    let broken: Vec<&Vec<Zone>> = groups.iter().filter(broken).collect();
+    if lasting || groups.len() - broken.len() < COPIES {
+        broken.into_iter().for_each(|group| work.rebuild(group));
     }
     // The reserve is loaded only where nothing is missing: loads at the same time slow each other.
     if whole {
--- /dev/null
+++ b/crates/layers/tests/path.rs
@@ -0,0 +1,110 @@
+//! Paths through held layers.
+
+use layers::Span;
+use layers::path::{Ask, Holder, LONGEST, Part, find};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+fn holder(server: usize, zone: u16, from: u32, to: u32, layer_ms: f64) -> Holder {
+    Holder { server, zone, span: Span::new(from, to), layer_ms, hop_ms: 0.1 }
+}
+
+fn ask(cross_ms: &dyn Fn(u16, u16) -> f64) -> Ask<'_> {
+    Ask { from: 0, layers: 8, zone: 0, away_ms: 4.0, cross_ms }
+}
+
+struct Case {
+    what: &'static str,
+    holders: Vec<Holder>,
+    cross: f64,
+    path: Option<Vec<(usize, u32, u32)>>,
+}
+
+#[rstest]
+#[case(Case {
+    what: "a whole copy near by, though the other is faster",
+    holders: vec![holder(0, 0, 0, 4, 1.0), holder(1, 0, 4, 8, 1.0), holder(2, 1, 0, 8, 0.7)],
+    cross: 9.0,
+    path: Some(vec![(0, 0, 4), (1, 4, 8)]),
+})]
+#[case(Case {
+    what: "the other copy where a layer is missing here",
+    holders: vec![holder(0, 0, 0, 4, 1.0), holder(1, 0, 5, 8, 1.0), holder(2, 1, 0, 8, 1.0)],
+    cross: 9.0,
+    path: Some(vec![(2, 0, 8)]),
+})]
+#[case(Case {
+    what: "both copies where each lacks a layer",
+    holders: vec![holder(0, 0, 0, 4, 1.0), holder(1, 0, 5, 8, 1.0), holder(2, 1, 0, 2, 1.0), holder(3, 1, 3, 8, 1.0)],
+    cross: 9.0,
+    path: Some(vec![(0, 0, 4), (3, 4, 8)]),
+})]
+#[case(Case {
+    what: "none where the link between them carries no more",
+    holders: vec![holder(0, 0, 0, 4, 1.0), holder(2, 1, 4, 8, 1.0)],
+    cross: f64::INFINITY,
+    path: None,
+})]
+#[case(Case {
+    what: "none where a layer is held nowhere",
+    holders: vec![holder(0, 0, 0, 4, 1.0), holder(1, 0, 5, 8, 1.0)],
+    cross: 1.0,
+    path: None,
+})]
+#[case(Case {
+    what: "around a slow server that another one can stand in for",
+    holders: vec![holder(0, 0, 0, 8, 12.0), holder(1, 0, 0, 5, 1.0), holder(2, 0, 3, 8, 1.0)],
+    cross: 1.0,
+    path: Some(vec![(1, 0, 3), (2, 3, 8)]),
+})]
+fn paths(#[case] case: Case) {
+    let cross = |_, _| case.cross;
+    let found = find(&case.holders, &ask(&cross)).map(|(parts, _)| {
+        parts.iter().map(|p| (p.server, p.span.from, p.span.to)).collect::<Vec<_>>()
+    });
+    let same = match (&found, &case.path) {
+        // Boundaries inside an overlap may lie anywhere in it.
+        (Some(found), Some(path)) => found.iter().map(|p| p.0).eq(path.iter().map(|p| p.0)),
+        (found, path) => found == path,
+    };
+    assert!(same, "{}: {found:?}", case.what);
+}
+
+/// A path that skips a layer, runs one twice or names a server twice would give a wrong answer or be
+/// refused. Random holders, the truth checked from the outside.
+#[test]
+fn every_layer_once_and_in_order() {
+    for seed in 0..2000 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let holders: Vec<Holder> = (0..random.random_range(1..20))
+            .map(|server| {
+                let from = random.random_range(0..8);
+                let to = random.random_range(from + 1..=8);
+                holder(server, random.random_range(0..3), from, to, random.random_range(0.1..5.0))
+            })
+            .collect();
+        let cross = |_, _| 2.0;
+        let held = |layer| holders.iter().any(|h| h.span.contains(layer));
+        let found = find(&holders, &ask(&cross));
+        assert_eq!(found.is_some(), (0..8).all(held), "seed {seed}");
+        let Some((parts, cost)) = found else { continue };
+        check(&parts, &holders, seed);
+        assert!(cost.is_finite(), "seed {seed}");
+    }
+}
+
+fn check(parts: &[Part], holders: &[Holder], seed: u64) {
+    let mut at = 0;
+    for part in parts {
+        assert_eq!(part.span.from, at, "seed {seed}: {parts:?}");
+        assert!(holders[part.server].span.covers(part.span), "seed {seed}: {parts:?}");
+        at = part.span.to;
+    }
+    assert_eq!(at, 8, "seed {seed}");
+    let mut servers: Vec<usize> = parts.iter().map(|p| p.server).collect();
+    servers.sort_unstable();
+    servers.dedup();
+    assert_eq!(servers.len(), parts.len(), "seed {seed}: {parts:?}");
+    assert!(parts.len() <= LONGEST);
+}
--- /dev/null
+++ b/crates/layers/tests/placement.rs
@@ -0,0 +1,164 @@
+//! Which server holds which layers, as servers come, die and leave.
+
+use layers::placement::{LEAST, Place, missing, plan};
+use layers::{Card, Server, Shape, Span};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const SHAPE: Shape = Shape {
+    layers: 80,
+    layer_bytes: 1.75e9,
+    token_bytes: 5325.0,
+    step_ms: 0.85,
+    read_per_ms: 272.0,
+    cross_ms: 0.62,
+    cross_token_ms: 0.0183,
+};
+
+const LARGE: Card = Card { bytes: 36e9, pace: 3.1, read: 3.2 };
+const MIDDLE: Card = Card { bytes: 21.6e9, pace: 16.0, read: 8.2 };
+const SMALL: Card = Card { bytes: 14.4e9, pace: 15.0, read: 15.0 };
+
+fn server(zone: u16, card: Card) -> Server {
+    Server { zone, card, span: Span::default(), usable: true, busy: false }
+}
+
+/// Three data centres of unequal cards.
+fn fleet() -> Vec<Server> {
+    let counts = [(0, LARGE, 2), (1, LARGE, 1), (2, LARGE, 2), (0, MIDDLE, 5), (1, MIDDLE, 7)];
+    let more = [(2, MIDDLE, 3), (0, SMALL, 8), (1, SMALL, 5), (2, SMALL, 5)];
+    let all = counts.iter().chain(&more);
+    all.flat_map(|(zone, card, n)| (0..*n).map(|_| server(*zone, *card))).collect()
+}
+
+/// Carries orders out until there are none; all that were given.
+fn settle(servers: &mut [Server], lasting: bool) -> Vec<Place> {
+    let mut all = Vec::new();
+    for _ in 0..50 {
+        let orders = plan(servers, &SHAPE, lasting);
+        if orders.is_empty() {
+            return all;
+        }
+        check(servers, &orders);
+        orders.iter().for_each(|o| servers[o.server].span = o.span);
+        all.extend(orders);
+    }
+    panic!("orders never end");
+}
+
+/// A server ordered to hold more than its memory crashes; one that is gone or busy must get none.
+fn check(servers: &[Server], orders: &[Place]) {
+    for order in orders {
+        let server = &servers[order.server];
+        assert!(server.usable && !server.busy, "{order:?}");
+        assert!(order.span.to <= SHAPE.layers && !order.span.is_empty(), "{order:?}");
+        let tokens = server.card.room(&SHAPE, order.span.len());
+        assert!(tokens > LEAST * 0.5, "{order:?} leaves room for {tokens} tokens");
+    }
+    let mut ordered: Vec<usize> = orders.iter().map(|o| o.server).collect();
+    ordered.sort_unstable();
+    ordered.dedup();
+    assert_eq!(ordered.len(), orders.len(), "two orders for one server");
+}
+
+fn lacks(servers: &[Server]) -> u32 {
+    (0..3).flat_map(|zone| missing(servers, &SHAPE, zone)).map(Span::len).sum()
+}
+
+#[test]
+fn first_copies() {
+    let mut servers = fleet();
+    settle(&mut servers, false);
+    assert_eq!(lacks(&servers), 0);
+    // Whoever takes over computes no further orders.
+    assert_eq!(plan(&servers, &SHAPE, false), []);
+}
+
+#[test]
+fn a_data_centre_without_the_memory_shares_a_copy() {
+    let mut servers: Vec<Server> = (0..12).map(|i| server(i % 2, SMALL)).collect();
+    settle(&mut servers, false);
+    let held = |layer| servers.iter().any(|s| s.span.contains(layer));
+    assert!((0..SHAPE.layers).all(held));
+}
+
+#[test]
+fn too_little_memory_gives_no_orders() {
+    let servers: Vec<Server> = (0..5).map(|_| server(0, SMALL)).collect();
+    assert_eq!(plan(&servers, &SHAPE, false), []);
+}
+
+/// One server dies. Its layers are missing in its data centre, and callers there wait for links to
+/// other ones until a neighbour or the reserve has loaded them. Where nothing beside the gap has the
+/// memory, the other data centres carry the load until the server is back, and only a lasting gap
+/// is closed at the price of many loads.
+#[test]
+fn any_single_loss_is_repaired() {
+    let mut servers = fleet();
+    settle(&mut servers, false);
+    for lost in 0..servers.len() {
+        let mut after = servers.clone();
+        after[lost].usable = false;
+        let orders = settle(&mut after, false);
+        let moved = |o: &Place| {
+            let held = servers[o.server].span;
+            (o.span.from..o.span.to).filter(|l| !held.contains(*l)).count() as u32
+        };
+        let loaded: u32 = orders.iter().map(moved).sum();
+        // A small card's memory is the unit in which layers can be moved.
+        assert!(
+            loaded <= 2 * servers[lost].span.len() + 8,
+            "server {lost}: {loaded} layers loaded"
+        );
+        // The data centre that has no reserve.
+        assert!(lacks(&after) == 0 || servers[lost].zone == 2, "server {lost}");
+        settle(&mut after, true);
+        assert_eq!(lacks(&after), 0, "server {lost}");
+    }
+}
+
+/// Servers die, come back empty, leave and are added in any order, and orders take their time. After
+/// all of it each data centre that has the memory must hold the whole model.
+#[test]
+fn any_series_of_losses_is_repaired() {
+    for seed in 0..300 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut servers = fleet();
+        settle(&mut servers, false);
+        for _ in 0..20 {
+            let i = random.random_range(0..servers.len());
+            servers[i].usable = random.random_bool(0.6);
+            if random.random_bool(0.5) {
+                servers[i].span = Span::default();
+            }
+            let orders = plan(&servers, &SHAPE, false);
+            check(&servers, &orders);
+            for order in orders.iter().filter(|_| random.random_bool(0.7)) {
+                servers[order.server].span = order.span;
+            }
+        }
+        settle(&mut servers, true);
+        for zone in 0..3 {
+            let of = servers.iter().filter(|s| s.usable && s.zone == zone);
+            let room: u32 = of.map(|s| s.card.capacity(&SHAPE, LEAST)).sum();
+            let lacks = missing(&servers, &SHAPE, zone);
+            assert!(
+                room < SHAPE.layers + 16 || lacks.is_empty(),
+                "seed {seed} zone {zone}: {lacks:?}"
+            );
+        }
+    }
+}
+
+/// While an order is under way its server counts as holding what it was told to hold: a second
+/// router that takes over must not order the same layers from yet another server.
+#[test]
+fn orders_under_way_are_not_given_twice() {
+    let mut servers = fleet();
+    let orders = plan(&servers, &SHAPE, false);
+    for order in &orders {
+        servers[order.server].span = order.span;
+        servers[order.server].busy = true;
+    }
+    assert_eq!(plan(&servers, &SHAPE, false), []);
+}
--- /dev/null
+++ b/crates/policy/tests/window.rs
@@ -0,0 +1,116 @@
+//! Repeats within a budget that routers share without talking.
+
+use std::time::Duration;
+
+use policy::meter::Meter;
+use policy::suspicion::{FIRST, LONGEST, Suspicion};
+use policy::window::{Budget, Crowd};
+use rstest::rstest;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// A server that carries a quarter of the work dies again and again, and each router repeats all it
+/// can. What all of them send together in any window must stay within the common budget, or the
+/// repeats keep a slow service slow.
+#[rstest]
+#[case::four(4, 20)]
+#[case::many(26, 3)]
+#[case::idle(4, 0)]
+fn all_routers_stay_within_the_common_budget(#[case] routers: u32, #[case] per_second: u32) {
+    let (ratio, slack) = (0.2, 196.0);
+    let mut budgets = vec![Budget::new(ratio, slack, WINDOW); routers as usize];
+    let mut repeats: Vec<Duration> = Vec::new();
+    let mut requests: Vec<Duration> = Vec::new();
+    for tick in 0..400 {
+        let now = Duration::from_millis(100 * tick);
+        for budget in &mut budgets {
+            if tick % 10 == 0 {
+                (0..per_second).for_each(|_| budget.request(now));
+                requests.extend((0..per_second).map(|_| now));
+            }
+            while budget.take(now, routers) {
+                repeats.push(now);
+            }
+        }
+        let within =
+            |times: &[Duration]| times.iter().filter(|at| **at + WINDOW > now).count() as f64;
+        let allowed = ratio * within(&requests) + slack;
+        assert!(within(&repeats) <= allowed, "{} of {allowed} at {now:?}", within(&repeats));
+    }
+    assert!(!repeats.is_empty());
+}
+
+/// Routers are restarted one after the other. Each new process knows nothing of what the one before
+/// it used, and must not use the whole part again at once.
+#[test]
+fn a_young_router_uses_a_part() {
+    let mut young = Budget::new(0.2, 196.0, WINDOW);
+    let mut old = Budget::new(0.2, 196.0, WINDOW);
+    let used = |budget: &mut Budget, now| (0..).take_while(|_| budget.take(now, 4)).count();
+    let (young, old) = (used(&mut young, Duration::from_millis(500)), used(&mut old, WINDOW * 2));
+    assert!(young * 3 < old, "{young} of {old}");
+}
+
+/// A router is cut off from the store and no longer counted, but still repeats. The others must not
+/// divide its part among them.
+#[test]
+fn routers_that_vanish_are_counted_for_a_while() {
+    let second = Duration::from_secs(1);
+    let mut crowd = Crowd::new(16, 30 * second);
+    crowd.note(second, 4);
+    (2..20).for_each(|s| crowd.note(s * second, 3));
+    assert_eq!(crowd.most(20 * second), 4);
+    (20..60).for_each(|s| crowd.note(s * second, 3));
+    assert_eq!(crowd.most(60 * second), 3);
+    crowd.note(61 * second, 5);
+    assert_eq!(crowd.most(61 * second), 5);
+}
+
+/// A server goes down and up by turns. Requests are sent to it less and less often.
+#[test]
+fn flapping_servers_are_passed_over_longer() {
+    let mut suspicion = Suspicion::default();
+    let mut now = Duration::from_secs(10);
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        suspicion.fail(now);
+        let from = now;
+        while suspicion.holds(now) {
+            now += Duration::from_millis(10);
+        }
+        pauses.push(now - from);
+    }
+    assert_eq!(pauses[0], FIRST);
+    assert!(pauses.windows(2).all(|p| p[0] <= p[1]));
+    assert_eq!(pauses[5], LONGEST);
+    suspicion.clear();
+    assert!(!suspicion.open());
+}
+
+/// Failures of requests that were under way together count once.
+#[test]
+fn failures_at_once_count_once() {
+    let mut suspicion = Suspicion::default();
+    let now = Duration::from_secs(1);
+    (0..40).for_each(|_| suspicion.fail(now));
+    assert!(!suspicion.holds(now + FIRST));
+}
+
+/// Four routers send prompts over one link at three times its rate. Each stops as soon as its own
+/// part of the link is full, so what waits stays bounded.
+#[test]
+fn what_waits_for_a_link_is_bounded() {
+    let (share, full) = (0.7 / 4.0, Duration::from_millis(250));
+    let mut meter = Meter::default();
+    let mut sent = Duration::ZERO;
+    for tick in 0..1000 {
+        let now = Duration::from_millis(10 * tick);
+        if meter.waiting(now, share) <= full {
+            meter.add(now, Duration::from_millis(14), share);
+            sent += Duration::from_millis(14);
+        }
+        assert!(meter.waiting(now, share) <= full + Duration::from_millis(80));
+    }
+    // It also gets its part: ten seconds of a fifth of the link.
+    assert!(sent >= Duration::from_millis(1700), "{sent:?}");
+}
