--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -61,7 +61,7 @@
     pub fn leaving(&self) -> bool {
         let list = self.node.vms.borrow();
         let vm = &self.node.process.vm;
-        let listed = list.iter().any(|e| e.vm == *vm && e.state == platform::vm::State::Leaving);
+        let listed = list.iter().any(|e| e.vm == *vm && e.state == cloud::vm::State::Leaving);
         listed || self.node.stop.raised()
     }
 
--- a/crates/agent/src/order.rs
+++ b/crates/agent/src/order.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cloud::log::Client;
+use cloud::vm::Role;
 use engine::Order;
 use node::Node;
-use platform::log::Client;
-use platform::vm::Role;
 use rand::seq::IndexedRandom;
 use tokio::time::{sleep, timeout};
 use wire::frame::{Ask, Gaps, Stage, Tell};
--- a/crates/agent/src/seat.rs
+++ b/crates/agent/src/seat.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cloud::vm::Role;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use node::alive::Wait;
-use platform::vm::Role;
 use rand::seq::IndexedRandom;
 use tokio::time::{sleep, timeout};
 use wire::frame::{Ask, Open, Output, Place, Stage, Step, Tell};
--- a/crates/agent/src/write.rs
+++ b/crates/agent/src/write.rs
@@ -54,7 +54,7 @@
 pub struct Writer {
     vm: id::Vm,
     stream: String,
-    log: platform::log::Client,
+    log: cloud::log::Client,
     known: Mutex<Known>,
     seen: watch::Sender<u64>,
     ready: watch::Sender<bool>,
@@ -69,7 +69,7 @@
     let writer = Arc::new(Writer {
         vm,
         stream: format!("writes-{service}"),
-        log: platform::log::Client::new(&node.process.platform.log, Duration::from_secs(2)),
+        log: cloud::log::Client::new(&node.process.platform.log, Duration::from_secs(2)),
         known: Mutex::new(Known { ledger: Ledger::new(), owner, abandoned: vec![] }),
         seen: watch::Sender::new(0),
         ready: watch::Sender::new(false),
--- a/crates/agent/src/write/follow.rs
+++ b/crates/agent/src/write/follow.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cloud::log::Page;
 use futures_util::future::join_all;
 use node::Node;
-use platform::log::Page;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
--- a/crates/platform/src/log.rs
+++ b/crates/cloud/src/log.rs
@@ -56,7 +56,7 @@
     /// A client for the service at `base`, giving up on each call after `timeout`.
     ///
     /// ```
-    /// platform::log::Client::new("http://127.0.0.1:9000", std::time::Duration::from_secs(2));
+    /// cloud::log::Client::new("http://127.0.0.1:9000", std::time::Duration::from_secs(2));
     /// ```
     pub fn new(base: &str, timeout: Duration) -> Client {
         Client { http: rest::Client::new(base, timeout) }
--- a/crates/platform/src/vm.rs
+++ b/crates/cloud/src/vm.rs
@@ -67,7 +67,7 @@
     /// A client for the list at `base`, giving up on each call after `timeout`.
     ///
     /// ```
-    /// platform::vm::Client::new("http://127.0.0.1:9001", std::time::Duration::from_secs(2));
+    /// cloud::vm::Client::new("http://127.0.0.1:9001", std::time::Duration::from_secs(2));
     /// ```
     pub fn new(base: &str, timeout: Duration) -> Client {
         Client { http: rest::Client::new(base, timeout) }
--- a/crates/platform/src/weight.rs
+++ b/crates/cloud/src/weight.rs
@@ -27,7 +27,7 @@
     /// A client for the store at `base`, giving up on each call after `timeout`.
     ///
     /// ```
-    /// platform::weight::Client::new("http://127.0.0.1:9002", std::time::Duration::from_secs(2));
+    /// cloud::weight::Client::new("http://127.0.0.1:9002", std::time::Duration::from_secs(2));
     /// ```
     pub fn new(base: &str, timeout: Duration) -> Client {
         Client { http: rest::Client::new(base, timeout) }
--- a/crates/ctl/src/cmd/audit.rs
+++ b/crates/ctl/src/cmd/audit.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cloud::log::Record;
 use config::change::Verdict;
-use platform::log::Record;
 use serde::Serialize;
 
 use crate::error::Error;
@@ -60,7 +60,7 @@
 }
 
 /// All records of a stream that are still kept.
-pub async fn raw(log: &platform::log::Client, stream: &str) -> Result<Vec<Record>, Error> {
+pub async fn raw(log: &cloud::log::Client, stream: &str) -> Result<Vec<Record>, Error> {
     let mut records = vec![];
     let mut from = 0;
     loop {
--- a/crates/ctl/src/cmd/explain.rs
+++ b/crates/ctl/src/cmd/explain.rs
@@ -1,6 +1,6 @@
 //! What happened to a request.
 
-use platform::vm::{Entry, Role};
+use cloud::vm::{Entry, Role};
 use serde_json::{Map, Value};
 use wire::frame::Ask;
 
--- a/crates/ctl/src/cmd/quarantine.rs
+++ b/crates/ctl/src/cmd/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use clap::Subcommand;
-use platform::log::{Client, Record as Raw};
+use cloud::log::{Client, Record as Raw};
 use serde::Serialize;
 use wire::quarantine::{self, LATE, Record, Running, STREAM};
 
--- a/crates/ctl/src/cmd/status.rs
+++ b/crates/ctl/src/cmd/status.rs
@@ -1,6 +1,6 @@
 //! The state of every VM.
 
-use platform::vm;
+use cloud::vm;
 use serde::{Deserialize, Serialize};
 use wire::frame::Ask;
 
--- a/crates/ctl/src/option.rs
+++ b/crates/ctl/src/option.rs
@@ -30,15 +30,15 @@
 
 impl Common {
     /// Client of the log service.
-    pub fn log(&self) -> Result<platform::log::Client, Error> {
+    pub fn log(&self) -> Result<cloud::log::Client, Error> {
         let url = self.log.as_ref().ok_or_else(|| missing("--log URL"))?;
-        Ok(platform::log::Client::new(url, CALL))
+        Ok(cloud::log::Client::new(url, CALL))
     }
 
     /// Client of the VM list.
-    pub fn vms(&self) -> Result<platform::vm::Client, Error> {
+    pub fn vms(&self) -> Result<cloud::vm::Client, Error> {
         let url = self.vms.as_ref().ok_or_else(|| missing("--vms URL"))?;
-        Ok(platform::vm::Client::new(url, CALL))
+        Ok(cloud::vm::Client::new(url, CALL))
     }
 
     /// Certificates for the links to the VMs.
--- a/crates/ctl/src/peer.rs
+++ b/crates/ctl/src/peer.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use platform::vm::Entry;
+use cloud::vm::Entry;
 use tokio::task::JoinSet;
 use wire::frame::{Ask, Settings, Tell};
 use wire::link;
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cloud::log::{Client, Page};
 use config::change::{self, Change, State, Verdict};
-use platform::log::{Client, Page};
 
 use crate::error::Error;
 use crate::option::Common;
@@ -99,7 +99,7 @@
         self.lines.iter().find(|line| line.version() == Some(version))
     }
 
-    fn take(&mut self, record: &platform::log::Record) {
+    fn take(&mut self, record: &cloud::log::Record) {
         self.lines.push(Line {
             offset: record.offset,
             time_ms: record.time_ms,
--- a/crates/ctl/tests/publish.rs
+++ b/crates/ctl/tests/publish.rs
@@ -31,7 +31,7 @@
     }
 
     async fn append(&self, data: &str) {
-        let log = platform::log::Client::new(&self.log.url(), std::time::Duration::from_secs(5));
+        let log = cloud::log::Client::new(&self.log.url(), std::time::Duration::from_secs(5));
         log.append(STREAM, data).await.unwrap();
     }
 }
@@ -182,7 +182,7 @@
 #[tokio::test]
 async fn the_daemons_streams_are_part_of_the_audit() {
     let bench = Bench::new("audit-raw");
-    let log = platform::log::Client::new(&bench.log.url(), std::time::Duration::from_secs(5));
+    let log = cloud::log::Client::new(&bench.log.url(), std::time::Duration::from_secs(5));
     log.append("quarantine", "{\"fingerprint\":7}").await.unwrap();
     let run = bench.run(&["audit"]).await;
     assert!(run.out.contains("\nquarantine\n0 ") && run.out.contains("{\"fingerprint\":7}"));
--- a/crates/ctl/tests/status.rs
+++ b/crates/ctl/tests/status.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
+use cloud::vm::{Entry, Role, State};
 use fake::serve::{self, Server};
-use platform::vm::{Entry, Role, State};
 use wire::frame::{Ask, Tell};
 use wire::{link, tls};
 use work::{Run, Work, any};
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -97,14 +97,14 @@
     core: Arc<Mutex<Core>>,
     /// Tells the batch loop that a step waits.
     wake: Notify,
-    weights: Option<platform::weight::Client>,
+    weights: Option<cloud::weight::Client>,
 }
 
 /// Serves an engine on `listener`.
 pub fn start(listener: TcpListener, options: Options) -> std::io::Result<Server> {
     let timeout = Duration::from_secs(2);
     let shared = Arc::new(Shared {
-        weights: options.weights.as_deref().map(|u| platform::weight::Client::new(u, timeout)),
+        weights: options.weights.as_deref().map(|u| cloud::weight::Client::new(u, timeout)),
         core: Arc::new(Mutex::new(Core::new(options, Instant::now()))),
         wake: Notify::new(),
     });
--- a/crates/fake/src/engine/load.rs
+++ b/crates/fake/src/engine/load.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use cloud::weight::Client;
 use engine::{Load, Order};
-use platform::weight::Client;
 use tokio::time::Instant;
 
 use super::core::Core;
--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use platform::log::{Append, Appended, Offset, Page, Record};
+use cloud::log::{Append, Appended, Offset, Page, Record};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
--- a/crates/fake/src/vms.rs
+++ b/crates/fake/src/vms.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use platform::vm::{Entry, Id};
+use cloud::vm::{Entry, Id};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
--- a/crates/fake/src/weights.rs
+++ b/crates/fake/src/weights.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use platform::weight::Layer;
+use cloud::weight::Layer;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
--- a/crates/fake/tests/platform.rs
+++ b/crates/fake/tests/platform.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use cloud::vm::{Entry, Role, State};
 use fake::serve::Server;
 use fake::{log, model, serve, vms, weights};
-use platform::vm::{Entry, Role, State};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -12,9 +12,9 @@
     serve::bind("127.0.0.1:0".parse().unwrap()).unwrap()
 }
 
-fn start_log(rate: u32) -> (Server, platform::log::Client) {
+fn start_log(rate: u32) -> (Server, cloud::log::Client) {
     let server = log::start(listener(), log::Options { rate, retain: 100 }).unwrap();
-    let client = platform::log::Client::new(&server.url(), TIMEOUT);
+    let client = cloud::log::Client::new(&server.url(), TIMEOUT);
     (server, client)
 }
 
@@ -97,7 +97,7 @@
 async fn the_vm_list_shows_changes_after_its_lag() {
     let server = vms::start(listener(), vms::Options { lag_ms: 3_600_000 }).unwrap();
     let http = rest::Client::new(&server.url(), TIMEOUT);
-    let client = platform::vm::Client::new(&server.url(), TIMEOUT);
+    let client = cloud::vm::Client::new(&server.url(), TIMEOUT);
     let entry = |vm: &str| Entry {
         vm: vm.to_string(),
         role: Role::Agent,
@@ -121,7 +121,7 @@
 #[tokio::test]
 async fn the_weight_store_hands_out_the_models_seeds_at_a_rate() {
     let server = weights::start(listener(), weights::Options { rate: 8 }).unwrap();
-    let client = platform::weight::Client::new(&server.url(), TIMEOUT);
+    let client = cloud::weight::Client::new(&server.url(), TIMEOUT);
     let layer = client.fetch("m", 2, 5).await.unwrap();
     assert_eq!(layer.seed, model::seed("m", 2, 5));
     let mut fetched = Ok(layer);
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -116,11 +116,12 @@
         self.servers.iter().enumerate().filter(move |(_, s)| of(s)).map(|(i, _)| i)
     }
 
-    /// Servers of a group, the fastest and then the largest first.
-    fn by_speed(&self, group: &[Zone]) -> Vec<Index> {
+    /// Servers of a group, those first that hold most for the time they take: a path through few
+    /// and fast servers is quicker, and fewer losses break it.
+    fn by_worth(&self, group: &[Zone]) -> Vec<Index> {
         let mut order: Vec<Index> = self.members(group).collect();
-        let key = |i: &Index| (self.servers[*i].card.pace, -self.servers[*i].card.bytes);
-        order.sort_by(|a, b| key(a).partial_cmp(&key(b)).expect("finite").then(a.cmp(b)));
+        let worth = |i: &Index| self.servers[*i].card.bytes / self.servers[*i].card.pace;
+        order.sort_by(|a, b| worth(b).total_cmp(&worth(a)).then(a.cmp(b)));
         order
     }
 
@@ -133,7 +134,7 @@
     /// First copy of an empty group: as much room for requests as memory allows, up to
     /// [`TOKENS`], on the fewest and fastest servers.
     fn fill(&mut self, group: &[Zone]) {
-        let order = self.by_speed(group);
+        let order = self.by_worth(group);
         let sum = |tokens: f64| -> u32 {
             order.iter().map(|i| self.servers[*i].card.capacity(self.shape, tokens)).sum()
         };
@@ -289,7 +290,7 @@
     /// Lets empty servers hold second copies of the layers that are held least often.
     fn reserve(&mut self, group: &[Zone]) {
         let empty: Vec<Index> = self
-            .by_speed(group)
+            .by_worth(group)
             .into_iter()
             .filter(|i| self.servers[*i].span.is_empty() && !self.servers[*i].busy)
             .collect();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -114,7 +114,7 @@
     }
 
     /// Forgets peers that are not in `vms`, so that replaced VMs do not pile up.
-    pub fn retain(&self, vms: &[platform::vm::Entry]) {
+    pub fn retain(&self, vms: &[cloud::vm::Entry]) {
         let mut list = self.list.lock().expect("no panic while held");
         list.retain(|(vm, address, peer)| {
             let listed = vms.iter().any(|e| e.vm == *vm && e.address == *address);
--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -8,8 +8,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use cloud::log::{Client, Page};
 use config::process::Process;
-use platform::log::{Client, Page};
 use policy::quarantine::{List, Verdict};
 use tokio::sync::mpsc;
 use wire::id::Fingerprint;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cloud::log::Client;
 use config::change::{self, State, Verdict};
 use config::fleet::Fleet;
 use config::process::Process;
-use platform::log::Client;
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -137,7 +137,7 @@
     }
 
     /// Reads the stream, and looks at peers when the answer is overdue.
-    async fn read(&mut self, wait: Duration) -> Result<platform::log::Page, rest::Error> {
+    async fn read(&mut self, wait: Duration) -> Result<cloud::log::Page, rest::Error> {
         let (log, next) = (self.log.clone(), self.state.next);
         self.look_at = Instant::now() + wait + OVERDUE;
         let mut read = Box::pin(async move { log.read(change::STREAM, next, wait).await });
@@ -150,14 +150,14 @@
     }
 
     /// Carries soon when the last carried record is of no use any more to one who starts now.
-    fn carry_soon(&mut self, page: &platform::log::Page) {
+    fn carry_soon(&mut self, page: &cloud::log::Page) {
         let useless = page.first > 0 && self.carried.is_none_or(|judged| judged < page.first);
         if useless && self.carry_at > Instant::now() + SOON {
             self.carry_at = Instant::now() + SOON.mul_f64(rand::random_range(0.0..1.0));
         }
     }
 
-    fn take(&mut self, page: platform::log::Page) {
+    fn take(&mut self, page: cloud::log::Page) {
         self.state.skip(page.first);
         for record in &page.records {
             for (offset, verdict) in self.state.settle(record.offset, &record.data) {
--- a/crates/node/src/vms.rs
+++ b/crates/node/src/vms.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::vm::{Client, Entry, State};
+use cloud::vm::{Client, Entry, State};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -98,7 +98,7 @@
 
 async fn run(client: Client, tx: watch::Sender<Arc<Vec<Entry>>>) {
     let mut failing = false;
-    let mut list = platform::vm::List { entries: Vec::new(), tag: String::new() };
+    let mut list = cloud::vm::List { entries: Vec::new(), tag: String::new() };
     let mut known = Known::default();
     while !tx.is_closed() {
         match client.changed(&list.tag).await {
--- a/crates/node/tests/vms.rs
+++ b/crates/node/tests/vms.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cloud::vm::{Entry, Role, State};
 use node::vms::{GRACE, Known};
-use platform::vm::{Entry, Role, State};
 use rstest::rstest;
 use tokio::time::Instant;
 
--- a/crates/router/src/task.rs
+++ b/crates/router/src/task.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cloud::vm::Role;
 use node::Node;
 use node::metrics::Gauges;
-use platform::vm::Role;
 use policy::health::State;
 use policy::queue::{Admit, Entry};
 use policy::refusal;
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use cloud::vm::{self, Role};
 use config::fleet::Model;
 use node::Node;
-use platform::vm::{self, Role};
 use tokio::time::timeout;
 use wire::frame::{Ask, Hop, Place, Report, Stage, Tell, Watch};
 use wire::id;
--- a/crates/router/tests/work/mod.rs
+++ b/crates/router/tests/work/mod.rs
@@ -7,10 +7,10 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use cloud::vm::{Entry, Role, State};
 use config::change::Change;
 use config::process::{Backend, Kind, Platform, Process, Tls};
 use fake::serve::{self, Server};
-use platform::vm::{Entry, Role, State};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use serde_json::Value;
 
@@ -209,7 +209,7 @@
         carried: None,
         judged: 0,
     };
-    let log = platform::log::Client::new(log, Duration::from_secs(5));
+    let log = cloud::log::Client::new(log, Duration::from_secs(5));
     let data = serde_json::to_string(&change).unwrap();
     log.append(config::change::STREAM, &data).await.unwrap();
 }
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use platform::vm::{Entry, Role, State};
+use cloud::vm::{Entry, Role, State};
 
 use crate::binary::Place;
 use crate::books::{self, Books, Engine};
--- a/crates/scenario/src/player.rs
+++ b/crates/scenario/src/player.rs
@@ -40,7 +40,7 @@
     /// Single orders in the background; the number of the line tells them apart.
     pending: Vec<JoinHandle<Result<(), String>>>,
     /// Records of the stream of settings as seen so far; the log lets them expire.
-    settings: Vec<platform::log::Record>,
+    settings: Vec<cloud::log::Record>,
     /// Earlier `orders` lines with their part.
     orders: Vec<(u64, script::Orders)>,
     watches: Vec<Watch>,
--- a/crates/scenario/src/player/act.rs
+++ b/crates/scenario/src/player/act.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use platform::vm::State;
+use cloud::vm::State;
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
--- a/crates/scenario/src/repeat.rs
+++ b/crates/scenario/src/repeat.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use cloud::log::Client;
 use futures_util::StreamExt;
 use hdrhistogram::Histogram;
-use platform::log::Client;
 
 use crate::caller::Caller;
 use crate::load::{self, Record};
--- a/crates/scenario/src/trace.rs
+++ b/crates/scenario/src/trace.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cloud::log::{Client, Record};
 use hdrhistogram::Histogram;
-use platform::log::{Client, Record};
 
 /// Begin of the text that a daemon writes at each change of its version.
 const MARK: &str = "settings: version ";
