Copies are sized by the memory there is; own refusals say what stood in the way

Cause: on the grown deployments copies were planned for 150,000 tokens while memory for more lay idle, and requests were refused for want of memory with half of the servers free; shares of 26 routers let none of them send a burst of two prompts.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -98,8 +98,8 @@
             // Another router takes it at once.
             Reason::Stopping => Some(Duration::from_millis(100)),
             Reason::NoServer => Some(Duration::from_millis(1000)),
-            // Requests end at a steady rate, so room is there soon.
-            Reason::Full | Reason::NoMemory => Some(Duration::from_millis(700)),
+            // About as long as a request runs: by then, what fills the memory now has ended.
+            Reason::Full | Reason::NoMemory => Some(Duration::from_millis(1500)),
             _ => None,
         }
     }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -116,17 +116,64 @@
     Some(rest)
 }
 
-/// Whether each layer of the model is held by some server that takes requests.
-pub fn whole(state: &State, service: &str, model: &Model) -> bool {
+/// Whether each layer of the model is held by some server that takes requests and is not in `but`.
+pub fn whole(state: &State, service: &str, model: &Model, but: &[String]) -> bool {
     let now = state.now();
     let peers = state.of(service);
-    let spans = peers.iter().filter(|p| p.willing(now)).map(|p| p.span(now));
+    let taking = |p: &&Rc<Peer>| p.willing(now) && !but.contains(&p.server().id);
+    let spans = peers.iter().filter(taking).map(|p| p.span(now));
     let mut spans: Vec<Span> = spans.collect();
     spans.sort_unstable();
     let reached = spans.iter().fold(0, |at, s| if s.from <= at { at.max(s.to) } else { at });
     reached >= model.shape.layers
 }
 
+/// Why there is no path, for the log: how many servers are passed over for which reason, and which
+/// layers those that are left do not hold.
+pub fn explain(
+    state: &State,
+    service: &str,
+    model: &Model,
+    tokens: Tokens,
+    but: &[String],
+) -> String {
+    let now = state.now();
+    let peers = state.of(service);
+    let crowds = crowds(&peers, now, state.routers());
+    let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
+    let mut held = vec![false; model.shape.layers as usize];
+    for (i, peer) in peers.iter().enumerate() {
+        let zone = zone(&peer.server().zone);
+        let crowd = crowds.iter().find(|c| c.zone == zone).copied();
+        let crowd = crowd.unwrap_or(Crowd::unknown(zone, state.routers()));
+        match () {
+            () if !peer.usable(now) => silent += 1,
+            () if !peer.willing(now) || but.contains(&peer.server().id) => declined += 1,
+            () if !peer.reading.get().takes(now, READING, crowd.others, READING_FULL) => {
+                reading += 1
+            }
+            () if holder(peer, i, model, tokens, false, now, crowd).is_none() => scarce += 1,
+            () => {
+                let span = peer.span(now);
+                (span.from..span.to).for_each(|layer| held[layer as usize] = true);
+            }
+        }
+    }
+    let missing = held.iter().filter(|held| !**held).count();
+    let links = state.links.borrow();
+    let others = f64::from(state.routers());
+    let full = links.iter().filter(|(_, l)| !l.takes(now, LINK, others, LINK_FULL)).count();
+    format!(
+        "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} layers_missing={missing} links_full={full} crowds=[{}]",
+        peers.len(),
+        crowds
+            .iter()
+            .map(|c| format!("{:.0}/{:.1}", c.running, c.others))
+            .collect::<Vec<_>>()
+            .join(" ")
+    )
+}
+
 /// Where a path is to begin.
 struct Want<'a> {
     from: u32,
@@ -220,12 +267,16 @@
         })
         .collect();
     let whole = whole_ms(shape, tokens, 10.0);
-    let share = LINK / f64::from(state.routers());
+    let others = f64::from(state.routers());
+    let share = LINK / others;
     let cross_ms = |from: Zone, to: Zone| {
-        let waiting = link(state, from, to).waiting(now, share);
-        match waiting > LINK_FULL {
-            true => f64::INFINITY,
-            false => CROSS * whole + tokens.answer * shape.cross_ms + millis(waiting),
+        let link = link(state, from, to);
+        match link.takes(now, LINK, others, LINK_FULL) {
+            false => f64::INFINITY,
+            true => {
+                let waiting = link.waiting(now, share).min(LINK_FULL);
+                CROSS * whole + tokens.answer * shape.cross_ms + millis(waiting)
+            }
         }
     };
     let ask = Ask {
@@ -331,9 +382,11 @@
     let others = crowd.running * model.usual * shape.token_bytes * layers;
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
-    let reading = peer.reading.get().waiting(now, READING / crowd.others);
+    let reading = peer.reading.get();
+    let reads = reading.takes(now, READING, crowd.others, READING_FULL);
+    let reading = reading.waiting(now, READING / crowd.others).min(READING_FULL);
     // What it has begun, it keeps.
-    if !kept && (full > FULL || reading > READING_FULL || peer.running.get() >= entry.slots) {
+    if !kept && (full > FULL || !reads || peer.running.get() >= entry.slots) {
         return None;
     }
     let slow = peer.slow.get();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -248,12 +248,11 @@
             match self.open().await {
                 Ok(Opened::Stream(source, event)) => return Some((source, event)),
                 Ok(Opened::Whole(_)) => return None,
-                Err(reason) => {
-                    log::info!("gateway: request={} resumed=false why={reason}", self.call.id);
-                    if Instant::now() >= until || self.tries >= TRIES {
-                        return None;
-                    }
+                Err(reason) if Instant::now() >= until || self.tries >= TRIES => {
+                    self.say_no_path(reason);
+                    return None;
                 }
+                Err(_) => {}
             }
             // Layers that were just loaded, or memory that was given back, may open a path.
             let _ = tokio::time::timeout(AGAIN, self.state.changed.notified()).await;
@@ -267,9 +266,13 @@
         while self.tries < TRIES {
             let Some(path) = self.path() else {
                 reason = self.no_path();
+                if self.last.is_none() {
+                    self.say_no_path(reason);
+                }
                 break;
             };
             if self.tries > 0 && !self.state.may_repeat(self.service) {
+                log::info!("gateway: request={} repeat=false why=retry budget", self.call.id);
                 break;
             }
             self.tries += 1;
@@ -285,9 +288,20 @@
         Err(if self.sent && self.last.is_none() { Reason::Lost } else { reason })
     }
 
+    /// Says once what stood in the way.
+    fn say_no_path(&self, reason: Reason) {
+        log::info!(
+            "gateway: request={} no_path={reason} tries={} last_event={:?} {}",
+            self.call.id,
+            self.tries,
+            self.last,
+            route::explain(self.state, self.service, self.model, self.call.tokens, &self.but)
+        );
+    }
+
     /// Why there is no path. Memory that is full is free again sooner than lost layers are loaded.
     fn no_path(&self) -> Reason {
-        match self.but.is_empty() && route::whole(self.state, self.service, self.model) {
+        match route::whole(self.state, self.service, self.model, &self.but) {
             true => Reason::Full,
             false if self.state.away.get() => Reason::NoPathAway,
             false => Reason::NoPath,
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -16,12 +16,19 @@
 /// data centres for a while.
 pub const TOKENS: f64 = 150_000.0;
 
+/// Tokens of context beyond which a copy is not planned: more servers on a path cost each token a
+/// transfer, and each may break it.
+pub const MOST: f64 = 250_000.0;
+
+/// Part of a data centre's memory that its first copy takes. The rest holds second copies.
+const FIRST_COPY: f64 = 0.75;
+
 /// Tokens of context below which a part is not made larger, as its requests would be preempted:
 /// thirty requests of nine hundred tokens.
 pub const LEAST: f64 = 27_000.0;
 
 /// Tokens of context beside a second copy.
-pub const SPARE: f64 = 60_000.0;
+pub const SPARE: f64 = 100_000.0;
 
 /// Whole copies that carry the load of all data centres for the seconds in which a crashed server
 /// comes back. Dealing a copy anew loads most of its layers again and holds up what passes through.
@@ -131,8 +138,8 @@
         self.orders.push(Place { server, span });
     }
 
-    /// First copy of an empty group: as much room for requests as memory allows, up to
-    /// [`TOKENS`], on the fewest and fastest servers.
+    /// First copy of an empty group: room for requests as memory allows, from [`TOKENS`] to
+    /// [`MOST`], on the fewest and fastest servers.
     fn fill(&mut self, group: &[Zone]) {
         let order = self.by_worth(group);
         let sum = |tokens: f64| -> u32 {
@@ -141,7 +148,10 @@
         if sum(0.0) < self.shape.layers {
             return;
         }
-        let tokens = most(TOKENS, |tokens| sum(tokens) >= self.shape.layers);
+        let memory: f64 = order.iter().map(|i| self.servers[*i].card.bytes).sum();
+        let layer = memory * FIRST_COPY / f64::from(self.shape.layers) - self.shape.layer_bytes;
+        let aim = (layer / self.shape.token_bytes).clamp(TOKENS, MOST);
+        let tokens = most(aim, |tokens| sum(tokens) >= self.shape.layers);
         let mut at = 0;
         for i in order {
             let most = self.servers[i].card.capacity(self.shape, tokens);
