--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -9,6 +9,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -24,6 +26,7 @@
 use crate::plain;
 use crate::request::{self, Call};
 use crate::settings::Route;
+use crate::share;
 use crate::state::State;
 use crate::stop;
 use crate::stream;
@@ -304,6 +307,12 @@
     .await;
 }
 
+/// Answers other routers that ask for what was read from the store.
+pub async fn routers(state: Rc<State>, listener: TcpListener) {
+    let state = &state;
+    serve_all(listener, move |request| share::answer(state, request)).await;
+}
+
 /// Serves the metrics page.
 pub async fn metrics(state: Rc<State>, listener: TcpListener) {
     let state = &state;
@@ -314,9 +323,23 @@
     .await;
 }
 
-/// Serves short pages; one task for each connection.
+/// Serves short pages.
 async fn pages(listener: TcpListener, page: impl Fn(&str) -> (StatusCode, String)) {
-    let page = &page;
+    let answer = |request: &Request<Incoming>| {
+        let (status, text) = page(request.uri().path());
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        *response.status_mut() = status;
+        response
+    };
+    serve_all(listener, answer).await;
+}
+
+/// Answers requests without a body, all connections in one task: they are few and short.
+async fn serve_all(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>>,
+) {
+    let answer = &answer;
     let mut open = futures_util::stream::FuturesUnordered::new();
     loop {
         let accepted = tokio::select! {
@@ -326,10 +349,7 @@
         match accepted {
             Ok((stream, _)) => open.push(async move {
                 let service = service_fn(move |request: Request<Incoming>| async move {
-                    let (status, text) = page(request.uri().path());
-                    let mut response = Response::new(text);
-                    *response.status_mut() = status;
-                    Ok::<_, Infallible>(response)
+                    Ok::<_, Infallible>(answer(&request))
                 });
                 let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 if let Err(e) = served.await {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 use crate::peer::Peer;
 use crate::server::{Id, Server};
 use crate::settings::Settings;
+use crate::share;
 use crate::state::State;
 use crate::store::{Call, Fault, Item, Log, Offset, Reply};
 
@@ -24,6 +25,13 @@
 /// time a leaving one may still get work.
 const LIST: Duration = Duration::from_millis(1000);
 
+/// Pause after an answer of the router that reads for all. Settings are in force everywhere half a
+/// second after that router has them.
+const SHARED: Duration = Duration::from_millis(400);
+
+/// Longest time that the router which reads for all lets the store wait.
+const FRESH: Duration = Duration::from_millis(900);
+
 /// Pause after the store did not answer. Short against the two seconds within which settings are
 /// to be in force; each refused call costs the platform as much as a good one.
 const PAUSE: Duration = Duration::from_millis(300);
@@ -130,7 +138,7 @@
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
                 take(&items, View { whole, regained });
                 at = Some(end);
-                sleep(pause).await;
+                sleep(share::pause(state, pause)).await;
             }
             Err(Fault::Gone) => {
                 log::info!("gateway: log={log} from={at:?} records were deleted, reading all");
@@ -174,7 +182,24 @@
     from: Offset,
     wait: Duration,
 ) -> Result<(Vec<Item>, Offset), Fault> {
-    match state.store.call(Call::Read { log, from, wait }).await? {
+    let shared = if share::applies(state) { share::read(state, log, from).await } else { None };
+    let read = match shared {
+        Some(records) => {
+            // The reader does not wait, so this side does.
+            sleep(SHARED).await;
+            Reply::Records(records, from)
+        }
+        None => {
+            // What others ask of this router must not grow old.
+            let wait = if state.gives.get() { wait.min(FRESH) } else { wait };
+            let read = state.store.call(Call::Read { log, from, wait }).await?;
+            if let Reply::Records(records, _) = &read {
+                share::keep(state, log, from, records);
+            }
+            read
+        }
+    };
+    match read {
         Reply::Records(records, _) => {
             let end = from + records.len() as Offset;
             let keyed = |(i, record): (usize, &Bytes)| {
@@ -264,11 +289,26 @@
         // What was said before this process started is out of date.
         let call = match at {
             None => Call::Append { log: Log::News, records: Vec::new(), epoch: None },
-            Some(from) => Call::Read { log: Log::News, from, wait: NEWS },
+            Some(from) => {
+                if let Some(records) = shared_news(&state, from).await {
+                    at = Some(from + records.len() as Offset);
+                    records
+                        .iter()
+                        .filter_map(|r| Word::decode(r))
+                        .for_each(|w| news::hear(&state, &w));
+                    sleep(SHARED).await;
+                    continue;
+                }
+                let wait = if state.gives.get() { NEWS.min(FRESH) } else { NEWS };
+                Call::Read { log: Log::News, from, wait }
+            }
         };
         match state.store.call(call).await {
             Ok(Reply::Appended(end)) => at = Some(end),
             Ok(Reply::Records(records, _)) => {
+                if let Some(from) = at {
+                    share::keep(&state, Log::News, from, &records);
+                }
                 at = at.map(|from| from + records.len() as Offset);
                 records.iter().filter_map(|r| Word::decode(r)).for_each(|w| news::hear(&state, &w));
             }
@@ -282,11 +322,27 @@
     }
 }
 
+async fn shared_news(state: &State, from: Offset) -> Option<Vec<Bytes>> {
+    match share::applies(state) {
+        true => share::read(state, Log::News, from).await,
+        false => None,
+    }
+}
+
+/// Longest time a word waits for another router to say the same, by the number of routers. All that
+/// send work to a dead server notice within the same tenth of a second.
+const SAME: Duration = Duration::from_millis(6);
+
 /// Writes down what the other routers are told.
 pub async fn speak(state: Rc<State>) {
     loop {
         state.spoke.notified().await;
-        let words: Vec<Word> = state.words.borrow_mut().drain(..).collect();
+        let most = SAME * state.routers();
+        if state.routers() >= share::FROM {
+            sleep(most.mul_f64(rand::random())).await;
+        }
+        let mut words: Vec<Word> = state.words.borrow_mut().drain(..).collect();
+        words.retain(|word| !news::was_said(&state, word));
         if words.is_empty() {
             continue;
         }
--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -162,6 +162,7 @@
                 }
             }
         }
+        state.gives.set(term.is_some_and(|term| term.lasts()));
         let _ = tokio::time::timeout(LOOK, state.changed.notified()).await;
         sleep(LOOK / 5).await;
     }
@@ -195,7 +196,7 @@
 async fn keep(state: &State, generation: Generation) -> Result<(Seat, Duration), Fault> {
     // The seat's time runs from the call's arrival, so counting from its sending is safe.
     let until = boot_time() + TTL.mul_f64(SURE);
-    let member = state.setup.vm.clone();
+    let member = state.member();
     match state.store.call(Call::Join { member, ttl: TTL, generation }).await? {
         Reply::Joined(seat) => Ok((seat, until)),
         other => Err(Fault::Unreadable(format!("{other:?}"))),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod server;
 pub mod settings;
 pub mod setup;
+pub mod share;
 pub mod state;
 pub mod stop;
 pub mod store;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -48,11 +48,27 @@
     }
 }
 
+/// Time for which a word need not be repeated.
+const SAID: Duration = Duration::from_millis(1500);
+
+/// Whether another router has just said the same.
+pub fn was_said(state: &State, word: &Word) -> bool {
+    match word {
+        Word::Silent { server } => state
+            .peer(server)
+            .is_some_and(|p| p.said.get().is_some_and(|at| state.now() < at + SAID)),
+        _ => false,
+    }
+}
+
 /// Takes a word of another router over.
 pub fn hear(state: &State, word: &Word) {
     let now = state.now();
     match word {
         Word::Silent { server } => {
+            if let Some(peer) = state.peer(server) {
+                peer.said.set(Some(now));
+            }
             if let Some(peer) = state.peer(server).filter(|p| silent(p, now)) {
                 peer.fail(now);
                 state.lost.notify_waiters();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -42,6 +42,8 @@
     /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
     /// all who want to know wait for one answer.
     pub asked: Mutex<(Duration, bool)>,
+    /// When another router last said that it does not answer.
+    pub said: Cell<Option<Duration>>,
     /// Requests that it last reported to wait for a server further on.
     pub stalled: RefCell<Vec<Stall>>,
     word: Cell<Option<(Span, Duration)>>,
@@ -63,6 +65,7 @@
             reading: Cell::default(),
             slow: Cell::new(1.0),
             asked: Mutex::new((Duration::ZERO, true)),
+            said: Cell::new(None),
             stalled: RefCell::default(),
             word: Cell::new(None),
             lapsed: Cell::new(None),
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -26,6 +26,8 @@
     pub ready: SocketAddr,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
+    /// Where other routers reach this one.
+    pub inner: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Partitions of each of the store's topics.
@@ -100,6 +102,10 @@
                 .get_from(Some("process"), "metrics")
                 .filter(|text| !text.is_empty())
                 .map(|_| r.address("process", "metrics")),
+            inner: file
+                .get_from(Some("process"), "inner")
+                .filter(|text| !text.is_empty())
+                .map(|_| r.address("process", "inner")),
             store: r.address("store", "address"),
             store_parts: r.get("store", "parts", "a whole number"),
             grace: Duration::from_secs_f64(r.get::<f64>("process", "grace-s", number).max(0.0)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,9 +13,11 @@
 
 use crate::metrics::Metrics;
 use crate::peer::Peer;
+use crate::pool::Pool;
 use crate::server::Id;
 use crate::settings::Settings;
 use crate::setup::Setup;
+use crate::share::{LOGS, Tail};
 use crate::store::Client;
 use crate::wire::Codec;
 
@@ -66,6 +68,14 @@
     pub placement: RefCell<String>,
     /// Since when some data centre lacks layers, as the router sees it that gives orders.
     pub broken_since: Cell<Option<Duration>>,
+    /// Whether this router gives orders.
+    pub gives: Cell<bool>,
+    /// What it has read of each shared log.
+    pub tails: RefCell<[Tail; LOGS.len()]>,
+    /// The router that reads the store for all.
+    pub reader: RefCell<Option<Rc<Pool>>>,
+    /// When it was last looked for.
+    pub located: Cell<Duration>,
     /// Words for the other routers that are still to be written.
     pub words: RefCell<Vec<crate::news::Word>>,
     /// Woken when there are words to write.
@@ -96,6 +106,10 @@
             lag: Cell::default(),
             away: Cell::new(false),
             placement: RefCell::default(),
+            gives: Cell::new(false),
+            tails: RefCell::default(),
+            reader: RefCell::default(),
+            located: Cell::default(),
             broken_since: Cell::new(None),
             words: RefCell::default(),
             spoke: Notify::new(),
@@ -124,6 +138,14 @@
         newer
     }
 
+    /// Name in the group of routers, which tells the others where to reach this one.
+    pub fn member(&self) -> String {
+        match self.setup.inner {
+            Some(address) => format!("{}@{address}", self.setup.vm),
+            None => self.setup.vm.clone(),
+        }
+    }
+
     /// Whether callers may be sent here.
     pub fn ready(&self) -> bool {
         self.stopping.get().is_none() && self.listed.get() && self.settings.borrow().is_some()
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -35,7 +35,7 @@
     let end = Instant::now() + state.setup.grace.saturating_sub(SPARE);
     state.stopping.set(Some(state.now()));
     log::info!("gateway: stopping serving={} callers={}", state.serving.get(), state.callers.get());
-    let leave = state.store.call(store::Call::Leave { member: state.setup.vm.clone() });
+    let leave = state.store.call(store::Call::Leave { member: state.member() });
     let told = sleep(TOLD);
     let (left, ()) = tokio::join!(tokio::time::timeout(TOLD, leave), told);
     if !matches!(left, Ok(Ok(_))) {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -71,6 +71,8 @@
         /// The generation of the last answer.
         generation: Generation,
     },
+    /// Asks who holds the first seat.
+    Holder,
     /// Leaves the group of routers.
     Leave {
         /// This router.
@@ -113,6 +115,8 @@
     Appended(Offset),
     /// A share in the group.
     Joined(Seat),
+    /// The member that holds the first seat, if one does.
+    Holder(Option<String>),
     /// Done.
     Left,
 }
