--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     answers: Counter<u64>,
     refusals: Counter<u64>,
     events: Counter<u64>,
+    late_events: Counter<u64>,
     answer_time: Histogram<f64>,
     first_event: Histogram<f64>,
 }
@@ -49,6 +50,10 @@
                 .u64_counter("hyssop_happenings")
                 .with_description("What happened, by kind")
                 .build(),
+            late_events: meter
+                .u64_counter("hyssop_late_events")
+                .with_description("Events after too long a pause, by what held them up")
+                .build(),
             answer_time: seconds("hyssop_answer_time", "Time to the head of an answer"),
             first_event: seconds(
                 "hyssop_first_event",
@@ -84,6 +89,11 @@
         self.event("stream_complete");
     }
 
+    /// An event came later than its route's longest pause.
+    pub fn late_event(&self, why: &'static str) {
+        self.late_events.add(1, &[KeyValue::new("why", why)]);
+    }
+
     /// A stream was cut off.
     pub fn cut(&self) {
         self.event("stream_cut");
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -40,6 +40,11 @@
 /// the first event is then left.
 const LINK_FULL: Duration = Duration::from_millis(250);
 
+/// Longest transfer for a stream whose path is mended, in milliseconds. All streams that passed through a
+/// dead server are mended at the same moment; some sixty of them would wait a second for
+/// a link on which each takes longer.
+const MEND_TRANSFER: f64 = 20.0;
+
 /// Part of a server's time that is used for reading prompts. Steps of running requests take the rest;
 /// beyond this, their pauses grow.
 const READING: f64 = 0.6;
@@ -83,7 +88,7 @@
     willing: bool,
 ) -> Option<Path> {
     let zone = zone(&state.setup.zone);
-    let want = Want { from: 0, zone, kept: &[], willing };
+    let want = Want { from: 0, zone, kept: &[], willing, transfer: f64::INFINITY };
     search(state, service, model, tokens, but, &want)
 }
 
@@ -107,6 +112,7 @@
         zone: zone(&first.server().zone),
         kept: &path.peers,
         willing: true,
+        transfer: MEND_TRANSFER,
     };
     let mut rest = search(state, service, model, tokens, &but, &want)?;
     let bytes = size(model, tokens) * f64::from(hop.span.len());
@@ -181,6 +187,8 @@
     /// Servers that have read the request already.
     kept: &'a [Rc<Peer>],
     willing: bool,
+    /// Longest transfer over a link between data centres, in milliseconds.
+    transfer: f64,
 }
 
 /// How long what a server tells of its load is used.
@@ -269,8 +277,12 @@
     let whole = whole_ms(shape, tokens, 10.0);
     let others = f64::from(state.routers());
     let share = LINK / others;
+    let transfer = (tokens.prompt + tokens.answer) * shape.cross_token_ms;
     let cross_ms = |from: Zone, to: Zone| {
         let link = link(state, from, to);
+        if transfer > want.transfer {
+            return f64::INFINITY;
+        }
         match link.takes(now, LINK, others, LINK_FULL) {
             false => f64::INFINITY,
             true => {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -27,7 +27,7 @@
 
 /// Routers from which on one reads for all. With fewer, the calls saved are not worth another way for
 /// settings to arrive late.
-pub const FROM: u32 = 8;
+pub const FROM: u32 = 3;
 
 /// Records that are kept of each log: some seconds of heartbeats of several hundred servers.
 const KEPT: usize = 4096;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -77,6 +77,10 @@
     sent: bool,
     /// Last event that was handed on.
     last: Option<Id>,
+    /// When it was handed on.
+    passed: Instant,
+    /// What happened since then that may have held the next event up.
+    held_up: &'static str,
 }
 
 /// A path that is sending events.
@@ -125,6 +129,8 @@
         ran: 0,
         sent: false,
         last: None,
+        passed: Instant::now(),
+        held_up: "start",
     };
     let (mut source, first) = match progress.open().await {
         Ok(Opened::Stream(source, first)) => (source, first),
@@ -150,6 +156,8 @@
             ran,
             sent: true,
             last: None,
+            passed: Instant::now(),
+            held_up: "steps",
         };
         relay(progress, source, first, sender).await;
     });
@@ -168,6 +176,7 @@
         let why = match next {
             Next::Event(event) => {
                 progress.last = event.id.or(progress.last);
+                progress.say_late(&source.path);
                 if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                     return progress.gone();
                 }
@@ -199,6 +208,7 @@
             progress.last,
             progress.call.came.elapsed()
         );
+        progress.held_up = "resumed";
         // The old path stops work before the new one begins, and is not taken again.
         progress.but.push(source.path.first().server().id.clone());
         drop(source);
@@ -429,7 +439,7 @@
     /// Has the request go on along another path from the same first server, which keeps the stream.
     /// Cheaper than a new run: only the new servers read the tokens so far, and the caller's pause
     /// is shorter by that.
-    async fn mend(&self, source: &mut Source) -> bool {
+    async fn mend(&mut self, source: &mut Source) -> bool {
         let size = self.call.tokens;
         let found = route::mend(self.state, self.service, self.model, size, &source.path);
         let Some(path) = found else { return false };
@@ -445,10 +455,28 @@
         );
         if done {
             source.path = path;
+            self.held_up = "repath";
         }
         done
     }
 
+    /// Says of an event that comes late what held it up.
+    fn say_late(&mut self, path: &Path) {
+        let pause = self.passed.elapsed();
+        if pause > self.call.route.gap {
+            log::info!(
+                "gateway: request={} late_event={:?} pause={pause:?} why={} first={} path_length={}",
+                self.call.id,
+                self.last,
+                self.held_up,
+                path.first().server().id,
+                path.hops.len()
+            );
+            self.state.metrics.late_event(self.held_up);
+        }
+        (self.passed, self.held_up) = (Instant::now(), "steps");
+    }
+
     /// Whether an event may come after those that the caller has. Ids rise within a stream.
     fn follows(&self, event: &Event) -> bool {
         match (self.last, event.id) {
@@ -555,7 +583,9 @@
         let mut fields = plain::fields(self.state, self.call, id);
         let text = (self.state.codec.path)(&path.hops);
         fields.insert(&names.path, HeaderValue::from_str(&text).expect("addresses and digits"));
-        fields.insert(&names.rank, HeaderValue::from(u16::from(self.call.rank)));
+        // A stream that was broken off is already late; its caller leaves if it waits behind new ones.
+        let rank = if self.last.is_some() { 0 } else { self.call.rank.max(1) };
+        fields.insert(&names.rank, HeaderValue::from(u16::from(rank)));
         if let Some(last) = self.last {
             fields.insert(&names.last_event, HeaderValue::from(last));
         }
