--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -21,7 +21,7 @@
 pub const MOST: f64 = 250_000.0;
 
 /// Part of a data centre's memory that its first copy takes. The rest holds second copies.
-const FIRST_COPY: f64 = 0.75;
+const FIRST_COPY: f64 = 0.65;
 
 /// Tokens of context below which a part is not made larger, as its requests would be preempted:
 /// thirty requests of nine hundred tokens.
