--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -236,6 +236,8 @@
 
 async fn answer(state: &Rc<State>, request: Request<Incoming>) -> Response<Body> {
     let began = Instant::now();
+    let named = request.headers().get(&state.codec.names.request);
+    let id = named.and_then(|id| id.to_str().ok()).unwrap_or("none").to_owned();
     match request::read(state, request).await {
         Ok(call) => {
             let response = dispatch(state, call).await;
@@ -243,7 +245,7 @@
             response
         }
         Err(reason) => {
-            log::info!("gateway: outcome=refused why={reason}");
+            log::info!("gateway: request={id} outcome=refused why={reason}");
             state.metrics.refused(reason);
             let mut response = answer::own(reason);
             // What is left of an unread body must not be taken for a request.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,7 +36,7 @@
     budget: Gauge<u64>,
 }
 
-/// The instruments of a daemon. What each tells an operator is in docs/OPERATORS.md.
+/// The instruments of a daemon. What each tells an operator is in docs/OPERATIONS.md.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
