--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -21,7 +21,10 @@
 /// Why this router answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Reason {
-    /// It has not read any settings yet.
+    /// It has just started and is about to read settings.
+    #[display("this router is starting")]
+    Starting,
+    /// It has not read any settings, as the store is away.
     #[display("settings are not known yet")]
     Unsettled,
     /// No route fits.
@@ -76,7 +79,8 @@
             Reason::SlowCaller => StatusCode::REQUEST_TIMEOUT,
             Reason::Lost => StatusCode::BAD_GATEWAY,
             Reason::Late => StatusCode::GATEWAY_TIMEOUT,
-            Reason::Unsettled
+            Reason::Starting
+            | Reason::Unsettled
             | Reason::NoMemory
             | Reason::NoServer
             | Reason::NoPath
@@ -89,6 +93,8 @@
     /// When it is worth coming back.
     fn again(self) -> Option<Duration> {
         match self {
+            // Settings and servers are read in some tens of milliseconds.
+            Reason::Starting => Some(Duration::from_millis(200)),
             // The store answers again or settings are read within about this time.
             Reason::Unsettled => Some(Duration::from_millis(1500)),
             // Without the store no router may order another server to load the lost part.
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::answer::{self, Body, Reason};
+use crate::journal::{self, Line};
 use crate::plain;
 use crate::request::{self, Call};
 use crate::settings::Route;
@@ -245,7 +246,12 @@
             response
         }
         Err(reason) => {
-            log::info!("gateway: request={id} outcome=refused why={reason}");
+            let line = state.refusals.borrow_mut().take(state.now(), journal::REFUSALS);
+            if let Line::Written(left_out) = line {
+                log::info!(
+                    "gateway: request={id} outcome=refused why={reason} left_out={left_out}"
+                );
+            }
             state.metrics.refused(reason);
             let mut response = answer::own(reason);
             // What is left of an unread body must not be taken for a request.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -42,6 +42,9 @@
 /// Time after the store was regained in which a missing entry may have lapsed meanwhile.
 const REGAINED: Duration = Duration::from_millis(1500);
 
+/// A key and its value; none if the key was dropped.
+pub type Keyed = (String, Option<Bytes>);
+
 /// Reads the records of one kind that the platform keeps.
 #[derive(Debug, Clone, Copy)]
 pub struct Reader {
@@ -52,7 +55,7 @@
     /// Reads a server's entry.
     pub server: fn(&str, &[u8]) -> Option<Server>,
     /// Takes a record with a key apart.
-    pub item: fn(&[u8]) -> Option<(String, Option<Bytes>)>,
+    pub item: fn(&[u8]) -> Option<Keyed>,
 }
 
 /// Keeps the settings up to date.
--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -6,14 +6,14 @@
 //! orders that the server has accepted before, so an order of the past that is carried out late
 //! changes nothing.
 
+mod term;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use layers::placement::{self, Place};
-use layers::server::Server as Card;
-use layers::{Shape, Span};
-use nix::time::{ClockId, clock_gettime};
+use layers::{Card, Server, Shape, Span};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -23,12 +23,9 @@
 use crate::route;
 use crate::settings::Model;
 use crate::state::State;
-use crate::store::{Call, Fault, Generation, Log, Reply, Seat};
+use crate::store::{Call, Fault, Log, Reply};
 use crate::wire::Order;
-
-/// How long a seat lasts. A dead holder is replaced after this time; layers that it would have
-/// ordered meanwhile are missing.
-const TTL: Duration = Duration::from_millis(2000);
+use term::Term;
 
 /// Time between two calls that keep the seat: two may be lost.
 const KEEP: Duration = Duration::from_millis(650);
@@ -37,9 +34,6 @@
 /// with its next call after a change.
 const STEADY: u32 = 2;
 
-/// Part of the seat's time in which orders are given. The rest is for the order to arrive.
-const SURE: f64 = 0.7;
-
 /// Time between two looks at what is missing.
 const LOOK: Duration = Duration::from_millis(150);
 
@@ -73,34 +67,6 @@
 /// is this router that is cut off.
 const REACHED: f64 = 0.6;
 
-/// The time that goes on while the VM is suspended.
-fn boot_time() -> Duration {
-    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
-        Ok(time) => Duration::from(time),
-        Err(e) => {
-            log::error!("gateway: no clock that counts suspended time: {e}");
-            Duration::MAX
-        }
-    }
-}
-
-/// The right to give orders.
-#[derive(Debug, Clone, Copy)]
-struct Term {
-    /// Generation in which it was gained: the fencing number.
-    epoch: Generation,
-    /// Number of the next call under it.
-    next: u64,
-    /// When it ends, by the clock that counts suspended time.
-    until: Duration,
-}
-
-impl Term {
-    fn lasts(&self) -> bool {
-        boot_time() < self.until
-    }
-}
-
 /// An order that was given and is not known to be done.
 #[derive(Debug, Clone, PartialEq)]
 struct Given {
@@ -130,7 +96,7 @@
     loop {
         if state.now() >= kept + KEEP && state.stopping.get().is_none() {
             kept = state.now();
-            match keep(&state, generation).await {
+            match term::keep(&state, generation).await {
                 Ok((seat, until)) => {
                     // While seats change hands, a router may hold few of its own, or none.
                     steady = if seat.generation == generation { steady + 1 } else { 0 };
@@ -138,7 +104,11 @@
                         state.count_routers((seat.all / seat.held).max(1));
                     }
                     generation = seat.generation;
-                    term = renew(&state, term, seat, until, &mut given).await;
+                    let (now, began) = term::renew(&state, term, seat, until).await;
+                    term = now;
+                    if let Some(end) = began {
+                        given = inherit(&state, end).await;
+                    }
                 }
                 Err(e) => log::debug!("gateway: seat not kept: {e}"),
             }
@@ -193,51 +163,6 @@
     }
 }
 
-async fn keep(state: &State, generation: Generation) -> Result<(Seat, Duration), Fault> {
-    // The seat's time runs from the call's arrival, so counting from its sending is safe.
-    let until = boot_time() + TTL.mul_f64(SURE);
-    let member = state.member();
-    match state.store.call(Call::Join { member, ttl: TTL, generation }).await? {
-        Reply::Joined(seat) => Ok((seat, until)),
-        other => Err(Fault::Unreadable(format!("{other:?}"))),
-    }
-}
-
-/// Goes on with a term, begins one, or ends it.
-async fn renew(
-    state: &State,
-    term: Option<Term>,
-    seat: Seat,
-    until: Duration,
-    given: &mut Vec<Given>,
-) -> Option<Term> {
-    match term {
-        _ if !seat.first => {
-            if term.is_some() {
-                log::info!("gateway: gives_orders=false generation={}", seat.generation);
-            }
-            None
-        }
-        Some(term) => Some(Term { until, ..term }),
-        None => {
-            let epoch = seat.generation;
-            let call =
-                Call::Append { log: Log::Orders, records: Vec::new(), epoch: Some((epoch, 0)) };
-            match state.store.call(call).await {
-                Ok(Reply::Appended(end)) => {
-                    log::info!("gateway: gives_orders=true epoch={epoch} orders_end={end}");
-                    *given = inherit(state, end).await;
-                    Some(Term { epoch, next: 0, until })
-                }
-                other => {
-                    log::info!("gateway: gives_orders=false epoch={epoch} why={other:?}");
-                    None
-                }
-            }
-        }
-    }
-}
-
 /// Orders of the router before that may still be under way. They count as given, so that no
 /// server gets the same order twice.
 async fn inherit(state: &State, end: u64) -> Vec<Given> {
@@ -297,22 +222,22 @@
         let entry = peer.server();
         let order = given.iter().find(|g| g.server == entry.id);
         let card = entry.card.as_deref().and_then(|name| model.card(name));
-        Card {
+        Server {
             zone: route::zone(&entry.zone),
-            card: card.unwrap_or(layers::Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
+            card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.map_or(peer.span(now), |g| g.span),
             usable: card.is_some() && peer.ready() && (!reached || !peer.suspicion.borrow().open()),
             busy: order.is_some(),
         }
     };
-    let servers: Vec<Card> = peers.iter().map(server).collect();
+    let servers: Vec<Server> = peers.iter().map(server).collect();
     say_missing(state, peers, &servers, &model.shape);
     let lasting = missing_for(state, &servers, &model.shape) > RETURN;
     placement::plan(&servers, &model.shape, lasting)
 }
 
 /// How long some data centre has lacked layers that nobody is loading.
-fn missing_for(state: &State, servers: &[Card], shape: &Shape) -> Duration {
+fn missing_for(state: &State, servers: &[Server], shape: &Shape) -> Duration {
     let mut zones: Vec<_> = servers.iter().map(|s| s.zone).collect();
     zones.sort_unstable();
     zones.dedup();
@@ -326,7 +251,7 @@
 }
 
 /// Says which layers each data centre lacks, when that has changed.
-fn say_missing(state: &State, peers: &[Rc<Peer>], servers: &[Card], shape: &Shape) {
+fn say_missing(state: &State, peers: &[Rc<Peer>], servers: &[Server], shape: &Shape) {
     let mut zones: Vec<String> = peers.iter().map(|p| p.server().zone.clone()).collect();
     zones.sort();
     zones.dedup();
--- /dev/null
+++ b/crates/gateway/src/giver/term.rs
@@ -0,0 +1,86 @@
+//! The right to give orders, which one router of the group holds at a time.
+
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
+
+use crate::state::State;
+use crate::store::{Call, Fault, Generation, Log, Offset, Reply, Seat};
+
+/// How long a seat lasts. A dead holder is replaced after this time; layers that it would have
+/// ordered meanwhile are missing.
+const TTL: Duration = Duration::from_millis(2000);
+
+/// Part of the seat's time in which orders are given. The rest is for the order to arrive.
+const SURE: f64 = 0.7;
+
+/// The time that goes on while the VM is suspended.
+fn boot_time() -> Duration {
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => Duration::from(time),
+        Err(e) => {
+            log::error!("gateway: no clock that counts suspended time: {e}");
+            Duration::MAX
+        }
+    }
+}
+
+/// The right to give orders.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Term {
+    /// Generation in which it was gained: the fencing number.
+    pub(super) epoch: Generation,
+    /// Number of the next call under it.
+    pub(super) next: u64,
+    /// When it ends, by the clock that counts suspended time.
+    until: Duration,
+}
+
+impl Term {
+    pub(super) fn lasts(&self) -> bool {
+        boot_time() < self.until
+    }
+}
+
+pub(super) async fn keep(state: &State, generation: Generation) -> Result<(Seat, Duration), Fault> {
+    // The seat's time runs from the call's arrival, so counting from its sending is safe.
+    let until = boot_time() + TTL.mul_f64(SURE);
+    let member = state.member();
+    match state.store.call(Call::Join { member, ttl: TTL, generation }).await? {
+        Reply::Joined(seat) => Ok((seat, until)),
+        other => Err(Fault::Unreadable(format!("{other:?}"))),
+    }
+}
+
+/// Goes on with a term, begins one, or ends it; where the log of orders ended when it began.
+pub(super) async fn renew(
+    state: &State,
+    term: Option<Term>,
+    seat: Seat,
+    until: Duration,
+) -> (Option<Term>, Option<Offset>) {
+    match term {
+        _ if !seat.first => {
+            if term.is_some() {
+                log::info!("gateway: gives_orders=false generation={}", seat.generation);
+            }
+            (None, None)
+        }
+        Some(term) => (Some(Term { until, ..term }), None),
+        None => {
+            let epoch = seat.generation;
+            let call =
+                Call::Append { log: Log::Orders, records: Vec::new(), epoch: Some((epoch, 0)) };
+            match state.store.call(call).await {
+                Ok(Reply::Appended(end)) => {
+                    log::info!("gateway: gives_orders=true epoch={epoch} orders_end={end}");
+                    (Some(Term { epoch, next: 0, until }), Some(end))
+                }
+                other => {
+                    log::info!("gateway: gives_orders=false epoch={epoch} why={other:?}");
+                    (None, None)
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::time::Duration;
 
 use simplelog::{Config, ConfigBuilder, LevelFilter, WriteLogger};
 
@@ -48,6 +49,52 @@
     }
 }
 
+/// Refusals that are logged in a second. A caller with a wrong key that asks a thousand times a second
+/// would otherwise push out the lines of everybody else.
+pub const REFUSALS: u32 = 20;
+
+/// How many lines of one sort were written in the current second.
+#[derive(Debug, Default)]
+pub struct Quota {
+    second: u64,
+    written: u32,
+    left_out: u32,
+}
+
+/// Whether a line is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Line {
+    /// It is; before it, as many were left out.
+    Written(u32),
+    /// It is not.
+    LeftOut,
+}
+
+impl Quota {
+    /// Decides about one line at a time since the start.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use gateway::journal::{Line, Quota};
+    /// let mut quota = Quota::default();
+    /// let second = Duration::from_secs(1);
+    /// assert_eq!(quota.take(second, 1), Line::Written(0));
+    /// assert_eq!(quota.take(second, 1), Line::LeftOut);
+    /// assert_eq!(quota.take(2 * second, 1), Line::Written(1));
+    /// ```
+    pub fn take(&mut self, now: Duration, most: u32) -> Line {
+        if now.as_secs() != self.second {
+            (self.second, self.written) = (now.as_secs(), 0);
+        }
+        if self.written >= most {
+            self.left_out += 1;
+            return Line::LeftOut;
+        }
+        self.written += 1;
+        Line::Written(std::mem::take(&mut self.left_out))
+    }
+}
+
 /// Starts logging to standard output.
 pub fn start(level: LevelFilter) -> Result<(), log::SetLoggerError> {
     let (lines, receiver, left_out) = Lines::new(LINES);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -89,7 +89,11 @@
 /// Checks a request and reads its body.
 pub async fn read(state: &Rc<State>, request: Request<Incoming>) -> Result<Call, Reason> {
     let came = Instant::now();
-    let settings = state.settings().ok_or(Reason::Unsettled)?;
+    let settings = match state.settings() {
+        Some(settings) if state.listed.get() => settings,
+        _ if state.away.get() => return Err(Reason::Unsettled),
+        _ => return Err(Reason::Starting),
+    };
     let (head, body) = request.into_parts();
     let host = host(&head.headers, &head.uri)?;
     let route = settings.route(&host, head.uri.path()).ok_or(Reason::NoRoute)?.clone();
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -1,18 +1,23 @@
 //! The path of a request through the model servers, from what is believed now.
 
+mod load;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use layers::path::{self, Ask, Holder};
 use layers::server::Zone;
 use layers::{Shape, Span};
-use policy::meter::Meter;
 
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
 use crate::settings::Model;
 use crate::state::State;
 use crate::wire::Hop;
+use load::{
+    Crowd, LINK, LINK_FULL, READING, READING_FULL, charge_link, charge_reading, crowds, link,
+    millis,
+};
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
 /// the copies differ in speed, so that each data centre's requests stay there while its copy is
@@ -32,26 +37,11 @@
 /// the loss of a server in either data centre.
 const CROSS: f64 = 0.5;
 
-/// Part of a link between data centres that is used for prompts. The rest is for tokens, for copies
-/// of layers, and for routers that count each other late.
-const LINK: f64 = 0.7;
-
-/// Transfers that wait for a link up to which more are sent over it. Half of the usual goal for
-/// the first event is then left.
-const LINK_FULL: Duration = Duration::from_millis(250);
-
 /// Longest transfer for a stream whose path is mended, in milliseconds. All streams that passed through a
 /// dead server are mended at the same moment; some sixty of them would wait a second for
 /// a link on which each takes longer.
 const MEND_TRANSFER: f64 = 20.0;
 
-/// Part of a server's time that is used for reading prompts. Steps of running requests take the rest;
-/// beyond this, their pauses grow.
-const READING: f64 = 0.6;
-
-/// Prompts that wait to be read at a server up to which it gets more.
-const READING_FULL: Duration = Duration::from_millis(300);
-
 /// Part of the cost of a server that has read the request already.
 const KEPT: f64 = 0.3;
 
@@ -191,54 +181,6 @@
     transfer: f64,
 }
 
-/// How long what a server tells of its load is used.
-const TOLD: Duration = Duration::from_millis(1500);
-
-/// Requests that run through one data centre's copy.
-#[derive(Debug, Clone, Copy)]
-struct Crowd {
-    zone: Zone,
-    /// Requests of all routers, as its first servers tell.
-    running: f64,
-    /// Requests of all routers for each of this router's, at least one.
-    others: f64,
-}
-
-impl Crowd {
-    /// Nothing is told: each router is taken to send as much as this one.
-    fn unknown(zone: Zone, routers: u32) -> Crowd {
-        Crowd { zone, running: 0.0, others: f64::from(routers).sqrt() }
-    }
-}
-
-/// Requests of all routers that run through each data centre's copy, as their first servers tell.
-/// A router sees only its own; when copies are lost, the others' requests crowd into the copies
-/// that are left, and none of the routers would notice that their memory is full.
-fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32) -> Vec<Crowd> {
-    let mut crowds: Vec<Crowd> = Vec::new();
-    let mut own: Vec<f64> = Vec::new();
-    for peer in peers {
-        let Some((running, _)) = peer.told.get().filter(|(_, at)| now < *at + TOLD) else {
-            continue;
-        };
-        let zone = zone(&peer.server().zone);
-        let at = match crowds.binary_search_by_key(&zone, |c| c.zone) {
-            Ok(at) => at,
-            Err(at) => {
-                crowds.insert(at, Crowd { zone, running: 0.0, others: 1.0 });
-                own.insert(at, 0.0);
-                at
-            }
-        };
-        crowds[at].running += f64::from(running);
-        own[at] += f64::from(peer.running.get());
-    }
-    for (crowd, own) in crowds.iter_mut().zip(own) {
-        crowd.others = (crowd.running / own.max(1.0)).clamp(1.0, f64::from(routers.max(1)));
-    }
-    crowds
-}
-
 /// Bytes of context in one layer.
 fn size(model: &Model, tokens: Tokens) -> f64 {
     (tokens.prompt + tokens.answer) * model.shape.token_bytes
@@ -324,49 +266,6 @@
     })
 }
 
-fn millis(time: Duration) -> f64 {
-    time.as_secs_f64() * 1e3
-}
-
-/// The meter of the link between two data centres.
-fn link(state: &State, from: Zone, to: Zone) -> Meter {
-    let links = state.links.borrow();
-    let found = links.binary_search_by_key(&(from, to), |(ends, _)| *ends);
-    found.map_or(Meter::default(), |at| links[at].1)
-}
-
-fn charge_link(state: &State, ends: (Zone, Zone), ms: f64, share: f64) {
-    if ends.0 == ends.1 {
-        return;
-    }
-    let mut links = state.links.borrow_mut();
-    let at = match links.binary_search_by_key(&ends, |(ends, _)| *ends) {
-        Ok(at) => at,
-        Err(at) => {
-            links.insert(at, (ends, Meter::default()));
-            at
-        }
-    };
-    links[at].1.add(state.now(), Duration::from_secs_f64(ms / 1e3), share);
-}
-
-fn charge_reading(
-    peer: &Peer,
-    model: &Model,
-    tokens: Tokens,
-    span: Span,
-    now: Duration,
-    crowd: Crowd,
-) {
-    let entry = peer.server();
-    let Some(card) = entry.card.as_deref().and_then(|name| model.card(name)) else { return };
-    let part = f64::from(span.len()) / f64::from(model.shape.layers);
-    let ms = tokens.prompt / model.shape.read_per_ms * card.read * peer.slow.get() * part;
-    let mut reading = peer.reading.get();
-    reading.add(now, Duration::from_secs_f64(ms / 1e3), READING / crowd.others);
-    peer.reading.set(reading);
-}
-
 /// Time of a request on cards of that pace.
 fn whole_ms(shape: &Shape, tokens: Tokens, pace: f64) -> f64 {
     tokens.prompt / shape.read_per_ms * pace + tokens.answer * shape.step_ms * pace
--- /dev/null
+++ b/crates/gateway/src/route/load.rs
@@ -0,0 +1,120 @@
+//! What is known of the load on servers and links: from their answers, and from what was sent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use layers::Span;
+use layers::server::Zone;
+use policy::meter::Meter;
+
+use super::zone;
+use crate::peer::Peer;
+use crate::request::Tokens;
+use crate::settings::Model;
+use crate::state::State;
+
+/// Part of a link between data centres that is used for prompts. The rest is for tokens, for copies
+/// of layers, and for routers that count each other late.
+pub(super) const LINK: f64 = 0.7;
+
+/// Transfers that wait for a link up to which more are sent over it. Half of the usual goal for
+/// the first event is then left.
+pub(super) const LINK_FULL: Duration = Duration::from_millis(250);
+
+/// Part of a server's time that is used for reading prompts. Steps of running requests take the rest;
+/// beyond this, their pauses grow.
+pub(super) const READING: f64 = 0.6;
+
+/// Prompts that wait to be read at a server up to which it gets more.
+pub(super) const READING_FULL: Duration = Duration::from_millis(300);
+
+/// How long what a server tells of its load is used.
+const TOLD: Duration = Duration::from_millis(1500);
+
+/// Requests that run through one data centre's copy.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Crowd {
+    pub(super) zone: Zone,
+    /// Requests of all routers, as its first servers tell.
+    pub(super) running: f64,
+    /// Requests of all routers for each of this router's, at least one.
+    pub(super) others: f64,
+}
+
+impl Crowd {
+    /// Nothing is told: each router is taken to send as much as this one.
+    pub(super) fn unknown(zone: Zone, routers: u32) -> Crowd {
+        Crowd { zone, running: 0.0, others: f64::from(routers).sqrt() }
+    }
+}
+
+/// Requests of all routers that run through each data centre's copy, as their first servers tell.
+/// A router sees only its own; when copies are lost, the others' requests crowd into the copies
+/// that are left, and none of the routers would notice that their memory is full.
+pub(super) fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32) -> Vec<Crowd> {
+    let mut crowds: Vec<Crowd> = Vec::new();
+    let mut own: Vec<f64> = Vec::new();
+    for peer in peers {
+        let Some((running, _)) = peer.told.get().filter(|(_, at)| now < *at + TOLD) else {
+            continue;
+        };
+        let zone = zone(&peer.server().zone);
+        let at = match crowds.binary_search_by_key(&zone, |c| c.zone) {
+            Ok(at) => at,
+            Err(at) => {
+                crowds.insert(at, Crowd { zone, running: 0.0, others: 1.0 });
+                own.insert(at, 0.0);
+                at
+            }
+        };
+        crowds[at].running += f64::from(running);
+        own[at] += f64::from(peer.running.get());
+    }
+    for (crowd, own) in crowds.iter_mut().zip(own) {
+        crowd.others = (crowd.running / own.max(1.0)).clamp(1.0, f64::from(routers.max(1)));
+    }
+    crowds
+}
+
+pub(super) fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+/// The meter of the link between two data centres.
+pub(super) fn link(state: &State, from: Zone, to: Zone) -> Meter {
+    let links = state.links.borrow();
+    let found = links.binary_search_by_key(&(from, to), |(ends, _)| *ends);
+    found.map_or(Meter::default(), |at| links[at].1)
+}
+
+pub(super) fn charge_link(state: &State, ends: (Zone, Zone), ms: f64, share: f64) {
+    if ends.0 == ends.1 {
+        return;
+    }
+    let mut links = state.links.borrow_mut();
+    let at = match links.binary_search_by_key(&ends, |(ends, _)| *ends) {
+        Ok(at) => at,
+        Err(at) => {
+            links.insert(at, (ends, Meter::default()));
+            at
+        }
+    };
+    links[at].1.add(state.now(), Duration::from_secs_f64(ms / 1e3), share);
+}
+
+pub(super) fn charge_reading(
+    peer: &Peer,
+    model: &Model,
+    tokens: Tokens,
+    span: Span,
+    now: Duration,
+    crowd: Crowd,
+) {
+    let entry = peer.server();
+    let Some(card) = entry.card.as_deref().and_then(|name| model.card(name)) else { return };
+    let part = f64::from(span.len()) / f64::from(model.shape.layers);
+    let ms = tokens.prompt / model.shape.read_per_ms * card.read * peer.slow.get() * part;
+    let mut reading = peer.reading.get();
+    reading.add(now, Duration::from_secs_f64(ms / 1e3), READING / crowd.others);
+    peer.reading.set(reading);
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::journal::Quota;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::pool::Pool;
@@ -76,6 +77,8 @@
     pub reader: RefCell<Option<Rc<Pool>>>,
     /// When it was last looked for.
     pub located: Cell<Duration>,
+    /// Lines about refused requests.
+    pub refusals: RefCell<Quota>,
     /// Words for the other routers that are still to be written.
     pub words: RefCell<Vec<crate::news::Word>>,
     /// Woken when there are words to write.
@@ -110,6 +113,7 @@
             tails: RefCell::default(),
             reader: RefCell::default(),
             located: Cell::default(),
+            refusals: RefCell::default(),
             broken_since: Cell::new(None),
             words: RefCell::default(),
             spoke: Notify::new(),
--- /dev/null
+++ b/crates/gateway/src/stream/open.rs
@@ -0,0 +1,268 @@
+//! Finding a path for a request, and waiting for its first event.
+
+use std::time::Duration;
+
+use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode};
+use tokio::time::Instant;
+
+use super::{LOOK, Next, PAUSE, Progress, SHORTEST, STUCK, Source};
+use crate::answer::{self, Body, Reason};
+use crate::event::{Event, Splitter};
+use crate::exchange::{self, Answer, Outcome};
+use crate::plain;
+use crate::probe;
+use crate::route::{self, Path};
+
+/// Paths tried for one request at most, counting those whose servers decline it.
+const TRIES: u32 = 5;
+
+/// Part of the goal after which the servers of the path are asked, before the first event.
+const SILENT_START: f64 = 0.5;
+
+/// Pause between two looks for a path for a stream that has none.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// What opening a path led to.
+pub(super) enum Opened {
+    Stream(Source, Event),
+    /// An answer that is no stream.
+    Whole(Response<Body>),
+}
+
+/// Why a path gave no stream.
+enum Failed {
+    NotRun,
+    Unknown,
+    Late,
+}
+
+impl Progress<'_> {
+    /// Goes on after the last event on another path, for as long as the caller may still be there.
+    pub(super) async fn resume(&mut self) -> Option<(Source, Event)> {
+        let until = (Instant::now() + STUCK).min(self.call.until);
+        while self.may_run_again() && self.last.is_some() {
+            match self.open().await {
+                Ok(Opened::Stream(source, event)) => return Some((source, event)),
+                Ok(Opened::Whole(_)) => return None,
+                Err(reason) if Instant::now() >= until || self.tries >= TRIES => {
+                    self.say_no_path(reason);
+                    return None;
+                }
+                Err(_) => {}
+            }
+            // Layers that were just loaded, or memory that was given back, may open a path.
+            let _ = tokio::time::timeout(AGAIN, self.state.changed.notified()).await;
+        }
+        None
+    }
+
+    /// Finds a path and waits for its first event; tries others while that is allowed.
+    pub(super) async fn open(&mut self) -> Result<Opened, Reason> {
+        let mut reason = self.no_path();
+        while self.tries < TRIES {
+            let Some(path) = self.path() else {
+                reason = self.no_path();
+                if self.last.is_none() {
+                    self.say_no_path(reason);
+                }
+                break;
+            };
+            if self.tries > 0 && !self.state.may_repeat(self.service) {
+                log::info!("gateway: request={} repeat=false why=retry budget", self.call.id);
+                break;
+            }
+            self.tries += 1;
+            reason = match self.begin(path).await {
+                Ok(opened) => return Ok(opened),
+                Err(Failed::NotRun) if !self.sent => Reason::Full,
+                Err(Failed::NotRun) => Reason::Lost,
+                Err(Failed::Unknown) if self.may_run_again() => Reason::Lost,
+                Err(Failed::Unknown) => return Err(Reason::Lost),
+                Err(Failed::Late) => return Err(Reason::Late),
+            };
+        }
+        Err(if self.sent && self.last.is_none() { Reason::Lost } else { reason })
+    }
+
+    /// Says once what stood in the way.
+    fn say_no_path(&self, reason: Reason) {
+        log::info!(
+            "gateway: request={} no_path={reason} tries={} last_event={:?} {}",
+            self.call.id,
+            self.tries,
+            self.last,
+            route::explain(self.state, self.service, self.model, self.call.tokens, &self.but)
+        );
+    }
+
+    /// Why there is no path. Memory that is full is free again sooner than lost layers are loaded.
+    fn no_path(&self) -> Reason {
+        match route::whole(self.state, self.service, self.model, &self.but) {
+            true => Reason::Full,
+            false if self.state.away.get() => Reason::NoPathAway,
+            false => Reason::NoPath,
+        }
+    }
+
+    fn path(&self) -> Option<Path> {
+        let find = |but: &[String], willing| {
+            route::find(self.state, self.service, self.model, self.call.tokens, but, willing)
+        };
+        // Servers that declined may take it after all, if there is no way without them.
+        find(&self.but, true).or_else(|| find(&self.but, false))
+    }
+
+    /// Sends the request along a path and waits for the first event.
+    async fn begin(&mut self, path: Path) -> Result<Opened, Failed> {
+        let began = Instant::now();
+        let peer = path.first().clone();
+        let hops = path.hops.clone();
+        let id = peer.server().id.clone();
+        let outcome = {
+            let fields = self.fields(&path, &id);
+            let sending = exchange::send(self.state, &peer, self.call, fields, self.call.until);
+            tokio::pin!(sending);
+            let mut wait = self.call.route.goal.mul_f64(SILENT_START).max(SHORTEST);
+            loop {
+                let until = began + wait;
+                tokio::select! {
+                    outcome = &mut sending => break outcome,
+                    () = tokio::time::sleep_until(until) => {}
+                    () = self.state.lost.notified() => {}
+                }
+                let may_go = self.ran + 1 < self.call.route.attempts;
+                if may_go && path.is_lost(self.state.now()) {
+                    break Outcome::Unknown("a server of the path is suspected".to_owned());
+                }
+                if Instant::now() < until {
+                    continue;
+                }
+                wait += LOOK;
+                match self.look_into(&path).await {
+                    true if may_go => {
+                        break Outcome::Unknown("a server of the path does not answer".to_owned());
+                    }
+                    false if may_go && wait > STUCK => {
+                        break Outcome::Unknown("no event for too long".to_owned());
+                    }
+                    _ => {}
+                }
+            }
+        };
+        match outcome {
+            Outcome::Answer(answer) => {
+                (self.ran, self.sent) = (self.ran + 1, true);
+                self.first(path, answer, began).await
+            }
+            Outcome::NotSent(why) => {
+                self.suspect(&peer, &why);
+                Err(Failed::NotRun)
+            }
+            Outcome::NotRun(status, culprit) => {
+                self.declined(&id, status, culprit);
+                Err(Failed::NotRun)
+            }
+            Outcome::Unknown(why) => {
+                self.sent = true;
+                // A run begins with its first token, and none gets past a server that is lost.
+                let lost = path.is_lost(self.state.now());
+                self.ran += u32::from(!lost);
+                log::info!(
+                    "gateway: request={} first={id} outcome=unknown why={why} path={}",
+                    self.call.id,
+                    (self.state.codec.path)(&hops)
+                );
+                self.but.push(id);
+                Err(Failed::Unknown)
+            }
+            Outcome::Late => Err(Failed::Late),
+        }
+    }
+
+    /// Waits for the first event of an answer that began.
+    async fn first(
+        &mut self,
+        path: Path,
+        answer: Box<Answer>,
+        began: Instant,
+    ) -> Result<Opened, Failed> {
+        let status = answer.head.status();
+        let id = path.first().server().id.clone();
+        if status != StatusCode::OK {
+            let again = status.is_server_error() && self.may_run_again();
+            let whole = answer.collect(self.call.until).await;
+            log::info!(
+                "gateway: request={} first={id} status={status} again={again}",
+                self.call.id
+            );
+            return match whole {
+                Some((head, body)) if !again => Ok(Opened::Whole(answer::whole(head, body))),
+                _ => {
+                    self.but.push(id);
+                    Err(Failed::Unknown)
+                }
+            };
+        }
+        let mut source =
+            Source { path, answer, splitter: Splitter::default(), began, pause: PAUSE };
+        let mut next = self.next(&mut source).await;
+        while matches!(next, Next::Lost) && self.mend(&mut source).await {
+            next = self.next(&mut source).await;
+        }
+        match next {
+            Next::Event(event) if self.follows(&event) => {
+                self.state.metrics.first_event(source.began.elapsed());
+                Ok(Opened::Stream(source, event))
+            }
+            Next::Event(_) | Next::End | Next::Lost | Next::Broken(_) => {
+                self.but.push(id);
+                Err(Failed::Unknown)
+            }
+            Next::Late => Err(Failed::Late),
+        }
+    }
+
+    /// A path declined the request: some part of it is dead, leaving, full or has other layers.
+    fn declined(&mut self, first: &str, status: StatusCode, culprit: Option<std::net::SocketAddr>) {
+        let culprit = culprit.and_then(|address| self.state.at(address));
+        log::info!(
+            "gateway: request={} first={first} declined status={status} culprit={:?}",
+            self.call.id,
+            culprit.as_ref().map(|p| p.server().id.clone())
+        );
+        match culprit {
+            Some(peer) => {
+                self.but.push(peer.server().id.clone());
+                peer.declines.borrow_mut().fail(self.state.now());
+                // If it is dead rather than full, the streams that pass through it are helped at once.
+                let state = self.state.clone();
+                tokio::task::spawn_local(async move {
+                    for dead in probe::ask_all(&state, &[peer]).await {
+                        probe::suspect(&state, &dead, "no answer to a probe");
+                    }
+                });
+            }
+            None => {
+                if let Some(peer) = self.state.peer(first) {
+                    peer.declines.borrow_mut().fail(self.state.now());
+                }
+                self.but.push(first.to_owned());
+            }
+        }
+    }
+
+    fn fields(&self, path: &Path, id: &str) -> hyper::HeaderMap {
+        let names = &self.state.codec.names;
+        let mut fields = plain::fields(self.state, self.call, id);
+        let text = (self.state.codec.path)(&path.hops);
+        fields.insert(&names.path, HeaderValue::from_str(&text).expect("addresses and digits"));
+        // A stream that was broken off is already late; its caller leaves if it waits behind new ones.
+        let rank = if self.last.is_some() { 0 } else { self.call.rank.max(1) };
+        fields.insert(&names.rank, HeaderValue::from(u16::from(rank)));
+        if let Some(last) = self.last {
+            fields.insert(&names.last_event, HeaderValue::from(last));
+        }
+        fields
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream/watch.rs
@@ -0,0 +1,103 @@
+//! Watching a stream for silence, and mending its path.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use tokio::time::{Instant, timeout_at};
+
+use super::{LOOK, Next, Progress, SHORTEST, SILENCE, STUCK, Source};
+use crate::probe;
+use crate::route::{self, Path};
+
+/// Time the first server of a path gets to take an order for another path.
+const MEND: Duration = Duration::from_millis(150);
+
+impl Progress<'_> {
+    /// The next event of a path.
+    pub(super) async fn next(&mut self, source: &mut Source) -> Next {
+        let mut since = Instant::now();
+        let mut wait = source.pause.mul_f64(SILENCE).max(SHORTEST);
+        loop {
+            if let Some(event) = source.splitter.next() {
+                return match self.follows(&event) {
+                    true => Next::Event(event),
+                    false => Next::Broken("an event is missing"),
+                };
+            }
+            if source.splitter.overflows() {
+                return Next::Broken("an event is too long");
+            }
+            match timeout_at((since + wait).min(self.call.until), source.answer.body.frame()).await
+            {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        source.splitter.push(data);
+                        source.measure(since.elapsed());
+                        (since, wait) =
+                            (Instant::now(), source.pause.mul_f64(SILENCE).max(SHORTEST));
+                    }
+                }
+                Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
+                Ok(None) if source.splitter.is_empty() => return Next::End,
+                Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
+                Err(_) if Instant::now() >= self.call.until => return Next::Late,
+                Err(_) if wait >= STUCK && self.may_run_again() => {
+                    return Next::Broken("no event for too long");
+                }
+                Err(_) => {
+                    wait += LOOK;
+                    if self.look_into(&source.path).await {
+                        return Next::Lost;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks all servers of a silent path whether they live, and the first one whom it waits for;
+    /// true if some server is found to be at fault.
+    pub(super) async fn look_into(&mut self, path: &Path) -> bool {
+        let dead = probe::ask_all(self.state, &path.peers).await;
+        for peer in &dead {
+            self.suspect(peer, "no answer to a probe");
+        }
+        // A server may answer us and yet not be reached by the one before it.
+        let stalled =
+            path.first().stalled.borrow().iter().find(|s| s.request == self.call.id).cloned();
+        let waited_for = stalled.and_then(|s| self.state.at(s.address));
+        let waited_for = waited_for.filter(|p| path.peers.iter().any(|q| Rc::ptr_eq(p, q)));
+        if let Some(peer) = &waited_for {
+            self.suspect(peer, "a request waits for it");
+        }
+        !dead.is_empty() || waited_for.is_some()
+    }
+
+    /// Has the request go on along another path from the same first server, which keeps the stream.
+    /// Cheaper than a new run: only the new servers read the tokens so far, and the caller's pause
+    /// is shorter by that.
+    pub(super) async fn mend(&mut self, source: &mut Source) -> bool {
+        let size = self.call.tokens;
+        let found = route::mend(self.state, self.service, self.model, size, &source.path);
+        let Some(path) = found else { return false };
+        let ask = (self.state.codec.repath)(&self.call.id, &path.hops);
+        let answer = probe::ask(path.first(), ask, MEND).await;
+        let done = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
+        log::info!(
+            "gateway: request={} repath={done} first={} answer={:?} last_event={:?}",
+            self.call.id,
+            path.first().server().id,
+            answer.map(|(status, _)| status),
+            self.last
+        );
+        if done {
+            source.path = path;
+            self.held_up = "repath";
+        }
+        done
+    }
+
+    pub(super) fn suspect(&self, peer: &Rc<crate::peer::Peer>, why: &str) {
+        probe::suspect(self.state, peer, why);
+    }
+}
