--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -13,6 +13,9 @@
 
 use simplelog::{Config, ConfigBuilder, LevelFilter, WriteLogger};
 
+/// Longest time at the end of the process for the last lines to be written.
+const DRAIN: Duration = Duration::from_millis(200);
+
 /// Lines that wait at most: a second of the busiest measured minute.
 const LINES: usize = 2048;
 
@@ -21,25 +24,49 @@
 pub struct Lines {
     sender: SyncSender<Vec<u8>>,
     line: Vec<u8>,
-    left_out: Arc<AtomicU64>,
+    counts: Arc<Counts>,
+}
+
+/// Lines on their way.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Handed on and not yet written.
+    pub waiting: AtomicU64,
+    /// Left out since the last line that said so.
+    pub left_out: AtomicU64,
+}
+
+impl Counts {
+    /// Waits until all lines are written, but not for a reader that has stopped reading. Without
+    /// it the last lines of a process are lost, which say how it ended.
+    pub fn drain(&self) {
+        for _ in 0..DRAIN.as_millis() {
+            if self.waiting.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
 }
 
 impl Lines {
     /// A writer, and the end that lines come out of.
-    pub fn new(most: usize) -> (Lines, Receiver<Vec<u8>>, Arc<AtomicU64>) {
+    pub fn new(most: usize) -> (Lines, Receiver<Vec<u8>>, Arc<Counts>) {
         let (sender, receiver) = sync_channel(most);
-        let left_out = Arc::new(AtomicU64::new(0));
-        (Lines { sender, line: Vec::new(), left_out: left_out.clone() }, receiver, left_out)
+        let counts = Arc::new(Counts::default());
+        (Lines { sender, line: Vec::new(), counts: counts.clone() }, receiver, counts)
     }
 }
 
 impl Write for Lines {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.line.extend_from_slice(bytes);
-        if self.line.ends_with(b"\n")
-            && self.sender.try_send(std::mem::take(&mut self.line)).is_err()
-        {
-            self.left_out.fetch_add(1, Ordering::Relaxed);
+        if self.line.ends_with(b"\n") {
+            self.counts.waiting.fetch_add(1, Ordering::Release);
+            if self.sender.try_send(std::mem::take(&mut self.line)).is_err() {
+                self.counts.waiting.fetch_sub(1, Ordering::Release);
+                self.counts.left_out.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(bytes.len())
     }
@@ -96,10 +123,12 @@
 }
 
 /// Starts logging to standard output.
-pub fn start(level: LevelFilter) -> Result<(), log::SetLoggerError> {
-    let (lines, receiver, left_out) = Lines::new(LINES);
-    thread::spawn(move || copy(&receiver, &left_out, &mut io::stdout()));
-    WriteLogger::init(level, config(), lines)
+pub fn start(level: LevelFilter) -> Result<Arc<Counts>, log::SetLoggerError> {
+    let (lines, receiver, counts) = Lines::new(LINES);
+    let shared = counts.clone();
+    thread::spawn(move || copy(&receiver, &shared, &mut io::stdout()));
+    WriteLogger::init(level, config(), lines)?;
+    Ok(counts)
 }
 
 fn config() -> Config {
@@ -112,9 +141,9 @@
 }
 
 /// Copies lines until the writer is gone; says how many were left out.
-pub fn copy(lines: &Receiver<Vec<u8>>, left_out: &AtomicU64, out: &mut impl Write) {
+pub fn copy(lines: &Receiver<Vec<u8>>, counts: &Counts, out: &mut impl Write) {
     while let Ok(line) = lines.recv() {
-        let lost = left_out.swap(0, Ordering::Relaxed);
+        let lost = counts.left_out.swap(0, Ordering::Relaxed);
         let written = match lost {
             0 => out.write_all(&line),
             n => out.write_all(&line).and_then(|()| {
@@ -123,7 +152,8 @@
         };
         if written.and_then(|()| out.flush()).is_err() {
             // Nobody can be told; counting goes on for a reader that comes back.
-            left_out.fetch_add(1 + lost, Ordering::Relaxed);
+            counts.left_out.fetch_add(1 + lost, Ordering::Relaxed);
         }
+        counts.waiting.fetch_sub(1, Ordering::Release);
     }
 }
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -90,16 +90,17 @@
 /// lines are left out, and a later line says how many.
 #[test]
 fn log_lines_are_left_out_when_nobody_reads() {
-    let (mut lines, receiver, left_out) = Lines::new(4);
+    let (mut lines, receiver, counts) = Lines::new(4);
     for i in 0..10 {
         // In pieces, as the logger writes.
         write!(lines, "line {i}").unwrap();
         writeln!(lines).unwrap();
     }
     drop(lines);
-    assert_eq!(left_out.load(Ordering::Relaxed), 6);
+    assert_eq!(counts.left_out.load(Ordering::Relaxed), 6);
     let mut out = Vec::new();
-    copy(&receiver, &left_out, &mut out);
+    copy(&receiver, &counts, &mut out);
+    assert_eq!(counts.waiting.load(Ordering::Relaxed), 0);
     let text = String::from_utf8(out).unwrap();
     assert!(text.starts_with("line 0\ngateway: lines_left_out=6"), "{text}");
     assert!(text.ends_with("line 3\n"));
@@ -117,9 +118,9 @@
             Ok(())
         }
     }
-    let (mut lines, receiver, left_out) = Lines::new(4);
+    let (mut lines, receiver, counts) = Lines::new(4);
     writeln!(lines, "line").unwrap();
     drop(lines);
-    copy(&receiver, &left_out, &mut Closed);
-    assert_eq!(left_out.load(Ordering::Relaxed), 1);
+    copy(&receiver, &counts, &mut Closed);
+    assert_eq!(counts.left_out.load(Ordering::Relaxed), 1);
 }
