Two whole copies where a data centre's memory holds them

Cause: on the grown deployments each loss broke the only copy of its data centre; some sixty streams changed their path at the same moment and waited for one slow card to read them all. Change: if two copies with 110,000 tokens each fit, servers are dealt out to two; a router spreads its requests over both; memory is estimated by copy.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -42,6 +42,10 @@
 /// a link on which each takes longer.
 const MEND_TRANSFER: f64 = 20.0;
 
+/// Cost of a copy that has all of this router's requests over one that has none. More than two copies of
+/// the same cards differ by their number of servers.
+const EVEN: f64 = 0.15;
+
 /// Part of the cost of a server that has read the request already.
 const KEPT: f64 = 0.3;
 
@@ -135,7 +139,7 @@
 ) -> String {
     let now = state.now();
     let peers = state.of(service);
-    let crowds = crowds(&peers, now, state.routers());
+    let crowds = crowds(&peers, now, state.routers(), model.shape.layers);
     let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
     let mut held = vec![false; model.shape.layers as usize];
     for (i, peer) in peers.iter().enumerate() {
@@ -198,7 +202,7 @@
     let peers: Vec<Rc<Peer>> = state.of(service);
     let shape = &model.shape;
     let bytes = size(model, tokens);
-    let crowds = crowds(&peers, now, state.routers());
+    let crowds = crowds(&peers, now, state.routers(), model.shape.layers);
     let crowd_of = |zone: Zone| {
         let found = crowds.binary_search_by_key(&zone, |c| c.zone);
         found.map_or(Crowd::unknown(zone, state.routers()), |at| crowds[at])
@@ -290,7 +294,7 @@
     let layers = f64::from(span.len());
     let bytes = if kept { 0.0 } else { size(model, tokens) };
     let memory = card.bytes - layers * shape.layer_bytes;
-    let others = crowd.running * model.usual * shape.token_bytes * layers;
+    let others = crowd.running / crowd.copies * model.usual * shape.token_bytes * layers;
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
     let reading = peer.reading.get();
@@ -306,11 +310,15 @@
     // Grows without bound as memory fills, so that copies fill evenly.
     let full = full.min(FULL);
     let scarce = 1.0 / (1.0 - full * full);
+    // Where a data centre has two copies, the one with fewer of this router's requests goes first:
+    // a loss then breaks off half as many.
+    let part = (f64::from(peer.running.get()) / crowd.own.max(1.0)).min(1.0);
+    let shared = if crowd.copies > 1.0 { 1.0 + EVEN * part } else { 1.0 };
     Some(Holder {
         server,
         zone: zone(&entry.zone),
         span,
-        layer_ms: (read + write) / f64::from(shape.layers) * scarce,
+        layer_ms: (read + write) / f64::from(shape.layers) * scarce * shared,
         hop_ms: HOP * tokens.answer + millis(reading),
     })
 }
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -37,6 +37,10 @@
     pub(super) zone: Zone,
     /// Requests of all routers, as its first servers tell.
     pub(super) running: f64,
+    /// Requests of this router.
+    pub(super) own: f64,
+    /// Copies of the model that they are spread over, at least one.
+    pub(super) copies: f64,
     /// Requests of all routers for each of this router's, at least one.
     pub(super) others: f64,
 }
@@ -44,16 +48,15 @@
 impl Crowd {
     /// Nothing is told: each router is taken to send as much as this one.
     pub(super) fn unknown(zone: Zone, routers: u32) -> Crowd {
-        Crowd { zone, running: 0.0, others: f64::from(routers).sqrt() }
+        Crowd { zone, running: 0.0, own: 0.0, copies: 1.0, others: f64::from(routers).sqrt() }
     }
 }
 
 /// Requests of all routers that run through each data centre's copy, as their first servers tell.
 /// A router sees only its own; when copies are lost, the others' requests crowd into the copies
 /// that are left, and none of the routers would notice that their memory is full.
-pub(super) fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32) -> Vec<Crowd> {
+pub(super) fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32, layers: u32) -> Vec<Crowd> {
     let mut crowds: Vec<Crowd> = Vec::new();
-    let mut own: Vec<f64> = Vec::new();
     for peer in peers {
         let Some((running, _)) = peer.told.get().filter(|(_, at)| now < *at + TOLD) else {
             continue;
@@ -62,20 +65,31 @@
         let at = match crowds.binary_search_by_key(&zone, |c| c.zone) {
             Ok(at) => at,
             Err(at) => {
-                crowds.insert(at, Crowd { zone, running: 0.0, others: 1.0 });
-                own.insert(at, 0.0);
+                let copies = copies(peers, zone, now, layers);
+                crowds.insert(at, Crowd { zone, running: 0.0, own: 0.0, copies, others: 1.0 });
                 at
             }
         };
         crowds[at].running += f64::from(running);
-        own[at] += f64::from(peer.running.get());
+        crowds[at].own += f64::from(peer.running.get());
     }
-    for (crowd, own) in crowds.iter_mut().zip(own) {
-        crowd.others = (crowd.running / own.max(1.0)).clamp(1.0, f64::from(routers.max(1)));
+    for crowd in &mut crowds {
+        let ratio = crowd.running / crowd.own.max(1.0);
+        crowd.others = ratio.clamp(1.0, f64::from(routers.max(1)));
     }
     crowds
 }
 
+/// Whole copies of the model in a data centre, at least one.
+fn copies(peers: &[Rc<Peer>], of: Zone, now: Duration, layers: u32) -> f64 {
+    let mut held = vec![0_u32; layers as usize];
+    for peer in peers.iter().filter(|p| p.willing(now) && zone(&p.server().zone) == of) {
+        let span = peer.span(now);
+        held.iter_mut().take(span.to as usize).skip(span.from as usize).for_each(|n| *n += 1);
+    }
+    held.iter().min().copied().unwrap_or(1).max(1).into()
+}
+
 pub(super) fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -20,6 +20,10 @@
 /// transfer, and each may break it.
 pub const MOST: f64 = 250_000.0;
 
+/// Tokens of context beside each of two whole copies, where memory holds two: with two, a loss breaks half
+/// as many streams, and the other copy takes them without loading anything.
+pub const TWICE: f64 = 110_000.0;
+
 /// Part of a data centre's memory that its first copy takes. The rest holds second copies.
 const FIRST_COPY: f64 = 0.65;
 
@@ -148,19 +152,34 @@
         if sum(0.0) < self.shape.layers {
             return;
         }
+        let twice = 2 * self.shape.layers;
+        if sum(TWICE) >= twice {
+            let tokens = most(MOST, |tokens| sum(tokens) >= twice);
+            let rest = self.spread(&order, tokens);
+            self.spread(&rest, tokens);
+            return;
+        }
         let memory: f64 = order.iter().map(|i| self.servers[*i].card.bytes).sum();
         let layer = memory * FIRST_COPY / f64::from(self.shape.layers) - self.shape.layer_bytes;
         let aim = (layer / self.shape.token_bytes).clamp(TOKENS, MOST);
         let tokens = most(aim, |tokens| sum(tokens) >= self.shape.layers);
+        self.spread(&order, tokens);
+    }
+
+    /// Deals all layers to servers in order; the servers that are left.
+    fn spread(&mut self, order: &[Index], tokens: f64) -> Vec<Index> {
         let mut at = 0;
+        let mut left = Vec::new();
         for i in order {
-            let most = self.servers[i].card.capacity(self.shape, tokens);
+            let most = self.servers[*i].card.capacity(self.shape, tokens);
             let to = self.shape.layers.min(at + most);
-            if to > at {
-                self.order(i, Span::new(at, to));
+            match to > at {
+                true => self.order(*i, Span::new(at, to)),
+                false => left.push(*i),
             }
             at = to;
         }
+        left
     }
 
     /// Runs of layers that no usable server of the group holds.
