--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -36,6 +36,10 @@
 /// to be in force; each refused call costs the platform as much as a good one.
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// Doublings of that pause while the store stays away. Tens of routers would otherwise make hundreds of
+/// calls a second to a store that answers none; 1.2 s is short against the time that lost layers take.
+const DOUBLINGS: u32 = 2;
+
 /// Time within which entries that lapsed while the store was away come back.
 const LAPSED: Duration = Duration::from_millis(2200);
 
@@ -126,6 +130,7 @@
     let mut at: Option<Offset> = None;
     let mut away: Option<Instant> = None;
     let mut back: Option<Instant> = None;
+    let mut failures = 0;
     loop {
         let read = match at {
             None => newest(state, log).await.map(|(items, end)| (items, end, true)),
@@ -134,6 +139,7 @@
         match read {
             Ok((items, end, whole)) => {
                 state.away.set(false);
+                failures = 0;
                 if let Some(since) = away.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
                     back = Some(Instant::now());
@@ -154,7 +160,8 @@
                 }
                 state.away.set(true);
                 state.metrics.store_failed();
-                sleep(PAUSE).await;
+                sleep(PAUSE * (1 << failures.min(DOUBLINGS))).await;
+                failures += 1;
             }
         }
     }
@@ -319,7 +326,7 @@
             Err(Fault::Gone) => at = None,
             Err(e) => {
                 log::debug!("gateway: no news: {e}");
-                sleep(PAUSE * 2).await;
+                sleep(PAUSE * (1 << DOUBLINGS)).await;
             }
         }
     }
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -69,7 +69,10 @@
                 break;
             };
             if self.tries > 0 && !self.state.may_repeat(self.service) {
-                log::info!("gateway: request={} repeat=false why=retry budget", self.call.id);
+                // A stream that waits for another path looks for it many times a second.
+                if self.last.is_none() {
+                    log::info!("gateway: request={} repeat=false why=retry budget", self.call.id);
+                }
                 break;
             }
             self.tries += 1;
