--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/giver.rs
@@ -63,6 +63,12 @@
 /// a half seconds.
 const RETURN: Duration = Duration::from_secs(5);
 
+/// Servers suspected at once from which on they are asked again before orders are given.
+const MANY: usize = 3;
+
+/// Time they get to answer: several times a probe's.
+const DOUBT: Duration = Duration::from_millis(200);
+
 /// Part of the servers that must answer for a silent one to count as dead. If most are silent, it
 /// is this router that is cut off.
 const REACHED: f64 = 0.6;
@@ -201,6 +207,7 @@
         let Some(model) = &service.model else { continue };
         let peers = state.of(&service.name);
         check_given(state, &peers, model, given).await;
+        check_doubted(state, &peers).await;
         let first = peers.iter().all(|p| p.span(state.now()).is_empty());
         if first && !settled {
             continue;
@@ -213,6 +220,22 @@
     Ok(())
 }
 
+/// Asks servers again if many are suspected at once. A router that was slow for a moment takes many live
+/// servers for dead, and loading all their layers elsewhere breaks copies that were whole.
+async fn check_doubted(state: &State, peers: &[Rc<Peer>]) {
+    let doubted: Vec<&Rc<Peer>> =
+        peers.iter().filter(|p| p.ready() && p.suspicion.borrow().open()).collect();
+    if doubted.len() < MANY {
+        return;
+    }
+    let asked = doubted.iter().map(|p| probe::report(state, p, DOUBT + state.lag.get() * 4));
+    let answers = futures_util::future::join_all(asked).await;
+    let alive = answers.iter().filter(|answer| answer.is_ok()).count();
+    if alive > 0 {
+        log::info!("gateway: doubted={} alive={alive}", doubted.len());
+    }
+}
+
 /// What placement would have servers hold that they do not.
 fn plan(state: &State, peers: &[Rc<Peer>], model: &Model, given: &[Given]) -> Vec<Place> {
     let now = state.now();
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -96,6 +96,9 @@
 
 fn read(state: &State, peer: &Peer, status: StatusCode, body: &[u8]) -> Result<Report, String> {
     let report = (state.codec.read_report)(body).filter(|_| status == StatusCode::OK);
+    if report.is_some() {
+        peer.suspicion.borrow_mut().clear();
+    }
     report.ok_or_else(|| format!("unreadable report of {}, status {status}", peer.server().address))
 }
 
--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -17,7 +17,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Suspicion {
     until: Duration,
+    /// End of the last pause, also if an answer ended it sooner.
+    last: Duration,
     pause: Duration,
+    open: bool,
 }
 
 impl Suspicion {
@@ -38,15 +41,19 @@
         if self.holds(now) {
             return;
         }
-        let quiet = now > self.until + LONGEST;
+        let quiet = now > self.last + LONGEST;
         self.pause =
             if quiet || self.pause.is_zero() { FIRST } else { (self.pause * 2).min(LONGEST) };
         self.until = now + self.pause;
+        self.last = self.until;
+        self.open = true;
     }
 
-    /// Notes an answer.
+    /// Notes an answer. The next failure within a while still leads to a longer pause: a server that
+    /// goes down and up by turns answers in between.
     pub fn clear(&mut self) {
-        *self = Suspicion::default();
+        self.until = Duration::ZERO;
+        self.open = false;
     }
 
     /// Whether it is passed over now.
@@ -56,6 +63,6 @@
 
     /// Whether it failed and has not answered since.
     pub fn open(&self) -> bool {
-        !self.pause.is_zero()
+        self.open
     }
 }
--- a/crates/policy/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -87,6 +87,20 @@
     assert!(!suspicion.open());
 }
 
+/// A server that was passed over answers a question. It is used again at once, also by the router that
+/// gives orders, which would otherwise load its layers elsewhere for the rest of the day.
+#[test]
+fn an_answer_ends_the_suspicion() {
+    let mut suspicion = Suspicion::default();
+    let now = Duration::from_secs(10);
+    suspicion.fail(now);
+    suspicion.clear();
+    assert!(!suspicion.holds(now) && !suspicion.open());
+    // It flaps: the pause is longer than the first time.
+    suspicion.fail(now + FIRST);
+    assert!(suspicion.holds(now + FIRST * 2) && suspicion.open());
+}
+
 /// Failures of requests that were under way together count once.
 #[test]
 fn failures_at_once_count_once() {
