--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -168,9 +168,10 @@
             }
             Outcome::Unknown(why) => {
                 self.sent = true;
-                // A run begins with its first token, and none gets past a server that is lost.
-                let lost = path.is_lost(self.state.now());
-                self.ran += u32::from(!lost);
+                // The first server may have begun it, whatever happened to those after it. Only one that
+                // is gone itself does not count.
+                let gone = peer.suspicion.borrow().holds(self.state.now());
+                self.ran += u32::from(!gone);
                 log::info!(
                     "gateway: request={} first={id} outcome=unknown why={why} path={}",
                     self.call.id,
