--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -23,13 +23,13 @@
 use tokio::time::{Instant, sleep};
 
 use crate::answer::{self, Body, Reason};
-use crate::journal::{self, Line};
+use crate::logging::{self, Line};
 use crate::plain;
 use crate::request::{self, Call};
 use crate::settings::Route;
-use crate::share;
+use crate::shared_read;
+use crate::shutdown;
 use crate::state::State;
-use crate::stop;
 use crate::stream;
 
 /// New connections that the kernel keeps until they are accepted. A burst after a restart of
@@ -246,7 +246,7 @@
             response
         }
         Err(reason) => {
-            let line = state.refusals.borrow_mut().take(state.now(), journal::REFUSALS);
+            let line = state.refusals.borrow_mut().take(state.now(), logging::REFUSALS);
             if let Line::Written(left_out) = line {
                 log::info!(
                     "gateway: request={id} outcome=refused why={reason} left_out={left_out}"
@@ -270,7 +270,7 @@
     state.budget(&name, |budget| budget.request(now));
     let settings = call.settings.clone();
     let model = settings.service(&name).and_then(|s| s.model.as_ref());
-    if !stop::takes(state, &call, model.is_some()) {
+    if !shutdown::takes(state, &call, model.is_some()) {
         state.metrics.refused(Reason::Stopping);
         return answer::own(Reason::Stopping);
     }
@@ -318,7 +318,7 @@
 /// Answers other routers that ask for what was read from the store.
 pub async fn routers(state: Rc<State>, listener: TcpListener) {
     let state = &state;
-    serve_all(listener, move |request| share::answer(state, request)).await;
+    serve_all(listener, move |request| shared_read::answer(state, request)).await;
 }
 
 /// Serves the metrics page.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,4 +1,4 @@
-//! Keeps settings, servers and news up to date from the store.
+//! Keeps settings, servers and notices up to date from the store.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
-use crate::news::{self, Word};
+use crate::notice::{self, Notice};
 use crate::peer::Peer;
 use crate::server::{Id, Server};
 use crate::settings::Settings;
-use crate::share;
+use crate::shared_read;
 use crate::state::State;
 use crate::store::{Call, Fault, Item, Log, Offset, Reply};
 
@@ -18,8 +18,8 @@
 /// went silent is given up before settings are in force too late.
 const WAIT: Duration = Duration::from_millis(1500);
 
-/// Time the store may wait for news, which come rarely and are worth nothing when late.
-const NEWS: Duration = Duration::from_millis(2500);
+/// Time the store may wait for notices, which come rarely and are worth nothing when late.
+const NOTICES: Duration = Duration::from_millis(2500);
 
 /// Time between two looks at the list of servers. Servers write every 1.2 s; half of the shortest
 /// time a leaving one may still get work.
@@ -147,7 +147,7 @@
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
                 take(&items, View { whole, regained });
                 at = Some(end);
-                sleep(share::pause(state, pause)).await;
+                sleep(shared_read::pause(state, pause)).await;
             }
             Err(Fault::Gone) => {
                 log::info!("gateway: log={log} from={at:?} records were deleted, reading all");
@@ -192,7 +192,8 @@
     from: Offset,
     wait: Duration,
 ) -> Result<(Vec<Item>, Offset), Fault> {
-    let shared = if share::applies(state) { share::read(state, log, from).await } else { None };
+    let shared =
+        if shared_read::applies(state) { shared_read::read(state, log, from).await } else { None };
     let read = match shared {
         Some(records) => {
             // The reader does not wait, so this side does.
@@ -204,7 +205,7 @@
             let wait = if state.gives.get() { wait.min(FRESH) } else { wait };
             let read = state.store.call(Call::Read { log, from, wait }).await?;
             if let Reply::Records(records, _) = &read {
-                share::keep(state, log, from, records);
+                shared_read::keep(state, log, from, records);
             }
             read
         }
@@ -293,74 +294,77 @@
 }
 
 /// Hears what other routers say.
-pub async fn news(state: Rc<State>) {
+pub async fn notices(state: Rc<State>) {
     let mut at: Option<Offset> = None;
     loop {
         // What was said before this process started is out of date.
         let call = match at {
-            None => Call::Append { log: Log::News, records: Vec::new(), epoch: None },
+            None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
             Some(from) => {
-                if let Some(records) = shared_news(&state, from).await {
+                if let Some(records) = shared_notices(&state, from).await {
                     at = Some(from + records.len() as Offset);
                     records
                         .iter()
-                        .filter_map(|r| Word::decode(r))
-                        .for_each(|w| news::hear(&state, &w));
+                        .filter_map(|r| Notice::decode(r))
+                        .for_each(|w| notice::receive(&state, &w));
                     sleep(SHARED).await;
                     continue;
                 }
-                let wait = if state.gives.get() { NEWS.min(FRESH) } else { NEWS };
-                Call::Read { log: Log::News, from, wait }
+                let wait = if state.gives.get() { NOTICES.min(FRESH) } else { NOTICES };
+                Call::Read { log: Log::Notices, from, wait }
             }
         };
         match state.store.call(call).await {
             Ok(Reply::Appended(end)) => at = Some(end),
             Ok(Reply::Records(records, _)) => {
                 if let Some(from) = at {
-                    share::keep(&state, Log::News, from, &records);
+                    shared_read::keep(&state, Log::Notices, from, &records);
                 }
                 at = at.map(|from| from + records.len() as Offset);
-                records.iter().filter_map(|r| Word::decode(r)).for_each(|w| news::hear(&state, &w));
+                records
+                    .iter()
+                    .filter_map(|r| Notice::decode(r))
+                    .for_each(|w| notice::receive(&state, &w));
             }
             Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
             Err(Fault::Gone) => at = None,
             Err(e) => {
-                log::debug!("gateway: no news: {e}");
+                log::debug!("gateway: no notices: {e}");
                 sleep(PAUSE * (1 << DOUBLINGS)).await;
             }
         }
     }
 }
 
-async fn shared_news(state: &State, from: Offset) -> Option<Vec<Bytes>> {
-    match share::applies(state) {
-        true => share::read(state, Log::News, from).await,
+async fn shared_notices(state: &State, from: Offset) -> Option<Vec<Bytes>> {
+    match shared_read::applies(state) {
+        true => shared_read::read(state, Log::Notices, from).await,
         false => None,
     }
 }
 
-/// Longest time a word waits for another router to say the same, by the number of routers. All that
+/// Longest time a notice waits for another router to say the same, by the number of routers. All that
 /// send work to a dead server notice within the same tenth of a second.
 const SAME: Duration = Duration::from_millis(6);
 
 /// Writes down what the other routers are told.
-pub async fn speak(state: Rc<State>) {
+pub async fn announce(state: Rc<State>) {
     loop {
-        state.spoke.notified().await;
+        state.noticed.notified().await;
         let most = SAME * state.routers();
-        if state.routers() >= share::FROM {
+        if state.routers() >= shared_read::FROM {
             sleep(most.mul_f64(rand::random())).await;
         }
-        let mut words: Vec<Word> = state.words.borrow_mut().drain(..).collect();
-        words.retain(|word| !news::was_said(&state, word));
-        if words.is_empty() {
+        let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
+        notices.retain(|notice| !notice::was_announced(&state, notice));
+        if notices.is_empty() {
             continue;
         }
-        let records = words.iter().map(Word::encode).collect();
+        let records = notices.iter().map(Notice::encode).collect();
         if let Err(e) =
-            state.store.call(Call::Append { log: Log::News, records, epoch: None }).await
+            state.store.call(Call::Append { log: Log::Notices, records, epoch: None }).await
         {
-            log::info!("gateway: {} words to other routers lost: {e}", words.len());
+            log::info!("gateway: {} notices to other routers lost: {e}", notices.len());
         }
     }
 }
--- a/crates/gateway/src/giver.rs
+++ b/crates/gateway/src/leader.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::news::Word;
+use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::probe;
 use crate::route;
@@ -164,7 +164,7 @@
         if (is - was).abs() > CHANGED * was {
             log::info!("gateway: server={server} slow={is:.1} before={was:.1}");
             peer.slow.set(is);
-            state.say(Word::Slow { server, percent: (is * 100.0) as u32 });
+            state.announce(Notice::Slow { server, percent: (is * 100.0) as u32 });
         }
     }
 }
@@ -310,7 +310,7 @@
     let mut ready = Vec::new();
     for (order, report, peer) in asked {
         match report {
-            Ok(report) if report.span == order.span => peer.hear(report.span, state.now()),
+            Ok(report) if report.span == order.span => peer.learn(report.span, state.now()),
             Ok(report) if report.busy => {
                 let (sent, until) = (state.now(), state.now() + LATE);
                 given.push(Given {
@@ -402,8 +402,12 @@
         let done = match report {
             Ok(report) if report.span == order.span && !report.busy => {
                 let server = order.server.clone();
-                peer.hear(report.span, now);
-                state.say(Word::Holds { server, from: report.span.from, to: report.span.to });
+                peer.learn(report.span, now);
+                state.announce(Notice::Holds {
+                    server,
+                    from: report.span.from,
+                    to: report.span.to,
+                });
                 log::info!("gateway: order done server={} layers={}", order.server, order.span);
                 true
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The path of a request: [`edge`] reads it, [`request`] checks it against the settings,
 //! [`plain`] or [`stream`] sends it to backend servers and answers the caller. Beside it
-//! [`follow`] keeps settings, servers and news up to date from the store, and [`giver`] lets one
+//! [`follow`] keeps settings, servers and notices up to date from the store, and [`leader`] lets one
 //! router at a time order the model servers to hold layers. Decisions are in the crates `policy`
 //! and `layers`. How the platform spells all this is given by a [`wire::Codec`] and a
 //! [`store::Client`].
@@ -13,10 +13,10 @@
 pub mod event;
 pub mod exchange;
 pub mod follow;
-pub mod giver;
-pub mod journal;
+pub mod leader;
+pub mod logging;
 pub mod metrics;
-pub mod news;
+pub mod notice;
 pub mod peer;
 pub mod plain;
 pub mod pool;
@@ -26,9 +26,9 @@
 pub mod server;
 pub mod settings;
 pub mod setup;
-pub mod share;
+pub mod shared_read;
 pub mod state;
-pub mod stop;
+pub mod shutdown;
 pub mod store;
 pub mod stream;
 pub mod wire;
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/logging.rs
@@ -102,7 +102,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// use gateway::journal::{Line, Quota};
+    /// use gateway::logging::{Line, Quota};
     /// let mut quota = Quota::default();
     /// let second = Duration::from_secs(1);
     /// assert_eq!(quota.take(second, 1), Line::Written(0));
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/notice.rs
@@ -9,10 +9,10 @@
 use crate::peer::Peer;
 use crate::state::State;
 
-/// A word to the other routers.
+/// A notice to the other routers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Word {
+pub enum Notice {
     /// A server does not answer.
     Silent {
         /// The server.
@@ -36,36 +36,36 @@
     },
 }
 
-impl Word {
+impl Notice {
     /// The record that carries it.
     pub fn encode(&self) -> Bytes {
         Bytes::from(serde_json::to_vec(self).expect("plain fields"))
     }
 
     /// Reads a record; none if it is of another kind or version.
-    pub fn decode(record: &[u8]) -> Option<Word> {
+    pub fn decode(record: &[u8]) -> Option<Notice> {
         serde_json::from_slice(record).ok()
     }
 }
 
-/// Time for which a word need not be repeated.
+/// Time for which a notice need not be repeated.
 const SAID: Duration = Duration::from_millis(1500);
 
 /// Whether another router has just said the same.
-pub fn was_said(state: &State, word: &Word) -> bool {
-    match word {
-        Word::Silent { server } => state
+pub fn was_announced(state: &State, notice: &Notice) -> bool {
+    match notice {
+        Notice::Silent { server } => state
             .peer(server)
             .is_some_and(|p| p.said.get().is_some_and(|at| state.now() < at + SAID)),
         _ => false,
     }
 }
 
-/// Takes a word of another router over.
-pub fn hear(state: &State, word: &Word) {
+/// Takes a notice of another router over.
+pub fn receive(state: &State, notice: &Notice) {
     let now = state.now();
-    match word {
-        Word::Silent { server } => {
+    match notice {
+        Notice::Silent { server } => {
             if let Some(peer) = state.peer(server) {
                 peer.said.set(Some(now));
             }
@@ -75,14 +75,14 @@
                 log::info!("gateway: server={server} suspect=true why=another router says so");
             }
         }
-        Word::Slow { server, percent } => {
+        Notice::Slow { server, percent } => {
             if let Some(peer) = state.peer(server) {
                 peer.slow.set(f64::from(*percent) / 100.0);
             }
         }
-        Word::Holds { server, from, to } => {
+        Notice::Holds { server, from, to } => {
             if let Some(peer) = state.peer(server) {
-                peer.hear(Span::new(*from, *to), now);
+                peer.learn(Span::new(*from, *to), now);
             }
         }
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -13,9 +13,9 @@
 use crate::pool::Pool;
 use crate::server::{Server, Stall, State};
 
-/// How long word of layers that were just loaded goes before the server's own entry, which is
+/// How long a notice of layers that were just loaded goes before the server's own entry, which is
 /// written every heartbeat and read every second.
-const WORD: Duration = Duration::from_millis(3500);
+const FRESH: Duration = Duration::from_millis(3500);
 
 /// A backend server: its entry, its connections, and what this router runs there.
 #[derive(Debug)]
@@ -46,7 +46,7 @@
     pub said: Cell<Option<Duration>>,
     /// Requests that it last reported to wait for a server further on.
     pub stalled: RefCell<Vec<Stall>>,
-    word: Cell<Option<(Span, Duration)>>,
+    fresh: Cell<Option<(Span, Duration)>>,
     lapsed: Cell<Option<Duration>>,
 }
 
@@ -67,7 +67,7 @@
             asked: Mutex::new((Duration::ZERO, true)),
             said: Cell::new(None),
             stalled: RefCell::default(),
-            word: Cell::new(None),
+            fresh: Cell::new(None),
             lapsed: Cell::new(None),
         }
     }
@@ -82,7 +82,7 @@
         self.lapsed.set(None);
         if self.server.borrow().born != server.born {
             // A new start holds nothing of before.
-            self.word.set(None);
+            self.fresh.set(None);
             self.suspicion.borrow_mut().clear();
             self.slow.set(1.0);
         }
@@ -91,15 +91,15 @@
 
     /// The layers it holds.
     pub fn span(&self, now: Duration) -> Span {
-        match self.word.get() {
-            Some((span, at)) if now < at + WORD => span,
+        match self.fresh.get() {
+            Some((span, at)) if now < at + FRESH => span,
             _ => self.server.borrow().span,
         }
     }
 
-    /// Takes over word of what it holds that is newer than its entry.
-    pub fn hear(&self, span: Span, now: Duration) {
-        self.word.set(Some((span, now)));
+    /// Takes over what it is known to hold that is newer than its entry.
+    pub fn learn(&self, span: Span, now: Duration) {
+        self.fresh.set(Some((span, now)));
     }
 
     /// Notes that its entry is gone though it may live; it counts as gone at `until`.
@@ -129,11 +129,11 @@
         self.usable(now) && !self.declines.borrow().holds(now)
     }
 
-    /// Notes that it did not answer; true if this is news.
+    /// Notes that it did not answer; true if that was not known.
     pub fn fail(&self, now: Duration) -> bool {
-        let news = !self.suspicion.borrow().holds(now);
+        let fresh = !self.suspicion.borrow().holds(now);
         self.suspicion.borrow_mut().fail(now);
-        news
+        fresh
     }
 
     /// Notes an answer after `took`.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, timeout};
 
-use crate::news::Word;
+use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::server::Report;
 use crate::state::State;
@@ -120,7 +120,7 @@
     let alive = match report(state, peer, PROBE + state.lag.get() * LAGS).await {
         Ok(report) => {
             peer.slow.set(report.pace.max(1.0));
-            peer.hear(report.span, state.now());
+            peer.learn(report.span, state.now());
             *peer.stalled.borrow_mut() = report.stalled;
             true
         }
@@ -139,7 +139,7 @@
         let server = peer.server();
         log::warn!("gateway: server={} suspect=true why={why}", server.id);
         state.metrics.suspected();
-        state.say(Word::Silent { server: server.id.clone() });
+        state.announce(Notice::Silent { server: server.id.clone() });
         state.lost.notify_waiters();
         state.changed.notify_waiters();
     }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -46,7 +46,7 @@
 const LOCATE: Duration = Duration::from_secs(3);
 
 /// Logs that are shared.
-pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::News];
+pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
 
 /// The newest records of a log.
 #[derive(Debug, Default)]
@@ -68,7 +68,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// let mut tail = gateway::share::Tail::default();
+    /// let mut tail = gateway::shared_read::Tail::default();
     /// tail.add(7, &["a".into(), "b".into()], Duration::from_secs(1));
     /// assert_eq!(tail.from(8).unwrap(), ["b"]);
     /// assert!(tail.from(6).is_none());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,14 +11,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::journal::Quota;
+use crate::logging::Quota;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::pool::Pool;
 use crate::server::Id;
 use crate::settings::Settings;
 use crate::setup::Setup;
-use crate::share::{LOGS, Tail};
+use crate::shared_read::{LOGS, Tail};
 use crate::store::Client;
 use crate::wire::Codec;
 
@@ -79,10 +79,10 @@
     pub located: Cell<Duration>,
     /// Lines about refused requests.
     pub refusals: RefCell<Quota>,
-    /// Words for the other routers that are still to be written.
-    pub words: RefCell<Vec<crate::news::Word>>,
-    /// Woken when there are words to write.
-    pub spoke: Notify,
+    /// Notices for the other routers that are still to be written.
+    pub notices: RefCell<Vec<crate::notice::Notice>>,
+    /// Woken when there are notices to write.
+    pub noticed: Notify,
     start: Instant,
 }
 
@@ -115,8 +115,8 @@
             located: Cell::default(),
             refusals: RefCell::default(),
             broken_since: Cell::new(None),
-            words: RefCell::default(),
-            spoke: Notify::new(),
+            notices: RefCell::default(),
+            noticed: Notify::new(),
             start: Instant::now(),
         })
     }
@@ -226,13 +226,13 @@
         may
     }
 
-    /// Passes a word on to the other routers.
-    pub fn say(&self, word: crate::news::Word) {
-        let mut words = self.words.borrow_mut();
-        // The store may be away; older words are worth nothing then.
-        if words.len() < 64 {
-            words.push(word);
+    /// Passes a notice on to the other routers.
+    pub fn announce(&self, word: crate::notice::Notice) {
+        let mut notices = self.notices.borrow_mut();
+        // The store may be away; older notices are worth nothing then.
+        if notices.len() < 64 {
+            notices.push(word);
         }
-        self.spoke.notify_one();
+        self.noticed.notify_one();
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -30,8 +30,8 @@
     #[display("orders")]
     Orders,
     /// What one router tells the others.
-    #[display("news")]
-    News,
+    #[display("notices")]
+    Notices,
 }
 
 /// One call.
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use gateway::journal::{Lines, copy};
+use gateway::logging::{Lines, copy};
 use gateway::settings::{Class, Key, Limits, Route, Settings, Target};
 use gateway::setup::Setup;
 use rstest::rstest;
