A dead reader is no reason to flood the store; shared records are used at once

Cause: the pause between two reads of the list was nought wherever a router knew another one that reads for all, also when that one refused connections and the store was read instead: each router looped without a pause until the reader was forgotten. Change: the pause depends on where the records came from; a reader that can't be reached is forgotten at once; records are taken over before the pause.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -133,11 +133,11 @@
     let mut failures = 0;
     loop {
         let read = match at {
-            None => newest(state, log).await.map(|(items, end)| (items, end, true)),
-            Some(from) => changes(state, log, reader, from, wait).await.map(|(i, e)| (i, e, false)),
+            None => newest(state, log).await,
+            Some(from) => changes(state, log, reader, from, wait).await,
         };
         match read {
-            Ok((items, end, whole)) => {
+            Ok(Batch { items, end, source }) => {
                 state.away.set(false);
                 failures = 0;
                 if let Some(since) = away.take() {
@@ -145,9 +145,13 @@
                     back = Some(Instant::now());
                 }
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
-                take(&items, View { whole, regained });
+                take(&items, View { whole: source == Source::Newest, regained });
                 at = Some(end);
-                sleep(shared_read::pause(state, pause)).await;
+                sleep(match source {
+                    Source::Router => SHARED,
+                    Source::Newest | Source::Store => shared_read::pause(state, pause),
+                })
+                .await;
             }
             Err(Fault::Gone) => {
                 log::info!("gateway: log={log} from={at:?} records were deleted, reading all");
@@ -167,7 +171,26 @@
     }
 }
 
-async fn newest(state: &State, log: Log) -> Result<(Vec<Item>, Offset), Fault> {
+/// Records of a log.
+struct Batch {
+    items: Vec<Item>,
+    /// Offset after the last one.
+    end: Offset,
+    source: Source,
+}
+
+/// Where records were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// In the store, the newest ones of all keys.
+    Newest,
+    /// In the store, those from an offset on.
+    Store,
+    /// With the router that reads for all, those from an offset on.
+    Router,
+}
+
+async fn newest(state: &State, log: Log) -> Result<Batch, Fault> {
     let (mut items, mut after, mut first_end) = (Vec::new(), None, None);
     loop {
         match state.store.call(Call::Newest { log, after: after.take() }).await? {
@@ -177,7 +200,7 @@
                 after = page.last().map(|i| i.key.clone());
                 items.extend(page);
                 if !more || after.is_none() {
-                    return Ok((items, end));
+                    return Ok(Batch { items, end, source: Source::Newest });
                 }
             }
             other => return Err(Fault::Unreadable(format!("{other:?}"))),
@@ -191,35 +214,34 @@
     reader: Reader,
     from: Offset,
     wait: Duration,
-) -> Result<(Vec<Item>, Offset), Fault> {
-    let shared =
-        if shared_read::applies(state) { shared_read::read(state, log, from).await } else { None };
-    let read = match shared {
-        Some(records) => {
-            // The reader does not wait, so this side does.
-            sleep(SHARED).await;
-            Reply::Records(records, from)
-        }
+) -> Result<Batch, Fault> {
+    let (records, source) = match shared(state, log, from).await {
+        Some(records) => (records, Source::Router),
         None => {
             // What others ask of this router must not grow old.
             let wait = if state.gives.get() { wait.min(FRESH) } else { wait };
-            let read = state.store.call(Call::Read { log, from, wait }).await?;
-            if let Reply::Records(records, _) = &read {
-                shared_read::keep(state, log, from, records);
+            match state.store.call(Call::Read { log, from, wait }).await? {
+                Reply::Records(records, _) => {
+                    shared_read::keep(state, log, from, &records);
+                    (records, Source::Store)
+                }
+                other => return Err(Fault::Unreadable(format!("{other:?}"))),
             }
-            read
         }
     };
-    match read {
-        Reply::Records(records, _) => {
-            let end = from + records.len() as Offset;
-            let keyed = |(i, record): (usize, &Bytes)| {
-                let (key, value) = (reader.item)(record)?;
-                Some(Item { key, value, offset: from + i as Offset })
-            };
-            Ok((records.iter().enumerate().filter_map(keyed).collect(), end))
-        }
-        other => Err(Fault::Unreadable(format!("{other:?}"))),
+    let keyed = |(i, record): (usize, &Bytes)| {
+        let (key, value) = (reader.item)(record)?;
+        Some(Item { key, value, offset: from + i as Offset })
+    };
+    let items = records.iter().enumerate().filter_map(keyed).collect();
+    Ok(Batch { items, end: from + records.len() as Offset, source })
+}
+
+/// Records that the router which reads for all gives.
+async fn shared(state: &State, log: Log, from: Offset) -> Option<Vec<Bytes>> {
+    match shared_read::applies(state) {
+        true => shared_read::read(state, log, from).await,
+        false => None,
     }
 }
 
@@ -301,7 +323,7 @@
         let call = match at {
             None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
             Some(from) => {
-                if let Some(records) = shared_notices(&state, from).await {
+                if let Some(records) = shared(&state, Log::Notices, from).await {
                     at = Some(from + records.len() as Offset);
                     records
                         .iter()
@@ -336,13 +358,6 @@
     }
 }
 
-async fn shared_notices(state: &State, from: Offset) -> Option<Vec<Bytes>> {
-    match shared_read::applies(state) {
-        true => shared_read::read(state, Log::Notices, from).await,
-        false => None,
-    }
-}
-
 /// Longest time a notice waits for another router to say the same, by the number of routers. All that
 /// send work to a dead server notice within the same tenth of a second.
 const SAME: Duration = Duration::from_millis(6);
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -103,13 +103,12 @@
     state.setup.inner.is_some() && state.routers() >= FROM && !state.gives.get()
 }
 
-/// Pause between two reads of the list of servers, where a router that reads alone pauses for `alone`.
+/// Pause after a read of the list of servers from the store, where a router that reads alone pauses for
+/// `alone`. The router that reads for all does it twice as often, as what it knows ages on its way.
 pub fn pause(state: &State, alone: Duration) -> Duration {
-    match state.routers() >= FROM {
-        true if state.gives.get() => alone / 2,
-        // The pause after an answer of the reader is enough.
-        true if state.reader.borrow().is_some() => Duration::ZERO,
-        _ => alone,
+    match state.routers() >= FROM && state.gives.get() {
+        true => alone / 2,
+        false => alone,
     }
 }
 
@@ -120,12 +119,18 @@
     let asked = timeout(ANSWER, ask(&reader, &path)).await;
     let page = match asked {
         Ok(Ok(page)) => page,
-        Ok(Err(why)) => {
-            log::debug!("gateway: reader gave nothing for {log}: {why}");
+        Ok(Err(Unshared::Unknown(status))) => {
+            log::debug!("gateway: reader gave nothing for {log}: status {status}");
+            return None;
+        }
+        // It is gone; another router reads for all from now on.
+        Ok(Err(Unshared::Silent(why))) => {
+            log::info!("gateway: reader lost why={why}");
+            state.reader.borrow_mut().take();
             return None;
         }
         Err(_) => {
-            log::debug!("gateway: reader is silent");
+            log::info!("gateway: reader lost why=no answer within {ANSWER:?}");
             state.reader.borrow_mut().take();
             return None;
         }
@@ -138,17 +143,26 @@
     Some(page.records.into_iter().map(Bytes::from).collect())
 }
 
-async fn ask(reader: &Pool, path: &str) -> Result<Page, String> {
-    let mut link = reader.take().await.map_err(|e| e.to_string())?;
+/// Why the reader gave no records.
+enum Unshared {
+    /// It does not know all that was asked for.
+    Unknown(StatusCode),
+    /// It does not answer, or not so that one could read it.
+    Silent(String),
+}
+
+async fn ask(reader: &Pool, path: &str) -> Result<Page, Unshared> {
+    let silent = |e: hyper::Error| Unshared::Silent(e.to_string());
+    let mut link = reader.take().await.map_err(|e| Unshared::Silent(e.to_string()))?;
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = path.parse().map_err(|e| format!("path {path}: {e}"))?;
-    let answer = link.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    *request.uri_mut() = path.parse().expect("names and digits");
+    let answer = link.sender.send_request(request).await.map_err(silent)?;
     let (head, body) = answer.into_parts();
-    let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let body = body.collect().await.map_err(silent)?.to_bytes();
     reader.keep(link, &head.headers);
     match head.status {
-        StatusCode::OK => postcard::from_bytes(&body).map_err(|e| e.to_string()),
-        status => Err(format!("status {status}")),
+        StatusCode::OK => postcard::from_bytes(&body).map_err(|e| Unshared::Silent(e.to_string())),
+        status => Err(Unshared::Unknown(status)),
     }
 }
 
