One reader asks whether the store is back; the reader of all is looked for each second

Change: the first reader that fails asks on, the others wait for it; a first read after a failure does not wait for records; a lost reader is looked for each second; notices read alone pause as shared ones do.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -40,6 +40,10 @@
 /// calls a second to a store that answers none; 1.2 s is short against the time that lost layers take.
 const DOUBLINGS: u32 = 2;
 
+/// Longest time that the readers of other logs wait while one asks whether the store is back. That one
+/// wakes them; this is for a store that answers for some logs only.
+const OTHERS: Duration = Duration::from_millis(4000);
+
 /// Time within which entries that lapsed while the store was away come back.
 const LAPSED: Duration = Duration::from_millis(2200);
 
@@ -138,7 +142,7 @@
         };
         match read {
             Ok(Batch { items, end, source }) => {
-                state.away.set(false);
+                state.store_answers();
                 failures = 0;
                 if let Some(since) = away.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
@@ -162,10 +166,13 @@
                     log::warn!("gateway: store lost log={log} why={e}");
                     away = Some(Instant::now());
                 }
-                state.away.set(true);
                 state.metrics.store_failed();
-                sleep(PAUSE * (1 << failures.min(DOUBLINGS))).await;
-                failures += 1;
+                if state.store_fails(log) {
+                    sleep(PAUSE * (1 << failures.min(DOUBLINGS))).await;
+                    failures += 1;
+                } else {
+                    let _ = tokio::time::timeout(OTHERS, state.store_back.notified()).await;
+                }
             }
         }
     }
@@ -218,8 +225,7 @@
     let (records, source) = match shared(state, log, from).await {
         Some(records) => (records, Source::Router),
         None => {
-            // What others ask of this router must not grow old.
-            let wait = if state.gives.get() { wait.min(FRESH) } else { wait };
+            let wait = longest(state, wait);
             match state.store.call(Call::Read { log, from, wait }).await? {
                 Reply::Records(records, _) => {
                     shared_read::keep(state, log, from, &records);
@@ -237,6 +243,17 @@
     Ok(Batch { items, end: from + records.len() as Offset, source })
 }
 
+/// How long the store may wait for records.
+fn longest(state: &State, usual: Duration) -> Duration {
+    match () {
+        // The answer tells that the store is back.
+        () if state.store_away() => Duration::ZERO,
+        // What others ask of this router must not grow old.
+        () if state.gives.get() => usual.min(FRESH),
+        () => usual,
+    }
+}
+
 /// Records that the router which reads for all gives.
 async fn shared(state: &State, log: Log, from: Offset) -> Option<Vec<Bytes>> {
     match shared_read::applies(state) {
@@ -332,13 +349,17 @@
                     sleep(SHARED).await;
                     continue;
                 }
-                let wait = if state.gives.get() { NOTICES.min(FRESH) } else { NOTICES };
+                let wait = longest(&state, NOTICES);
                 Call::Read { log: Log::Notices, from, wait }
             }
         };
         match state.store.call(call).await {
-            Ok(Reply::Appended(end)) => at = Some(end),
+            Ok(Reply::Appended(end)) => {
+                state.store_answers();
+                at = Some(end);
+            }
             Ok(Reply::Records(records, _)) => {
+                state.store_answers();
                 if let Some(from) = at {
                     shared_read::keep(&state, Log::Notices, from, &records);
                 }
@@ -347,12 +368,20 @@
                     .iter()
                     .filter_map(|r| Notice::decode(r))
                     .for_each(|w| notice::receive(&state, &w));
+                if state.routers() >= shared_read::FROM {
+                    sleep(SHARED).await;
+                }
             }
             Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
             Err(Fault::Gone) => at = None,
             Err(e) => {
                 log::debug!("gateway: no notices: {e}");
-                sleep(PAUSE * (1 << DOUBLINGS)).await;
+                match state.store_fails(Log::Notices) {
+                    true => sleep(PAUSE * (1 << DOUBLINGS)).await,
+                    false => {
+                        let _ = tokio::time::timeout(OTHERS, state.store_back.notified()).await;
+                    }
+                }
             }
         }
     }
@@ -372,7 +401,8 @@
         }
         let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
         notices.retain(|notice| !notice::was_announced(&state, notice));
-        if notices.is_empty() {
+        // What is told after the store is back is out of date.
+        if notices.is_empty() || state.store_away() {
             continue;
         }
         let records = notices.iter().map(Notice::encode).collect();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -91,7 +91,7 @@
     let came = Instant::now();
     let settings = match state.settings() {
         Some(settings) if state.listed.get() => settings,
-        _ if state.away.get() => return Err(Reason::Unsettled),
+        _ if state.store_away() => return Err(Reason::Unsettled),
         _ => return Err(Reason::Starting),
     };
     let (head, body) = request.into_parts();
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -42,8 +42,9 @@
 /// Time a reader gets to answer.
 const ANSWER: Duration = Duration::from_millis(250);
 
-/// Time between two looks for who reads.
-const LOCATE: Duration = Duration::from_secs(3);
+/// Time between two looks for who reads. A look is one call; a router that reads alone makes three to
+/// five a second.
+const LOCATE: Duration = Duration::from_secs(1);
 
 /// Logs that are shared.
 pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
@@ -172,7 +173,7 @@
         return Some(reader.clone());
     }
     let now = state.now();
-    if now < state.located.get() + LOCATE {
+    if now < state.located.get() + LOCATE || state.store_away() {
         return None;
     }
     state.located.set(now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
 use crate::settings::Settings;
 use crate::setup::Setup;
 use crate::shared_read::{LOGS, Tail};
-use crate::store::Client;
+use crate::store::{Client, Log};
 use crate::wire::Codec;
 
 /// Time for which a router that left the group is still counted. One that is only cut off from the
@@ -63,8 +63,10 @@
     pub links: RefCell<Vec<((Zone, Zone), Meter)>>,
     /// By how much timers are late in this process.
     pub lag: Cell<Duration>,
-    /// Whether the store did not answer the last call.
-    pub away: Cell<bool>,
+    /// The log whose reader asks again whether the store answers, while it does not.
+    asker: Cell<Option<Log>>,
+    /// Woken when the store answers again.
+    pub store_back: Notify,
     /// Last line that was logged of the layers that data centres lack.
     pub placement: RefCell<String>,
     /// Since when some data centre lacks layers, as the router sees it that gives orders.
@@ -107,7 +109,8 @@
             lost: Notify::new(),
             links: RefCell::default(),
             lag: Cell::default(),
-            away: Cell::new(false),
+            asker: Cell::new(None),
+            store_back: Notify::new(),
             placement: RefCell::default(),
             gives: Cell::new(false),
             tails: RefCell::default(),
@@ -142,6 +145,27 @@
         newer
     }
 
+    /// Whether the store did not answer the last read.
+    pub fn store_away(&self) -> bool {
+        self.asker.get().is_some()
+    }
+
+    /// Notes that the store answered.
+    pub fn store_answers(&self) {
+        if self.asker.take().is_some() {
+            self.store_back.notify_waiters();
+        }
+    }
+
+    /// Notes that a read of a log failed; whether its reader is the one to ask again soon. Tens of routers
+    /// that each ask for each log make hundreds of calls a second to a store that answers none,
+    /// and a store that comes back is met by all of them; one call tells as much.
+    pub fn store_fails(&self, log: Log) -> bool {
+        let asker = self.asker.get().unwrap_or(log);
+        self.asker.set(Some(asker));
+        asker == log
+    }
+
     /// Name in the group of routers, which tells the others where to reach this one.
     pub fn member(&self) -> String {
         match self.setup.inner {
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -103,7 +103,7 @@
     fn no_path(&self) -> Reason {
         match route::whole(self.state, self.service, self.model, &self.but) {
             true => Reason::Full,
-            false if self.state.away.get() => Reason::NoPathAway,
+            false if self.state.store_away() => Reason::NoPathAway,
             false => Reason::NoPath,
         }
     }
