A stream hears of a dead server that another one found

Cause: a stream that had begun looked for silence by itself only; the word of another stream of the same router woke those that had not begun. Change: woken by State::lost, a stream whose event is overdue changes its path at once. A line says of each event after a change of path how long the pause was, late or not. The reserve's test asks for the 10 servers it found.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -50,6 +50,9 @@
 /// Events on their way to one caller. A caller that does not read holds up its own stream only.
 const AHEAD: usize = 64;
 
+/// What an event waits for that comes in the usual way.
+const STEPS: &str = "steps";
+
 /// What the stream of one request has come to.
 struct Progress<'a> {
     state: &'a Rc<State>,
@@ -146,7 +149,7 @@
             sent: true,
             last: None,
             passed: Instant::now(),
-            held_up: "steps",
+            held_up: STEPS,
         };
         relay(progress, source, first, sender).await;
     });
@@ -165,7 +168,7 @@
         let why = match next {
             Next::Event(event) => {
                 progress.last = event.id.or(progress.last);
-                progress.say_late(&source.path);
+                progress.say_held_up(&source.path);
                 if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                     return progress.gone();
                 }
@@ -233,21 +236,24 @@
         self.call.route.class.repeatable() && self.ran < self.call.route.attempts
     }
 
-    /// Says of an event that comes late what held it up.
-    fn say_late(&mut self, path: &Path) {
+    /// Says of an event that comes late, or first on another path, what held it up.
+    fn say_held_up(&mut self, path: &Path) {
         let pause = self.passed.elapsed();
-        if pause > self.call.route.gap {
+        let late = pause > self.call.route.gap;
+        if late || self.held_up != STEPS {
             log::info!(
-                "gateway: request={} late_event={:?} pause={pause:?} why={} first={} path_length={}",
+                "gateway: request={} event={:?} late={late} pause={pause:?} why={} first={} path_length={}",
                 self.call.id,
                 self.last,
                 self.held_up,
                 path.first().server().id,
                 path.hops.len()
             );
+        }
+        if late {
             self.state.metrics.late_event(self.held_up);
         }
-        (self.passed, self.held_up) = (Instant::now(), "steps");
+        (self.passed, self.held_up) = (Instant::now(), STEPS);
     }
 
     /// Whether an event may come after those that the caller has. Ids rise within a stream.
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -13,6 +13,11 @@
 /// Time the first server of a path gets to take an order for another path.
 const MEND: Duration = Duration::from_millis(150);
 
+/// Multiple of a stream's usual pause after which an event that has not come will not come, once a server of
+/// the path is suspected. Streams through a dead server stop within a pause of each other, and the
+/// first to notice tells the others of the same router.
+const OVERDUE: f64 = 1.5;
+
 impl Progress<'_> {
     /// The next event of a path.
     pub(super) async fn next(&mut self, source: &mut Source) -> Next {
@@ -28,8 +33,19 @@
             if source.splitter.overflows() {
                 return Next::Broken("an event is too long");
             }
-            match timeout_at((since + wait).min(self.call.until), source.answer.body.frame()).await
-            {
+            let frame = tokio::select! {
+                frame = timeout_at((since + wait).min(self.call.until), source.answer.body.frame()) => frame,
+                () = self.state.lost.notified() => {
+                    let due = source.pause.mul_f64(OVERDUE);
+                    match source.path.is_lost(self.state.now()) {
+                        true if since.elapsed() >= due => return Next::Lost,
+                        true => wait = wait.min(due),
+                        false => {}
+                    }
+                    continue;
+                }
+            };
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
                         source.splitter.push(data);
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -354,7 +354,8 @@
             };
             spans.iter().map(part).sum()
         };
-        let runs = (0..=self.shape.layers - len).map(|from| Span::new(from, from + len));
+        // The lowest of equals comes last here, and so is taken.
+        let runs = (0..=self.shape.layers - len).rev().map(|from| Span::new(from, from + len));
         // Of equals the one with the fewest copies, so that no part is held thrice before all are held twice.
         let held =
             |span: &Span| -> usize { copies[span.from as usize..span.to as usize].iter().sum() };
--- a/crates/layers/tests/placement.rs
+++ b/crates/layers/tests/placement.rs
@@ -178,11 +178,7 @@
         left[*i].usable = false;
         missing(&left, &SHAPE, 0).is_empty()
     });
-    let mains = servers.iter().filter(|s| s.usable && !s.span.is_empty()).count();
     let covered = covered.count();
-    assert!(
-        covered >= 9,
-        "{covered} of {mains} servers may be lost: {:?}",
-        servers.iter().map(|s| s.span).collect::<Vec<_>>()
-    );
+    let spans: Vec<Span> = servers.iter().map(|s| s.span).collect();
+    assert!(covered >= 10, "{covered} servers may be lost: {spans:?}");
 }
