--- a/crates/ctl/src/cmd/explain.rs
+++ b/crates/ctl/src/cmd/explain.rs
@@ -4,6 +4,7 @@
 use serde_json::{Map, Value};
 use wire::frame::Ask;
 
+use crate::cmd::lines;
 use crate::error::Error;
 use crate::option::Common;
 use crate::peer::{self, Answer};
@@ -15,18 +16,26 @@
 /// Show what the fleet knows of a request, in the order of time.
 ///
 /// Asks the agent that the id names and all routers. VMs keep nothing, so what a VM that has
-/// gone knew is lost; VMs that don't answer are named.
+/// gone knew is lost; VMs that don't answer are named. With `--output`, nobody is asked: the lines
+/// that gateways wrote are searched, for the request and for what they believed around it.
 #[derive(Debug, clap::Args)]
-#[command(after_help = "Example:\n  hyssopctl --vms http://127.0.0.1:9001 --tls certs \
-                        --as operator explain gpu-1.42.7f3a")]
+#[command(after_help = "Examples:\n  hyssopctl --vms http://127.0.0.1:9001 --tls certs \
+                        --as operator explain gpu-1.42.7f3a\n  \
+                        hyssopctl explain 4211edee581f88ff --output entry-1.log --output entry-2.log")]
 pub struct Args {
-    /// Id of the request: VM.INCARNATION.UNIQUE.
+    /// Id of the request: VM.INCARNATION.UNIQUE, or the caller's id on the users' platform.
     #[arg(value_name = "REQUEST-ID")]
     request: String,
+    /// A file that holds the output of gateways, or - for standard input.
+    #[arg(long, value_name = "FILE")]
+    output: Vec<String>,
 }
 
 /// Asks and sorts the lines by time.
 pub async fn run(common: &Common, args: Args) -> Result<Report, Error> {
+    if !args.output.is_empty() {
+        return lines::explain(&args.output, &args.request);
+    }
     let owner = args.request.split('.').next().unwrap_or_default();
     let asked = |entry: &Entry| entry.vm == owner || entry.role == Role::Router;
     let entries: Vec<Entry> = peer::list(common).await?.into_iter().filter(asked).collect();
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod diff;
 pub mod explain;
+pub mod lines;
 pub mod publish;
 pub mod quarantine;
 pub mod show;
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,60 @@
+//! `hyssopctl explain` over the lines that gateways wrote.
+
+mod work;
+
+use work::Work;
+
+const ONE: &str = "\
+2026-07-04T02:52:36.100000000Z [INFO] gateway: placement east: servers=4 missing=[]
+2026-07-04T02:52:36.963000000Z [INFO] gateway: request=aa11 first=i-1 declined status=503 Service Unavailable culprit=Some(\"i-2\")
+2026-07-04T02:52:36.965000000Z [WARN] gateway: server=i-2 suspect=true why=no answer to a probe
+2026-07-04T02:52:36.966000000Z [WARN] gateway: server=i-9 suspect=true why=no answer to a probe
+2026-07-04T02:52:36.970000000Z [INFO] gateway: request=bb22 route=r status=503 Service Unavailable age=1ms
+2026-07-04T02:52:36.980000000Z [INFO] gateway: request=aa11 route=r status=503 Service Unavailable age=20ms
+2026-07-04T02:53:36.100000000Z [INFO] gateway: placement east: servers=3 missing=[0-4]
+no line of a gateway
+";
+
+const TWO: &str = "\
+ 1.5 entry-2 2026-07-04T02:52:36.500000000Z [INFO] gateway: gives_orders=true epoch=7 orders_end=3
+";
+
+/// A caller complains of one request, and the engineer on call has the output of two routers. Only what
+/// concerns that request may be shown, in the order of time over both files: with the rest the
+/// cause drowns, and without what the routers believed it is not there.
+#[tokio::test]
+async fn a_request_and_what_was_believed_around_it() {
+    let work = Work::new("explain-lines");
+    work.write("entry-1.log", ONE);
+    work.write("all.log", TWO);
+    let files = ["explain", "aa11", "--output", "entry-1.log", "--output", "all.log"];
+    let run = work.run(&files).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let rows: Vec<&str> = run.out.lines().skip(1).collect();
+    let found = |row: &str, parts: [&str; 3]| parts.iter().all(|part| row.contains(part));
+    assert_eq!(rows.len(), 5, "{}", run.out);
+    assert!(found(rows[0], ["entry-1", "around", "placement east: servers=4"]), "{}", run.out);
+    assert!(found(rows[1], ["entry-2", "around", "gives_orders=true epoch=7"]), "{}", run.out);
+    assert!(found(rows[2], ["entry-1", "request", "declined status=503"]), "{}", run.out);
+    assert!(found(rows[3], ["entry-1", "around", "server=i-2 suspect=true"]), "{}", run.out);
+    assert!(found(rows[4], ["entry-1", "request", "age=20ms"]), "{}", run.out);
+}
+
+struct Case {
+    args: &'static [&'static str],
+    code: i32,
+    says: &'static str,
+}
+
+/// A wrong id or file gets an answer that says so, and the exit code of a fault.
+#[rstest::rstest]
+#[case::unknown(Case { args: &["explain", "cc33", "--output", "entry-1.log"], code: 1, says: "none of 7 lines is of request cc33" })]
+#[case::no_file(Case { args: &["explain", "aa11", "--output", "other.log"], code: 2, says: "reading other.log" })]
+#[tokio::test]
+async fn faults(#[case] case: Case) {
+    let work = Work::new(case.args[3]);
+    work.write("entry-1.log", ONE);
+    let run = work.run(case.args).await;
+    assert_eq!(run.code, case.code, "{run:?}");
+    assert!(run.err.contains(case.says), "{run:?}");
+}
