Paths are mended before the first event; slow paths are left only for a repeat

Change: the first server gets another path at once; a slow path whose servers all answer is left only while a repeat is left.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -240,6 +240,12 @@
         self.routers.borrow().most(self.now())
     }
 
+    /// Repeats of a service that this router may still send now.
+    pub fn repeats_left(&self, service: &str) -> u32 {
+        let (now, routers) = (self.now(), self.routers());
+        self.budget(service, |budget| budget.left(now, routers))
+    }
+
     /// Takes one repeat of a service's retry budget, if one is left.
     pub fn may_repeat(&self, service: &str) -> bool {
         let (now, routers) = (self.now(), self.routers());
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -183,7 +183,7 @@
                 return source.answer.done();
             }
             Next::Late => "time is up",
-            Next::Lost if progress.mend(&mut source).await => {
+            Next::Lost if progress.mend(&mut source.path).await => {
                 next = tokio::select! {
                     next = progress.next(&mut source) => next,
                     () = sender.closed() => return progress.gone(),
@@ -236,6 +236,12 @@
         self.call.route.class.repeatable() && self.ran < self.call.route.attempts
     }
 
+    /// Whether it could be sent again now. A path that is only slow is not left without that: its caller
+    /// would get nothing in place of a late answer.
+    fn may_repeat(&self) -> bool {
+        self.state.repeats_left(self.service) > 0
+    }
+
     /// Says of an event that comes late, or first on another path, what held it up.
     fn say_held_up(&mut self, path: &Path) {
         let pause = self.passed.elapsed();
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -117,7 +117,7 @@
     }
 
     /// Sends the request along a path and waits for the first event.
-    async fn begin(&mut self, path: Path) -> Result<Opened, Failed> {
+    async fn begin(&mut self, mut path: Path) -> Result<Opened, Failed> {
         let began = Instant::now();
         let peer = path.first().clone();
         let hops = path.hops.clone();
@@ -134,19 +134,21 @@
                     () = tokio::time::sleep_until(until) => {}
                     () = self.state.lost.notified() => {}
                 }
-                let may_go = self.ran + 1 < self.call.route.attempts;
-                if may_go && path.is_lost(self.state.now()) {
-                    break Outcome::Unknown("a server of the path is suspected".to_owned());
+                let due = Instant::now() >= until;
+                if due {
+                    wait += LOOK;
+                    self.look_into(&path).await;
                 }
-                if Instant::now() < until {
+                let lost = path.is_lost(self.state.now());
+                // Servers that stay on the path need not read the prompt again, and it is no repeat.
+                if lost && self.mend(&mut path).await {
                     continue;
                 }
-                wait += LOOK;
-                match self.look_into(&path).await {
-                    true if may_go => {
+                match self.ran + 1 < self.call.route.attempts {
+                    true if lost => {
                         break Outcome::Unknown("a server of the path does not answer".to_owned());
                     }
-                    false if may_go && wait > STUCK => {
+                    true if due && wait > STUCK && self.may_repeat() => {
                         break Outcome::Unknown("no event for too long".to_owned());
                     }
                     _ => {}
@@ -211,7 +213,7 @@
         let mut source =
             Source { path, answer, splitter: Splitter::default(), began, pause: PAUSE };
         let mut next = self.next(&mut source).await;
-        while matches!(next, Next::Lost) && self.mend(&mut source).await {
+        while matches!(next, Next::Lost) && self.mend(&mut source.path).await {
             next = self.next(&mut source).await;
         }
         match next {
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -58,7 +58,7 @@
                 Ok(None) if source.splitter.is_empty() => return Next::End,
                 Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
                 Err(_) if Instant::now() >= self.call.until => return Next::Late,
-                Err(_) if wait >= STUCK && self.may_run_again() => {
+                Err(_) if wait >= STUCK && self.may_run_again() && self.may_repeat() => {
                     return Next::Broken("no event for too long");
                 }
                 Err(_) => {
@@ -92,22 +92,22 @@
     /// Has the request go on along another path from the same first server, which keeps the stream.
     /// Cheaper than a new run: only the new servers read the tokens so far, and the caller's pause
     /// is shorter by that.
-    pub(super) async fn mend(&mut self, source: &mut Source) -> bool {
+    pub(super) async fn mend(&mut self, path: &mut Path) -> bool {
         let size = self.call.tokens;
-        let found = route::mend(self.state, self.service, self.model, size, &source.path);
-        let Some(path) = found else { return false };
-        let ask = (self.state.codec.repath)(&self.call.id, &path.hops);
-        let answer = probe::ask(path.first(), ask, MEND).await;
+        let found = route::mend(self.state, self.service, self.model, size, path);
+        let Some(mended) = found else { return false };
+        let ask = (self.state.codec.repath)(&self.call.id, &mended.hops);
+        let answer = probe::ask(mended.first(), ask, MEND).await;
         let done = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
         log::info!(
             "gateway: request={} repath={done} first={} answer={:?} last_event={:?}",
             self.call.id,
-            path.first().server().id,
+            mended.first().server().id,
             answer.map(|(status, _)| status),
             self.last
         );
         if done {
-            source.path = path;
+            *path = mended;
             self.held_up = "repath";
         }
         done
