The giver of orders split by what it does; layers dealt in one place

What each data centre lacks is computed once, not twice. placement::deal serves first copies and repairs. A path that is found does not ask why there would be none. Behaviour as before; tests unchanged.

--- /dev/null
+++ b/crates/gateway/src/leader/order.rs
@@ -0,0 +1,205 @@
+//! Orders to hold layers: written down, given, and looked after until they are done.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use layers::placement::Place;
+use layers::{Shape, Span};
+use serde::{Deserialize, Serialize};
+
+use super::term::Term;
+use crate::notice::Notice;
+use crate::peer::Peer;
+use crate::probe;
+use crate::settings::Model;
+use crate::state::State;
+use crate::store::{Call, Fault, Log, Reply};
+use crate::wire::Order;
+
+/// Longest time an order may take before it counts as failed, as a multiple of the time to load its
+/// layers alone.
+const SLOW: f64 = 4.0;
+
+/// Time in which a server that got an order and does not answer counts as carrying it out.
+const LATE: Duration = Duration::from_millis(2500);
+
+/// Time after which a server's report shows an order that it has accepted. If it shows none, the
+/// order was lost; should it arrive yet, it names a number of accepted orders that is past by
+/// then, or it is just the order that is given again.
+const SHOWN: Duration = Duration::from_millis(700);
+
+/// An order that was given and is not known to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Given {
+    pub(super) server: String,
+    pub(super) span: Span,
+    sent: Duration,
+    until: Duration,
+}
+
+/// What is written down before an order is given.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Record {
+    server: String,
+    from: u32,
+    to: u32,
+    after: u64,
+}
+
+/// Orders of the router before that may still be under way. They count as given, so that no
+/// server gets the same order twice.
+pub(super) async fn inherit(state: &State, end: u64) -> Vec<Given> {
+    let call = Call::Read { log: Log::Orders, from: end.saturating_sub(48), wait: Duration::ZERO };
+    let records = match state.store.call(call).await {
+        Ok(Reply::Records(records, _)) => records,
+        other => {
+            log::info!("gateway: orders of the router before are not known: {other:?}");
+            return Vec::new();
+        }
+    };
+    let (sent, until) = (state.now(), state.now() + LATE);
+    let mut given: Vec<Given> = Vec::new();
+    for record in records.iter().filter_map(|r| serde_json::from_slice::<Record>(r).ok()) {
+        given.retain(|g| g.server != record.server);
+        given.push(Given {
+            server: record.server,
+            span: Span::new(record.from, record.to),
+            sent,
+            until,
+        });
+    }
+    given.retain(|g| state.peer(&g.server).is_some_and(|p| p.span(state.now()) != g.span));
+    given
+}
+
+/// Writes orders down and gives them.
+pub(super) async fn carry_out(
+    state: &Rc<State>,
+    term: &mut Term,
+    peers: &[Rc<Peer>],
+    model: &Model,
+    orders: &[Place],
+    given: &mut Vec<Given>,
+) -> Result<(), Fault> {
+    // The number of orders accepted so far is asked of the server itself: its entry lags.
+    let asked = orders.iter().map(|order| {
+        let peer = peers[order.server].clone();
+        async move { (order, probe::report(state, &peer, probe::CALM).await, peer) }
+    });
+    let asked = futures_util::future::join_all(asked).await;
+    let mut ready = Vec::new();
+    for (order, report, peer) in asked {
+        match report {
+            Ok(report) if report.span == order.span => peer.learn(report.span, state.now()),
+            Ok(report) if report.busy => {
+                let (sent, until) = (state.now(), state.now() + LATE);
+                given.push(Given {
+                    server: peer.server().id.clone(),
+                    span: report.span,
+                    sent,
+                    until,
+                });
+            }
+            Ok(report) => ready.push((order.span, report.orders, peer)),
+            Err(why) => probe::suspect(state, &peer, &why),
+        }
+    }
+    if ready.is_empty() {
+        return Ok(());
+    }
+    write_down(state, term, &ready).await?;
+    let sent = ready.iter().map(|(span, after, peer)| send(state, term, peer, *span, *after));
+    for ((span, _, peer), accepted) in ready.iter().zip(futures_util::future::join_all(sent).await)
+    {
+        if accepted {
+            let until = state.now() + patience(&model.shape, model.load, *span, ready.len());
+            given.push(Given {
+                server: peer.server().id.clone(),
+                span: *span,
+                sent: state.now(),
+                until,
+            });
+        }
+    }
+    Ok(())
+}
+
+async fn write_down(
+    state: &State,
+    term: &mut Term,
+    ready: &[(Span, u64, Rc<Peer>)],
+) -> Result<(), Fault> {
+    let record = |(span, after, peer): &(Span, u64, Rc<Peer>)| {
+        let server = peer.server().id.clone();
+        let record = Record { server, from: span.from, to: span.to, after: *after };
+        Bytes::from(serde_json::to_vec(&record).expect("plain fields"))
+    };
+    let records = ready.iter().map(record).collect();
+    let epoch = Some((term.epoch, term.next));
+    // A lost answer ends the term: the next one begins with what the log then says.
+    state.store.call(Call::Append { log: Log::Orders, records, epoch }).await?;
+    term.next += 1;
+    Ok(())
+}
+
+/// Gives one order; whether it may be under way now.
+async fn send(state: &State, term: &Term, peer: &Rc<Peer>, span: Span, after: u64) -> bool {
+    let id = peer.server().id.clone();
+    if !term.lasts() {
+        log::warn!("gateway: order not given server={id} layers={span} why=the term has ended");
+        return false;
+    }
+    state.metrics.ordered();
+    let answer = probe::ask(peer, (state.codec.order)(&Order { span, after }), probe::CALM).await;
+    log::info!(
+        "gateway: order server={id} layers={span} after={after} epoch={} answer={:?}",
+        term.epoch,
+        answer.as_ref().map(|(status, _)| status)
+    );
+    match answer {
+        Ok((status, _)) => status.is_success(),
+        // It may have arrived, or arrive later.
+        Err(_) => true,
+    }
+}
+
+/// How long an order may take.
+fn patience(shape: &Shape, load: Duration, span: Span, at_once: usize) -> Duration {
+    let alone = load.mul_f64(f64::from(span.len()) / f64::from(shape.layers));
+    alone.mul_f64(SLOW * (at_once as f64 / 6.0).max(1.0)) + LATE
+}
+
+/// Looks which orders are done, failed or overdue.
+pub(super) async fn check(state: &State, peers: &[Rc<Peer>], given: &mut Vec<Given>) {
+    let now = state.now();
+    let open: Vec<Given> = given.clone();
+    let asked = open.iter().filter_map(|g| {
+        let peer = peers.iter().find(|p| p.server().id == g.server)?.clone();
+        Some(async move { (g, probe::report(state, &peer, probe::CALM).await, peer) })
+    });
+    for (order, report, peer) in futures_util::future::join_all(asked).await {
+        let done = match report {
+            Ok(report) if report.span == order.span && !report.busy => {
+                let server = order.server.clone();
+                peer.learn(report.span, now);
+                state.announce(Notice::Holds {
+                    server,
+                    from: report.span.from,
+                    to: report.span.to,
+                });
+                log::info!("gateway: order done server={} layers={}", order.server, order.span);
+                true
+            }
+            Ok(report) => (!report.busy && now > order.sent + SHOWN) || now > order.until,
+            Err(why) => {
+                probe::suspect(state, &peer, &why);
+                now > order.until
+            }
+        };
+        if done {
+            given.retain(|g| g.server != order.server);
+        }
+    }
+    given.retain(|g| peers.iter().any(|p| p.server().id == g.server));
+}
--- /dev/null
+++ b/crates/gateway/src/leader/survey.rs
@@ -0,0 +1,60 @@
+//! Looks at the model servers: whether those that are suspected live, and how fast all are.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::notice::Notice;
+use crate::peer::Peer;
+use crate::probe;
+use crate::state::State;
+
+/// Change of a server's pace that the others are told.
+const CHANGED: f64 = 0.3;
+
+/// Servers suspected at once from which on they are asked again before orders are given.
+const MANY: usize = 3;
+
+/// Time they get to answer: several times a probe's.
+const DOUBT: Duration = Duration::from_millis(200);
+
+/// Asks all model servers for their state and tells the other routers what has changed. A server
+/// that turned slow holds up all that passes through it, and neither its entry nor a router that
+/// uses other paths shows it.
+pub(super) async fn visit(state: &State) {
+    let peers = state.peers();
+    let models = peers.iter().filter(|p| p.server().card.is_some() && p.usable(state.now()));
+    let asked = models.map(|peer| async move { (probe::visit(state, peer).await, peer) });
+    for (report, peer) in futures_util::future::join_all(asked).await {
+        let server = peer.server().id.clone();
+        let report = match report {
+            Ok(report) => report,
+            Err(why) => {
+                probe::suspect(state, peer, &why);
+                continue;
+            }
+        };
+        let (was, is) = (peer.slow.get(), report.pace.max(1.0));
+        if (is - was).abs() > CHANGED * was {
+            log::info!("gateway: server={server} slow={is:.1} before={was:.1}");
+            peer.slow.set(is);
+            state.announce(Notice::Slow { server, percent: (is * 100.0) as u32 });
+        }
+    }
+}
+
+/// Asks servers again if many are suspected at once. A router that was slow for a moment takes many live
+/// servers for dead, and loading all their layers elsewhere breaks copies that were whole.
+pub(super) async fn ask_doubted(state: &State, peers: &[Rc<Peer>]) {
+    let doubted: Vec<&Rc<Peer>> =
+        peers.iter().filter(|p| p.ready() && p.suspicion.borrow().open()).collect();
+    if doubted.len() < MANY {
+        return;
+    }
+    let asked =
+        doubted.iter().map(|p| probe::report(state, p, DOUBT + state.lag.get() * probe::LAGS));
+    let answers = futures_util::future::join_all(asked).await;
+    let alive = answers.iter().filter(|answer| answer.is_ok()).count();
+    if alive > 0 {
+        log::info!("gateway: doubted={} alive={alive}", doubted.len());
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -58,7 +58,7 @@
                 }
             }
             Outcome::NotSent(why) => {
-                note(state, &peer, &why);
+                pass_over(state, &peer, &why);
                 asked.push(id);
                 continue;
             }
@@ -109,7 +109,9 @@
     answer::own(Reason::Late)
 }
 
-fn note(state: &State, peer: &Peer, why: &str) {
+/// Passes over a server that can't be reached. The other routers are not told: a router that is itself cut off
+/// would take the few servers of the service from all of them, and each finds out by one connection.
+fn pass_over(state: &State, peer: &Peer, why: &str) {
     if peer.fail(state.now()) {
         log::warn!("gateway: server={} suspect=true why={why}", peer.server().id);
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -21,7 +21,7 @@
 
 /// Multiple of this process's own delay that is added to a probe's time. A VM that is slow itself
 /// would otherwise take all servers for dead.
-const LAGS: u32 = 4;
+pub const LAGS: u32 = 4;
 
 /// Time between two measurements of this process's own delay.
 const LAG_LOOK: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -59,13 +59,14 @@
 
     /// Finds a path and waits for its first event; tries others while that is allowed.
     pub(super) async fn open(&mut self) -> Result<Opened, Reason> {
-        let mut reason = self.no_path();
+        let mut reason = None;
         while self.tries < TRIES {
             let Some(path) = self.path() else {
-                reason = self.no_path();
+                let none = self.no_path();
                 if self.last.is_none() {
-                    self.say_no_path(reason);
+                    self.say_no_path(none);
                 }
+                reason = Some(none);
                 break;
             };
             if self.tries > 0 && !self.state.may_repeat(self.service) {
@@ -76,16 +77,20 @@
                 break;
             }
             self.tries += 1;
-            reason = match self.begin(path).await {
+            reason = Some(match self.begin(path).await {
                 Ok(opened) => return Ok(opened),
                 Err(Failed::NotRun) if !self.sent => Reason::Full,
                 Err(Failed::NotRun) => Reason::Lost,
                 Err(Failed::Unknown) if self.may_run_again() => Reason::Lost,
                 Err(Failed::Unknown) => return Err(Reason::Lost),
                 Err(Failed::Late) => return Err(Reason::Late),
-            };
+            });
         }
-        Err(if self.sent && self.last.is_none() { Reason::Lost } else { reason })
+        Err(match reason {
+            _ if self.sent && self.last.is_none() => Reason::Lost,
+            Some(reason) => reason,
+            None => self.no_path(),
+        })
     }
 
     /// Says once what stood in the way.
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -153,32 +153,34 @@
         if sum(0.0) < self.shape.layers {
             return;
         }
+        let all = Span::new(0, self.shape.layers);
         let twice = 2 * self.shape.layers;
         if sum(TWICE) >= twice {
             let tokens = most(MOST, |tokens| sum(tokens) >= twice);
-            let rest = self.spread(&order, tokens);
-            self.spread(&rest, tokens);
+            let rest = self.deal(&order, all, tokens);
+            self.deal(&rest, all, tokens);
             return;
         }
         let memory: f64 = order.iter().map(|i| self.servers[*i].card.bytes).sum();
         let layer = memory * FIRST_COPY / f64::from(self.shape.layers) - self.shape.layer_bytes;
         let aim = (layer / self.shape.token_bytes).clamp(TOKENS, MOST);
         let tokens = most(aim, |tokens| sum(tokens) >= self.shape.layers);
-        self.spread(&order, tokens);
+        self.deal(&order, all, tokens);
     }
 
-    /// Deals all layers to servers in order; the servers that are left.
-    fn spread(&mut self, order: &[Index], tokens: f64) -> Vec<Index> {
-        let mut at = 0;
+    /// Deals layers to servers in order, each with room for `tokens` of context; the servers that are left.
+    fn deal(&mut self, order: &[Index], layers: Span, tokens: f64) -> Vec<Index> {
+        let mut at = layers.from;
         let mut left = Vec::new();
         for i in order {
             let most = self.servers[*i].card.capacity(self.shape, tokens);
-            let to = self.shape.layers.min(at + most);
-            match to > at {
-                true => self.order(*i, Span::new(at, to)),
-                false => left.push(*i),
+            let span = Span::new(at, layers.to.min(at + most));
+            at = span.to;
+            match () {
+                () if span.is_empty() => left.push(*i),
+                () if span != self.servers[*i].span => self.order(*i, span),
+                () => {}
             }
-            at = to;
         }
         left
     }
@@ -220,7 +222,9 @@
     fn rebuild(&mut self, group: &[Zone]) {
         for gap in self.missing(group, None) {
             if let Some(window) = self.window(group, gap) {
-                self.deal(&window, gap);
+                let layers = self.extent(&window, gap);
+                let tokens = self.room(&window, layers);
+                self.deal(&window, layers, tokens);
             }
         }
     }
@@ -248,22 +252,12 @@
         spans.fold(gap, |all, s| Span::new(all.from.min(s.from), all.to.max(s.to)))
     }
 
-    /// Deals the layers of servers and of a gap to these servers in order.
-    fn deal(&mut self, window: &[Index], gap: Span) {
-        let extent = self.extent(window, gap);
-        let shape = *self.shape;
-        let cards: Vec<_> = window.iter().map(|i| self.servers[*i].card).collect();
-        let tokens = most(TOKENS, |t| {
-            cards.iter().map(|c| c.capacity(&shape, t)).sum::<u32>() >= extent.len()
-        });
-        let mut at = extent.from;
-        for (i, card) in window.iter().zip(&cards) {
-            let span = Span::new(at, extent.to.min(at + card.capacity(&shape, tokens)));
-            at = span.to;
-            if !span.is_empty() && span != self.servers[*i].span {
-                self.order(*i, span);
-            }
-        }
+    /// Tokens of context that fit beside these layers on these servers, [`TOKENS`] at most.
+    fn room(&self, order: &[Index], layers: Span) -> f64 {
+        most(TOKENS, |tokens| {
+            let cards = order.iter().map(|i| self.servers[*i].card);
+            cards.map(|card| card.capacity(self.shape, tokens)).sum::<u32>() >= layers.len()
+        })
     }
 
     /// Gives a gap to a server that holds nothing or nothing needed.
@@ -378,7 +372,7 @@
         // Of equals the last, at the highest layers: copies then join to one run from the end of the model
         // on. Scattered ones cover fewer servers, 8 of 16 for 10, and paths need more hops.
         let runs = (0..=self.shape.layers - len).map(|from| Span::new(from, from + len));
-        // Of equals the one with the fewest copies, so that no part is held thrice before all are held twice.
+        // But first the one with the fewest copies: no part is held thrice before all are held twice.
         let held =
             |span: &Span| -> usize { copies[span.from as usize..span.to as usize].iter().sum() };
         runs.max_by(|a, b| covered(*a).total_cmp(&covered(*b)).then(held(b).cmp(&held(a))))
