Heartbeats are not passed on to other routers

Cause: the router that reads the store for all passed on every record of the list. Change: a tail keeps records of servers that say something new, with their offsets and the offset up to which the store was read; of a server with news in a read, all records.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -222,25 +222,64 @@
     from: Offset,
     wait: Duration,
 ) -> Result<Batch, Fault> {
-    let (records, source) = match shared(state, log, from).await {
-        Some(records) => (records, Source::Router),
+    let (records, end, source) = match shared(state, log, from).await {
+        Some((records, end)) => (records, end, Source::Router),
         None => {
             let wait = longest(state, wait);
             match state.store.call(Call::Read { log, from, wait }).await? {
                 Reply::Records(records, _) => {
-                    shared_read::keep(state, log, from, &records);
-                    (records, Source::Store)
+                    let end = from + records.len() as Offset;
+                    let news = changed(state, log, reader, &records);
+                    let worth = |record: &Bytes| match (log, (reader.item)(record)) {
+                        (Log::Servers, Some((key, _))) => news.binary_search(&key).is_ok(),
+                        _ => true,
+                    };
+                    shared_read::keep(state, log, from, &records, worth);
+                    ((from..).zip(records).collect(), end, Source::Store)
                 }
                 other => return Err(Fault::Unreadable(format!("{other:?}"))),
             }
         }
     };
-    let keyed = |(i, record): (usize, &Bytes)| {
-        let (key, value) = (reader.item)(record)?;
-        Some(Item { key, value, offset: from + i as Offset })
+    let keyed = |(offset, record): (Offset, Bytes)| {
+        let (key, value) = (reader.item)(&record)?;
+        Some(Item { key, value, offset })
     };
-    let items = records.iter().enumerate().filter_map(keyed).collect();
-    Ok(Batch { items, end: from + records.len() as Offset, source })
+    Ok(Batch { items: records.into_iter().filter_map(keyed).collect(), end, source })
+}
+
+/// Servers of which records tell anything that this router does not know; heartbeats do not. All records of
+/// such a server count: of a change and its undoing, the second says what is known already.
+fn changed(state: &State, log: Log, reader: Reader, records: &[Bytes]) -> Vec<Id> {
+    if log != Log::Servers {
+        return Vec::new();
+    }
+    let keyed = records.iter().filter_map(|record| (reader.item)(record));
+    let mut news: Vec<Id> = keyed
+        .filter(|(key, value)| {
+            let entry = value.as_ref().and_then(|value| (reader.server)(key, value));
+            match (entry, state.peer(key)) {
+                (Some(entry), Some(peer)) => peer.lapsed() || !entry.says_same(&peer.server()),
+                _ => true,
+            }
+        })
+        .map(|(key, _)| key)
+        .collect();
+    news.sort_unstable();
+    news.dedup();
+    news
+}
+
+/// Records that the router which reads for all gives, and the offset after the last one it read.
+async fn shared(
+    state: &State,
+    log: Log,
+    from: Offset,
+) -> Option<(Vec<shared_read::Placed>, Offset)> {
+    match shared_read::applies(state) {
+        true => shared_read::read(state, log, from).await,
+        false => None,
+    }
 }
 
 /// How long the store may wait for records.
@@ -254,14 +293,6 @@
     }
 }
 
-/// Records that the router which reads for all gives.
-async fn shared(state: &State, log: Log, from: Offset) -> Option<Vec<Bytes>> {
-    match shared_read::applies(state) {
-        true => shared_read::read(state, log, from).await,
-        false => None,
-    }
-}
-
 fn change(state: &State, reader: Reader, item: &Item, regained: bool) {
     let entry = item.value.as_ref().and_then(|value| (reader.server)(&item.key, value));
     match (entry, state.peer(&item.key)) {
@@ -340,11 +371,11 @@
         let call = match at {
             None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
             Some(from) => {
-                if let Some(records) = shared(&state, Log::Notices, from).await {
-                    at = Some(from + records.len() as Offset);
+                if let Some((records, end)) = shared(&state, Log::Notices, from).await {
+                    at = Some(end);
                     records
                         .iter()
-                        .filter_map(|r| Notice::decode(r))
+                        .filter_map(|(_, r)| Notice::decode(r))
                         .for_each(|w| notice::receive(&state, &w));
                     sleep(SHARED).await;
                     continue;
@@ -361,7 +392,7 @@
             Ok(Reply::Records(records, _)) => {
                 state.store_answers();
                 if let Some(from) = at {
-                    shared_read::keep(&state, Log::Notices, from, &records);
+                    shared_read::keep(&state, Log::Notices, from, &records, |_| true);
                 }
                 at = at.map(|from| from + records.len() as Offset);
                 records
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Whether its entry is gone though it may live.
+    pub fn lapsed(&self) -> bool {
+        self.lapsed.get().is_some()
+    }
+
     /// Whether its entry lapsed and has not come back in time.
     pub fn expired(&self, now: Duration) -> bool {
         self.lapsed.get().is_some_and(|until| until <= now)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -42,6 +42,14 @@
     pub span: Span,
 }
 
+impl Server {
+    /// Whether another entry says the same. The time it stays slow runs down and is no news.
+    pub fn says_same(&self, other: &Server) -> bool {
+        let same = Server { cold: other.cold, ..self.clone() };
+        same == *other
+    }
+}
+
 /// What a model server answers when asked for its state.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Report {
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -29,7 +29,7 @@
 /// settings to arrive late.
 pub const FROM: u32 = 3;
 
-/// Records that are kept of each log: some seconds of heartbeats of several hundred servers.
+/// Records that are kept of each log: all servers of a large fleet may change within some seconds.
 const KEPT: usize = 4096;
 
 /// Age from which on a reader's knowledge is not used. It reads each log at least once a second.
@@ -49,48 +49,68 @@
 /// Logs that are shared.
 pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
 
-/// The newest records of a log.
+/// A record and where it stands in its log.
+pub type Placed = (Offset, Bytes);
+
+/// The newest records of a log that tell something new.
+///
+/// Most entries of servers are heartbeats. A thousand servers write 200 KB of them a second, which a reader
+/// on a link of 20 Mbit/s can't pass on to a hundred routers: all of them lose it, read the store
+/// themselves, and suspect whoever answers late meanwhile.
 #[derive(Debug, Default)]
 pub struct Tail {
     base: Offset,
-    records: VecDeque<Bytes>,
+    end: Offset,
+    records: VecDeque<Placed>,
     read: Option<Duration>,
 }
 
 /// A reader's answer.
 #[derive(Debug, Serialize, Deserialize)]
 struct Page {
-    records: Vec<Vec<u8>>,
+    records: Vec<(Offset, Vec<u8>)>,
+    end: Offset,
     age_ms: u64,
 }
 
 impl Tail {
-    /// Adds records read from the store.
+    /// Adds what was read from the store, of which `worth` says what tells something new.
     ///
     /// ```
     /// # use std::time::Duration;
     /// let mut tail = gateway::shared_read::Tail::default();
-    /// tail.add(7, &["a".into(), "b".into()], Duration::from_secs(1));
-    /// assert_eq!(tail.from(8).unwrap(), ["b"]);
+    /// tail.add(7, &["a".into(), "b".into()], |record| record != "b", Duration::from_secs(1));
+    /// assert_eq!(tail.from(7).unwrap(), (vec![(7, "a".into())], 9));
+    /// assert_eq!(tail.from(8).unwrap(), (vec![], 9));
     /// assert!(tail.from(6).is_none());
     /// ```
-    pub fn add(&mut self, from: Offset, records: &[Bytes], now: Duration) {
-        if from != self.base + self.records.len() as Offset {
+    pub fn add(
+        &mut self,
+        from: Offset,
+        records: &[Bytes],
+        worth: impl Fn(&Bytes) -> bool,
+        now: Duration,
+    ) {
+        if from != self.end {
             self.records.clear();
             self.base = from;
         }
-        self.records.extend(records.iter().cloned());
+        let placed = (from..).zip(records.iter().cloned());
+        self.records.extend(placed.filter(|(_, record)| worth(record)));
+        self.end = from + records.len() as Offset;
         while self.records.len() > KEPT {
-            self.records.pop_front();
-            self.base += 1;
+            if let Some((offset, _)) = self.records.pop_front() {
+                self.base = offset + 1;
+            }
         }
         self.read = Some(now);
     }
 
-    /// Records from an offset on; none if some of them are not kept.
-    pub fn from(&self, from: Offset) -> Option<Vec<Bytes>> {
-        let skip = usize::try_from(from.checked_sub(self.base)?).ok()?;
-        (skip <= self.records.len()).then(|| self.records.iter().skip(skip).cloned().collect())
+    /// Records from an offset on, and the offset after the last one read; none if some are not kept.
+    pub fn from(&self, from: Offset) -> Option<(Vec<Placed>, Offset)> {
+        let known = self.base <= from && from <= self.end;
+        let skip = self.records.partition_point(|(offset, _)| *offset < from);
+        known.then(|| (self.records.iter().skip(skip).cloned().collect(), self.end))
     }
 
     /// How long ago the store was read.
@@ -113,8 +133,9 @@
     }
 }
 
-/// Asks the reader for records. None if it is not known, does not answer, or knows too little.
-pub async fn read(state: &State, log: Log, from: Offset) -> Option<Vec<Bytes>> {
+/// Asks the reader for records, and the offset after the last one it read. None if it is not known, does not
+/// answer, or knows too little.
+pub async fn read(state: &State, log: Log, from: Offset) -> Option<(Vec<Placed>, Offset)> {
     let reader = locate(state).await?;
     let path = format!("/tail?log={log}&from={from}");
     let asked = timeout(ANSWER, ask(&reader, &path)).await;
@@ -141,7 +162,8 @@
         state.reader.borrow_mut().take();
         return None;
     }
-    Some(page.records.into_iter().map(Bytes::from).collect())
+    let records = page.records.into_iter().map(|(offset, record)| (offset, Bytes::from(record)));
+    Some((records.collect(), page.end))
 }
 
 /// Why the reader gave no records.
@@ -213,14 +235,20 @@
     let at = LOGS.iter().position(|log| log.to_string() == name)?;
     let tails = state.tails.borrow();
     let age = tails[at].age(state.now())?;
-    let records = tails[at].from(value("from")?.parse().ok()?)?;
-    let records = records.iter().map(|r| r.to_vec()).collect();
-    Some(Page { records, age_ms: age.as_millis() as u64 })
+    let (records, end) = tails[at].from(value("from")?.parse().ok()?)?;
+    let records = records.iter().map(|(offset, record)| (*offset, record.to_vec())).collect();
+    Some(Page { records, end, age_ms: age.as_millis() as u64 })
 }
 
-/// Keeps what was read from the store for the others.
-pub fn keep(state: &State, log: Log, from: Offset, records: &[Bytes]) {
+/// Keeps what was read from the store for the others, if it tells something new.
+pub fn keep(
+    state: &State,
+    log: Log,
+    from: Offset,
+    records: &[Bytes],
+    worth: impl Fn(&Bytes) -> bool,
+) {
     if let Some(at) = LOGS.iter().position(|l| *l == log) {
-        state.tails.borrow_mut()[at].add(from, records, state.now());
+        state.tails.borrow_mut()[at].add(from, records, worth, state.now());
     }
 }
