Orders in batches; as many copies of the model as memory holds; looks at servers in turn

A data centre of 370 servers was also given two copies and 330 single reserves. Change: orders that are planned wait and go out 40 at a time, planned ones count as held; looks take 60 servers in turn; first copies fill the memory.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -19,7 +19,7 @@
 
 use crate::state::State;
 use crate::store::{Fault, Generation};
-use order::Given;
+use order::{Given, Planned};
 use term::Term;
 
 /// Time between two calls that keep the seat: two may be lost.
@@ -39,7 +39,7 @@
 /// Time for which the list of servers must not have grown before the first orders of a fleet.
 const SETTLED: Duration = Duration::from_millis(1300);
 
-/// Time between two visits to all model servers. Servers are slow for some seconds at least; a visit
+/// Time between two visits to model servers. Servers are slow for some seconds at least; a visit
 /// is as dear as a heartbeat of each.
 const VISIT: Duration = Duration::from_millis(2000);
 
@@ -55,10 +55,14 @@
     /// The right to give orders, while this router has it.
     term: Option<Term>,
     given: Vec<Given>,
+    /// Orders that are still to be given.
+    planned: Vec<Planned>,
     /// Most servers that were on the list, and since when.
     grown: (usize, Duration),
-    /// When all model servers were last asked for their state.
+    /// When model servers were last asked for their state.
     visited: Duration,
+    /// Position of the first one that is asked next.
+    turn: usize,
 }
 
 /// Holds a seat and gives orders while it is the first one.
@@ -70,8 +74,10 @@
         kept: now.saturating_sub(KEEP),
         term: None,
         given: Vec::new(),
+        planned: Vec::new(),
         grown: (0, now),
         visited: now,
+        turn: 0,
         state,
     };
     loop {
@@ -114,6 +120,7 @@
         self.term = term;
         if let Some(end) = began {
             self.given = order::inherit(&self.state, end).await;
+            self.planned.clear();
         }
     }
 
@@ -128,8 +135,9 @@
             self.visited = self.state.now();
             // Beside what follows: a dead server that is asked twice for 0.6 s would hold up all orders,
             // just when layers are missing.
-            let state = self.state.clone();
-            spawn_local(async move { survey::visit(&state).await });
+            let (state, from) = (self.state.clone(), self.turn);
+            self.turn = self.turn.wrapping_add(survey::AT_ONCE);
+            spawn_local(async move { survey::visit(&state, from).await });
         }
         self.term = match self.give(&mut term).await {
             Ok(()) => Some(term),
@@ -154,9 +162,11 @@
             if first && !settled {
                 continue;
             }
-            let orders = gap::plan(state, &peers, model, &self.given);
+            let plan = gap::plan(state, &peers, model, &self.given, &self.planned);
+            self.planned.extend(plan);
+            let orders = order::next(state, &service.name, &mut self.planned);
             if !orders.is_empty() {
-                order::carry_out(state, term, &peers, model, &orders, &mut self.given).await?;
+                order::carry_out(state, term, model, orders, &mut self.given).await?;
             }
         }
         Ok(())
--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -6,7 +6,7 @@
 use layers::placement::{self, Place};
 use layers::{Card, Server, Shape, Span};
 
-use super::order::Given;
+use super::order::{Given, Planned};
 use crate::peer::Peer;
 use crate::route;
 use crate::settings::Model;
@@ -40,18 +40,24 @@
     peers: &[Rc<Peer>],
     model: &Model,
     given: &[Given],
-) -> Vec<Place> {
+    planned: &[Planned],
+) -> Vec<Planned> {
     let now = state.now();
+    let given = given.iter().map(|g| (g.server.as_str(), g.span));
+    let planned = planned.iter().map(|p| (p.server.as_str(), p.span));
+    let mut ordered: Vec<(&str, Span)> = given.chain(planned).collect();
+    ordered.sort_unstable();
     let silent = peers.iter().filter(|p| p.suspicion.borrow().open()).count() as f64;
     let reached = silent <= peers.len() as f64 * (1.0 - REACHED);
     let server = |peer: &Rc<Peer>| {
         let entry = peer.server();
-        let order = given.iter().find(|g| g.server == entry.id);
+        let found = ordered.binary_search_by_key(&entry.id.as_str(), |(server, _)| server);
+        let order = found.ok().map(|at| ordered[at].1);
         let card = entry.card.as_deref().and_then(|name| model.card(name));
         Server {
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
-            span: order.map_or(peer.span(now), |g| g.span),
+            span: order.unwrap_or(peer.span(now)),
             usable: card.is_some() && peer.ready() && (!reached || !peer.suspicion.borrow().open()),
             busy: order.is_some(),
             slow: peer.slow.get() > STAND_IN,
@@ -61,7 +67,12 @@
     let gaps = gaps(peers, &servers, &model.shape);
     say(state, &gaps);
     let lasting = lasting(state, &gaps) > RETURN;
-    placement::plan(&servers, &model.shape, lasting)
+    let places = placement::plan(&servers, &model.shape, lasting);
+    let planned = |place: &Place| Planned {
+        server: peers[place.server].server().id.clone(),
+        span: place.span,
+    };
+    places.iter().map(planned).collect()
 }
 
 /// What each data centre lacks, by name.
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use layers::placement::Place;
 use layers::{Shape, Span};
 use serde::{Deserialize, Serialize};
 
@@ -12,7 +11,7 @@
 use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::probe;
-use crate::server::Report;
+use crate::server::{Id, Report};
 use crate::settings::Model;
 use crate::state::State;
 use crate::store::{Call, Fault, Log, Reply};
@@ -25,6 +24,11 @@
 /// Time in which a server that got an order and does not answer counts as carrying it out.
 const LATE: Duration = Duration::from_millis(2500);
 
+/// Orders that are given at once. Each is two exchanges over new connections, some six milliseconds of the
+/// smallest VM; a thousand at once take longer than servers get to answer, and the router then takes
+/// live servers for dead, and tells all others so.
+const AT_ONCE: usize = 40;
+
 /// Time after which a server's report shows an order that it has accepted. If it shows none, the
 /// order was lost; should it arrive yet, it names a number of accepted orders that is past by
 /// then, or it is just the order that is given again.
@@ -39,6 +43,13 @@
     until: Duration,
 }
 
+/// An order that is still to be given.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Planned {
+    pub(super) server: Id,
+    pub(super) span: Span,
+}
+
 /// What is written down before an order is given.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Record {
@@ -74,25 +85,43 @@
     given
 }
 
+/// Takes the next orders out of those that are planned for a service's servers, and drops what is planned for
+/// servers that can't be used any more.
+pub(super) fn next(
+    state: &State,
+    service: &str,
+    planned: &mut Vec<Planned>,
+) -> Vec<(Span, Rc<Peer>)> {
+    let mut batch = Vec::new();
+    planned.retain(|plan| match state.peer(&plan.server) {
+        None => false,
+        Some(peer) if !peer.usable(state.now()) => false,
+        Some(peer) if peer.server().service != service || batch.len() >= AT_ONCE => true,
+        Some(peer) => {
+            batch.push((plan.span, peer));
+            false
+        }
+    });
+    batch
+}
+
 /// Writes orders down and gives them.
 pub(super) async fn carry_out(
     state: &Rc<State>,
     term: &mut Term,
-    peers: &[Rc<Peer>],
     model: &Model,
-    orders: &[Place],
+    orders: Vec<(Span, Rc<Peer>)>,
     given: &mut Vec<Given>,
 ) -> Result<(), Fault> {
     // The number of orders accepted so far is asked of the server itself: its entry lags.
-    let asked = orders.iter().map(|order| {
-        let peer = peers[order.server].clone();
-        async move { (order, probe::report(state, &peer, probe::soon(state)).await, peer) }
+    let asked = orders.into_iter().map(|(span, peer)| async move {
+        (span, probe::report(state, &peer, probe::soon(state)).await, peer)
     });
     let asked = futures_util::future::join_all(asked).await;
     let mut ready = Vec::new();
-    for (order, report, peer) in asked {
+    for (span, report, peer) in asked {
         match report {
-            Ok(report) if report.span == order.span => peer.learn(report.span, state.now()),
+            Ok(report) if report.span == span => peer.learn(report.span, state.now()),
             Ok(report) if report.busy => {
                 let (sent, until) = (state.now(), state.now() + LATE);
                 given.push(Given {
@@ -102,7 +131,7 @@
                     until,
                 });
             }
-            Ok(report) => ready.push((order.span, report.orders, peer)),
+            Ok(report) => ready.push((span, report.orders, peer)),
             Err(why) => probe::suspect(state, &peer, &why),
         }
     }
--- a/crates/gateway/src/leader/survey.rs
+++ b/crates/gateway/src/leader/survey.rs
@@ -13,13 +13,20 @@
 /// Servers suspected at once from which on they are asked again before orders are given.
 const MANY: usize = 3;
 
-/// Asks all model servers for their state and tells the other routers what has changed. A server
-/// that turned slow holds up all that passes through it, and neither its entry nor a router that
+/// Servers asked at once. A probe takes three milliseconds of the smallest VM, so a thousand of them would keep
+/// it from everything else, and those that it hears late would count as dead.
+pub(super) const AT_ONCE: usize = 60;
+
+/// Asks model servers for their state, from the one at `from` on, and tells the other routers what has changed.
+/// A server that turned slow holds up all that passes through it, and neither its entry nor a router that
 /// uses other paths shows it.
-pub(super) async fn visit(state: &State) {
-    let peers = state.peers();
-    let models = peers.iter().filter(|p| p.server().card.is_some() && p.usable(state.now()));
-    let asked = models.map(|peer| async move { (probe::visit(state, peer).await, peer) });
+pub(super) async fn visit(state: &State, from: usize) {
+    let mut peers = state.peers();
+    peers.retain(|p| p.server().card.is_some() && p.usable(state.now()));
+    let start = from % peers.len().max(1);
+    peers.rotate_left(start);
+    peers.truncate(AT_ONCE);
+    let asked = peers.iter().map(|peer| async move { (probe::visit(state, peer).await, peer) });
     for (report, peer) in futures_util::future::join_all(asked).await {
         let server = peer.server().id.clone();
         let report = match report {
@@ -46,10 +53,14 @@
     if doubted.len() < MANY {
         return;
     }
-    let asked = doubted.iter().map(|p| probe::report(state, p, probe::soon(state)));
-    let answers = futures_util::future::join_all(asked).await;
-    let alive = answers.iter().filter(|answer| answer.is_ok()).count();
-    if alive > 0 {
-        log::info!("gateway: doubted={} alive={alive}", doubted.len());
+    for some in doubted.chunks(AT_ONCE) {
+        let asked = some.iter().map(|p| probe::report(state, p, probe::soon(state)));
+        let answers = futures_util::future::join_all(asked).await;
+        let alive = answers.iter().filter(|answer| answer.is_ok()).count();
+        if alive == 0 {
+            // They are dead, and so are most likely the rest.
+            return;
+        }
+        log::info!("gateway: doubted={} alive={alive}", some.len());
     }
 }
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -20,7 +20,7 @@
 /// transfer, and each may break it.
 pub const MOST: f64 = 250_000.0;
 
-/// Tokens of context beside each of two whole copies, where memory holds two: with two, a loss breaks half
+/// Tokens of context beside each of several whole copies, where memory holds them: with two, a loss breaks half
 /// as many streams, and the other copy takes them without loading anything.
 pub const TWICE: f64 = 110_000.0;
 
@@ -154,11 +154,14 @@
             return;
         }
         let all = Span::new(0, self.shape.layers);
-        let twice = 2 * self.shape.layers;
-        if sum(TWICE) >= twice {
-            let tokens = most(MOST, |tokens| sum(tokens) >= twice);
-            let rest = self.deal(&order, all, tokens);
-            self.deal(&rest, all, tokens);
+        // What the ends of copies waste is missing from the last one, which is then a reserve.
+        let copies = sum(TWICE) / self.shape.layers;
+        if copies >= 2 {
+            let tokens = most(MOST, |tokens| sum(tokens) >= copies * self.shape.layers);
+            let mut rest = order;
+            for _ in 0..copies {
+                rest = self.deal(&rest, all, tokens);
+            }
             return;
         }
         let memory: f64 = order.iter().map(|i| self.servers[*i].card.bytes).sum();
