--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,10 +25,6 @@
 /// time a leaving one may still get work.
 const LIST: Duration = Duration::from_millis(1000);
 
-/// Pause after an answer of the router that reads for all. Settings are in force everywhere half a
-/// second after that router has them.
-const SHARED: Duration = Duration::from_millis(400);
-
 /// Longest time that the router which reads for all lets the store wait.
 const FRESH: Duration = Duration::from_millis(900);
 
@@ -152,7 +148,7 @@
                 take(&items, View { whole: source == Source::Newest, regained });
                 at = Some(end);
                 sleep(match source {
-                    Source::Router => SHARED,
+                    Source::Router => shared_read::rest(state.routers()),
                     Source::Newest | Source::Store => shared_read::pause(state, pause),
                 })
                 .await;
@@ -377,7 +373,7 @@
                         .iter()
                         .filter_map(|(_, r)| Notice::decode(r))
                         .for_each(|w| notice::receive(&state, &w));
-                    sleep(SHARED).await;
+                    sleep(shared_read::rest(state.routers())).await;
                     continue;
                 }
                 let wait = longest(&state, NOTICES);
@@ -400,7 +396,7 @@
                     .filter_map(|r| Notice::decode(r))
                     .for_each(|w| notice::receive(&state, &w));
                 if state.routers() >= shared_read::FROM {
-                    sleep(SHARED).await;
+                    sleep(shared_read::rest(state.routers())).await;
                 }
             }
             Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -124,6 +124,25 @@
     state.setup.inner.is_some() && state.routers() >= FROM && !state.gives.get()
 }
 
+/// Pause after an answer of the reader. Settings are in force everywhere half a second after the reader has them.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Routers up to which they ask at that pace. Three hundred make over two thousand requests a second, more than
+/// the reader's VM can answer; the pause grows with their number, to twice as long: what they
+/// know is then still younger than the shortest time within which settings are to be in force.
+const CROWD: f64 = 60.0;
+
+/// Pause after an answer of the reader, among that many routers.
+///
+/// ```
+/// # use std::time::Duration;
+/// assert_eq!(gateway::shared_read::rest(4), Duration::from_millis(400));
+/// assert_eq!(gateway::shared_read::rest(300), Duration::from_millis(800));
+/// ```
+pub fn rest(routers: u32) -> Duration {
+    PAUSE.mul_f64((f64::from(routers) / CROWD).clamp(1.0, 2.0))
+}
+
 /// Pause after a read of the list of servers from the store, where a router that reads alone pauses for
 /// `alone`. The router that reads for all does it twice as often, as what it knows ages on its way.
 pub fn pause(state: &State, alone: Duration) -> Duration {
