--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,26 +1,26 @@
 //! Keeps settings, servers and notices up to date from the store.
 
+mod entries;
+mod news;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
-use crate::notice::{self, Notice};
-use crate::peer::Peer;
 use crate::server::{Id, Server};
 use crate::settings::Settings;
 use crate::shared_read;
 use crate::state::State;
 use crate::store::{Call, Fault, Item, Log, Offset, Reply};
 
+pub use news::{announce, notices};
+
 /// Time the store may wait for new settings. An answer is overdue soon after, and a connection that
 /// went silent is given up before settings are in force too late.
 const WAIT: Duration = Duration::from_millis(1500);
 
-/// Time the store may wait for notices, which come rarely and are worth nothing when late.
-const NOTICES: Duration = Duration::from_millis(2500);
-
 /// Time between two looks at the list of servers. Servers write every 1.2 s; half of the shortest
 /// time a leaving one may still get work.
 const LIST: Duration = Duration::from_millis(1000);
@@ -40,9 +40,6 @@
 /// wakes them; this is for a store that answers for some logs only.
 const OTHERS: Duration = Duration::from_millis(4000);
 
-/// Time within which entries that lapsed while the store was away come back.
-const LAPSED: Duration = Duration::from_millis(2200);
-
 /// Time after the store was regained in which a missing entry may have lapsed meanwhile.
 const REGAINED: Duration = Duration::from_millis(1500);
 
@@ -88,12 +85,12 @@
     let take = |items: &[Item], view: View| {
         let before = state.peers().len();
         for item in items {
-            change(&state, reader, item, view.regained);
+            entries::change(&state, reader, item, view.regained);
         }
         if view.whole {
-            drop_missing(&state, items, view.regained);
+            entries::drop_missing(&state, items, view.regained);
         }
-        drop_expired(&state);
+        entries::drop_expired(&state);
         state.listed.set(true);
         let after = state.peers().len();
         if after != before {
@@ -288,155 +285,3 @@
         () => usual,
     }
 }
-
-fn change(state: &State, reader: Reader, item: &Item, regained: bool) {
-    let entry = item.value.as_ref().and_then(|value| (reader.server)(&item.key, value));
-    match (entry, state.peer(&item.key)) {
-        (Some(server), Some(peer)) => {
-            let was = peer.server();
-            if was.address != server.address || was.service != server.service {
-                state.remove(&item.key);
-                state.add(Peer::new(server));
-                return;
-            }
-            if was.state != server.state || was.span != server.span || was.born != server.born {
-                log::info!(
-                    "gateway: server={} state={:?} layers={} born={} offset={}",
-                    item.key,
-                    server.state,
-                    server.span,
-                    server.born,
-                    item.offset
-                );
-            }
-            peer.update(server);
-        }
-        (Some(server), None) => {
-            log::info!(
-                "gateway: server={} service={} state={:?} layers={} offset={} new=true",
-                item.key,
-                server.service,
-                server.state,
-                server.span,
-                item.offset
-            );
-            state.add(Peer::new(server));
-        }
-        // An entry that can't be read names no server to use.
-        (None, Some(_)) => lose(state, &item.key, regained),
-        (None, None) => {}
-    }
-}
-
-/// Handles a server whose entry is gone. Entries lapse while the store is away and come back soon
-/// after it; dropping all of them at once would leave nothing to send requests to.
-fn lose(state: &State, id: &Id, regained: bool) {
-    let Some(peer) = state.peer(id) else { return };
-    if regained && peer.ready() {
-        log::info!("gateway: server={id} lapsed=true");
-        peer.lapse(state.now() + LAPSED);
-    } else {
-        log::info!("gateway: server={id} gone=true");
-        state.remove(id);
-    }
-}
-
-fn drop_missing(state: &State, items: &[Item], regained: bool) {
-    for peer in state.peers() {
-        let id = peer.server().id.clone();
-        if !items.iter().any(|i| i.key == id) {
-            lose(state, &id, regained);
-        }
-    }
-}
-
-fn drop_expired(state: &State) {
-    let now = state.now();
-    for peer in state.peers().iter().filter(|p| p.expired(now)) {
-        let id = peer.server().id.clone();
-        log::info!("gateway: server={id} gone=true why=its entry did not come back");
-        state.remove(&id);
-    }
-}
-
-/// Hears what other routers say.
-pub async fn notices(state: Rc<State>) {
-    let mut at: Option<Offset> = None;
-    loop {
-        // What was said before this process started is out of date.
-        let call = match at {
-            None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
-            Some(from) => {
-                if let Some((records, end)) = shared(&state, Log::Notices, from).await {
-                    at = Some(end);
-                    records
-                        .iter()
-                        .filter_map(|(_, r)| Notice::decode(r))
-                        .for_each(|w| notice::receive(&state, &w));
-                    sleep(shared_read::rest(state.routers())).await;
-                    continue;
-                }
-                let wait = longest(&state, NOTICES);
-                Call::Read { log: Log::Notices, from, wait }
-            }
-        };
-        match state.store.call(call).await {
-            Ok(Reply::Appended(end)) => {
-                state.store_answers();
-                at = Some(end);
-            }
-            Ok(Reply::Records(records, _)) => {
-                state.store_answers();
-                if let Some(from) = at {
-                    shared_read::keep(&state, Log::Notices, from, &records, |_| true);
-                }
-                at = at.map(|from| from + records.len() as Offset);
-                records
-                    .iter()
-                    .filter_map(|r| Notice::decode(r))
-                    .for_each(|w| notice::receive(&state, &w));
-                if state.routers() >= shared_read::FROM {
-                    sleep(shared_read::rest(state.routers())).await;
-                }
-            }
-            Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
-            Err(Fault::Gone) => at = None,
-            Err(e) => {
-                log::debug!("gateway: no notices: {e}");
-                match state.store_fails(Log::Notices) {
-                    true => sleep(PAUSE * (1 << DOUBLINGS)).await,
-                    false => {
-                        let _ = tokio::time::timeout(OTHERS, state.store_back.notified()).await;
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Longest time a notice waits for another router to say the same, by the number of routers. All that
-/// send work to a dead server notice within the same tenth of a second.
-const SAME: Duration = Duration::from_millis(6);
-
-/// Writes down what the other routers are told.
-pub async fn announce(state: Rc<State>) {
-    loop {
-        state.noticed.notified().await;
-        let most = SAME * state.routers();
-        if state.routers() >= shared_read::FROM {
-            sleep(most.mul_f64(rand::random())).await;
-        }
-        let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
-        notices.retain(|notice| !notice::was_announced(&state, notice));
-        // What is told after the store is back is out of date.
-        if notices.is_empty() || state.store_away() {
-            continue;
-        }
-        let records = notices.iter().map(Notice::encode).collect();
-        if let Err(e) =
-            state.store.call(Call::Append { log: Log::Notices, records, epoch: None }).await
-        {
-            log::info!("gateway: {} notices to other routers lost: {e}", notices.len());
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/follow/entries.rs
@@ -0,0 +1,82 @@
+//! What entries of the list of servers change.
+
+use std::time::Duration;
+
+use super::Reader;
+use crate::peer::Peer;
+use crate::server::Id;
+use crate::state::State;
+use crate::store::Item;
+
+/// Time within which entries that lapsed while the store was away come back.
+const LAPSED: Duration = Duration::from_millis(2200);
+
+pub(super) fn change(state: &State, reader: Reader, item: &Item, regained: bool) {
+    let entry = item.value.as_ref().and_then(|value| (reader.server)(&item.key, value));
+    match (entry, state.peer(&item.key)) {
+        (Some(server), Some(peer)) => {
+            let was = peer.server();
+            if was.address != server.address || was.service != server.service {
+                state.remove(&item.key);
+                state.add(Peer::new(server));
+                return;
+            }
+            if was.state != server.state || was.span != server.span || was.born != server.born {
+                log::info!(
+                    "gateway: server={} state={:?} layers={} born={} offset={}",
+                    item.key,
+                    server.state,
+                    server.span,
+                    server.born,
+                    item.offset
+                );
+            }
+            peer.update(server);
+        }
+        (Some(server), None) => {
+            log::info!(
+                "gateway: server={} service={} state={:?} layers={} offset={} new=true",
+                item.key,
+                server.service,
+                server.state,
+                server.span,
+                item.offset
+            );
+            state.add(Peer::new(server));
+        }
+        // An entry that can't be read names no server to use.
+        (None, Some(_)) => lose(state, &item.key, regained),
+        (None, None) => {}
+    }
+}
+
+/// Handles a server whose entry is gone. Entries lapse while the store is away and come back soon
+/// after it; dropping all of them at once would leave nothing to send requests to.
+fn lose(state: &State, id: &Id, regained: bool) {
+    let Some(peer) = state.peer(id) else { return };
+    if regained && peer.ready() {
+        log::info!("gateway: server={id} lapsed=true");
+        peer.lapse(state.now() + LAPSED);
+    } else {
+        log::info!("gateway: server={id} gone=true");
+        state.remove(id);
+    }
+}
+
+pub(super) fn drop_missing(state: &State, items: &[Item], regained: bool) {
+    for peer in state.peers() {
+        let id = peer.server().id.clone();
+        if !items.iter().any(|i| i.key == id) {
+            lose(state, &id, regained);
+        }
+    }
+}
+
+pub(super) fn drop_expired(state: &State) {
+    let now = state.now();
+    for peer in state.peers().iter().filter(|p| p.expired(now)) {
+        let id = peer.server().id.clone();
+        log::info!("gateway: server={id} gone=true why=its entry did not come back");
+        state.remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow/news.rs
@@ -0,0 +1,97 @@
+//! What routers tell each other through the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::{DOUBLINGS, OTHERS, PAUSE, longest, shared};
+use crate::notice::{self, Notice};
+use crate::shared_read;
+use crate::state::State;
+use crate::store::{Call, Fault, Log, Offset, Reply};
+
+/// Time the store may wait for notices, which come rarely and are worth nothing when late.
+const NOTICES: Duration = Duration::from_millis(2500);
+
+/// Hears what other routers say.
+pub async fn notices(state: Rc<State>) {
+    let mut at: Option<Offset> = None;
+    loop {
+        // What was said before this process started is out of date.
+        let call = match at {
+            None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
+            Some(from) => {
+                if let Some((records, end)) = shared(&state, Log::Notices, from).await {
+                    at = Some(end);
+                    records
+                        .iter()
+                        .filter_map(|(_, r)| Notice::decode(r))
+                        .for_each(|w| notice::receive(&state, &w));
+                    sleep(shared_read::rest(state.routers())).await;
+                    continue;
+                }
+                let wait = longest(&state, NOTICES);
+                Call::Read { log: Log::Notices, from, wait }
+            }
+        };
+        match state.store.call(call).await {
+            Ok(Reply::Appended(end)) => {
+                state.store_answers();
+                at = Some(end);
+            }
+            Ok(Reply::Records(records, _)) => {
+                state.store_answers();
+                if let Some(from) = at {
+                    shared_read::keep(&state, Log::Notices, from, &records, |_| true);
+                }
+                at = at.map(|from| from + records.len() as Offset);
+                records
+                    .iter()
+                    .filter_map(|r| Notice::decode(r))
+                    .for_each(|w| notice::receive(&state, &w));
+                if state.routers() >= shared_read::FROM {
+                    sleep(shared_read::rest(state.routers())).await;
+                }
+            }
+            Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
+            Err(Fault::Gone) => at = None,
+            Err(e) => {
+                log::debug!("gateway: no notices: {e}");
+                match state.store_fails(Log::Notices) {
+                    true => sleep(PAUSE * (1 << DOUBLINGS)).await,
+                    false => {
+                        let _ = tokio::time::timeout(OTHERS, state.store_back.notified()).await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Longest time a notice waits for another router to say the same, by the number of routers. All that
+/// send work to a dead server notice within the same tenth of a second.
+const SAME: Duration = Duration::from_millis(6);
+
+/// Writes down what the other routers are told.
+pub async fn announce(state: Rc<State>) {
+    loop {
+        state.noticed.notified().await;
+        let most = SAME * state.routers();
+        if state.routers() >= shared_read::FROM {
+            sleep(most.mul_f64(rand::random())).await;
+        }
+        let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
+        notices.retain(|notice| !notice::was_announced(&state, notice));
+        // What is told after the store is back is out of date.
+        if notices.is_empty() || state.store_away() {
+            continue;
+        }
+        let records = notices.iter().map(Notice::encode).collect();
+        if let Err(e) =
+            state.store.call(Call::Append { log: Log::Notices, records, epoch: None }).await
+        {
+            log::info!("gateway: {} notices to other routers lost: {e}", notices.len());
+        }
+    }
+}
