--- /dev/null
+++ b/crates/layers/tests/plans.rs
@@ -0,0 +1,134 @@
+//! Plans of a small fleet, explored over all interleavings of losses, returns and orders that end.
+
+use std::collections::{HashSet, VecDeque};
+
+use layers::placement::plan;
+use layers::{Card, Server, Shape, Span};
+
+const SHAPE: Shape = Shape {
+    layers: 6,
+    layer_bytes: 1e9,
+    token_bytes: 1e3,
+    step_ms: 1.0,
+    read_per_ms: 100.0,
+    cross_ms: 0.6,
+    cross_token_ms: 0.01,
+};
+
+/// Room for two and three layers: five servers hold the model twice, less one layer.
+const CARDS: [Card; 5] = [
+    Card { bytes: 3.4e9, pace: 1.0, read: 1.0 },
+    Card { bytes: 3.4e9, pace: 1.0, read: 1.0 },
+    Card { bytes: 2.3e9, pace: 2.0, read: 2.0 },
+    Card { bytes: 2.3e9, pace: 2.0, read: 2.0 },
+    Card { bytes: 2.3e9, pace: 2.0, read: 2.0 },
+];
+
+/// Servers that are lost in one series.
+const LOSSES: u8 = 2;
+
+/// Rounds of planning and loading after which orders must have come to an end.
+const ROUNDS: usize = 20;
+
+/// One server: what it holds, or will hold once its order is done.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+struct Slot {
+    span: Span,
+    busy: bool,
+    gone: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Fleet {
+    slots: [Slot; CARDS.len()],
+    losses: u8,
+}
+
+impl Fleet {
+    fn servers(&self) -> Vec<Server> {
+        let server = |(slot, card): (&Slot, &Card)| Server {
+            zone: 0,
+            card: *card,
+            span: slot.span,
+            usable: !slot.gone,
+            busy: slot.busy,
+            slow: false,
+        };
+        self.slots.iter().zip(&CARDS).map(server).collect()
+    }
+
+    fn held(&self, layer: u32) -> bool {
+        self.slots.iter().any(|slot| !slot.gone && slot.span.contains(layer))
+    }
+
+    /// The fleet once a plan is ordered; none if there is nothing to order.
+    fn planned(&self, lasting: bool) -> Option<Fleet> {
+        let orders = plan(&self.servers(), &SHAPE, lasting);
+        let mut next = self.clone();
+        for order in &orders {
+            let slot = &mut next.slots[order.server];
+            assert!(!slot.gone && !slot.busy, "{order:?} in {self:?}");
+            let memory = f64::from(order.span.len()) * SHAPE.layer_bytes;
+            assert!(memory <= CARDS[order.server].bytes, "{order:?} in {self:?}");
+            (slot.span, slot.busy) = (order.span, true);
+        }
+        let given_up = (0..SHAPE.layers).find(|layer| self.held(*layer) && !next.held(*layer));
+        assert_eq!(given_up, None, "{orders:?} in {self:?}");
+        (!orders.is_empty()).then_some(next)
+    }
+
+    /// All fleets that one step leads to.
+    fn after(&self) -> Vec<Fleet> {
+        let mut all: Vec<Fleet> =
+            [false, true].into_iter().filter_map(|lasting| self.planned(lasting)).collect();
+        for (i, slot) in self.slots.iter().enumerate() {
+            let mut next = self.clone();
+            match () {
+                () if slot.gone => next.slots[i] = Slot::default(),
+                () if self.losses < LOSSES => {
+                    next.slots[i] = Slot { gone: true, ..Slot::default() };
+                    next.losses += 1;
+                }
+                () => {}
+            }
+            all.push(next);
+            if slot.busy {
+                let mut next = self.clone();
+                next.slots[i].busy = false;
+                all.push(next);
+            }
+        }
+        all
+    }
+
+    /// Plans and loads until nothing is left to order.
+    fn settled(&self) -> Option<Fleet> {
+        let mut fleet = self.clone();
+        for _ in 0..ROUNDS {
+            fleet.slots.iter_mut().for_each(|slot| slot.busy = false);
+            match fleet.planned(true) {
+                Some(next) => fleet = next,
+                None => return Some(fleet),
+            }
+        }
+        None
+    }
+}
+
+/// Servers are lost, come back empty and end their orders at any moment between two plans. A plan must never order
+/// a server that is gone or busy, nor more than it holds, nor give a layer up that is held: requests
+/// through it would fail until it is loaded again. And orders must end, or servers load for ever.
+#[test]
+fn plans_under_all_interleavings() {
+    let start = Fleet { slots: [Slot::default(); CARDS.len()], losses: 0 };
+    let (mut seen, mut open) = (HashSet::from([start.clone()]), VecDeque::from([start]));
+    while let Some(fleet) = open.pop_front() {
+        assert!(fleet.settled().is_some(), "orders never end from {fleet:?}");
+        for next in fleet.after() {
+            if seen.insert(next.clone()) {
+                open.push_back(next);
+            }
+        }
+    }
+    assert!(seen.len() > 1000, "{} fleets", seen.len());
+}
