A live path is left only once a repeat is reserved

Cause: a router that stood still took all servers of a path for dead at the same moment. The path could not be mended, the router was young and had no repeat left, yet relay left the path, and a second later cut the stream.

Change: one check where a path is left (may_leave), in begin, first, next and relay; the repeat is taken from the budget before the path is left. If none of several servers of a path answers, the router holds itself at fault and suspects none.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -67,6 +67,8 @@
     ran: u32,
     /// Whether some server may have begun to run it.
     sent: bool,
+    /// Whether a repeat was taken from the retry budget for the next path.
+    reserved: bool,
     /// Last event that was handed on.
     last: Option<Id>,
     /// When it was handed on.
@@ -83,6 +85,8 @@
     began: Instant,
     /// Mean pause between two events.
     pause: Duration,
+    /// Not before this is a silent path looked into again that could be neither mended nor left.
+    look: Instant,
 }
 
 impl Source {
@@ -120,6 +124,7 @@
         tries: 0,
         ran: 0,
         sent: false,
+        reserved: false,
         last: None,
         passed: Instant::now(),
         held_up: "start",
@@ -147,6 +152,7 @@
             tries,
             ran,
             sent: true,
+            reserved: false,
             last: None,
             passed: Instant::now(),
             held_up: STEPS,
@@ -183,7 +189,7 @@
                 return source.answer.done();
             }
             Next::Late => "time is up",
-            Next::Lost if progress.mend(&mut source.path).await => {
+            Next::Lost if progress.stays(&mut source).await => {
                 next = tokio::select! {
                     next = progress.next(&mut source) => next,
                     () = sender.closed() => return progress.gone(),
@@ -236,10 +242,24 @@
         self.call.route.class.repeatable() && self.ran < self.call.route.attempts
     }
 
-    /// Whether it could be sent again now. A path that is only slow is not left without that: its caller
-    /// would get nothing in place of a late answer.
-    fn may_repeat(&self) -> bool {
-        self.state.repeats_left(self.service) > 0
+    /// Whether the path it runs on may be left for another one now; the repeat is then reserved.
+    ///
+    /// A path that is slow, or whose servers did not answer a router that stood still itself, may yet
+    /// send its events. If it were left and the retry budget then had no repeat, its caller would get a
+    /// broken stream in place of a late one.
+    fn may_leave(&mut self) -> bool {
+        self.may_run_again() && self.reserve()
+    }
+
+    /// Takes a repeat from the retry budget and keeps it for the next path.
+    fn reserve(&mut self) -> bool {
+        self.reserved = self.reserved || self.state.may_repeat(self.service);
+        self.reserved
+    }
+
+    /// Whether it may be sent again: by the repeat that was reserved, or by a new one.
+    fn take_repeat(&mut self) -> bool {
+        std::mem::take(&mut self.reserved) || self.state.may_repeat(self.service)
     }
 
     /// Says of an event that comes late, or first on another path, what held it up.
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -69,7 +69,7 @@
                 reason = Some(none);
                 break;
             };
-            if self.tries > 0 && !self.state.may_repeat(self.service) {
+            if self.tries > 0 && !self.take_repeat() {
                 // A stream that waits for another path looks for it many times a second.
                 if self.last.is_none() {
                     log::info!("gateway: request={} repeat=false why=retry budget", self.call.id);
@@ -149,14 +149,15 @@
                 if lost && self.mend(&mut path).await {
                     continue;
                 }
-                match self.ran + 1 < self.call.route.attempts {
-                    true if lost => {
-                        break Outcome::Unknown("a server of the path does not answer".to_owned());
-                    }
-                    true if due && wait > STUCK && self.may_repeat() => {
-                        break Outcome::Unknown("no event for too long".to_owned());
-                    }
-                    _ => {}
+                let repeatable = self.call.route.class.repeatable();
+                let again = repeatable && self.ran + 1 < self.call.route.attempts;
+                let why = match again {
+                    true if lost => "a server of the path does not answer",
+                    true if due && wait > STUCK => "no event for too long",
+                    _ => continue,
+                };
+                if self.reserve() {
+                    break Outcome::Unknown(why.to_owned());
                 }
             }
         };
@@ -215,10 +216,10 @@
                 }
             };
         }
-        let mut source =
-            Source { path, answer, splitter: Splitter::default(), began, pause: PAUSE };
+        let splitter = Splitter::default();
+        let mut source = Source { path, answer, splitter, began, pause: PAUSE, look: began };
         let mut next = self.next(&mut source).await;
-        while matches!(next, Next::Lost) && self.mend(&mut source.path).await {
+        while matches!(next, Next::Lost) && self.stays(&mut source).await {
             next = self.next(&mut source).await;
         }
         match next {
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -23,6 +23,7 @@
     pub(super) async fn next(&mut self, source: &mut Source) -> Next {
         let mut since = Instant::now();
         let mut wait = source.pause.mul_f64(SILENCE).max(SHORTEST);
+        wait = wait.max(source.look.saturating_duration_since(since));
         loop {
             if let Some(event) = source.splitter.next() {
                 return match self.follows(&event) {
@@ -58,7 +59,7 @@
                 Ok(None) if source.splitter.is_empty() => return Next::End,
                 Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
                 Err(_) if Instant::now() >= self.call.until => return Next::Late,
-                Err(_) if wait >= STUCK && self.may_run_again() && self.may_repeat() => {
+                Err(_) if wait >= STUCK && self.may_leave() => {
                     return Next::Broken("no event for too long");
                 }
                 Err(_) => {
@@ -71,10 +72,27 @@
         }
     }
 
+    /// Whether a stream stays on its path though a server of it does not answer: the path could be mended, or
+    /// the stream can't be sent again.
+    pub(super) async fn stays(&mut self, source: &mut Source) -> bool {
+        if self.mend(&mut source.path).await {
+            return true;
+        }
+        source.look = Instant::now() + LOOK;
+        !self.may_leave()
+    }
+
     /// Asks all servers of a silent path whether they live, and the first one whom it waits for;
     /// true if some server is found to be at fault.
+    ///
+    /// If none of several servers answers at the same moment, it is this router that stood still or is cut
+    /// off. Taking them all for dead would break live streams and leave no path to mend them with.
     pub(super) async fn look_into(&mut self, path: &Path) -> bool {
         let dead = probe::ask_all(self.state, &path.peers).await;
+        if dead.len() > 1 && dead.len() == path.peers.len() {
+            log::info!("gateway: request={} silent=all servers={}", self.call.id, dead.len());
+            return false;
+        }
         for peer in &dead {
             self.suspect(peer, "no answer to a probe");
         }
