Reading is charged by what an engine's passes allow

Cause: a router believed that a server reads prompts as fast as its accelerator could. An engine reads one piece of a prompt a pass, and a pass with writers lasts four steps: a slow card with an eighth of the model reads a seventh of that. It looked idle while prompts waited for it.

Change: layers::pass derives the most requests a server can do from what the platform says of the engine; the meter of reading is charged by that.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -15,8 +15,7 @@
 use crate::state::State;
 use crate::wire::Hop;
 use load::{
-    Crowd, LINK, LINK_FULL, READING, READING_FULL, charge_link, charge_reading, crowds, link,
-    millis,
+    Crowd, LINK, LINK_FULL, READING_FULL, charge_link, charge_reading, crowds, link, millis,
 };
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
@@ -150,9 +149,7 @@
         match () {
             () if !peer.usable(now) => silent += 1,
             () if !peer.willing(now) || but.contains(&peer.server().id) => declined += 1,
-            () if !peer.reading.get().takes(now, READING, crowd.others, READING_FULL) => {
-                reading += 1
-            }
+            () if !peer.reading.get().takes(now, 1.0, crowd.others, READING_FULL) => reading += 1,
             () if holder(peer, i, model, tokens, false, now, crowd).is_none() => scarce += 1,
             () => {
                 let span = peer.span(now);
@@ -302,8 +299,8 @@
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
     let reading = peer.reading.get();
-    let reads = reading.takes(now, READING, crowd.others, READING_FULL);
-    let reading = reading.waiting(now, READING / crowd.others).min(READING_FULL);
+    let reads = reading.takes(now, 1.0, crowd.others, READING_FULL);
+    let reading = reading.waiting(now, 1.0 / crowd.others).min(READING_FULL);
     // What it has begun, it keeps.
     if !kept && (full > FULL || !reads || peer.running.get() >= entry.slots) {
         return None;
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -21,10 +21,6 @@
 /// the first event is then left.
 pub(super) const LINK_FULL: Duration = Duration::from_millis(250);
 
-/// Part of a server's time that is used for reading prompts. Steps of running requests take the rest;
-/// beyond this, their pauses grow.
-pub(super) const READING: f64 = 0.6;
-
 /// Prompts that wait to be read at a server up to which it gets more.
 pub(super) const READING_FULL: Duration = Duration::from_millis(300);
 
@@ -126,9 +122,8 @@
 ) {
     let entry = peer.server();
     let Some(card) = entry.card.as_deref().and_then(|name| model.card(name)) else { return };
-    let part = f64::from(span.len()) / f64::from(model.shape.layers);
-    let ms = tokens.prompt / model.shape.read_per_ms * card.read * peer.slow.get() * part;
+    let ms = model.shape.reading_ms(&card, span.len(), peer.slow.get(), tokens.prompt);
     let mut reading = peer.reading.get();
-    reading.add(now, Duration::from_secs_f64(ms / 1e3), READING / crowd.others);
+    reading.add(now, Duration::from_secs_f64(ms / 1e3), 1.0 / crowd.others);
     peer.reading.set(reading);
 }
--- a/crates/layers/src/lib.rs
+++ b/crates/layers/src/lib.rs
@@ -5,6 +5,7 @@
 //! what is known now: whoever takes over computes the same answer from the same view, so there is
 //! no state that a lost process could take with it.
 
+pub mod pass;
 pub mod path;
 pub mod placement;
 pub mod server;
--- /dev/null
+++ b/crates/layers/src/pass.rs
@@ -0,0 +1,67 @@
+//! What a backend server can do, by the passes in which its engine works.
+//!
+//! An engine takes all that waits for it in one pass: some steps for each request that writes, and a piece
+//! of the prompts that are to be read, which is bounded. Prompts are therefore read no faster than
+//! passes follow each other, and a server whose passes take long reads a small part of what its
+//! accelerator could. A router that counts with the accelerator's rate sends such a server several
+//! times what it can read: first events come seconds late while the server seems almost idle.
+
+use crate::server::{Card, Shape};
+
+/// How an engine works, and what a mean request asks of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pass {
+    /// Steps in a pass in which some request writes.
+    pub stride: f64,
+    /// Prompt tokens that one pass reads at most.
+    pub chunk: f64,
+    /// Time that each writing request adds to a step through all layers at pace 1, in milliseconds.
+    pub writer_ms: f64,
+    /// Mean tokens of a prompt.
+    pub prompt: f64,
+    /// Mean tokens of an answer.
+    pub answer: f64,
+}
+
+/// Part of a server's time in which it reads prompts, where nothing is known of its passes. Steps of running
+/// requests take the rest; beyond this, their pauses grow.
+const READING: f64 = 0.6;
+
+impl Shape {
+    /// Mean requests that a server with that many layers serves in a millisecond at most, with
+    /// `slow` as the factor on all its times. None if nothing is known of its passes.
+    ///
+    /// A pass takes `a + b * requests`: its steps, and what the requests that came since the pass before
+    /// add to them. The rate is the one at which the prompts of those requests just fill a pass.
+    ///
+    /// ```
+    /// # use layers::{Card, Shape, pass::Pass};
+    /// let pass = Pass { stride: 4.0, chunk: 512.0, writer_ms: 0.0, prompt: 512.0, answer: 200.0 };
+    /// let shape = Shape { layers: 80, layer_bytes: 1750e6, token_bytes: 4900.0, step_ms: 1.0,
+    ///     read_per_ms: 256.0, cross_ms: 0.7, cross_token_ms: 0.02, pass: Some(pass) };
+    /// let card = Card { bytes: 72e9, pace: 2.0, read: 1.0 };
+    /// // Four steps of 2 ms, and 2 ms for reading the prompt of one request.
+    /// assert_eq!(shape.rate(&card, 80, 1.0), Some(0.1));
+    /// assert_eq!(shape.rate(&card, 40, 1.0), Some(0.2));
+    /// ```
+    pub fn rate(&self, card: &Card, layers: u32, slow: f64) -> Option<f64> {
+        let pass = self.pass?;
+        let part = f64::from(layers) / f64::from(self.layers) * slow;
+        let steps = part * pass.stride * card.pace * self.step_ms;
+        let events = pass.answer / pass.stride;
+        let writing = part * pass.stride * card.pace * pass.writer_ms * events;
+        let reading = part * card.read * pass.prompt / self.read_per_ms;
+        let rate = pass.chunk / (pass.prompt * steps + pass.chunk * (writing + reading));
+        (rate.is_finite() && rate > 0.0).then_some(rate)
+    }
+
+    /// Time for which a server with that many layers is busy with reading a prompt, in milliseconds.
+    pub fn reading_ms(&self, card: &Card, layers: u32, slow: f64, prompt: f64) -> f64 {
+        let part = f64::from(layers) / f64::from(self.layers) * slow;
+        let paper = prompt / self.read_per_ms * card.read * part / READING;
+        match (self.pass, self.rate(card, layers, slow)) {
+            (Some(pass), Some(rate)) => (prompt / pass.prompt / rate).max(paper),
+            _ => paper,
+        }
+    }
+}
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -91,7 +91,7 @@
 /// ```
 /// # use layers::{Card, Server, Shape, Span, placement};
 /// let shape = Shape { layers: 8, layer_bytes: 1e9, token_bytes: 1e3, step_ms: 1.0,
-///     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01 };
+///     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01, pass: None };
 /// let card = Card { bytes: 9e9, pace: 1.0, read: 1.0 };
 /// let server = Server { zone: 0, card, span: Span::new(0, 5), usable: true, busy: false, slow: false };
 /// assert_eq!(placement::missing(&[server], &shape, 0), [Span::new(5, 8)]);
--- /dev/null
+++ b/crates/layers/tests/pass.rs
@@ -0,0 +1,69 @@
+//! What servers can do by the passes of their engines.
+
+use layers::pass::Pass;
+use layers::{Card, Shape};
+use rstest::rstest;
+
+const PASS: Pass =
+    Pass { stride: 4.0, chunk: 512.0, writer_ms: 0.0067, prompt: 775.0, answer: 214.0 };
+
+const SHAPE: Shape = Shape {
+    layers: 80,
+    layer_bytes: 1750e6,
+    token_bytes: 4912.0,
+    step_ms: 1.02,
+    read_per_ms: 245.0,
+    cross_ms: 0.75,
+    cross_token_ms: 0.025,
+    pass: Some(PASS),
+};
+
+struct Case {
+    card: Card,
+    layers: u32,
+    /// Mean prompts that a simulated server reads in a second at most.
+    most: f64,
+}
+
+/// Plays passes of a server that always has prompts to read, and counts the prompts that it gets through.
+/// Each prompt that is read leads to one event for each `stride` tokens of an answer.
+fn played(card: &Card, layers: u32) -> f64 {
+    let part = f64::from(layers) / f64::from(SHAPE.layers);
+    let (mut now, mut read, mut pass_ms) = (0.0, 0.0, 10.0);
+    for _ in 0..20_000 {
+        let rate = PASS.chunk / PASS.prompt / pass_ms;
+        let writers = rate * PASS.answer / PASS.stride * pass_ms;
+        let step = SHAPE.step_ms + PASS.writer_ms * writers;
+        let reading = PASS.chunk * card.read / SHAPE.read_per_ms;
+        pass_ms = part * (PASS.stride * card.pace * step + reading);
+        (now, read) = (now + pass_ms, read + PASS.chunk);
+    }
+    read / PASS.prompt / now * 1e3
+}
+
+/// A slow card with an eighth of the model is sent all that its data centre gets, as its accelerator could
+/// read it on paper. It reads one piece of a prompt a pass, and its passes are long: prompts wait for
+/// seconds. What a router expects of it has to be what passes allow.
+#[rstest]
+#[case::fast(Case { card: Card { bytes: 72e9, pace: 2.4, read: 3.2 }, layers: 28, most: 110.0 })]
+#[case::middle(Case { card: Card { bytes: 43.2e9, pace: 5.6, read: 2.7 }, layers: 16, most: 110.0 })]
+#[case::slow(Case { card: Card { bytes: 21.6e9, pace: 16.0, read: 8.2 }, layers: 8, most: 75.0 })]
+fn rate_is_what_passes_allow(#[case] case: Case) {
+    let rate = SHAPE.rate(&case.card, case.layers, 1.0).unwrap() * 1e3;
+    let played = played(&case.card, case.layers);
+    assert!((rate - played).abs() < 0.02 * played, "{rate} {played}");
+    assert!(rate < case.most);
+    let busy = SHAPE.reading_ms(&case.card, case.layers, 1.0, PASS.prompt);
+    assert!((busy * rate - 1e3).abs() < 1.0, "the meter is full at that rate: {busy}");
+}
+
+/// The platform says nothing of passes, or nonsense. Requests are served all the same, by the rate of the
+/// accelerator.
+#[test]
+fn without_passes_the_accelerator_counts() {
+    let shape = Shape { pass: None, ..SHAPE };
+    let card = Card { bytes: 72e9, pace: 2.4, read: 3.2 };
+    assert_eq!(shape.rate(&card, 28, 1.0), None);
+    let ms = shape.reading_ms(&card, 80, 1.0, 245.0);
+    assert!((ms - 3.2 / 0.6).abs() < 1e-9, "{ms}");
+}
--- a/crates/layers/tests/placement.rs
+++ b/crates/layers/tests/placement.rs
@@ -13,6 +13,7 @@
     read_per_ms: 272.0,
     cross_ms: 0.62,
     cross_token_ms: 0.0183,
+    pass: None,
 };
 
 const LARGE: Card = Card { bytes: 36e9, pace: 3.1, read: 3.2 };
