A path begins where slots are free

In the grown further deployment all streams of a data centre began at the first server of its fastest copy, which told of 180 to 190 running requests of 192 slots; the second copies had 5 to 11 streams in all. Whatever came then waited for a slot, while pauses between events had only grown from 34 to 46 ms.

Change: path choice adds a cost for beginning at a server whose slots are nearly taken and does not begin where they are; what waits at a server counts as running. A slow server with the same first layers then takes the request, which goes on along the fast copy.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -177,12 +177,18 @@
         ));
     }
     peer.answered(took);
-    let told =
-        headers.get(&names.load).and_then(|v| v.to_str().ok()?.split(',').next()?.parse().ok());
-    if let Some(running) = told {
+    if let Some(running) = headers.get(&names.load).and_then(running) {
         peer.told.set(Some((running, state.now())));
     }
     let (parts, body) = answer.into_parts();
     let head = Response::from_parts(parts, ());
     Outcome::Answer(Box::new(Answer { head, body, link, peer: peer.clone() }))
 }
+
+/// Requests that a server has: those that it runs and those that wait there for a slot.
+fn running(load: &HeaderValue) -> Option<u32> {
+    let mut numbers = load.to_str().ok()?.split(',').map(|n| n.trim().parse::<u32>().ok());
+    let runs = numbers.next()??;
+    let waits = numbers.next().flatten().unwrap_or(0);
+    Some(runs.saturating_add(waits))
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -27,7 +27,7 @@
     pub suspicion: RefCell<Suspicion>,
     /// Whether it declines requests: it is leaving, or out of memory.
     pub declines: RefCell<Suspicion>,
-    /// Requests of all routers that ran there, as it last told, and when.
+    /// Requests of all routers that ran or waited there, as it last told, and when.
     pub told: Cell<Option<(u32, Duration)>>,
     /// Times of its answers.
     pub pace: Cell<Pace>,
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -7,7 +7,7 @@
 
 use layers::path::{self, Ask, Holder};
 use layers::server::Zone;
-use layers::{Shape, Span};
+use layers::{Shape, Span, slots};
 
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
@@ -15,7 +15,7 @@
 use crate::state::State;
 use crate::wire::Hop;
 use load::{
-    Crowd, LINK, LINK_FULL, READING_FULL, charge_link, charge_reading, crowds, link, millis,
+    Crowd, LINK, LINK_FULL, READING_FULL, TOLD, charge_link, charge_reading, crowds, link, millis,
 };
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
@@ -321,9 +321,16 @@
         span,
         layer_ms: (read + write) / f64::from(shape.layers) * scarce * shared,
         hop_ms: HOP * tokens.answer + millis(reading),
+        begin_ms: begin_ms(peer, now, whole_ms(shape, tokens, 10.0)),
     })
 }
 
+/// Cost of beginning a request that takes `whole` milliseconds at a server, as far as it told of its slots.
+fn begin_ms(peer: &Peer, now: Duration, whole: f64) -> f64 {
+    let told = peer.told.get().filter(|(_, at)| now < *at + TOLD);
+    told.map_or(0.0, |(running, _)| slots::begin_ms(running, peer.server().slots, whole))
+}
+
 /// A number for the name of a data centre; equal names have equal numbers.
 pub fn zone(name: &str) -> Zone {
     (xxhash_rust::xxh3::xxh3_64(name.as_bytes()) & 0xffff) as u16
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -25,7 +25,7 @@
 pub(super) const READING_FULL: Duration = Duration::from_millis(300);
 
 /// How long what a server tells of its load is used.
-const TOLD: Duration = Duration::from_millis(1500);
+pub(super) const TOLD: Duration = Duration::from_millis(1500);
 
 /// Requests that run through one data centre's copy.
 #[derive(Debug, Clone, Copy)]
--- a/crates/layers/src/lib.rs
+++ b/crates/layers/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod path;
 pub mod placement;
 pub mod server;
+pub mod slots;
 pub mod span;
 
 pub use server::{Card, Server, Shape};
--- a/crates/layers/src/path.rs
+++ b/crates/layers/src/path.rs
@@ -27,6 +27,8 @@
     pub layer_ms: f64,
     /// Cost of being on the path at all, in milliseconds.
     pub hop_ms: f64,
+    /// Cost of beginning a new request there, in milliseconds; infinite if it takes none as the first server.
+    pub begin_ms: f64,
 }
 
 /// One step of a path.
@@ -69,7 +71,7 @@
 /// ```
 /// use layers::path::{Ask, Holder, find};
 /// use layers::Span;
-/// let holder = |server, from, to| Holder { server, zone: 0, span: Span::new(from, to), layer_ms: 1.0, hop_ms: 0.5 };
+/// let holder = |server, from, to| Holder { server, zone: 0, span: Span::new(from, to), layer_ms: 1.0, hop_ms: 0.5, begin_ms: 0.0 };
 /// let ask = Ask { from: 0, layers: 8, zone: 0, away_ms: 10.0, cross_ms: &|_, _| 5.0 };
 /// let (path, _) = find(&[holder(0, 0, 4), holder(1, 4, 8)], &ask).unwrap();
 /// assert_eq!(path.len(), 2);
@@ -128,8 +130,8 @@
     };
     if at == 0 {
         let cost = match ask.from {
-            0 if holder.zone == ask.zone => 0.0,
-            0 => ask.away_ms,
+            0 if holder.zone == ask.zone => holder.begin_ms,
+            0 => ask.away_ms + holder.begin_ms,
             _ => cross(ask.zone),
         };
         return cost.is_finite().then_some((cost, None));
--- a/crates/layers/tests/path.rs
+++ b/crates/layers/tests/path.rs
@@ -1,13 +1,13 @@
 //! Paths through held layers.
 
-use layers::Span;
 use layers::path::{Ask, Holder, LONGEST, Part, find};
+use layers::{Span, slots};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
 fn holder(server: usize, zone: u16, from: u32, to: u32, layer_ms: f64) -> Holder {
-    Holder { server, zone, span: Span::new(from, to), layer_ms, hop_ms: 0.1 }
+    Holder { server, zone, span: Span::new(from, to), layer_ms, hop_ms: 0.1, begin_ms: 0.0 }
 }
 
 fn ask(cross_ms: &dyn Fn(u16, u16) -> f64) -> Ask<'_> {
@@ -125,3 +125,26 @@
     assert_eq!(servers.len(), parts.len(), "seed {seed}: {parts:?}");
     assert!(parts.len() <= LONGEST);
 }
+
+/// A data centre's first server has no slot left, and a slow one holds its first layers too. Requests that are
+/// sent to the first all the same wait for seconds until others end; they must begin at the slow one
+/// and go on along the fast copy.
+#[test]
+fn begins_elsewhere_when_the_first_server_has_no_slot() {
+    let whole = 1000.0;
+    let first = |running| Holder {
+        begin_ms: slots::begin_ms(running, 192, whole),
+        ..holder(0, 0, 0, 40, 1.0)
+    };
+    let others = [holder(1, 0, 40, 80, 1.0), holder(2, 0, 0, 8, 10.0)];
+    let begins = |running| {
+        let holders = [first(running), others[0], others[1]];
+        let ask = Ask { from: 0, layers: 80, zone: 0, away_ms: 350.0, cross_ms: &|_, _| 500.0 };
+        find(&holders, &ask).unwrap().0
+    };
+    assert_eq!(begins(20)[0].server, 0);
+    let path = begins(191);
+    let servers: Vec<usize> = path.iter().map(|part| part.server).collect();
+    assert_eq!(servers, [2, 0, 1]);
+    assert_eq!(path[0].span, Span::new(0, 8));
+}
