Copies are dealt by what servers can do, and empty servers take the thinnest layers

Dealt by memory alone, four of twenty servers of a data centre held the copy that all requests took, with room for 160 of them, and the other copy was as slow as its slowest card. After a crash, its server came back empty and took layers that were not lacking.

Change: where memory holds two or three whole copies, each server gets layers in proportion to the most requests it can do (layers::pass), servers are split into the copies that serve most together and while the best one lacks a server, and some of the slowest only begin requests, since slots of first servers bound what runs. An empty server takes the layers with the lowest rate. Memory taken by others is judged by this router's own requests at a server times all for each of its own, no longer by dividing all of a data centre by its copies, which are unlike. A request without a path is logged with the layers that each data centre lacks.

Of the three tests of layers/tests/copies.rs, any_loss_leaves_a_calm_day and an_empty_server_takes_the_thinnest_layers failed before (server 3: 0.068 requests a millisecond of 0.08; 0.135 of 0.233); copies_carry_twice_a_calm_day held before too.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use derive_more::Display;
 use layers::path::{self, Ask, Holder};
 use layers::server::Zone;
 use layers::{Shape, Span, slots};
@@ -139,13 +140,18 @@
 ) -> String {
     let now = state.now();
     let peers = state.of(service);
-    let crowds = crowds(&peers, now, state.routers(), model.shape.layers);
+    let crowds = crowds(&peers, now, state.routers());
     let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
-    let mut held = vec![false; model.shape.layers as usize];
+    let mut zones: Vec<ZoneView> = Vec::new();
     for (i, peer) in peers.iter().enumerate() {
         let zone = zone(&peer.server().zone);
         let crowd = crowds.iter().find(|c| c.zone == zone).copied();
         let crowd = crowd.unwrap_or(Crowd::unknown(zone, state.routers()));
+        let at = zones.iter().position(|z| z.zone == zone).unwrap_or_else(|| {
+            let held = vec![false; model.shape.layers as usize];
+            zones.push(ZoneView { zone, name: peer.server().zone.clone(), held, begins: 0 });
+            zones.len() - 1
+        });
         match () {
             () if !peer.usable(now) => silent += 1,
             () if !peer.willing(now) || but.contains(&peer.server().id) => declined += 1,
@@ -153,16 +159,19 @@
             () if holder(peer, i, model, tokens, false, now, crowd).is_none() => scarce += 1,
             () => {
                 let span = peer.span(now);
-                (span.from..span.to).for_each(|layer| held[layer as usize] = true);
+                let begins = begin_ms(peer, now, 1.0).is_finite();
+                zones[at].begins += u32::from(span.from == 0 && begins);
+                let layers = span.from as usize..span.to as usize;
+                zones[at].held[layers].iter_mut().for_each(|held| *held = true);
             }
         }
     }
-    let missing = held.iter().filter(|held| !**held).count();
+    let views = zones.iter().map(ZoneView::to_string).collect::<Vec<_>>().join(" ");
     let links = state.links.borrow();
     let others = f64::from(state.routers());
     let full = links.iter().filter(|(_, l)| !l.takes(now, LINK, others, LINK_FULL)).count();
     format!(
-        "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} layers_missing={missing} links_full={full} crowds=[{}]",
+        "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
         peers.len(),
         crowds
             .iter()
@@ -172,6 +181,23 @@
     )
 }
 
+/// What is left of one data centre's servers for a request.
+#[derive(Display)]
+#[display("{name}:lacks={},begins={begins}", lacks(held))]
+struct ZoneView {
+    zone: Zone,
+    name: String,
+    held: Vec<bool>,
+    /// Servers with the first layer that have a slot.
+    begins: u32,
+}
+
+/// Layers that are not held, as spans.
+fn lacks(held: &[bool]) -> String {
+    let spans = Span::gaps(held).iter().map(Span::to_string).collect::<Vec<_>>();
+    spans.join("+")
+}
+
 /// Where a path is to begin.
 struct Want<'a> {
     from: u32,
@@ -200,7 +226,7 @@
     let peers: Vec<Rc<Peer>> = state.of(service);
     let shape = &model.shape;
     let bytes = size(model, tokens);
-    let crowds = crowds(&peers, now, state.routers(), model.shape.layers);
+    let crowds = crowds(&peers, now, state.routers());
     let crowd_of = |zone: Zone| {
         let found = crowds.binary_search_by_key(&zone, |c| c.zone);
         found.map_or(Crowd::unknown(zone, state.routers()), |at| crowds[at])
@@ -295,7 +321,10 @@
     let layers = f64::from(span.len());
     let bytes = if kept { 0.0 } else { size(model, tokens) };
     let memory = card.bytes - layers * shape.layer_bytes;
-    let others = crowd.running / crowd.copies * model.usual * shape.token_bytes * layers;
+    // Those of all routers, as far as this router's own say: at most all that run in the data centre.
+    let own = f64::from(peer.running.get());
+    let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
+    let others = running * model.usual * shape.token_bytes * layers;
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
     let reading = peer.reading.get();
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -35,8 +35,8 @@
     pub(super) running: f64,
     /// Requests of this router.
     pub(super) own: f64,
-    /// Copies of the model that they are spread over, at least one.
-    pub(super) copies: f64,
+    /// Requests of all routers for each of this router's, over all data centres, at least one.
+    pub(super) ratio: f64,
     /// Requests of all routers for each of this router's, at least one.
     pub(super) others: f64,
 }
@@ -44,14 +44,15 @@
 impl Crowd {
     /// Nothing is told: each router is taken to send as much as this one.
     pub(super) fn unknown(zone: Zone, routers: u32) -> Crowd {
-        Crowd { zone, running: 0.0, own: 0.0, copies: 1.0, others: f64::from(routers).sqrt() }
+        let others = f64::from(routers).sqrt();
+        Crowd { zone, running: 0.0, own: 0.0, ratio: others, others }
     }
 }
 
 /// Requests of all routers that run through each data centre's copy, as their first servers tell.
 /// A router sees only its own; when copies are lost, the others' requests crowd into the copies
 /// that are left, and none of the routers would notice that their memory is full.
-pub(super) fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32, layers: u32) -> Vec<Crowd> {
+pub(super) fn crowds(peers: &[Rc<Peer>], now: Duration, routers: u32) -> Vec<Crowd> {
     let mut crowds: Vec<Crowd> = Vec::new();
     for peer in peers {
         let Some((running, _)) = peer.told.get().filter(|(_, at)| now < *at + TOLD) else {
@@ -61,31 +62,22 @@
         let at = match crowds.binary_search_by_key(&zone, |c| c.zone) {
             Ok(at) => at,
             Err(at) => {
-                let copies = copies(peers, zone, now, layers);
-                crowds.insert(at, Crowd { zone, running: 0.0, own: 0.0, copies, others: 1.0 });
+                crowds.insert(at, Crowd { zone, running: 0.0, own: 0.0, ratio: 1.0, others: 1.0 });
                 at
             }
         };
         crowds[at].running += f64::from(running);
         crowds[at].own += f64::from(peer.running.get());
     }
+    let all = crowds.iter().fold((0.0, 0.0), |all, c| (all.0 + c.running, all.1 + c.own));
     for crowd in &mut crowds {
+        crowd.ratio = (all.0 / f64::max(all.1, 1.0)).clamp(1.0, f64::from(routers.max(1)));
         let ratio = crowd.running / crowd.own.max(1.0);
         crowd.others = ratio.clamp(1.0, f64::from(routers.max(1)));
     }
     crowds
 }
 
-/// Whole copies of the model in a data centre, at least one.
-fn copies(peers: &[Rc<Peer>], of: Zone, now: Duration, layers: u32) -> f64 {
-    let mut held = vec![0_u32; layers as usize];
-    for peer in peers.iter().filter(|p| p.willing(now) && zone(&p.server().zone) == of) {
-        let span = peer.span(now);
-        held.iter_mut().take(span.to as usize).skip(span.from as usize).for_each(|n| *n += 1);
-    }
-    held.iter().min().copied().unwrap_or(1).max(1).into()
-}
-
 pub(super) fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
--- a/crates/layers/src/pass.rs
+++ b/crates/layers/src/pass.rs
@@ -17,6 +17,8 @@
     pub chunk: f64,
     /// Time that each writing request adds to a step through all layers at pace 1, in milliseconds.
     pub writer_ms: f64,
+    /// Requests that a server runs at once as the first one of their paths.
+    pub slots: f64,
     /// Mean tokens of a prompt.
     pub prompt: f64,
     /// Mean tokens of an answer.
@@ -36,9 +38,11 @@
     ///
     /// ```
     /// # use layers::{Card, Shape, pass::Pass};
-    /// let pass = Pass { stride: 4.0, chunk: 512.0, writer_ms: 0.0, prompt: 512.0, answer: 200.0 };
+    /// let pass = Pass { stride: 4.0, chunk: 512.0, writer_ms: 0.0, slots: 192.0,
+    ///     prompt: 512.0, answer: 200.0 };
     /// let shape = Shape { layers: 80, layer_bytes: 1750e6, token_bytes: 4900.0, step_ms: 1.0,
-    ///     read_per_ms: 256.0, cross_ms: 0.7, cross_token_ms: 0.02, pass: Some(pass) };
+    ///     read_per_ms: 256.0, cross_ms: 0.7, cross_token_ms: 0.02,
+    ///     pause_ms: 200.0, pass: Some(pass) };
     /// let card = Card { bytes: 72e9, pace: 2.0, read: 1.0 };
     /// // Four steps of 2 ms, and 2 ms for reading the prompt of one request.
     /// assert_eq!(shape.rate(&card, 80, 1.0), Some(0.1));
@@ -46,13 +50,30 @@
     /// ```
     pub fn rate(&self, card: &Card, layers: u32, slow: f64) -> Option<f64> {
         let pass = self.pass?;
+        let (steps, request) = self.costs(&pass, card, layers, slow);
+        let rate = pass.chunk / (pass.prompt * steps + pass.chunk * request);
+        (rate.is_finite() && rate > 0.0).then_some(rate)
+    }
+
+    /// Time of a pass of a server with that many layers that gets `rate` mean requests in a millisecond, in
+    /// milliseconds; infinite if it can't keep up, zero if nothing is known of its passes.
+    pub fn pass_ms(&self, card: &Card, layers: u32, rate: f64) -> f64 {
+        let Some(pass) = self.pass else { return 0.0 };
+        let (steps, request) = self.costs(&pass, card, layers, 1.0);
+        match request * rate {
+            busy if busy < 1.0 => steps / (1.0 - busy),
+            _ => f64::INFINITY,
+        }
+    }
+
+    /// What a pass takes without any request, and what each mean request adds to passes, in milliseconds.
+    fn costs(&self, pass: &Pass, card: &Card, layers: u32, slow: f64) -> (f64, f64) {
         let part = f64::from(layers) / f64::from(self.layers) * slow;
         let steps = part * pass.stride * card.pace * self.step_ms;
         let events = pass.answer / pass.stride;
         let writing = part * pass.stride * card.pace * pass.writer_ms * events;
         let reading = part * card.read * pass.prompt / self.read_per_ms;
-        let rate = pass.chunk / (pass.prompt * steps + pass.chunk * (writing + reading));
-        (rate.is_finite() && rate > 0.0).then_some(rate)
+        (steps, writing + reading)
     }
 
     /// Time for which a server with that many layers is busy with reading a prompt, in milliseconds.
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -8,9 +8,12 @@
 //!
 //! Without repair, one lost server closes its data centre's copy for good.
 
+mod copies;
 mod reserve;
 
-use crate::server::{Index, Server, Shape, Zone};
+use std::cmp::Ordering;
+
+use crate::server::{Card, Index, Server, Shape, Zone};
 use crate::span::Span;
 
 /// Tokens of context a data centre's copy is planned for, if its memory allows: half as much again
@@ -91,7 +94,8 @@
 /// ```
 /// # use layers::{Card, Server, Shape, Span, placement};
 /// let shape = Shape { layers: 8, layer_bytes: 1e9, token_bytes: 1e3, step_ms: 1.0,
-///     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01, pass: None };
+///     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01,
+///     pause_ms: 200.0, pass: None };
 /// let card = Card { bytes: 9e9, pace: 1.0, read: 1.0 };
 /// let server = Server { zone: 0, card, span: Span::new(0, 5), usable: true, busy: false, slow: false };
 /// assert_eq!(placement::missing(&[server], &shape, 0), [Span::new(5, 8)]);
@@ -155,6 +159,12 @@
         let all = Span::new(0, self.shape.layers);
         // What the ends of copies waste is missing from the last one, which is then a reserve.
         let copies = sum(TWICE) / self.shape.layers;
+        if self.holds_copies(group) {
+            if let Some(copies) = self.by_rate(&order) {
+                copies.into_iter().for_each(|(i, span)| self.order(i, span));
+                return;
+            }
+        }
         if copies >= 2 {
             let tokens = most(MOST, |tokens| sum(tokens) >= copies * self.shape.layers);
             let mut rest = order;
@@ -170,6 +180,23 @@
         self.deal(&order, all, tokens);
     }
 
+    /// Whether a group's memory holds several whole copies that are few enough to be weighed.
+    fn holds_copies(&self, group: &[Zone]) -> bool {
+        let cards = self.members(group).map(|i| self.servers[i].card);
+        let layers: u32 = cards.map(|card| card.capacity(self.shape, TWICE)).sum();
+        (2..=copies::MOST_COPIES).contains(&(layers / self.shape.layers))
+    }
+
+    /// The copies that serve most together. None if nothing is known of the engines' passes.
+    fn by_rate(&self, members: &[Index]) -> Option<Vec<(Index, Span)>> {
+        let mut order = members.to_vec();
+        let rate = |i: &Index| self.shape.rate(&self.servers[*i].card, self.shape.layers, 1.0);
+        order.sort_by(|a, b| rate(b).partial_cmp(&rate(a)).unwrap_or(Ordering::Equal));
+        let cards: Vec<Card> = order.iter().map(|i| self.servers[*i].card).collect();
+        let spans = copies::split(&cards, self.shape, TWICE)?;
+        Some(spans.into_iter().map(|(at, span)| (order[at], span)).collect())
+    }
+
     /// Deals layers to servers in order, each with room for `tokens` of context; the servers that are left.
     fn deal(&mut self, order: &[Index], layers: Span, tokens: f64) -> Vec<Index> {
         let mut at = layers.from;
@@ -194,7 +221,7 @@
             let span = self.servers[i].span;
             held.iter_mut().take(span.to as usize).skip(span.from as usize).for_each(|h| *h = true);
         }
-        runs(&held)
+        Span::gaps(&held)
     }
 
     /// Whether the group would miss nothing without this server.
@@ -326,15 +353,3 @@
     }
     low
 }
-
-fn runs(held: &[bool]) -> Vec<Span> {
-    let mut runs: Vec<Span> = Vec::new();
-    for (layer, _) in held.iter().enumerate().filter(|(_, held)| !**held) {
-        let layer = layer as u32;
-        match runs.last_mut() {
-            Some(run) if run.to == layer => run.to += 1,
-            _ => runs.push(Span::new(layer, layer + 1)),
-        }
-    }
-    runs
-}
--- a/crates/layers/src/placement/reserve.rs
+++ b/crates/layers/src/placement/reserve.rs
@@ -7,6 +7,9 @@
 /// Tokens of context beside a second copy.
 pub const SPARE: f64 = 100_000.0;
 
+/// Factor on the times of a server that counts as slow.
+const SLOW: f64 = 6.0;
+
 impl Work<'_> {
     /// Has servers that hold nothing needed take the layers that only slow servers hold.
     ///
@@ -35,15 +38,55 @@
             .into_iter()
             .filter(|i| self.servers[*i].span.is_empty() && !self.servers[*i].busy)
             .collect();
+        let several = self.holds_copies(group);
         for i in empty {
             let len = self.servers[i].card.capacity(self.shape, SPARE).min(self.shape.layers);
+            let thin = several.then(|| self.thinnest(group, i, len)).flatten();
             if len > 0 {
-                let span = self.safest(group, len);
+                let span = thin.unwrap_or_else(|| self.safest(group, len));
                 self.order(i, span);
             }
         }
     }
 
+    /// The layers, `most` at most, of which a server raises the rate best: those that a data centre's servers
+    /// can run for the fewest requests. None if nothing is known of the engines' passes.
+    ///
+    /// Load pattern: a fast server crashes and comes back empty. Another copy holds its layers too, but that one is
+    /// slow, and all requests of the data centre now pass through it there. Were the server given other layers,
+    /// that would last.
+    fn thinnest(&self, group: &[Zone], server: Index, most: u32) -> Option<Span> {
+        let whole = self.rate(server, self.shape.layers)?;
+        let mut rates = vec![0.0; self.shape.layers as usize];
+        for i in self.members(group) {
+            let span = self.servers[i].span;
+            let rate = self.rate(i, span.len()).unwrap_or(0.0);
+            rates[span.from as usize..span.to as usize].iter_mut().for_each(|r| *r += rate);
+        }
+        let mut sorted = rates.clone();
+        sorted.sort_by(f64::total_cmp);
+        let (least, usual) = (sorted[0], sorted[sorted.len() / 2]);
+        // As many layers as it runs for what the thinnest ones lack.
+        let lack = (usual - least).max(whole);
+        let len = (whole * f64::from(self.shape.layers) / lack).ceil() as u32;
+        // A layer or two that it leaves would hold up as many requests as all of them.
+        let thin = rates.iter().filter(|rate| **rate < (least + usual) / 2.0).count() as u32;
+        let len = if thin <= len + len / 2 { len.max(thin) } else { len };
+        let len = len.clamp(1, most.max(1));
+        let sum = |span: &Span| -> f64 {
+            let layers = span.from as usize..span.to as usize;
+            rates[layers].iter().map(|r| r.min(usual)).sum()
+        };
+        let runs = (0..=self.shape.layers - len).map(|from| Span::new(from, from + len));
+        runs.min_by(|a, b| sum(a).total_cmp(&sum(b)))
+    }
+
+    /// Mean requests in a millisecond that a server with that many layers serves at most.
+    fn rate(&self, server: Index, layers: u32) -> Option<f64> {
+        let slow = if self.servers[server].slow { SLOW } else { 1.0 };
+        self.shape.rate(&self.servers[server].card, layers, slow)
+    }
+
     /// The run of `len` layers whose second copy covers most of the servers that hold them.
     ///
     /// A server counts by the square of the part of its layers that another one holds too: half of two
--- a/crates/layers/src/server.rs
+++ b/crates/layers/src/server.rs
@@ -30,6 +30,8 @@
     pub cross_ms: f64,
     /// Time for one prompt token's activations over the link between data centres, in milliseconds.
     pub cross_token_ms: f64,
+    /// Longest pause between two events with which an answer is on time, in milliseconds.
+    pub pause_ms: f64,
     /// How the servers' engines work, if that is known.
     pub pass: Option<Pass>,
 }
@@ -51,7 +53,8 @@
     /// ```
     /// # use layers::{Card, Shape};
     /// let shape = Shape { layers: 80, layer_bytes: 1750e6, token_bytes: 5325.0, step_ms: 0.85,
-    ///     read_per_ms: 272.0, cross_ms: 0.62, cross_token_ms: 0.018, pass: None };
+    ///     read_per_ms: 272.0, cross_ms: 0.62, cross_token_ms: 0.018,
+    ///     pause_ms: 200.0, pass: None };
     /// let card = Card { bytes: 14.4e9, pace: 15.0, read: 15.0 };
     /// assert_eq!(card.capacity(&shape, 0.0), 8);
     /// assert_eq!(card.capacity(&shape, 150_000.0), 5);
--- a/crates/layers/src/span.rs
+++ b/crates/layers/src/span.rs
@@ -42,6 +42,24 @@
     pub fn covers(self, other: Span) -> bool {
         self.from <= other.from && other.to <= self.to
     }
+
+    /// Runs of layers that are not held, of all layers in order.
+    ///
+    /// ```
+    /// # use layers::Span;
+    /// assert_eq!(Span::gaps(&[true, false, false, true]), [Span::new(1, 3)]);
+    /// ```
+    pub fn gaps(held: &[bool]) -> Vec<Span> {
+        let mut gaps: Vec<Span> = Vec::new();
+        for (layer, _) in held.iter().enumerate().filter(|(_, held)| !**held) {
+            let layer = layer as u32;
+            match gaps.last_mut() {
+                Some(gap) if gap.to == layer => gap.to += 1,
+                _ => gaps.push(Span::new(layer, layer + 1)),
+            }
+        }
+        gaps
+    }
 }
 
 impl Display for Span {
--- /dev/null
+++ b/crates/layers/tests/copies.rs
@@ -0,0 +1,112 @@
+//! Several copies of the model in one data centre, dealt by what its servers can do.
+
+use layers::pass::Pass;
+use layers::placement::plan;
+use layers::{Card, Server, Shape, Span};
+
+const PASS: Pass = Pass {
+    stride: 4.0,
+    chunk: 512.0,
+    writer_ms: 0.0067,
+    slots: 192.0,
+    prompt: 775.0,
+    answer: 214.0,
+};
+
+const SHAPE: Shape = Shape {
+    layers: 80,
+    layer_bytes: 1.75e9,
+    token_bytes: 4912.0,
+    step_ms: 1.02,
+    read_per_ms: 245.0,
+    cross_ms: 0.75,
+    cross_token_ms: 0.025,
+    pause_ms: 200.0,
+    pass: Some(PASS),
+};
+
+const FAST: Card = Card { bytes: 72e9, pace: 2.4, read: 3.2 };
+const MIDDLE: Card = Card { bytes: 43.2e9, pace: 5.6, read: 2.7 };
+const SLOW: Card = Card { bytes: 21.6e9, pace: 16.0, read: 8.2 };
+
+/// Requests of a calm day of one data centre, in a millisecond.
+const CALM: f64 = 0.08;
+
+fn server(card: Card) -> Server {
+    Server { zone: 0, card, span: Span::default(), usable: true, busy: false, slow: false }
+}
+
+/// A data centre of unequal cards that holds what placement wants.
+fn settled() -> Vec<Server> {
+    let cards = [(FAST, 2), (MIDDLE, 5), (SLOW, 13)];
+    let mut servers: Vec<Server> =
+        cards.iter().flat_map(|(card, n)| (0..*n).map(|_| server(*card))).collect();
+    settle(&mut servers);
+    servers
+}
+
+fn settle(servers: &mut [Server]) {
+    for _ in 0..20 {
+        for order in plan(servers, &SHAPE, false) {
+            assert!(servers[order.server].card.room(&SHAPE, order.span.len()) > 0.0);
+            servers[order.server].span = order.span;
+        }
+    }
+}
+
+/// The fewest requests that the servers of some layer can run, in a millisecond.
+fn rate(servers: &[Server]) -> f64 {
+    let of = |layer: u32| -> f64 {
+        let held = servers.iter().filter(|s| s.usable && s.span.contains(layer));
+        held.filter_map(|s| SHAPE.rate(&s.card, s.span.len(), 1.0)).sum()
+    };
+    (0..SHAPE.layers).map(of).fold(f64::INFINITY, f64::min)
+}
+
+/// Requests whose context fits beside the layers, where least fit.
+fn room(servers: &[Server]) -> f64 {
+    let of = |layer: u32| -> f64 {
+        let held = servers.iter().filter(|s| s.usable && s.span.contains(layer));
+        held.map(|s| s.card.room(&SHAPE, s.span.len())).sum()
+    };
+    let tokens = (0..SHAPE.layers).map(of).fold(f64::INFINITY, f64::min);
+    tokens / (PASS.prompt + PASS.answer / 2.0)
+}
+
+/// A data centre's requests are taken by the few fast cards that hold a whole copy, while most of its cards stand
+/// by. Callers wait for prompts to be read although the cards together could read twice as many.
+#[test]
+fn copies_carry_twice_a_calm_day() {
+    let servers = settled();
+    assert!(rate(&servers) >= 2.0 * CALM, "{}", rate(&servers));
+    // Requests live for two and a half seconds when nothing waits.
+    assert!(room(&servers) >= 2.0 * CALM * 2500.0, "{}", room(&servers));
+    let heads = servers.iter().filter(|s| s.span.from == 0 && !s.span.is_empty()).count();
+    assert!(heads as f64 * PASS.slots >= 2.0 * CALM * 2500.0, "{heads} servers begin requests");
+}
+
+/// One server crashes. Until it is back, callers of the data centre are served by the other copies; none may be so
+/// narrow at any layer that a calm day's requests don't fit.
+#[test]
+fn any_loss_leaves_a_calm_day() {
+    let servers = settled();
+    for lost in 0..servers.len() {
+        let mut after = servers.clone();
+        after[lost].usable = false;
+        assert!(rate(&after) >= CALM, "server {lost}: {}", rate(&after));
+    }
+}
+
+/// A crashed server comes back empty. If it were given other layers than those that it held, its data centre would
+/// stay as narrow as right after the crash.
+#[test]
+fn an_empty_server_takes_the_thinnest_layers() {
+    let servers = settled();
+    let before = rate(&servers);
+    for lost in 0..servers.len() {
+        let mut after = servers.clone();
+        after[lost].span = Span::default();
+        settle(&mut after);
+        assert!(rate(&after) >= 0.9 * before, "server {lost}: {} of {before}", rate(&after));
+    }
+}
--- a/crates/layers/tests/pass.rs
+++ b/crates/layers/tests/pass.rs
@@ -4,8 +4,14 @@
 use layers::{Card, Shape};
 use rstest::rstest;
 
-const PASS: Pass =
-    Pass { stride: 4.0, chunk: 512.0, writer_ms: 0.0067, prompt: 775.0, answer: 214.0 };
+const PASS: Pass = Pass {
+    stride: 4.0,
+    chunk: 512.0,
+    writer_ms: 0.0067,
+    slots: 192.0,
+    prompt: 775.0,
+    answer: 214.0,
+};
 
 const SHAPE: Shape = Shape {
     layers: 80,
@@ -15,6 +21,7 @@
     read_per_ms: 245.0,
     cross_ms: 0.75,
     cross_token_ms: 0.025,
+    pause_ms: 200.0,
     pass: Some(PASS),
 };
 
--- a/crates/layers/tests/placement.rs
+++ b/crates/layers/tests/placement.rs
@@ -13,6 +13,7 @@
     read_per_ms: 272.0,
     cross_ms: 0.62,
     cross_token_ms: 0.0183,
+    pause_ms: 200.0,
     pass: None,
 };
 
--- a/crates/layers/tests/plans.rs
+++ b/crates/layers/tests/plans.rs
@@ -13,6 +13,7 @@
     read_per_ms: 100.0,
     cross_ms: 0.6,
     cross_token_ms: 0.01,
+    pause_ms: 200.0,
     pass: None,
 };
 
