Routers hear how full servers' memory is

Change: the router that gives orders asks servers for their state each second in place of every other one, and tells the others in one notice how full each is; a guess is made only where that is older than three seconds. Servers are filled to 0.97 in place of 0.85.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -41,7 +41,7 @@
 
 /// Time between two visits to model servers. Servers are slow for some seconds at least; a visit
 /// is as dear as a heartbeat of each.
-const VISIT: Duration = Duration::from_millis(2000);
+const VISIT: Duration = Duration::from_millis(1000);
 
 /// What a router knows of its right to give orders, and of those it gave.
 struct Leader {
--- a/crates/gateway/src/leader/survey.rs
+++ b/crates/gateway/src/leader/survey.rs
@@ -19,7 +19,8 @@
 
 /// Asks model servers for their state, from the one at `from` on, and tells the other routers what has changed.
 /// A server that turned slow holds up all that passes through it, and neither its entry nor a router that
-/// uses other paths shows it.
+/// uses other paths shows it. Nor does any router see how full a server's memory is: each knows its own
+/// requests only, and takes servers for full that are not, or fills them until requests are preempted.
 pub(super) async fn visit(state: &State, from: usize) {
     let mut peers = state.peers();
     peers.retain(|p| p.server().card.is_some() && p.usable(state.now()));
@@ -27,6 +28,7 @@
     peers.rotate_left(start);
     peers.truncate(AT_ONCE);
     let asked = peers.iter().map(|peer| async move { (probe::visit(state, peer).await, peer) });
+    let mut filled = Vec::new();
     for (report, peer) in futures_util::future::join_all(asked).await {
         let server = peer.server().id.clone();
         let report = match report {
@@ -36,6 +38,10 @@
                 continue;
             }
         };
+        if let Some(part) = report.filled.filter(|_| !report.span.is_empty()) {
+            peer.filled.set(Some((part, state.now())));
+            filled.push((server.clone(), (part * 100.0).round() as u8));
+        }
         let (was, is) = (peer.slow.get(), report.pace.max(1.0));
         if (is - was).abs() > CHANGED * was {
             log::info!("gateway: server={server} slow={is:.1} before={was:.1}");
@@ -43,6 +49,9 @@
             state.announce(Notice::Slow { server, percent: (is * 100.0) as u32 });
         }
     }
+    if !filled.is_empty() {
+        state.announce(Notice::Filled { servers: filled });
+    }
 }
 
 /// Asks servers again if many are suspected at once. A router that was slow for a moment takes many live
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -25,6 +25,11 @@
         /// Factor on the time of its steps, in percent.
         percent: u32,
     },
+    /// How full servers' memory for requests is.
+    Filled {
+        /// Servers and the part that is taken, in percent.
+        servers: Vec<(String, u8)>,
+    },
     /// A server holds layers now.
     Holds {
         /// The server.
@@ -80,6 +85,14 @@
                 peer.slow.set(f64::from(*percent) / 100.0);
             }
         }
+        Notice::Filled { servers } => {
+            for (server, percent) in servers {
+                if let Some(peer) = state.peer(server) {
+                    peer.filled.set(Some((f64::from(*percent) / 100.0, now)));
+                }
+            }
+            return;
+        }
         Notice::Holds { server, from, to } => {
             if let Some(peer) = state.peer(server) {
                 peer.learn(Span::new(*from, *to), now);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -39,6 +39,8 @@
     pub reading: Cell<Meter>,
     /// Factor on the time of its steps, as it reports.
     pub slow: Cell<f64>,
+    /// Part of its memory for requests that was taken when it was last asked, and when that was heard.
+    pub filled: Cell<Option<(f64, Duration)>>,
     /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
     /// all who want to know wait for one answer.
     pub asked: Mutex<(Duration, bool)>,
@@ -64,6 +66,7 @@
             context: Cell::new(0.0),
             reading: Cell::default(),
             slow: Cell::new(1.0),
+            filled: Cell::new(None),
             asked: Mutex::new((Duration::ZERO, true)),
             said: Cell::new(None),
             stalled: RefCell::default(),
@@ -85,6 +88,7 @@
             self.fresh.set(None);
             self.suspicion.borrow_mut().clear();
             self.slow.set(1.0);
+            self.filled.set(None);
         }
         *self.server.borrow_mut() = Rc::new(server);
     }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -16,7 +16,8 @@
 use crate::state::State;
 use crate::wire::Hop;
 use load::{
-    Crowd, LINK, LINK_FULL, READING_FULL, TOLD, charge_link, charge_reading, crowds, link, millis,
+    Crowd, FILLED, LINK, LINK_FULL, READING_FULL, TOLD, charge_link, charge_reading, crowds, link,
+    millis,
 };
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
@@ -26,7 +27,7 @@
 
 /// Part of a server's memory for requests up to which this router sends it more. Other routers
 /// send to it too, and a request that meets full memory is declined or preempts another.
-const FULL: f64 = 0.85;
+const FULL: f64 = 0.97;
 
 /// Time for a token to get to the next server of a path in the same data centre, in milliseconds.
 const HOP: f64 = 0.2;
@@ -321,10 +322,15 @@
     let layers = f64::from(span.len());
     let bytes = if kept { 0.0 } else { size(model, tokens) };
     let memory = card.bytes - layers * shape.layer_bytes;
-    // Those of all routers, as far as this router's own say: at most all that run in the data centre.
-    let own = f64::from(peer.running.get());
-    let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
-    let others = running * model.usual * shape.token_bytes * layers;
+    let others = match peer.filled.get().filter(|(_, at)| now < *at + FILLED) {
+        Some((part, _)) => part * memory,
+        None => {
+            // Those of all routers, as far as this router's own say: at most all that run in the data centre.
+            let own = f64::from(peer.running.get());
+            let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
+            running * model.usual * shape.token_bytes * layers
+        }
+    };
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
     let reading = peer.reading.get();
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -27,6 +27,10 @@
 /// How long what a server tells of its load is used.
 pub(super) const TOLD: Duration = Duration::from_millis(1500);
 
+/// How long it is used how full a server's memory was. It is asked each second; after some that were missed,
+/// a guess is better.
+pub(super) const FILLED: Duration = Duration::from_millis(3000);
+
 /// Requests that run through one data centre's copy.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Crowd {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -61,6 +61,8 @@
     pub span: Span,
     /// Factor on the time of its steps; over 1 it is slower than its kind.
     pub pace: f64,
+    /// Part of its memory for requests that is taken, if it tells.
+    pub filled: Option<f64>,
     /// When it started, in milliseconds of Unix time.
     pub born: u64,
     /// Requests that wait for a server further on.
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -159,11 +159,9 @@
         let all = Span::new(0, self.shape.layers);
         // What the ends of copies waste is missing from the last one, which is then a reserve.
         let copies = sum(TWICE) / self.shape.layers;
-        if self.holds_copies(group) {
-            if let Some(copies) = self.by_rate(&order) {
-                copies.into_iter().for_each(|(i, span)| self.order(i, span));
-                return;
-            }
+        let by_rate = self.holds_copies(group).then(|| self.by_rate(&order)).flatten();
+        if let Some(spans) = by_rate {
+            return spans.into_iter().for_each(|(i, span)| self.order(i, span));
         }
         if copies >= 2 {
             let tokens = most(MOST, |tokens| sum(tokens) >= copies * self.shape.layers);
