A new request waits a moment for a place

Cause: what is refused for full servers comes back 1.5 s later and is then late, with a first event after 1.67 s: that was the 99th percentile of all streams. Near the limit a place is free again every few milliseconds.

Change: up to three requests of a router wait for a place, up to half of the goal; the rest are refused at once as before.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::answer::{self, Body, Reason};
+use crate::count::Counted;
 use crate::logging::{self, Line};
 use crate::plain;
 use crate::request::{self, Call};
@@ -142,22 +143,6 @@
     }
 }
 
-/// Counts something while it lives.
-struct Counted<'a>(&'a Cell<u32>);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a Cell<u32>) -> Counted<'a> {
-        count.set(count.get() + 1);
-        Counted(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn connection(state: Rc<State>, stream: TcpStream) {
     let _open = Counted::new(&state.callers);
     if let Err(e) = stream.set_nodelay(true) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -53,6 +53,8 @@
     pub callers: Cell<u32>,
     /// Requests that are being served.
     pub serving: Cell<u32>,
+    /// New requests that wait until a server has a place for them.
+    pub placeless: Cell<u32>,
     /// Bytes of request bodies held.
     pub bodies: Cell<usize>,
     /// Woken when servers or settings change.
@@ -104,6 +106,7 @@
             stopping: Cell::new(None),
             callers: Cell::new(0),
             serving: Cell::new(0),
+            placeless: Cell::new(0),
             bodies: Cell::new(0),
             changed: Notify::new(),
             lost: Notify::new(),
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -8,6 +8,7 @@
 
 use super::{LOOK, Next, PAUSE, Progress, SHORTEST, STUCK, Source};
 use crate::answer::{self, Body, Reason};
+use crate::count::Counted;
 use crate::event::{Event, Splitter};
 use crate::exchange::{self, Answer, Outcome};
 use crate::plain;
@@ -20,9 +21,15 @@
 /// Part of the goal after which the servers of the path are asked, before the first event.
 const SILENT_START: f64 = 0.5;
 
-/// Pause between two looks for a path for a stream that has none.
+/// Pause between two looks for a path.
 const AGAIN: Duration = Duration::from_millis(60);
 
+/// Requests of one router that wait for a place.
+const WAITING: u32 = 3;
+
+/// Part of the goal for which a new request waits for a place; the rest is for its first event.
+const PLACE: f64 = 0.5;
+
 /// What opening a path led to.
 pub(super) enum Opened {
     Stream(Source, Event),
@@ -60,8 +67,9 @@
     /// Finds a path and waits for its first event; tries others while that is allowed.
     pub(super) async fn open(&mut self) -> Result<Opened, Reason> {
         let mut reason = None;
+        let until = self.call.came + self.call.route.goal.mul_f64(PLACE);
         while self.tries < TRIES {
-            let Some(path) = self.path() else {
+            let Some(path) = self.place(until).await else {
                 let none = self.no_path();
                 if self.last.is_none() {
                     self.say_no_path(none);
@@ -113,6 +121,27 @@
         }
     }
 
+    /// A path; a new request waits for one until then if the servers are only full.
+    ///
+    /// Load pattern: a data centre runs near its limit, and a place is free again every few milliseconds. A request
+    /// that is refused comes back a second or more later, so that even if it is then served, it is late. Where
+    /// many wait, few of them would get a place in time, so the rest are refused at once.
+    async fn place(&self, until: Instant) -> Option<Path> {
+        let path = self.path();
+        if path.is_some() || self.last.is_some() || self.state.placeless.get() >= WAITING {
+            return path;
+        }
+        let _waits = Counted::new(&self.state.placeless);
+        loop {
+            let path = self.path();
+            let late = Instant::now() + AGAIN >= until;
+            if path.is_some() || late || self.no_path() != Reason::Full {
+                return path;
+            }
+            let _ = tokio::time::timeout(AGAIN, self.state.changed.notified()).await;
+        }
+    }
+
     fn path(&self) -> Option<Path> {
         let find = |but: &[String], willing| {
             route::find(self.state, self.service, self.model, self.call.tokens, but, willing)
