--- a/crates/layers/src/placement/copies.rs
+++ b/crates/layers/src/placement/copies.rs
@@ -128,10 +128,13 @@
             at += layers;
         }
     }
-    // So few layers that any of them could begin all requests.
-    let alone = cards[share.heads.clone()].iter().filter_map(|card| shape.rate(card, 1, 1.0));
+    // So few layers that any of them could begin all requests, and that fit beside their context.
+    let heads = &cards[share.heads.clone()];
+    let alone = heads.iter().filter_map(|card| shape.rate(card, 1, 1.0));
     let layers = (alone.fold(f64::INFINITY, f64::min) * BUSY / rate).max(1.0) as u32;
-    spans.extend(share.heads.map(|i| (i, Span::new(0, layers.min(shape.layers)))));
+    let fits = heads.iter().map(|card| card.capacity(shape, tokens)).min().unwrap_or(0);
+    let layers = layers.min(fits).min(shape.layers);
+    spans.extend(share.heads.map(|i| (i, Span::new(0, layers))));
     spans.retain(|(_, span)| !span.is_empty());
     Some(spans)
 }
--- a/crates/layers/tests/copies.rs
+++ b/crates/layers/tests/copies.rs
@@ -38,13 +38,15 @@
 
 /// A data centre of unequal cards that holds what placement wants.
 fn settled() -> Vec<Server> {
-    let cards = [(FAST, 2), (MIDDLE, 5), (SLOW, 13)];
-    let mut servers: Vec<Server> =
-        cards.iter().flat_map(|(card, n)| (0..*n).map(|_| server(*card))).collect();
+    let mut servers = cards(&[(FAST, 2), (MIDDLE, 5), (SLOW, 13)]);
     settle(&mut servers);
     servers
 }
 
+fn cards(counts: &[(Card, usize)]) -> Vec<Server> {
+    counts.iter().flat_map(|(card, n)| (0..*n).map(|_| server(*card))).collect()
+}
+
 fn settle(servers: &mut [Server]) {
     for _ in 0..20 {
         for order in plan(servers, &SHAPE, false) {
@@ -110,3 +112,19 @@
         assert!(rate(&after) >= 0.9 * before, "server {lost}: {} of {before}", rate(&after));
     }
 }
+
+/// Small cards are to begin requests, and could do so for many layers if only their time counted. A server that is
+/// ordered to hold more layers than its memory takes crashes, and all that passes through it breaks off.
+#[test]
+fn no_card_gets_more_than_its_memory_holds() {
+    let large = Card { bytes: 36e9, pace: 3.1, read: 3.2 };
+    let middle = Card { bytes: 21.6e9, pace: 16.0, read: 8.2 };
+    let small = Card { bytes: 14.4e9, pace: 15.0, read: 15.0 };
+    for counts in (0..6).flat_map(|l| (0..14).flat_map(move |m| (0..20).map(move |s| (l, m, s)))) {
+        let mut servers = cards(&[(large, counts.0), (middle, counts.1), (small, counts.2)]);
+        settle(&mut servers);
+        for server in &servers {
+            assert!(server.span.len() <= server.card.capacity(&SHAPE, 0.0), "{counts:?}");
+        }
+    }
+}
