The time to come back follows how many find no place

All refused callers were told 1.5 s, also where three in ten found no place for ten seconds.

Change: policy::shortage; each router tells a time between 1.5 and 6 s by the share that it had to refuse lately.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -111,12 +111,17 @@
     }
 }
 
-/// Our own answer.
+/// Our own answer, with the usual time to come back.
 pub fn own(reason: Reason) -> Response<Body> {
+    own_after(reason, reason.again())
+}
+
+/// Our own answer; its caller may come back after `again`, if that makes sense.
+pub fn own_after(reason: Reason, again: Option<Duration>) -> Response<Body> {
     let text = Bytes::from(format!("{reason}\n"));
     let mut answer = Response::new(Full::new(text).map_err(never).boxed_unsync());
     *answer.status_mut() = reason.status();
-    if let Some(again) = reason.again() {
+    if let Some(again) = again {
         let seconds = format!("{:.1}", again.as_secs_f64());
         let value = HeaderValue::from_str(&seconds).expect("digits");
         answer.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 
 use layers::server::Zone;
 use policy::meter::Meter;
+use policy::shortage::Shortage;
 use policy::window::{Budget, Crowd};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -53,6 +54,8 @@
     pub callers: Cell<u32>,
     /// Requests that are being served.
     pub serving: Cell<u32>,
+    /// How many requests to models found no place lately.
+    pub shortage: RefCell<Shortage>,
     /// New requests that wait until a server has a place for them.
     pub placeless: Cell<u32>,
     /// Bytes of request bodies held.
@@ -106,6 +109,7 @@
             stopping: Cell::new(None),
             callers: Cell::new(0),
             serving: Cell::new(0),
+            shortage: RefCell::default(),
             placeless: Cell::new(0),
             bodies: Cell::new(0),
             changed: Notify::new(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::answer::{self, Body, Cut};
+use crate::answer::{self, Body, Cut, Reason};
 use crate::event::{Event, Id, Splitter};
 use crate::exchange::Answer;
 use crate::request::Call;
@@ -132,8 +132,13 @@
     let (mut source, first) = match progress.open().await {
         Ok(Opened::Stream(source, first)) => (source, first),
         Ok(Opened::Whole(answer)) => return answer,
+        Err(Reason::Full) => {
+            let again = state.shortage.borrow_mut().refused(state.now());
+            return answer::own_after(Reason::Full, Some(again));
+        }
         Err(reason) => return answer::own(reason),
     };
+    state.shortage.borrow_mut().placed(state.now());
     let mut head = std::mem::replace(&mut source.answer.head, Response::new(()));
     // The connection's own fields decide later whether it is kept.
     source.answer.head.headers_mut().clone_from(head.headers());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod room;
 pub mod route;
 pub mod share;
+pub mod shortage;
 pub mod suspicion;
 pub mod tuning;
 pub mod window;
--- /dev/null
+++ b/crates/policy/src/shortage.rs
@@ -0,0 +1,69 @@
+//! When those come back that find all places taken.
+//!
+//! Load pattern: servers are lost for ten seconds while a burst comes, and three requests in ten find no place.
+//! If all of them are told to come back in a second and a half, they come back to a system that is as
+//! full as before, beside the new ones, and are refused for good. Where only a few are refused,
+//! a place is free by then, and a longer wait would be lost time.
+//!
+//! Each router tells callers by what it saw itself: the larger the share that it had to refuse lately, the
+//! longer the time over which those who were refused are spread.
+
+use std::time::Duration;
+
+/// Time to come back when hardly any are refused: about as long as a request runs.
+pub const SHORTEST: Duration = Duration::from_millis(1500);
+
+/// Time to come back when most are refused. Callers have some twenty seconds and come back within a third.
+pub const LONGEST: Duration = Duration::from_secs(6);
+
+/// Time in which what was seen counts for a third of what it did.
+const MEMORY: Duration = Duration::from_secs(3);
+
+/// Part of the requests that may be refused until the longest time is told.
+const MOST: f64 = 0.6;
+
+/// Requests that are taken for placed beside those seen, so that one refusal of a quiet router says little.
+const FEW: f64 = 5.0;
+
+/// Requests that found a place or none lately, the newest counting most.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Shortage {
+    placed: f64,
+    refused: f64,
+    at: Duration,
+}
+
+impl Shortage {
+    /// Notes a request that found a place.
+    pub fn placed(&mut self, now: Duration) {
+        self.forget(now);
+        self.placed += 1.0;
+    }
+
+    /// Notes a request that found none; the time after which it is to come back.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use policy::shortage::{LONGEST, SHORTEST, Shortage};
+    /// let now = Duration::from_secs(10);
+    /// let mut shortage = Shortage::default();
+    /// (0..100).for_each(|_| shortage.placed(now));
+    /// assert!(shortage.refused(now) < SHORTEST + Duration::from_millis(100));
+    /// (0..300).for_each(|_| drop(shortage.refused(now)));
+    /// assert_eq!(shortage.refused(now), LONGEST);
+    /// let later = now + Duration::from_secs(60);
+    /// assert!(shortage.refused(later) < LONGEST / 2);
+    /// ```
+    pub fn refused(&mut self, now: Duration) -> Duration {
+        self.forget(now);
+        self.refused += 1.0;
+        let share = self.refused / (self.refused + self.placed + FEW);
+        SHORTEST + (LONGEST - SHORTEST).mul_f64((share / MOST).min(1.0))
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let old = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        let left = (-old).exp();
+        (self.placed, self.refused, self.at) = (self.placed * left, self.refused * left, now);
+    }
+}
