--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -160,17 +160,24 @@
                     away = Some(Instant::now());
                 }
                 state.metrics.store_failed();
-                if state.store_fails(log) {
-                    sleep(PAUSE * (1 << failures.min(DOUBLINGS))).await;
-                    failures += 1;
-                } else {
-                    let _ = tokio::time::timeout(OTHERS, state.store_back.notified()).await;
-                }
+                let asks = rest(state, log, PAUSE * (1 << failures.min(DOUBLINGS))).await;
+                failures += u32::from(asks);
             }
         }
     }
 }
 
+/// Waits after a read of a log that failed: for `pause` if its reader is the one that asks whether the store is
+/// back, else until that one has an answer. Whether it is the one that asks.
+async fn rest(state: &State, log: Log, pause: Duration) -> bool {
+    let asks = state.store_fails(log);
+    match asks {
+        true => sleep(pause).await,
+        false => drop(tokio::time::timeout(OTHERS, state.store_back.notified()).await),
+    }
+    asks
+}
+
 /// Records of a log.
 struct Batch {
     items: Vec<Item>,
--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 
-use super::{DOUBLINGS, OTHERS, PAUSE, longest, shared};
+use super::{DOUBLINGS, PAUSE, longest, rest, shared};
 use crate::notice::{self, Notice};
 use crate::shared_read;
 use crate::state::State;
@@ -58,12 +58,7 @@
             Err(Fault::Gone) => at = None,
             Err(e) => {
                 log::debug!("gateway: no notices: {e}");
-                match state.store_fails(Log::Notices) {
-                    true => sleep(PAUSE * (1 << DOUBLINGS)).await,
-                    false => {
-                        let _ = tokio::time::timeout(OTHERS, state.store_back.notified()).await;
-                    }
-                }
+                rest(&state, Log::Notices, PAUSE * (1 << DOUBLINGS)).await;
             }
         }
     }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -1,11 +1,11 @@
 //! The path of a request through the model servers, from what is believed now.
 
+mod explain;
 mod load;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use derive_more::Display;
 use layers::path::{self, Ask, Holder};
 use layers::server::Zone;
 use layers::{Shape, Span, slots};
@@ -15,6 +15,7 @@
 use crate::settings::Model;
 use crate::state::State;
 use crate::wire::Hop;
+pub use explain::explain;
 use load::{
     Crowd, FILLED, LINK, LINK_FULL, READING_FULL, TOLD, charge_link, charge_reading, crowds, link,
     millis,
@@ -130,75 +131,6 @@
     reached >= model.shape.layers
 }
 
-/// Why there is no path, for the log: how many servers are passed over for which reason, and which
-/// layers those that are left do not hold.
-pub fn explain(
-    state: &State,
-    service: &str,
-    model: &Model,
-    tokens: Tokens,
-    but: &[String],
-) -> String {
-    let now = state.now();
-    let peers = state.of(service);
-    let crowds = crowds(&peers, now, state.routers());
-    let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
-    let mut zones: Vec<ZoneView> = Vec::new();
-    for (i, peer) in peers.iter().enumerate() {
-        let zone = zone(&peer.server().zone);
-        let crowd = crowds.iter().find(|c| c.zone == zone).copied();
-        let crowd = crowd.unwrap_or(Crowd::unknown(zone, state.routers()));
-        let at = zones.iter().position(|z| z.zone == zone).unwrap_or_else(|| {
-            let held = vec![false; model.shape.layers as usize];
-            zones.push(ZoneView { zone, name: peer.server().zone.clone(), held, begins: 0 });
-            zones.len() - 1
-        });
-        match () {
-            () if !peer.usable(now) => silent += 1,
-            () if !peer.willing(now) || but.contains(&peer.server().id) => declined += 1,
-            () if !peer.reading.get().takes(now, 1.0, crowd.others, READING_FULL) => reading += 1,
-            () if holder(peer, i, model, tokens, false, now, crowd).is_none() => scarce += 1,
-            () => {
-                let span = peer.span(now);
-                let begins = begin_ms(peer, now, 1.0).is_finite();
-                zones[at].begins += u32::from(span.from == 0 && begins);
-                let layers = span.from as usize..span.to as usize;
-                zones[at].held[layers].iter_mut().for_each(|held| *held = true);
-            }
-        }
-    }
-    let views = zones.iter().map(ZoneView::to_string).collect::<Vec<_>>().join(" ");
-    let links = state.links.borrow();
-    let others = f64::from(state.routers());
-    let full = links.iter().filter(|(_, l)| !l.takes(now, LINK, others, LINK_FULL)).count();
-    format!(
-        "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
-        peers.len(),
-        crowds
-            .iter()
-            .map(|c| format!("{:.0}/{:.1}", c.running, c.others))
-            .collect::<Vec<_>>()
-            .join(" ")
-    )
-}
-
-/// What is left of one data centre's servers for a request.
-#[derive(Display)]
-#[display("{name}:lacks={},begins={begins}", lacks(held))]
-struct ZoneView {
-    zone: Zone,
-    name: String,
-    held: Vec<bool>,
-    /// Servers with the first layer that have a slot.
-    begins: u32,
-}
-
-/// Layers that are not held, as spans.
-fn lacks(held: &[bool]) -> String {
-    let spans = Span::gaps(held).iter().map(Span::to_string).collect::<Vec<_>>();
-    spans.join("+")
-}
-
 /// Where a path is to begin.
 struct Want<'a> {
     from: u32,
@@ -322,15 +254,7 @@
     let layers = f64::from(span.len());
     let bytes = if kept { 0.0 } else { size(model, tokens) };
     let memory = card.bytes - layers * shape.layer_bytes;
-    let others = match peer.filled.get().filter(|(_, at)| now < *at + FILLED) {
-        Some((part, _)) => part * memory,
-        None => {
-            // Those of all routers, as far as this router's own say: at most all that run in the data centre.
-            let own = f64::from(peer.running.get());
-            let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
-            running * model.usual * shape.token_bytes * layers
-        }
-    };
+    let others = taken_by_all(peer, model, memory, now, crowd);
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
     let reading = peer.reading.get();
@@ -360,6 +284,20 @@
     })
 }
 
+/// Bytes of a server's memory for requests that those of all routers take, as it told or else as far as this
+/// router's own say: at most all that run in the data centre.
+fn taken_by_all(peer: &Peer, model: &Model, memory: f64, now: Duration, crowd: Crowd) -> f64 {
+    match peer.filled.get().filter(|(_, at)| now < *at + FILLED) {
+        Some((part, _)) => part * memory,
+        None => {
+            let own = f64::from(peer.running.get());
+            let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
+            let layers = f64::from(peer.span(now).len());
+            running * model.usual * model.shape.token_bytes * layers
+        }
+    }
+}
+
 /// Cost of beginning a request that takes `whole` milliseconds at a server, as far as it told of its slots.
 fn begin_ms(peer: &Peer, now: Duration, whole: f64) -> f64 {
     let told = peer.told.get().filter(|(_, at)| now < *at + TOLD);
--- /dev/null
+++ b/crates/gateway/src/route/explain.rs
@@ -0,0 +1,80 @@
+//! What stood in the way of a request for which there is no path, for the log.
+
+use derive_more::Display;
+use layers::Span;
+use layers::server::Zone;
+
+use super::load::{Crowd, LINK, LINK_FULL, READING_FULL, crowds};
+use super::{begin_ms, holder, zone};
+use crate::request::Tokens;
+use crate::settings::Model;
+use crate::state::State;
+
+/// Why there is no path, for the log: how many servers are passed over for which reason, and which
+/// layers those that are left do not hold.
+pub fn explain(
+    state: &State,
+    service: &str,
+    model: &Model,
+    tokens: Tokens,
+    but: &[String],
+) -> String {
+    let now = state.now();
+    let peers = state.of(service);
+    let crowds = crowds(&peers, now, state.routers());
+    let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
+    let mut zones: Vec<DataCentre> = Vec::new();
+    for (i, peer) in peers.iter().enumerate() {
+        let zone = zone(&peer.server().zone);
+        let crowd = crowds.iter().find(|c| c.zone == zone).copied();
+        let crowd = crowd.unwrap_or(Crowd::unknown(zone, state.routers()));
+        let at = zones.iter().position(|z| z.zone == zone).unwrap_or_else(|| {
+            let held = vec![false; model.shape.layers as usize];
+            zones.push(DataCentre { zone, name: peer.server().zone.clone(), held, begins: 0 });
+            zones.len() - 1
+        });
+        match () {
+            () if !peer.usable(now) => silent += 1,
+            () if !peer.willing(now) || but.contains(&peer.server().id) => declined += 1,
+            () if !peer.reading.get().takes(now, 1.0, crowd.others, READING_FULL) => reading += 1,
+            () if holder(peer, i, model, tokens, false, now, crowd).is_none() => scarce += 1,
+            () => {
+                let span = peer.span(now);
+                let begins = begin_ms(peer, now, 1.0).is_finite();
+                zones[at].begins += u32::from(span.from == 0 && begins);
+                let layers = span.from as usize..span.to as usize;
+                zones[at].held[layers].iter_mut().for_each(|held| *held = true);
+            }
+        }
+    }
+    let views = zones.iter().map(DataCentre::to_string).collect::<Vec<_>>().join(" ");
+    let links = state.links.borrow();
+    let others = f64::from(state.routers());
+    let full = links.iter().filter(|(_, l)| !l.takes(now, LINK, others, LINK_FULL)).count();
+    format!(
+        "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
+        peers.len(),
+        crowds
+            .iter()
+            .map(|c| format!("{:.0}/{:.1}", c.running, c.others))
+            .collect::<Vec<_>>()
+            .join(" ")
+    )
+}
+
+/// What is left of one data centre's servers for a request.
+#[derive(Display)]
+#[display("{name}:lacks={},begins={begins}", lacks(held))]
+struct DataCentre {
+    zone: Zone,
+    name: String,
+    held: Vec<bool>,
+    /// Servers with the first layer that have a slot.
+    begins: u32,
+}
+
+/// Layers that are not held, as spans.
+fn lacks(held: &[bool]) -> String {
+    let spans = Span::gaps(held).iter().map(Span::to_string).collect::<Vec<_>>();
+    spans.join("+")
+}
