Servers that other streams hear from are not asked whether they live

Change: an event shows for 40 ms, less than any silence that is looked into, that the servers of its path live; of those only the first one of a silent path is asked.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -44,6 +44,8 @@
     /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
     /// all who want to know wait for one answer.
     pub asked: Mutex<(Duration, bool)>,
+    /// When an event last came along a path through it.
+    pub seen: Cell<Duration>,
     /// When another router last said that it does not answer.
     pub said: Cell<Option<Duration>>,
     /// Requests that it last reported to wait for a server further on.
@@ -68,6 +70,7 @@
             slow: Cell::new(1.0),
             filled: Cell::new(None),
             asked: Mutex::new((Duration::ZERO, true)),
+            seen: Cell::default(),
             said: Cell::new(None),
             stalled: RefCell::default(),
             fresh: Cell::new(None),
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -118,6 +118,24 @@
     dead.map(|(_, peer)| peer.clone()).collect()
 }
 
+/// Time for which an event that came through a server shows that it lives. Shorter than any silence that is
+/// looked into, so that an event from before that silence shows nothing.
+const SHOWN: Duration = Duration::from_millis(40);
+
+/// Asks the servers of a silent path, the first one and those through which no other stream has just got an
+/// event; how many were asked, and those that do not answer.
+///
+/// Load pattern: servers near their limit, so that pauses vary and many streams seem silent for a moment. If each
+/// of them asks all servers of its path, a small VM makes thousands of probes in a few seconds, and
+/// hears the answers so late that it takes live servers for dead.
+pub async fn ask_path(state: &State, path: &[Rc<Peer>]) -> (usize, Vec<Rc<Peer>>) {
+    let now = state.now();
+    let shown = |peer: &Rc<Peer>| now < peer.seen.get() + SHOWN;
+    let asked = path.iter().enumerate().filter(|(i, peer)| *i == 0 || !shown(peer));
+    let asked: Vec<Rc<Peer>> = asked.map(|(_, peer)| peer.clone()).collect();
+    (asked.len(), ask_all(state, &asked).await)
+}
+
 async fn alive(state: &State, peer: &Peer) -> bool {
     if peer.suspicion.borrow().holds(state.now()) {
         return false;
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -68,6 +68,11 @@
         &self.peers[0]
     }
 
+    /// Notes that an event came along it.
+    pub fn seen(&self, now: Duration) {
+        self.peers.iter().for_each(|peer| peer.seen.set(now));
+    }
+
     /// Whether one of its servers is suspected.
     pub fn is_lost(&self, now: Duration) -> bool {
         self.peers.iter().any(|p| p.suspicion.borrow().holds(now))
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -179,6 +179,7 @@
         let why = match next {
             Next::Event(event) => {
                 progress.last = event.id.or(progress.last);
+                source.path.seen(progress.state.now());
                 progress.say_held_up(&source.path);
                 if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                     return progress.gone();
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -88,8 +88,8 @@
     /// If none of several servers answers at the same moment, it is this router that stood still or is cut
     /// off. Taking them all for dead would break live streams and leave no path to mend them with.
     pub(super) async fn look_into(&mut self, path: &Path) -> bool {
-        let dead = probe::ask_all(self.state, &path.peers).await;
-        if dead.len() > 1 && dead.len() == path.peers.len() {
+        let (asked, dead) = probe::ask_path(self.state, &path.peers).await;
+        if dead.len() > 1 && dead.len() == asked {
             log::info!("gateway: request={} silent=all servers={}", self.call.id, dead.len());
             return false;
         }
