--- /dev/null
+++ b/crates/layers/benches/decisions.rs
@@ -0,0 +1,78 @@
+//! Time of the decisions about a model's layers, at sixty servers in three data centres: a path for a request,
+//! and the orders of a data centre whose servers are all empty.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use layers::pass::Pass;
+use layers::path::{Ask, Holder, find};
+use layers::placement::plan;
+use layers::{Card, Server, Shape, Span};
+
+/// Time for which each decision is repeated.
+const REPEATED: Duration = Duration::from_millis(500);
+
+const PASS: Pass = Pass {
+    stride: 4.0,
+    chunk: 512.0,
+    writer_ms: 0.0067,
+    slots: 192.0,
+    prompt: 775.0,
+    answer: 214.0,
+};
+
+const SHAPE: Shape = Shape {
+    layers: 80,
+    layer_bytes: 1.75e9,
+    token_bytes: 4912.0,
+    step_ms: 1.02,
+    read_per_ms: 245.0,
+    cross_ms: 0.75,
+    cross_token_ms: 0.025,
+    pause_ms: 200.0,
+    pass: Some(PASS),
+};
+
+const FAST: Card = Card { bytes: 72e9, pace: 2.4, read: 3.2 };
+const MIDDLE: Card = Card { bytes: 43.2e9, pace: 5.6, read: 2.7 };
+const SLOW: Card = Card { bytes: 21.6e9, pace: 16.0, read: 8.2 };
+
+fn main() {
+    let empty = servers();
+    let mut held = empty.clone();
+    for order in plan(&held.clone(), &SHAPE, false) {
+        held[order.server].span = order.span;
+    }
+    let holders: Vec<Holder> = held.iter().enumerate().map(holder).collect();
+    let ask = Ask { from: 0, layers: 80, zone: 0, away_ms: 300.0, cross_ms: &|_, _| 500.0 };
+    measure("path", || drop(black_box(find(black_box(&holders), &ask))));
+    measure("first orders", || drop(black_box(plan(black_box(&empty), &SHAPE, false))));
+    measure("no orders", || drop(black_box(plan(black_box(&held), &SHAPE, false))));
+}
+
+fn servers() -> Vec<Server> {
+    let cards = [(FAST, 2), (MIDDLE, 5), (SLOW, 13)];
+    let one = |zone| {
+        let of = move |(card, n): (Card, usize)| (0..n).map(move |_| server(zone, card));
+        cards.into_iter().flat_map(of)
+    };
+    (0..3).flat_map(one).collect()
+}
+
+fn server(zone: u16, card: Card) -> Server {
+    Server { zone, card, span: Span::default(), usable: true, busy: false, slow: false }
+}
+
+fn holder((server, of): (usize, &Server)) -> Holder {
+    let layer_ms = of.card.pace;
+    Holder { server, zone: of.zone, span: of.span, layer_ms, hop_ms: 0.2, begin_ms: 0.0 }
+}
+
+fn measure(name: &str, decide: impl Fn()) {
+    let (began, mut count) = (Instant::now(), 0_u32);
+    while began.elapsed() < REPEATED {
+        decide();
+        count += 1;
+    }
+    println!("{name}: {:.1} µs", began.elapsed().as_secs_f64() * 1e6 / f64::from(count));
+}
