Lines of streams that end early say how long their caller had waited

Whether the caller had waited for one second or for ten, how many paths were tried and whether the route allowed another run could not be told apart.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -225,9 +225,13 @@
             None => {
                 progress.state.metrics.cut();
                 log::warn!(
-                    "gateway: request={} outcome=cut last_event={:?}",
+                    "gateway: request={} outcome=cut last_event={:?} pause={:?} tries={} ran={} age={:?}",
                     progress.call.id,
-                    progress.last
+                    progress.last,
+                    progress.passed.elapsed(),
+                    progress.tries,
+                    progress.ran,
+                    progress.call.came.elapsed()
                 );
                 // Ends the caller's connection without the mark of a complete body.
                 let _ = sender.send(Err("the stream broke off".into())).await;
@@ -240,7 +244,15 @@
 impl Progress<'_> {
     fn gone(&self) {
         self.state.metrics.left();
-        log::debug!("gateway: request={} outcome=left", self.call.id);
+        log::info!(
+            "gateway: request={} outcome=left last_event={:?} pause={:?} held_up={} tries={} age={:?}",
+            self.call.id,
+            self.last,
+            self.passed.elapsed(),
+            self.held_up,
+            self.tries,
+            self.call.came.elapsed()
+        );
     }
 
     /// Whether something that may have run may run on another path.
