A silent path is kept until another one has sent an event

What callers saw: half a text, or a 502, though the servers of the path lived and went on a moment later.

Cause: a path that made no event for a second, or had a server that answered no probe, was left once the stream had a right to run again and a repeat from the retry budget. Whether there was another path was found out afterwards. With all servers full there was none, and a second later the stream was cut.

Now what comes along the silent path is awaited while another one is opened beside it, and the first event of either decides (Progress::beside). A repeat is taken only when a path was found and is sent to, so a search in vain costs none. A run is counted before it is sent, since the future may be dropped at any moment. The same before the head of the answer (begin) and before its first event (first), where the caller was refused.

Why it holds: nothing leaves a path any more but an event of another one, the end of the stream, the caller's time, or the caller. The stream behind a server that is really gone ends with its caller's time.

Lines of streams that end early name what stood in the way.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -18,6 +18,25 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Whether it may come after the last event that the caller has. Ids rise within a stream.
+    ///
+    /// ```
+    /// let mut splitter = gateway::event::Splitter::default();
+    /// splitter.push(b"id: 4\ndata: a\n\n");
+    /// let event = splitter.next().unwrap();
+    /// assert!(event.follows(None) && event.follows(Some(3)));
+    /// assert!(!event.follows(Some(4)));
+    /// ```
+    pub fn follows(&self, last: Option<Id>) -> bool {
+        match (last, self.id) {
+            (Some(last), Some(id)) => id == last + 1,
+            (Some(_), None) => false,
+            (None, _) => true,
+        }
+    }
+}
+
 /// Collects bytes until an event is complete.
 ///
 /// Only whole events are handed on. A server that dies in the middle of an event would otherwise
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,12 +13,13 @@
 use hyper::Response;
 use hyper::body::Frame;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::answer::{self, Body, Cut, Reason};
 use crate::event::{Event, Id, Splitter};
 use crate::exchange::Answer;
+use crate::peer::Peer;
 use crate::request::Call;
 use crate::route::Path;
 use crate::settings::Model;
@@ -65,10 +66,12 @@
     tries: u32,
     /// Paths that count as having run it.
     ran: u32,
-    /// Whether some server may have begun to run it.
-    sent: bool,
-    /// Whether a repeat was taken from the retry budget for the next path.
-    reserved: bool,
+    /// Paths that it was sent along and whose servers did not say that they won't run it.
+    sent: u32,
+    /// What stood in the way when another path was last looked for.
+    obstacle: Option<Obstacle>,
+    /// Whether a path is kept that may still send events, so that another one is only looked for beside it.
+    kept: bool,
     /// Last event that was handed on.
     last: Option<Id>,
     /// When it was handed on.
@@ -77,6 +80,17 @@
     held_up: &'static str,
 }
 
+/// Why a request can't go on along another path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+enum Obstacle {
+    #[display("no path: {_0}")]
+    Path(Reason),
+    #[display("the retry budget is used up")]
+    Budget,
+    #[display("it ran as often as its route allows")]
+    Attempts,
+}
+
 /// A path that is sending events.
 struct Source {
     path: Path,
@@ -85,13 +99,41 @@
     began: Instant,
     /// Mean pause between two events.
     pause: Duration,
-    /// Not before this is a silent path looked into again that could be neither mended nor left.
-    look: Instant,
+    /// When bytes last came along it, or since when they are waited for.
+    since: Instant,
 }
 
 impl Source {
-    fn measure(&mut self, pause: Duration) {
+    /// The next event, which has to follow after `last`, until the caller's time is up. May be dropped at any
+    /// moment without loss.
+    async fn event(&mut self, last: Option<Id>, until: Instant) -> Next {
+        loop {
+            match self.splitter.next() {
+                Some(event) if event.follows(last) => return Next::Event(event),
+                Some(_) => return Next::Broken("an event is missing"),
+                None if self.splitter.overflows() => return Next::Broken("an event is too long"),
+                None => {}
+            }
+            match timeout_at(until, self.answer.body.frame()).await {
+                Ok(Some(Ok(frame))) => match frame.data_ref() {
+                    Some(data) => {
+                        self.splitter.push(data);
+                        self.measure();
+                    }
+                    None => {}
+                },
+                Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
+                Ok(None) if self.splitter.is_empty() => return Next::End,
+                Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
+                Err(_) => return Next::Late,
+            }
+        }
+    }
+
+    fn measure(&mut self) {
+        let pause = self.since.elapsed();
         self.pause = self.pause.mul_f64(1.0 - NEWEST) + pause.mul_f64(NEWEST);
+        self.since = Instant::now();
     }
 }
 
@@ -100,9 +142,9 @@
     Event(Event),
     /// The stream is complete.
     End,
-    /// A server of the path does not answer.
-    Lost,
-    /// The path is broken or stuck.
+    /// The path sends nothing, but may live.
+    Silent(&'static str),
+    /// The path is broken and sends nothing more.
     Broken(&'static str),
     /// The caller's or the route's time is up.
     Late,
@@ -123,8 +165,9 @@
         but: Vec::new(),
         tries: 0,
         ran: 0,
-        sent: false,
-        reserved: false,
+        sent: 0,
+        obstacle: None,
+        kept: false,
         last: None,
         passed: Instant::now(),
         held_up: "start",
@@ -144,7 +187,7 @@
     source.answer.head.headers_mut().clone_from(head.headers());
     answer::strip(head.headers_mut());
     let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, Cut>>(AHEAD);
-    let (ran, but, tries) = (progress.ran, progress.but, progress.tries);
+    let (ran, sent, but, tries) = (progress.ran, progress.sent, progress.but, progress.tries);
     let (state, service, model) = (state.clone(), service.to_owned(), model.clone());
     let call = call.clone();
     tokio::task::spawn_local(async move {
@@ -156,8 +199,9 @@
             but,
             tries,
             ran,
-            sent: true,
-            reserved: false,
+            sent,
+            obstacle: None,
+            kept: false,
             last: None,
             passed: Instant::now(),
             held_up: STEPS,
@@ -194,15 +238,14 @@
                 progress.state.metrics.streamed(progress.call.came.elapsed());
                 return source.answer.done();
             }
-            Next::Late => "time is up",
-            Next::Lost if progress.stays(&mut source).await => {
+            Next::Silent(why) => {
                 next = tokio::select! {
-                    next = progress.next(&mut source) => next,
+                    next = progress.outlast(&mut source, why) => next,
                     () = sender.closed() => return progress.gone(),
                 };
                 continue;
             }
-            Next::Lost => "a server of the path does not answer",
+            Next::Late => "time is up",
             Next::Broken(why) => why,
         };
         log::info!(
@@ -213,8 +256,7 @@
             progress.call.came.elapsed()
         );
         progress.held_up = "resumed";
-        // The old path stops work before the new one begins, and is not taken again.
-        progress.but.push(source.path.first().server().id.clone());
+        progress.avoid(source.path.first());
         drop(source);
         let opened = tokio::select! {
             opened = progress.resume() => opened,
@@ -225,13 +267,9 @@
             None => {
                 progress.state.metrics.cut();
                 log::warn!(
-                    "gateway: request={} outcome=cut last_event={:?} pause={:?} tries={} ran={} age={:?}",
+                    "gateway: request={} outcome=cut {}",
                     progress.call.id,
-                    progress.last,
-                    progress.passed.elapsed(),
-                    progress.tries,
-                    progress.ran,
-                    progress.call.came.elapsed()
+                    progress.ending()
                 );
                 // Ends the caller's connection without the mark of a complete body.
                 let _ = sender.send(Err("the stream broke off".into())).await;
@@ -244,15 +282,21 @@
 impl Progress<'_> {
     fn gone(&self) {
         self.state.metrics.left();
-        log::info!(
-            "gateway: request={} outcome=left last_event={:?} pause={:?} held_up={} tries={} age={:?}",
-            self.call.id,
+        log::info!("gateway: request={} outcome=left {}", self.call.id, self.ending());
+    }
+
+    /// How far a stream has come that ends early, and what it waited for, for the log.
+    fn ending(&self) -> String {
+        format!(
+            "last_event={:?} pause={:?} held_up={} tries={} ran={} obstacle={} age={:?}",
             self.last,
             self.passed.elapsed(),
             self.held_up,
             self.tries,
+            self.ran,
+            self.obstacle.map_or_else(|| "none".to_owned(), |o| o.to_string()),
             self.call.came.elapsed()
-        );
+        )
     }
 
     /// Whether something that may have run may run on another path.
@@ -260,24 +304,12 @@
         self.call.route.class.repeatable() && self.ran < self.call.route.attempts
     }
 
-    /// Whether the path it runs on may be left for another one now; the repeat is then reserved.
-    ///
-    /// A path that is slow, or whose servers did not answer a router that stood still itself, may yet
-    /// send its events. If it were left and the retry budget then had no repeat, its caller would get a
-    /// broken stream in place of a late one.
-    fn may_leave(&mut self) -> bool {
-        self.may_run_again() && self.reserve()
-    }
-
-    /// Takes a repeat from the retry budget and keeps it for the next path.
-    fn reserve(&mut self) -> bool {
-        self.reserved = self.reserved || self.state.may_repeat(self.service);
-        self.reserved
-    }
-
-    /// Whether it may be sent again: by the repeat that was reserved, or by a new one.
-    fn take_repeat(&mut self) -> bool {
-        std::mem::take(&mut self.reserved) || self.state.may_repeat(self.service)
+    /// Begins no other path at this server.
+    fn avoid(&mut self, first: &Peer) {
+        let id = first.server().id.clone();
+        if !self.but.contains(&id) {
+            self.but.push(id);
+        }
     }
 
     /// Says of an event that comes late, or first on another path, what held it up.
@@ -297,15 +329,6 @@
         if late {
             self.state.metrics.late_event(self.held_up);
         }
-        (self.passed, self.held_up) = (Instant::now(), STEPS);
-    }
-
-    /// Whether an event may come after those that the caller has. Ids rise within a stream.
-    fn follows(&self, event: &Event) -> bool {
-        match (self.last, event.id) {
-            (Some(last), Some(id)) => id == last + 1,
-            (Some(_), None) => false,
-            (None, _) => true,
-        }
+        (self.passed, self.held_up, self.obstacle) = (Instant::now(), STEPS, None);
     }
 }
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use futures_util::future::LocalBoxFuture;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
-use super::{LOOK, Next, PAUSE, Progress, SHORTEST, STUCK, Source};
+use super::{LOOK, Next, Obstacle, PAUSE, Progress, SHORTEST, STUCK, Source};
 use crate::answer::{self, Body, Reason};
 use crate::count::Counted;
 use crate::event::{Event, Splitter};
@@ -37,6 +38,16 @@
     Whole(Response<Body>),
 }
 
+/// What came first while another path was looked for beside one that is silent.
+pub(super) enum Beside<T> {
+    /// This came along the silent path.
+    Kept(T),
+    /// Another path has sent an event.
+    Other(Source, Event),
+    /// There is no other path now.
+    Neither,
+}
+
 /// Why a path gave no stream.
 enum Failed {
     NotRun,
@@ -44,6 +55,12 @@
     Late,
 }
 
+impl<T> From<(Source, Event)> for Beside<T> {
+    fn from((source, event): (Source, Event)) -> Beside<T> {
+        Beside::Other(source, event)
+    }
+}
+
 impl Progress<'_> {
     /// Goes on after the last event on another path, for as long as the caller may still be there.
     pub(super) async fn resume(&mut self) -> Option<(Source, Event)> {
@@ -64,6 +81,48 @@
         None
     }
 
+    /// Looks once for another path while what comes along the silent one is awaited in `kept`; `ends` tells of
+    /// what came whether nothing more will.
+    ///
+    /// A silent path may live: its servers stood still, or this router did. It is kept until another one has
+    /// sent an event. If it were left for a path that is only looked for, or that then declines, its
+    /// caller would get half a text, or none, though the whole one was on its way.
+    pub(super) async fn beside<T>(
+        &mut self,
+        kept: impl Future<Output = T>,
+        ends: impl Fn(&T) -> bool,
+    ) -> Beside<T> {
+        self.kept = true;
+        let found = {
+            let mut another = self.another();
+            tokio::select! {
+                biased;
+                came = kept => match ends(&came) {
+                    true => another.await.map_or(Beside::Kept(came), Beside::from),
+                    false => Beside::Kept(came),
+                },
+                found = &mut another => found.map_or(Beside::Neither, Beside::from),
+            }
+        };
+        self.kept = false;
+        found
+    }
+
+    /// Another path and its first event; none, after a short wait, if there is no other way now.
+    fn another(&mut self) -> LocalBoxFuture<'_, Option<(Source, Event)>> {
+        Box::pin(async {
+            match self.may_run_again() {
+                true => match self.open().await {
+                    Ok(Opened::Stream(source, event)) => return Some((source, event)),
+                    Ok(Opened::Whole(_)) | Err(_) => {}
+                },
+                false => self.obstacle = Some(Obstacle::Attempts),
+            }
+            let _ = tokio::time::timeout(AGAIN, self.state.changed.notified()).await;
+            None
+        })
+    }
+
     /// Finds a path and waits for its first event; tries others while that is allowed.
     pub(super) async fn open(&mut self) -> Result<Opened, Reason> {
         let mut reason = None;
@@ -71,15 +130,17 @@
         while self.tries < TRIES {
             let Some(path) = self.place(until).await else {
                 let none = self.no_path();
-                if self.last.is_none() {
+                self.obstacle = Some(Obstacle::Path(none));
+                if self.last.is_none() && !self.kept {
                     self.say_no_path(none);
                 }
                 reason = Some(none);
                 break;
             };
-            if self.tries > 0 && !self.take_repeat() {
+            if self.tries > 0 && !self.state.may_repeat(self.service) {
+                self.obstacle = Some(Obstacle::Budget);
                 // A stream that waits for another path looks for it many times a second.
-                if self.last.is_none() {
+                if self.last.is_none() && !self.kept {
                     log::info!("gateway: request={} repeat=false why=retry budget", self.call.id);
                 }
                 break;
@@ -87,7 +148,7 @@
             self.tries += 1;
             reason = Some(match self.begin(path).await {
                 Ok(opened) => return Ok(opened),
-                Err(Failed::NotRun) if !self.sent => Reason::Full,
+                Err(Failed::NotRun) if self.sent == 0 => Reason::Full,
                 Err(Failed::NotRun) => Reason::Lost,
                 Err(Failed::Unknown) if self.may_run_again() => Reason::Lost,
                 Err(Failed::Unknown) => return Err(Reason::Lost),
@@ -95,7 +156,7 @@
             });
         }
         Err(match reason {
-            _ if self.sent && self.last.is_none() => Reason::Lost,
+            _ if self.sent > 0 && self.last.is_none() => Reason::Lost,
             Some(reason) => reason,
             None => self.no_path(),
         })
@@ -156,17 +217,23 @@
         let peer = path.first().clone();
         let hops = path.hops.clone();
         let id = peer.server().id.clone();
+        // Counted before it is sent: this may end at any moment, when another path is faster, and what was
+        // sent until then may have run.
+        (self.ran, self.sent) = (self.ran + 1, self.sent + 1);
         let outcome = {
-            let fields = self.fields(&path, &id);
-            let sending = exchange::send(self.state, &peer, self.call, fields, self.call.until);
+            let (state, call) = (self.state, self.call);
+            let sending = exchange::send(state, &peer, call, self.fields(&path, &id), call.until);
             tokio::pin!(sending);
             let mut wait = self.call.route.goal.mul_f64(SILENT_START).max(SHORTEST);
+            let mut silent = false;
             loop {
                 let until = began + wait;
-                tokio::select! {
-                    outcome = &mut sending => break outcome,
-                    () = tokio::time::sleep_until(until) => {}
-                    () = self.state.lost.notified() => {}
+                if !silent {
+                    tokio::select! {
+                        outcome = &mut sending => break outcome,
+                        () = tokio::time::sleep_until(until) => {}
+                        () = self.state.lost.notified() => {}
+                    }
                 }
                 let due = Instant::now() >= until;
                 if due {
@@ -175,46 +242,46 @@
                 }
                 let lost = path.is_lost(self.state.now());
                 // Servers that stay on the path need not read the prompt again, and it is no repeat.
-                if lost && self.mend(&mut path).await {
+                if lost && (due || !silent) && self.mend(&mut path).await {
+                    silent = false;
                     continue;
                 }
-                let repeatable = self.call.route.class.repeatable();
-                let again = repeatable && self.ran + 1 < self.call.route.attempts;
-                let why = match again {
-                    true if lost => "a server of the path does not answer",
-                    true if due && wait > STUCK => "no event for too long",
-                    _ => continue,
-                };
-                if self.reserve() {
-                    break Outcome::Unknown(why.to_owned());
+                silent = self.may_run_again() && (lost || wait > STUCK);
+                if !silent {
+                    continue;
+                }
+                self.avoid(&peer);
+                let ends = |outcome: &Outcome| !matches!(outcome, Outcome::Answer(_));
+                match self.beside(&mut sending, ends).await {
+                    Beside::Kept(outcome) => break outcome,
+                    Beside::Other(source, event) => return Ok(Opened::Stream(source, event)),
+                    Beside::Neither => {}
                 }
             }
         };
         match outcome {
-            Outcome::Answer(answer) => {
-                (self.ran, self.sent) = (self.ran + 1, true);
-                self.first(path, answer, began).await
-            }
+            Outcome::Answer(answer) => self.first(path, answer, began).await,
             Outcome::NotSent(why) => {
+                (self.ran, self.sent) = (self.ran - 1, self.sent - 1);
                 self.suspect(&peer, &why);
                 Err(Failed::NotRun)
             }
             Outcome::NotRun(status, culprit) => {
+                (self.ran, self.sent) = (self.ran - 1, self.sent - 1);
                 self.declined(&id, status, culprit);
                 Err(Failed::NotRun)
             }
             Outcome::Unknown(why) => {
-                self.sent = true;
                 // The first server may have begun it, whatever happened to those after it. Only one that
                 // is gone itself does not count.
                 let gone = peer.suspicion.borrow().holds(self.state.now());
-                self.ran += u32::from(!gone);
+                self.ran -= u32::from(gone);
                 log::info!(
                     "gateway: request={} first={id} outcome=unknown why={why} path={}",
                     self.call.id,
                     (self.state.codec.path)(&hops)
                 );
-                self.but.push(id);
+                self.avoid(&peer);
                 Err(Failed::Unknown)
             }
             Outcome::Late => Err(Failed::Late),
@@ -229,38 +296,39 @@
         began: Instant,
     ) -> Result<Opened, Failed> {
         let status = answer.head.status();
-        let id = path.first().server().id.clone();
+        let first = path.first().clone();
         if status != StatusCode::OK {
             let again = status.is_server_error() && self.may_run_again();
             let whole = answer.collect(self.call.until).await;
             log::info!(
-                "gateway: request={} first={id} status={status} again={again}",
-                self.call.id
+                "gateway: request={} first={} status={status} again={again}",
+                self.call.id,
+                first.server().id
             );
             return match whole {
                 Some((head, body)) if !again => Ok(Opened::Whole(answer::whole(head, body))),
                 _ => {
-                    self.but.push(id);
+                    self.avoid(&first);
                     Err(Failed::Unknown)
                 }
             };
         }
         let splitter = Splitter::default();
-        let mut source = Source { path, answer, splitter, began, pause: PAUSE, look: began };
+        let mut source = Source { path, answer, splitter, began, pause: PAUSE, since: began };
         let mut next = self.next(&mut source).await;
-        while matches!(next, Next::Lost) && self.stays(&mut source).await {
-            next = self.next(&mut source).await;
+        while let Next::Silent(why) = next {
+            next = self.outlast(&mut source, why).await;
         }
         match next {
-            Next::Event(event) if self.follows(&event) => {
+            Next::Event(event) => {
                 self.state.metrics.first_event(source.began.elapsed());
                 Ok(Opened::Stream(source, event))
             }
-            Next::Event(_) | Next::End | Next::Lost | Next::Broken(_) => {
-                self.but.push(id);
+            Next::Late => Err(Failed::Late),
+            Next::End | Next::Silent(_) | Next::Broken(_) => {
+                self.avoid(source.path.first());
                 Err(Failed::Unknown)
             }
-            Next::Late => Err(Failed::Late),
         }
     }
 
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
+use super::open::Beside;
 use super::{LOOK, Next, Progress, SHORTEST, SILENCE, STUCK, Source};
 use crate::probe;
 use crate::route::{self, Path};
@@ -13,73 +13,84 @@
 /// Time the first server of a path gets to take an order for another path.
 const MEND: Duration = Duration::from_millis(150);
 
+/// Why a path is taken for silent.
+const NO_ANSWER: &str = "a server of the path does not answer";
+
 /// Multiple of a stream's usual pause after which an event that has not come will not come, once a server of
 /// the path is suspected. Streams through a dead server stop within a pause of each other, and the
 /// first to notice tells the others of the same router.
 const OVERDUE: f64 = 1.5;
 
 impl Progress<'_> {
-    /// The next event of a path.
+    /// The next event of a path, or that it has been silent for too long.
     pub(super) async fn next(&mut self, source: &mut Source) -> Next {
-        let mut since = Instant::now();
+        source.since = Instant::now();
         let mut wait = source.pause.mul_f64(SILENCE).max(SHORTEST);
-        wait = wait.max(source.look.saturating_duration_since(since));
         loop {
-            if let Some(event) = source.splitter.next() {
-                return match self.follows(&event) {
-                    true => Next::Event(event),
-                    false => Next::Broken("an event is missing"),
-                };
-            }
-            if source.splitter.overflows() {
-                return Next::Broken("an event is too long");
-            }
-            let frame = tokio::select! {
-                frame = timeout_at((since + wait).min(self.call.until), source.answer.body.frame()) => frame,
+            let (last, until) = (self.last, self.call.until);
+            let due = source.since + wait;
+            let came = tokio::select! {
+                came = timeout_at(due, source.event(last, until)) => came,
                 () = self.state.lost.notified() => {
-                    let due = source.pause.mul_f64(OVERDUE);
+                    let overdue = source.pause.mul_f64(OVERDUE);
                     match source.path.is_lost(self.state.now()) {
-                        true if since.elapsed() >= due => return Next::Lost,
-                        true => wait = wait.min(due),
+                        true if source.since.elapsed() >= overdue => return Next::Silent(NO_ANSWER),
+                        true => wait = wait.min(overdue),
                         false => {}
                     }
                     continue;
                 }
             };
-            match frame {
-                Ok(Some(Ok(frame))) => {
-                    if let Some(data) = frame.data_ref() {
-                        source.splitter.push(data);
-                        source.measure(since.elapsed());
-                        (since, wait) =
-                            (Instant::now(), source.pause.mul_f64(SILENCE).max(SHORTEST));
-                    }
-                }
-                Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
-                Ok(None) if source.splitter.is_empty() => return Next::End,
-                Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
-                Err(_) if Instant::now() >= self.call.until => return Next::Late,
-                Err(_) if wait >= STUCK && self.may_leave() => {
-                    return Next::Broken("no event for too long");
+            match came {
+                Ok(next) => return next,
+                // A part of an event came meanwhile.
+                Err(_) if source.since + wait > due => {
+                    wait = source.pause.mul_f64(SILENCE).max(SHORTEST);
                 }
+                Err(_) if wait >= STUCK => return Next::Silent("no event for too long"),
                 Err(_) => {
                     wait += LOOK;
                     if self.look_into(&source.path).await {
-                        return Next::Lost;
+                        return Next::Silent(NO_ANSWER);
                     }
                 }
             }
         }
     }
 
-    /// Whether a stream stays on its path though a server of it does not answer: the path could be mended, or
-    /// the stream can't be sent again.
-    pub(super) async fn stays(&mut self, source: &mut Source) -> bool {
-        if self.mend(&mut source.path).await {
-            return true;
+    /// Waits for the next event of a silent path, and meanwhile has the path mended or another one opened
+    /// beside it, whichever sends an event first.
+    pub(super) async fn outlast(&mut self, source: &mut Source, why: &'static str) -> Next {
+        log::info!(
+            "gateway: request={} path_silent={why} first={} last_event={:?} pause={:?}",
+            self.call.id,
+            source.path.first().server().id,
+            self.last,
+            self.passed.elapsed()
+        );
+        self.held_up = "silent path";
+        self.avoid(source.path.first());
+        let mut look = Instant::now();
+        loop {
+            if Instant::now() >= look {
+                look = Instant::now() + LOOK;
+                let lost = source.path.is_lost(self.state.now());
+                if (lost || self.look_into(&source.path).await) && self.mend(&mut source.path).await
+                {
+                    return self.next(source).await;
+                }
+            }
+            let event = source.event(self.last, self.call.until);
+            match self.beside(event, |next| matches!(next, Next::Broken(_))).await {
+                Beside::Kept(next) => return next,
+                Beside::Other(fresh, event) => {
+                    self.held_up = "resumed";
+                    *source = fresh;
+                    return Next::Event(event);
+                }
+                Beside::Neither => {}
+            }
         }
-        source.look = Instant::now() + LOOK;
-        !self.may_leave()
     }
 
     /// Asks all servers of a silent path whether they live, and the first one whom it waits for;
