--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -115,13 +115,12 @@
                 None => {}
             }
             match timeout_at(until, self.answer.body.frame()).await {
-                Ok(Some(Ok(frame))) => match frame.data_ref() {
-                    Some(data) => {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                         self.measure();
                     }
-                    None => {}
-                },
+                }
                 Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
                 Ok(None) if self.splitter.is_empty() => return Next::End,
                 Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -43,7 +43,7 @@
     /// This came along the silent path.
     Kept(T),
     /// Another path has sent an event.
-    Other(Source, Event),
+    Other(Box<Source>, Event),
     /// There is no other path now.
     Neither,
 }
@@ -57,7 +57,7 @@
 
 impl<T> From<(Source, Event)> for Beside<T> {
     fn from((source, event): (Source, Event)) -> Beside<T> {
-        Beside::Other(source, event)
+        Beside::Other(Box::new(source), event)
     }
 }
 
@@ -254,7 +254,7 @@
                 let ends = |outcome: &Outcome| !matches!(outcome, Outcome::Answer(_));
                 match self.beside(&mut sending, ends).await {
                     Beside::Kept(outcome) => break outcome,
-                    Beside::Other(source, event) => return Ok(Opened::Stream(source, event)),
+                    Beside::Other(source, event) => return Ok(Opened::Stream(*source, event)),
                     Beside::Neither => {}
                 }
             }
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -85,7 +85,7 @@
                 Beside::Kept(next) => return next,
                 Beside::Other(fresh, event) => {
                     self.held_up = "resumed";
-                    *source = fresh;
+                    *source = *fresh;
                     return Next::Event(event);
                 }
                 Beside::Neither => {}
