A broken stream looks for a path as long as its caller waits

What callers saw: half a text, 1.0 to 1.1 s after the last event, while they would have waited for two seconds and their deadline was twenty away.

Cause: resume gave up after STUCK, the silence after which another path is tried. The time was meant for the decision to leave a path and had no relation to the caller.

Why it holds: the search ends with an event, with the caller, or with the caller's time. Nothing else of this router depends on it: no place and no repeat is held by a stream that only looks.

--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -64,12 +64,11 @@
 impl Progress<'_> {
     /// Goes on after the last event on another path, for as long as the caller may still be there.
     pub(super) async fn resume(&mut self) -> Option<(Source, Event)> {
-        let until = (Instant::now() + STUCK).min(self.call.until);
         while self.may_run_again() && self.last.is_some() {
             match self.open().await {
                 Ok(Opened::Stream(source, event)) => return Some((source, event)),
                 Ok(Opened::Whole(_)) => return None,
-                Err(reason) if Instant::now() >= until || self.tries >= TRIES => {
+                Err(reason) if Instant::now() >= self.call.until || self.tries >= TRIES => {
                     self.say_no_path(reason);
                     return None;
                 }
@@ -78,6 +77,7 @@
             // Layers that were just loaded, or memory that was given back, may open a path.
             let _ = tokio::time::timeout(AGAIN, self.state.changed.notified()).await;
         }
+        self.obstacle = Some(Obstacle::Attempts);
         None
     }
 
