--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -114,7 +114,16 @@
         }
         // While seats change hands, a router may hold few of its own, or none.
         if self.steady >= STEADY && seat.held > 0 {
+            let before = self.state.routers();
             self.state.count_routers((seat.all / seat.held).max(1));
+            let routers = self.state.routers();
+            if routers != before {
+                log::info!(
+                    "gateway: routers={routers} before={before} seats={} generation={}",
+                    seat.held,
+                    seat.generation
+                );
+            }
         }
         let (term, began) = term::renew(&self.state, self.term, seat, until).await;
         self.term = term;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,7 +29,7 @@
 
 /// Routers that are assumed until the group of routers has answered. High, so that a router that
 /// has just started does not use a larger part of the common retry budget than is its own.
-const ROUTERS: u32 = 16;
+pub const ROUTERS: u32 = 16;
 
 /// The beliefs of one router.
 #[derive(Debug)]
