The rest of a refused request is read, so that its caller gets the answer

What callers saw: no answer. A caller that was refused by the head of its request and still sent the body met a reset, and its side dropped the 404, 401 or 413 that had arrived.

Cause: the body was dropped with the refusal, and the connection closed over unread bytes, which resets it.

Now what the caller still sends is read and dropped beside the answer, for three seconds and 4 MiB at most; nothing of it is kept, so the memory for bodies is not touched. Why it holds: the answer goes out at once, hyper reads on as long as the body is held, and closes after its end. Framing that can be read in two ways still ends the connection.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -222,9 +222,10 @@
 
 async fn answer(state: &Rc<State>, request: Request<Incoming>) -> Response<Body> {
     let began = Instant::now();
-    let named = request.headers().get(&state.codec.names.request);
+    let (head, mut body) = request.into_parts();
+    let named = head.headers.get(&state.codec.names.request);
     let id = named.and_then(|id| id.to_str().ok()).unwrap_or("none").to_owned();
-    match request::read(state, request).await {
+    match request::read(state, head, &mut body).await {
         Ok(call) => {
             let response = dispatch(state, call).await;
             state.metrics.answered(response.status(), began.elapsed());
@@ -238,6 +239,7 @@
                 );
             }
             state.metrics.refused(reason);
+            request::discard(body);
             let mut response = answer::own(reason);
             // What is left of an unread body must not be taken for a request.
             if matches!(reason, Reason::Malformed | Reason::TooLong | Reason::SlowCaller) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,8 @@
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
-use hyper::{Method, Request, Uri};
+use hyper::http::request::Parts;
+use hyper::{Method, Uri};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{self, Reason};
@@ -19,6 +20,11 @@
 /// Longest time for a body to arrive, from the end of the head on.
 const BODY: Duration = Duration::from_secs(8);
 
+/// Longest time in which the rest of a refused request's body is read, and most bytes of it. A caller that sends
+/// more, or slower, may lose its answer.
+const DISCARD: Duration = Duration::from_secs(3);
+const DISCARDED: usize = 4 << 20;
+
 /// Part of the VM's memory that bodies of requests may take together.
 const BODIES: f64 = 0.25;
 
@@ -87,14 +93,13 @@
 }
 
 /// Checks a request and reads its body.
-pub async fn read(state: &Rc<State>, request: Request<Incoming>) -> Result<Call, Reason> {
+pub async fn read(state: &Rc<State>, head: Parts, body: &mut Incoming) -> Result<Call, Reason> {
     let came = Instant::now();
     let settings = match state.settings() {
         Some(settings) if state.listed.get() => settings,
         _ if state.store_away() => return Err(Reason::Unsettled),
         _ => return Err(Reason::Starting),
     };
-    let (head, body) = request.into_parts();
     let host = host(&head.headers, &head.uri)?;
     let route = settings.route(&host, head.uri.path()).ok_or(Reason::NoRoute)?.clone();
     let (workspace, rank) = caller(state, &settings, &route, &head.headers)?;
@@ -128,6 +133,26 @@
     })
 }
 
+/// Reads on what the caller of a refused request still sends, and drops it.
+///
+/// A connection that is closed over unread bytes is reset, and the caller's side then drops the answer that
+/// it has not read yet: the caller never learns that it was refused.
+pub fn discard(mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    let rest = async move {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > DISCARDED {
+                return log::info!("gateway: a refused body was left unread bytes={bytes}");
+            }
+        }
+    };
+    tokio::task::spawn_local(tokio::time::timeout(DISCARD, rest));
+}
+
 impl Call {
     /// Bytes of its body.
     pub fn size(&self) -> usize {
@@ -219,7 +244,7 @@
 }
 
 async fn collect(
-    mut body: Incoming,
+    body: &mut Incoming,
     most: usize,
     until: Instant,
     held: &mut Held,
