A router that starts hears at once which servers are slow and full

New requests went through servers that the rest of the fleet knew to be slow, or to servers without room.

Cause: a router read no notice from before its own start, how full servers are is said once a second, and that a server is slow was said at its change only, so a router that started later never heard of it but by its own probes.

Now the giver of orders names all slow servers beside how full they are, each second, and a router that starts reads the last hundred notices and takes these over. What was said of silent servers and of layers is left, as it may have changed. No call more: the empty append that tells where the log ends was made before, and the first read now begins earlier.

--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -14,11 +14,47 @@
 /// Time the store may wait for notices, which come rarely and are worth nothing when late.
 const NOTICES: Duration = Duration::from_millis(2500);
 
+/// Notices of before this process started that it reads. The giver of orders tells each second how all servers work;
+/// around a dead server some tens of routers tell of it once each.
+const BEFORE: Offset = 100;
+
+/// Reads what was said shortly before this process started, and where the log ends.
+///
+/// Without it, a router that starts anew sends requests through servers that all others know to be slow or full, for
+/// the second until that is said again.
+async fn before(state: &State) -> Option<Offset> {
+    let call = Call::Append { log: Log::Notices, records: Vec::new(), epoch: None };
+    let end = match state.store.call(call).await {
+        Ok(Reply::Appended(end)) => end,
+        other => {
+            log::debug!("gateway: no end of the notices: {other:?}");
+            return None;
+        }
+    };
+    state.store_answers();
+    let from = end.saturating_sub(BEFORE);
+    let call = Call::Read { log: Log::Notices, from, wait: Duration::ZERO };
+    let records = match state.store.call(call).await {
+        Ok(Reply::Records(records, _)) => records,
+        // Deleted, or the store is away again: they are said anew.
+        other => {
+            log::debug!("gateway: no notices of before: {other:?}");
+            return Some(end);
+        }
+    };
+    while !state.listed.get() {
+        let _ = tokio::time::timeout(PAUSE, state.changed.notified()).await;
+    }
+    let said: Vec<Notice> = records.iter().filter_map(|r| Notice::decode(r)).collect();
+    notice::catch_up(state, &said);
+    Some(from + records.len() as Offset)
+}
+
 /// Hears what other routers say.
 pub async fn notices(state: Rc<State>) {
-    let mut at: Option<Offset> = None;
+    let mut at: Option<Offset> = before(&state).await;
     loop {
-        // What was said before this process started is out of date.
+        // After a gap, what was said meanwhile is out of date.
         let call = match at {
             None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
             Some(from) => {
--- a/crates/gateway/src/leader/survey.rs
+++ b/crates/gateway/src/leader/survey.rs
@@ -5,6 +5,7 @@
 use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::probe;
+use crate::server::Id;
 use crate::state::State;
 
 /// Change of a server's pace that the others are told.
@@ -50,10 +51,17 @@
         }
     }
     if !filled.is_empty() {
-        state.announce(Notice::Filled { servers: filled });
+        state.announce(Notice::Filled { servers: filled, slow: slow(state) });
     }
 }
 
+/// Servers that are slow. A change is told once, at once; a router that starts later hears of it by this.
+fn slow(state: &State) -> Vec<(Id, u32)> {
+    let peers = state.peers();
+    let slow = peers.iter().filter(|p| p.slow.get() > 1.0 + CHANGED);
+    slow.map(|p| (p.server().id.clone(), (p.slow.get() * 100.0) as u32)).collect()
+}
+
 /// Asks servers again if many are suspected at once. A router that was slow for a moment takes many live
 /// servers for dead, and loading all their layers elsewhere breaks copies that were whole.
 pub(super) async fn ask_doubted(state: &State, peers: &[Rc<Peer>]) {
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -25,10 +25,13 @@
         /// Factor on the time of its steps, in percent.
         percent: u32,
     },
-    /// How full servers' memory for requests is.
+    /// How full servers' memory for requests is, and which of them are slow.
     Filled {
         /// Servers and the part that is taken, in percent.
         servers: Vec<(String, u8)>,
+        /// All servers that are slow, and the factor on the time of their steps, in percent.
+        #[serde(default)]
+        slow: Vec<(String, u32)>,
     },
     /// A server holds layers now.
     Holds {
@@ -66,6 +69,16 @@
     }
 }
 
+/// Takes over what was said before this process started, the oldest first. How servers work is said anew each second,
+/// and the last word on it holds; that a server is silent or holds layers may have changed since.
+pub fn catch_up(state: &State, said: &[Notice]) {
+    for notice in said.iter().filter(|notice| matches!(notice, Notice::Filled { .. })) {
+        // Each names all that are slow at its time.
+        state.peers().iter().for_each(|peer| peer.slow.set(1.0));
+        receive(state, notice);
+    }
+}
+
 /// Takes a notice of another router over.
 pub fn receive(state: &State, notice: &Notice) {
     let now = state.now();
@@ -85,12 +98,17 @@
                 peer.slow.set(f64::from(*percent) / 100.0);
             }
         }
-        Notice::Filled { servers } => {
+        Notice::Filled { servers, slow } => {
             for (server, percent) in servers {
                 if let Some(peer) = state.peer(server) {
                     peer.filled.set(Some((f64::from(*percent) / 100.0, now)));
                 }
             }
+            for (server, percent) in slow {
+                if let Some(peer) = state.peer(server) {
+                    peer.slow.set(f64::from(*percent) / 100.0);
+                }
+            }
             return;
         }
         Notice::Holds { server, from, to } => {
