Servers of a path are asked before a repeat is spent on it

What callers saw: half a text, as their stream had no repeat left; or a 502.

Cause: servers die in pairs.

--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -137,6 +137,10 @@
                 reason = Some(none);
                 break;
             };
+            // A repeat that meets a dead server is lost, and the next one may be one too many.
+            if self.tries > 0 && self.look_into(&path).await {
+                continue;
+            }
             if self.tries > 0 && !self.state.may_repeat(self.service) {
                 self.obstacle = Some(Obstacle::Budget);
                 // A stream that waits for another path looks for it many times a second.
