A slow server of a plain service is given up only for another one

What callers saw: 504 after a third of a second on a look-up whose answer came a moment later, with twenty seconds left.

After 0.6 of the goal the server was given up, and only then was looked whether another one could be asked and a repeat was left.

Now the server that is slow is waited for until another one is chosen and a repeat is taken for it. Bodies are part of the try, so a slow body is held to the same time as a slow head.

Why it holds: a try ends early only together with the choice of the next one. Left as it is: the second server may decline after the first was given up; both at once would take two of the six slots of a service that is slow already.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 use policy::pick::{Choice, pick};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{self, Body, Reason};
 use crate::exchange::{self, Outcome};
@@ -28,41 +29,63 @@
 /// times the usual, and asking twice for each of these would double the load of a slow service.
 const USUAL: f64 = 4.0;
 
+/// What came of asking one server.
+enum Tried {
+    /// Its whole answer.
+    Answered(Response<()>, Bytes),
+    /// Its answer broke off.
+    Broken,
+    /// It never got the request.
+    NotSent(String),
+    /// It says that it did not run it.
+    NotRun(StatusCode),
+    /// It may have run it, and there is no answer.
+    Unknown(String),
+    /// It has not answered yet, and another one is asked.
+    Slow,
+    /// Time is up.
+    Late,
+}
+
 /// Serves one request.
 pub async fn serve(state: &Rc<State>, call: &Call, service: &str) -> Response<Body> {
     let mut asked: Vec<String> = Vec::new();
     let mut ran = 0;
     // What the caller gets if nothing better comes.
     let mut fallback = answer::own(Reason::NoServer);
+    let mut next = choose(state, service, &asked);
     for _ in 0..TRIES {
-        let Some(peer) = choose(state, service, &asked) else { break };
-        // Only what reached a server counts as a repeat there.
-        if !asked.is_empty() && !state.may_repeat(service) {
-            break;
-        }
+        let Some(peer) = next.take() else { break };
         let id = peer.server().id.clone();
+        asked.push(id.clone());
         let last = ran + 1 >= call.route.attempts || !call.route.class.repeatable();
-        let until = if last { call.until } else { limit(call, &peer) };
         let _load = Load::new(peer.clone(), 0.0);
-        let outcome = exchange::send(state, &peer, call, fields(state, call, &id), until).await;
-        match outcome {
-            Outcome::Answer(answer) => {
-                ran += 1;
-                let bad = answer.head.status().is_server_error();
-                match answer.collect(until).await {
-                    Some((head, body)) if !bad || last => return answer::whole(head, body),
-                    Some((head, body)) => fallback = answer::whole(head, body),
-                    None if Instant::now() >= call.until => return late(state, call, &peer),
-                    None if last => return answer::own(Reason::Lost),
-                    None => fallback = answer::own(Reason::Lost),
+        let trying = ask(state, call, &peer, &id);
+        let tried = match last {
+            true => trying.await,
+            false => {
+                tokio::pin!(trying);
+                match timeout_at(limit(call, &peer), &mut trying).await {
+                    Ok(tried) => tried,
+                    Err(_) => {
+                        next = repeat(state, service, &asked);
+                        // One that is slow is given up only for another one: it may yet answer.
+                        if next.is_some() { Tried::Slow } else { trying.await }
+                    }
                 }
             }
-            Outcome::NotSent(why) => {
-                pass_over(state, &peer, &why);
-                asked.push(id);
-                continue;
+        };
+        match tried {
+            Tried::Answered(head, body) => {
+                ran += 1;
+                let answer = answer::whole(head, body);
+                if last || !answer.status().is_server_error() {
+                    return answer;
+                }
+                fallback = answer;
             }
-            Outcome::NotRun(status, _) => {
+            Tried::NotSent(why) => pass_over(state, &peer, &why),
+            Tried::NotRun(status) => {
                 log::info!("gateway: request={} server={id} declined status={status}", call.id);
                 if ran == 0 {
                     fallback = answer::own(Reason::Full);
@@ -71,33 +94,64 @@
                     peer.fail(state.now());
                 }
             }
-            Outcome::Unknown(why) => {
+            Tried::Broken | Tried::Unknown(_) => {
                 ran += 1;
-                log::info!("gateway: request={} server={id} outcome=unknown why={why}", call.id);
-                if last {
-                    return answer::own(Reason::Lost);
+                if let Tried::Unknown(why) = tried {
+                    log::info!(
+                        "gateway: request={} server={id} outcome=unknown why={why}",
+                        call.id
+                    );
                 }
                 fallback = answer::own(Reason::Lost);
+                if last {
+                    return fallback;
+                }
             }
-            Outcome::Late => {
+            Tried::Slow => {
                 ran += 1;
-                let mut pace = peer.pace.get();
-                pace.add(call.route.goal.as_secs_f64() * 2e3);
-                peer.pace.set(pace);
-                if last || Instant::now() >= call.until {
-                    return late(state, call, &peer);
-                }
+                note_slow(call, &peer);
                 fallback = answer::own(Reason::Late);
             }
+            Tried::Late => {
+                note_slow(call, &peer);
+                return late(state, call, &peer);
+            }
         }
-        asked.push(id);
         if call.left().is_zero() || ran >= call.route.attempts {
             break;
         }
+        next = next.or_else(|| repeat(state, service, &asked));
     }
     fallback
 }
 
+/// Sends a request to one server and waits for its whole answer, until the caller's time is up.
+async fn ask(state: &State, call: &Call, peer: &Rc<Peer>, id: &str) -> Tried {
+    match exchange::send(state, peer, call, fields(state, call, id), call.until).await {
+        Outcome::Answer(answer) => match answer.collect(call.until).await {
+            Some((head, body)) => Tried::Answered(head, body),
+            None if Instant::now() >= call.until => Tried::Late,
+            None => Tried::Broken,
+        },
+        Outcome::NotSent(why) => Tried::NotSent(why),
+        Outcome::NotRun(status, _) => Tried::NotRun(status),
+        Outcome::Unknown(why) => Tried::Unknown(why),
+        Outcome::Late => Tried::Late,
+    }
+}
+
+/// Another server, if there is one and a repeat is left for it.
+fn repeat(state: &State, service: &str, asked: &[String]) -> Option<Rc<Peer>> {
+    choose(state, service, asked).filter(|_| state.may_repeat(service))
+}
+
+/// Counts an answer that did not come in time in its server's mean.
+fn note_slow(call: &Call, peer: &Peer) {
+    let mut pace = peer.pace.get();
+    pace.add(call.route.goal.as_secs_f64() * 2e3);
+    peer.pace.set(pace);
+}
+
 fn late(state: &State, call: &Call, peer: &Peer) -> Response<Body> {
     log::info!(
         "gateway: request={} server={} outcome=late age={:?}",
