A path that found no other way is mended over a slow link as well

What callers saw: half a text. Their stream's data centre had lost layers, the retry budget was used up, and the layers were held in another data centre, behind a link that takes more than 20 ms for the tokens so far.

Cause: mending over such links was ruled out for all, as sixty streams that are mended at the same moment fill the link for a second. It was ruled out also for the few that had found nothing since, whose callers then left.

A mended path takes no repeat, and only its new servers read the prompt.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -39,10 +39,13 @@
 /// the loss of a server in either data centre.
 const CROSS: f64 = 0.5;
 
-/// Longest transfer for a stream whose path is mended, in milliseconds. All streams that passed through a
+/// Longest transfer for a stream whose path is mended at once, in milliseconds. All streams that passed through a
 /// dead server are mended at the same moment; some sixty of them would wait a second for
 /// a link on which each takes longer.
-const MEND_TRANSFER: f64 = 20.0;
+pub const MEND_TRANSFER: f64 = 20.0;
+
+/// The same for one that found no other way since. Few are left then, and the link's meter bounds what waits.
+pub const LAST_TRANSFER: f64 = f64::INFINITY;
 
 /// Cost of a server that has all of this router's requests over one that has none. More than two servers of
 /// the same card differ, and less than what another card or a further hop takes; at 0.4, requests
@@ -95,13 +98,15 @@
 }
 
 /// A path that begins like `path` and avoids servers that are suspected. What its servers have
-/// read of a request stays useful, so they are kept where they can be.
+/// read of a request stays useful, so they are kept where they can be. `transfer` is the longest time on a link
+/// between data centres, in milliseconds.
 pub fn mend(
     state: &State,
     service: &str,
     model: &Model,
     tokens: Tokens,
     path: &Path,
+    transfer: f64,
 ) -> Option<Path> {
     let first = path.first();
     let hop = path.hops[0];
@@ -114,7 +119,7 @@
         zone: zone(&first.server().zone),
         kept: &path.peers,
         willing: true,
-        transfer: MEND_TRANSFER,
+        transfer,
     };
     let mut rest = search(state, service, model, tokens, &but, &want)?;
     let bytes = size(model, tokens) * f64::from(hop.span.len());
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -246,7 +246,7 @@
                 }
                 let lost = path.is_lost(self.state.now());
                 // Servers that stay on the path need not read the prompt again, and it is no repeat.
-                if lost && (due || !silent) && self.mend(&mut path).await {
+                if lost && (due || !silent) && self.mend(&mut path, route::MEND_TRANSFER).await {
                     silent = false;
                     continue;
                 }
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -71,14 +71,16 @@
         self.held_up = "silent path";
         self.avoid(source.path.first());
         let mut look = Instant::now();
+        let mut transfer = route::MEND_TRANSFER;
         loop {
             if Instant::now() >= look {
                 look = Instant::now() + LOOK;
                 let lost = source.path.is_lost(self.state.now());
-                if (lost || self.look_into(&source.path).await) && self.mend(&mut source.path).await
-                {
+                let lost = lost || self.look_into(&source.path).await;
+                if lost && self.mend(&mut source.path, transfer).await {
                     return self.next(source).await;
                 }
+                transfer = route::LAST_TRANSFER;
             }
             let event = source.event(self.last, self.call.until);
             match self.beside(event, |next| matches!(next, Next::Broken(_))).await {
@@ -121,9 +123,10 @@
     /// Has the request go on along another path from the same first server, which keeps the stream.
     /// Cheaper than a new run: only the new servers read the tokens so far, and the caller's pause
     /// is shorter by that.
-    pub(super) async fn mend(&mut self, path: &mut Path) -> bool {
+    /// `transfer` is the longest time on a link between data centres, in milliseconds.
+    pub(super) async fn mend(&mut self, path: &mut Path, transfer: f64) -> bool {
         let size = self.call.tokens;
-        let found = route::mend(self.state, self.service, self.model, size, path);
+        let found = route::mend(self.state, self.service, self.model, size, path, transfer);
         let Some(mended) = found else { return false };
         let ask = (self.state.codec.repath)(&self.call.id, &mended.hops);
         let answer = probe::ask(mended.first(), ask, MEND).await;
