--- a/crates/layers/benches/decisions.rs
+++ b/crates/layers/benches/decisions.rs
@@ -1,42 +1,20 @@
 //! Time of the decisions about a model's layers, at sixty servers in three data centres: a path for a request,
 //! and the orders of a data centre whose servers are all empty.
 
+#[path = "../tests/model/mod.rs"]
+mod model;
+
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use layers::pass::Pass;
 use layers::path::{Ask, Holder, find};
 use layers::placement::plan;
-use layers::{Card, Server, Shape, Span};
+use layers::{Card, Server, Span};
+use model::{FAST, MIDDLE, SHAPE, SLOW};
 
 /// Time for which each decision is repeated.
 const REPEATED: Duration = Duration::from_millis(500);
 
-const PASS: Pass = Pass {
-    stride: 4.0,
-    chunk: 512.0,
-    writer_ms: 0.0067,
-    slots: 192.0,
-    prompt: 775.0,
-    answer: 214.0,
-};
-
-const SHAPE: Shape = Shape {
-    layers: 80,
-    layer_bytes: 1.75e9,
-    token_bytes: 4912.0,
-    step_ms: 1.02,
-    read_per_ms: 245.0,
-    cross_ms: 0.75,
-    cross_token_ms: 0.025,
-    pause_ms: 200.0,
-    pass: Some(PASS),
-};
-
-const FAST: Card = Card { bytes: 72e9, pace: 2.4, read: 3.2 };
-const MIDDLE: Card = Card { bytes: 43.2e9, pace: 5.6, read: 2.7 };
-const SLOW: Card = Card { bytes: 21.6e9, pace: 16.0, read: 8.2 };
-
 fn main() {
     let empty = servers();
     let mut held = empty.clone();
--- a/crates/layers/tests/copies.rs
+++ b/crates/layers/tests/copies.rs
@@ -1,33 +1,10 @@
 //! Several copies of the model in one data centre, dealt by what its servers can do.
 
-use layers::pass::Pass;
-use layers::placement::plan;
-use layers::{Card, Server, Shape, Span};
-
-const PASS: Pass = Pass {
-    stride: 4.0,
-    chunk: 512.0,
-    writer_ms: 0.0067,
-    slots: 192.0,
-    prompt: 775.0,
-    answer: 214.0,
-};
+mod model;
 
-const SHAPE: Shape = Shape {
-    layers: 80,
-    layer_bytes: 1.75e9,
-    token_bytes: 4912.0,
-    step_ms: 1.02,
-    read_per_ms: 245.0,
-    cross_ms: 0.75,
-    cross_token_ms: 0.025,
-    pause_ms: 200.0,
-    pass: Some(PASS),
-};
-
-const FAST: Card = Card { bytes: 72e9, pace: 2.4, read: 3.2 };
-const MIDDLE: Card = Card { bytes: 43.2e9, pace: 5.6, read: 2.7 };
-const SLOW: Card = Card { bytes: 21.6e9, pace: 16.0, read: 8.2 };
+use layers::placement::plan;
+use layers::{Card, Server, Span};
+use model::{FAST, MIDDLE, PASS, SHAPE, SLOW};
 
 /// Requests of a calm day of one data centre, in a millisecond.
 const CALM: f64 = 0.08;
--- a/crates/layers/tests/pass.rs
+++ b/crates/layers/tests/pass.rs
@@ -1,30 +1,11 @@
 //! What servers can do by the passes of their engines.
 
-use layers::pass::Pass;
+mod model;
+
 use layers::{Card, Shape};
+use model::{PASS, SHAPE};
 use rstest::rstest;
 
-const PASS: Pass = Pass {
-    stride: 4.0,
-    chunk: 512.0,
-    writer_ms: 0.0067,
-    slots: 192.0,
-    prompt: 775.0,
-    answer: 214.0,
-};
-
-const SHAPE: Shape = Shape {
-    layers: 80,
-    layer_bytes: 1750e6,
-    token_bytes: 4912.0,
-    step_ms: 1.02,
-    read_per_ms: 245.0,
-    cross_ms: 0.75,
-    cross_token_ms: 0.025,
-    pause_ms: 200.0,
-    pass: Some(PASS),
-};
-
 struct Case {
     card: Card,
     layers: u32,
