A slow server of a plain service goes on while another one is asked

Callers saw 504 for a look-up whose answer came a moment later: a slow server was given up as soon as another one was chosen, and that one declined or was slower still. On the fourth try it was even given up for a server that the loop never asked, and the repeat taken for it was lost.

The first answer now counts, whoever gives it; another server is asked only while the route's attempts, the tries and the retry budget allow it, the ones that still work counted in. Ruled out: waiting longer before the other one is asked, as the answer then misses its goal whenever the first server hangs.

a_slow_look_up_is_not_given_up_for_a_server_that_declines: fails before (504 and 503 among eight look-ups), passes; the two earlier cases of a slow look-up pass unchanged.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 use policy::pick::{Choice, pick};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 use crate::answer::{self, Body, Reason};
 use crate::exchange::{self, Outcome};
@@ -16,7 +18,7 @@
 use crate::state::State;
 
 /// Servers asked for one request at most, counting those that decline it.
-const TRIES: u32 = 4;
+const TRIES: usize = 4;
 
 /// Part of a repeatable request's goal after which another server is asked. The answer of the
 /// second one then still comes within the goal, where the first has lost it.
@@ -41,93 +43,130 @@
     NotRun(StatusCode),
     /// It may have run it, and there is no answer.
     Unknown(String),
-    /// It has not answered yet, and another one is asked.
-    Slow,
     /// Time is up.
     Late,
 }
 
+/// What asking for one request has come to.
+struct Progress<'a> {
+    state: &'a Rc<State>,
+    call: &'a Call,
+    service: &'a str,
+    /// Servers asked so far.
+    asked: Vec<String>,
+    /// Servers that have run it, or may have.
+    ran: u32,
+    /// What the caller gets if nothing better comes.
+    fallback: Response<Body>,
+}
+
 /// Serves one request.
+///
+/// A server that is slow goes on while another one is asked, and the first answer counts: the other one may decline,
+/// or be slower still.
 pub async fn serve(state: &Rc<State>, call: &Call, service: &str) -> Response<Body> {
-    let mut asked: Vec<String> = Vec::new();
-    let mut ran = 0;
-    // What the caller gets if nothing better comes.
-    let mut fallback = answer::own(Reason::NoServer);
-    let mut next = choose(state, service, &asked);
-    for _ in 0..TRIES {
-        let Some(peer) = next.take() else { break };
-        let id = peer.server().id.clone();
-        asked.push(id.clone());
-        let last = ran + 1 >= call.route.attempts || !call.route.class.repeatable();
-        let _load = Load::new(peer.clone(), 0.0);
-        let trying = ask(state, call, &peer, &id);
-        let tried = match last {
-            true => trying.await,
-            false => {
-                tokio::pin!(trying);
-                match timeout_at(limit(call, &peer), &mut trying).await {
-                    Ok(tried) => tried,
-                    Err(_) => {
-                        next = repeat(state, service, &asked);
-                        // One that is slow is given up only for another one: it may yet answer.
-                        if next.is_some() { Tried::Slow } else { trying.await }
-                    }
+    let (asked, fallback) = (Vec::new(), answer::own(Reason::NoServer));
+    let mut progress = Progress { state, call, service, asked, ran: 0, fallback };
+    let mut pending = FuturesUnordered::new();
+    let mut next = choose(state, service, &progress.asked);
+    let mut patience = None;
+    loop {
+        if let Some(peer) = next.take() {
+            progress.asked.push(peer.server().id.clone());
+            patience = Some((limit(call, &peer), peer.clone()));
+            pending.push(ask(state, call, peer));
+        }
+        let running = pending.len() as u32;
+        let slow_at = patience.as_ref().filter(|_| progress.may_ask(running)).map(|(at, _)| *at);
+        let (peer, tried) = tokio::select! {
+            Some(tried) = pending.next() => tried,
+            () = sleep_until(slow_at.unwrap_or(call.until)), if slow_at.is_some() => {
+                next = progress.repeat();
+                if let (true, Some((_, slow))) = (next.is_some(), patience.take()) {
+                    note_slow(call, &slow);
                 }
+                continue;
             }
+            else => return progress.fallback,
         };
+        if let Some(answer) = progress.note(&peer, tried, pending.len() as u32) {
+            return answer;
+        }
+        if pending.is_empty() {
+            if call.left().is_zero() || !progress.may_ask(0) {
+                return progress.fallback;
+            }
+            next = progress.repeat();
+        }
+    }
+}
+
+impl Progress<'_> {
+    /// Whether another server may be asked while `running` others work on it.
+    fn may_ask(&self, running: u32) -> bool {
+        let route = &self.call.route;
+        let repeats = running == 0 || route.class.repeatable();
+        repeats && self.ran + running < route.attempts && self.asked.len() < TRIES
+    }
+
+    /// Another server, if there is one and a repeat is left for it.
+    fn repeat(&self) -> Option<Rc<Peer>> {
+        let other = choose(self.state, self.service, &self.asked);
+        other.filter(|_| self.state.may_repeat(self.service))
+    }
+
+    /// Takes over what came of asking a server; the caller's answer if it is that.
+    fn note(&mut self, peer: &Rc<Peer>, tried: Tried, running: u32) -> Option<Response<Body>> {
+        let (state, call) = (self.state, self.call);
         match tried {
             Tried::Answered(head, body) => {
-                ran += 1;
+                self.ran += 1;
                 let answer = answer::whole(head, body);
-                if last || !answer.status().is_server_error() {
-                    return answer;
+                let better = call.route.class.repeatable() && (running > 0 || self.may_ask(0));
+                if !better || !answer.status().is_server_error() {
+                    return Some(answer);
                 }
-                fallback = answer;
+                self.fallback = answer;
             }
-            Tried::NotSent(why) => pass_over(state, &peer, &why),
+            Tried::NotSent(why) => pass_over(state, peer, &why),
             Tried::NotRun(status) => {
+                let id = &peer.server().id;
                 log::info!("gateway: request={} server={id} declined status={status}", call.id);
-                if ran == 0 {
-                    fallback = answer::own(Reason::Full);
+                if self.ran == 0 {
+                    self.fallback = answer::own(Reason::Full);
                 }
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     peer.fail(state.now());
                 }
             }
             Tried::Broken | Tried::Unknown(_) => {
-                ran += 1;
+                self.ran += 1;
                 if let Tried::Unknown(why) = tried {
+                    let id = &peer.server().id;
                     log::info!(
                         "gateway: request={} server={id} outcome=unknown why={why}",
                         call.id
                     );
                 }
-                fallback = answer::own(Reason::Lost);
-                if last {
-                    return fallback;
+                self.fallback = answer::own(Reason::Lost);
+                if !call.route.class.repeatable() {
+                    return Some(answer::own(Reason::Lost));
                 }
             }
-            Tried::Slow => {
-                ran += 1;
-                note_slow(call, &peer);
-                fallback = answer::own(Reason::Late);
-            }
             Tried::Late => {
-                note_slow(call, &peer);
-                return late(state, call, &peer);
+                note_slow(call, peer);
+                return Some(late(state, call, peer));
             }
         }
-        if call.left().is_zero() || ran >= call.route.attempts {
-            break;
-        }
-        next = next.or_else(|| repeat(state, service, &asked));
+        None
     }
-    fallback
 }
 
 /// Sends a request to one server and waits for its whole answer, until the caller's time is up.
-async fn ask(state: &State, call: &Call, peer: &Rc<Peer>, id: &str) -> Tried {
-    match exchange::send(state, peer, call, fields(state, call, id), call.until).await {
+async fn ask(state: &State, call: &Call, peer: Rc<Peer>) -> (Rc<Peer>, Tried) {
+    let _load = Load::new(peer.clone(), 0.0);
+    let fields = fields(state, call, &peer.server().id);
+    let tried = match exchange::send(state, &peer, call, fields, call.until).await {
         Outcome::Answer(answer) => match answer.collect(call.until).await {
             Some((head, body)) => Tried::Answered(head, body),
             None if Instant::now() >= call.until => Tried::Late,
@@ -137,12 +176,8 @@
         Outcome::NotRun(status, _) => Tried::NotRun(status),
         Outcome::Unknown(why) => Tried::Unknown(why),
         Outcome::Late => Tried::Late,
-    }
-}
-
-/// Another server, if there is one and a repeat is left for it.
-fn repeat(state: &State, service: &str, asked: &[String]) -> Option<Rc<Peer>> {
-    choose(state, service, asked).filter(|_| state.may_repeat(service))
+    };
+    (peer, tried)
 }
 
 /// Counts an answer that did not come in time in its server's mean.
