A path that is not used leaves nothing in the meters, and no repeat, no questions

Streams that broke off and found no repeat looked for a path every 60 to 150 ms. Each look added their prompt to the reading meters of the servers found and asked all of these whether they live. So the streams that had to wait made the servers seem taken to those that could go on, and a dead server was followed by hundreds of probes.

Work is now charged where a request is sent along the path or its path is changed, and the retry budget is looked at before anybody is asked.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -16,10 +16,7 @@
 use crate::state::State;
 use crate::wire::Hop;
 pub use explain::explain;
-use load::{
-    Crowd, FILLED, LINK, LINK_FULL, READING_FULL, TOLD, charge_link, charge_reading, crowds, link,
-    millis,
-};
+use load::{Charge, Crowd, FILLED, LINK, LINK_FULL, READING_FULL, TOLD, crowds, link, millis};
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
 /// the copies differ in speed, so that each data centre's requests stay there while its copy is
@@ -63,6 +60,7 @@
     /// What each runs.
     pub hops: Vec<Hop>,
     loads: Vec<Load>,
+    charges: Vec<Charge>,
 }
 
 impl Path {
@@ -71,6 +69,12 @@
         &self.peers[0]
     }
 
+    /// Counts the prompt in the meters of the servers that read it and of the links that it crosses. Only for a path
+    /// that a request is sent along: streams that wait for a repeat look for one many times a second.
+    pub fn charge(&mut self, state: &State) {
+        self.charges.drain(..).for_each(|charge| charge.apply(state));
+    }
+
     /// Notes that an event came along it.
     pub fn seen(&self, now: Duration) {
         self.peers.iter().for_each(|peer| peer.seen.set(now));
@@ -213,30 +217,23 @@
     };
     let (parts, _) = path::find(&holders, &ask)?;
     let of = |part: &path::Part| peers[part.server].clone();
+    let mut charges = Vec::new();
+    let mut before = (want.from > 0).then_some(want.zone);
     for part in &parts {
         let peer = of(part);
-        if !want.kept.iter().any(|k| Rc::ptr_eq(k, &peer)) {
-            charge_reading(
-                &peer,
-                model,
-                tokens,
-                part.span,
-                now,
-                crowd_of(zone(&peer.server().zone)),
-            );
+        let here = zone(&peer.server().zone);
+        if let Some(before) = before.replace(here).filter(|before| *before != here) {
+            charges.push(Charge::link((before, here), transfer, share));
         }
-    }
-    let mut before = if want.from == 0 { None } else { Some(want.zone) };
-    for part in &parts {
-        let here = zone(&of(part).server().zone);
-        if let Some(before) = before.replace(here) {
-            charge_link(state, (before, here), transfer, share);
+        if !want.kept.iter().any(|k| Rc::ptr_eq(k, &peer)) {
+            charges.extend(Charge::reading(&peer, model, tokens, part.span, crowd_of(here)));
         }
     }
     Some(Path {
         hops: parts.iter().map(|p| Hop { address: of(p).server().address, span: p.span }).collect(),
         loads: parts.iter().map(|p| Load::new(of(p), bytes * f64::from(p.span.len()))).collect(),
         peers: parts.iter().map(of).collect(),
+        charges,
     })
 }
 
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -93,33 +93,63 @@
     found.map_or(Meter::default(), |at| links[at].1)
 }
 
-pub(super) fn charge_link(state: &State, ends: (Zone, Zone), ms: f64, share: f64) {
-    if ends.0 == ends.1 {
-        return;
-    }
-    let mut links = state.links.borrow_mut();
-    let at = match links.binary_search_by_key(&ends, |(ends, _)| *ends) {
-        Ok(at) => at,
-        Err(at) => {
-            links.insert(at, (ends, Meter::default()));
-            at
-        }
-    };
-    links[at].1.add(state.now(), Duration::from_secs_f64(ms / 1e3), share);
+/// Work that a request brings to a server or a link, for its meter.
+#[derive(Debug)]
+pub(super) struct Charge {
+    at: Place,
+    /// How long the work takes.
+    work: Duration,
+    /// Part of the worker's time that is this router's.
+    share: f64,
+}
+
+/// Where work is done.
+#[derive(Debug)]
+enum Place {
+    Server(Rc<Peer>),
+    Link((Zone, Zone)),
 }
 
-pub(super) fn charge_reading(
-    peer: &Peer,
-    model: &Model,
-    tokens: Tokens,
-    span: Span,
-    now: Duration,
-    crowd: Crowd,
-) {
-    let entry = peer.server();
-    let Some(card) = entry.card.as_deref().and_then(|name| model.card(name)) else { return };
-    let ms = model.shape.reading_ms(&card, span.len(), peer.slow.get(), tokens.prompt);
-    let mut reading = peer.reading.get();
-    reading.add(now, Duration::from_secs_f64(ms / 1e3), 1.0 / crowd.others);
-    peer.reading.set(reading);
+impl Charge {
+    /// Prompts that cross a link between data centres.
+    pub(super) fn link(ends: (Zone, Zone), ms: f64, share: f64) -> Charge {
+        Charge { at: Place::Link(ends), work: Duration::from_secs_f64(ms / 1e3), share }
+    }
+
+    /// A prompt that a server reads through some layers; none if its card is not known.
+    pub(super) fn reading(
+        peer: &Rc<Peer>,
+        model: &Model,
+        tokens: Tokens,
+        span: Span,
+        crowd: Crowd,
+    ) -> Option<Charge> {
+        let entry = peer.server();
+        let card = entry.card.as_deref().and_then(|name| model.card(name))?;
+        let ms = model.shape.reading_ms(&card, span.len(), peer.slow.get(), tokens.prompt);
+        let work = Duration::from_secs_f64(ms / 1e3);
+        Some(Charge { at: Place::Server(peer.clone()), work, share: 1.0 / crowd.others })
+    }
+
+    pub(super) fn apply(self, state: &State) {
+        let now = state.now();
+        match self.at {
+            Place::Server(peer) => {
+                let mut reading = peer.reading.get();
+                reading.add(now, self.work, self.share);
+                peer.reading.set(reading);
+            }
+            Place::Link(ends) => {
+                let mut links = state.links.borrow_mut();
+                let at = match links.binary_search_by_key(&ends, |(ends, _)| *ends) {
+                    Ok(at) => at,
+                    Err(at) => {
+                        links.insert(at, (ends, Meter::default()));
+                        at
+                    }
+                };
+                links[at].1.add(now, self.work, self.share);
+            }
+        }
+    }
 }
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -137,11 +137,12 @@
                 reason = Some(none);
                 break;
             };
+            let again = self.tries > 0;
             // A repeat that meets a dead server is lost, and the next one may be one too many.
-            if self.tries > 0 && self.look_into(&path).await {
+            if again && self.state.repeats_left(self.service) > 0 && self.look_into(&path).await {
                 continue;
             }
-            if self.tries > 0 && !self.state.may_repeat(self.service) {
+            if again && !self.state.may_repeat(self.service) {
                 self.obstacle = Some(Obstacle::Budget);
                 // A stream that waits for another path looks for it many times a second.
                 if self.last.is_none() && !self.kept {
@@ -218,6 +219,7 @@
     /// Sends the request along a path and waits for the first event.
     async fn begin(&mut self, mut path: Path) -> Result<Opened, Failed> {
         let began = Instant::now();
+        path.charge(self.state);
         let peer = path.first().clone();
         let hops = path.hops.clone();
         let id = peer.server().id.clone();
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -127,7 +127,8 @@
     pub(super) async fn mend(&mut self, path: &mut Path, transfer: f64) -> bool {
         let size = self.call.tokens;
         let found = route::mend(self.state, self.service, self.model, size, path, transfer);
-        let Some(mended) = found else { return false };
+        let Some(mut mended) = found else { return false };
+        mended.charge(self.state);
         let ask = (self.state.codec.repath)(&self.call.id, &mended.hops);
         let answer = probe::ask(mended.first(), ask, MEND).await;
         let done = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
