Sessions are counted once they are open

a_full_fleet_makes_drafts_wait_and_answers_all failed once with 13 sessions in place of 16. Cause: the router counts a slot as taken when it sends a draft on, and shows that 24 wait; the session opens at the engine a round trip later, and the engine tells of its load with a lag. The check read once, right away.

The check is replaced in all three tests by one as strict: all slots come into use while as many drafts wait, and five readings in a row show exactly as many sessions as there are slots, so that one session too many fails as before.

--- a/crates/router/tests/queue.rs
+++ b/crates/router/tests/queue.rs
@@ -21,6 +21,10 @@
 /// Step time with which what runs ends soon.
 const FAST_US: u64 = 200;
 
+/// Readings of the sessions that must all show the same, and the pause between two.
+const READINGS: usize = 5;
+const READING: Duration = Duration::from_millis(20);
+
 type Drafts = Vec<JoinHandle<rest::Answer>>;
 
 fn prompt(n: usize) -> String {
@@ -67,6 +71,16 @@
     .await;
 }
 
+/// As many sessions are open at the engine as it has slots, and no more are opened. The router counts a slot as taken
+/// before the session is open, and the engine tells of its load late.
+async fn all_slots_in_use(fleet: &Fleet) {
+    until("all slots are in use", async || fleet.sessions().await == SLOTS).await;
+    for _ in 0..READINGS {
+        tokio::time::sleep(READING).await;
+        assert_eq!(fleet.sessions().await, SLOTS);
+    }
+}
+
 /// A fleet whose slots are all taken, with `more` drafts waiting.
 async fn full(more: usize) -> (Fleet, Drafts) {
     let fleet = Fleet::start().await;
@@ -87,7 +101,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_fleet_makes_drafts_wait_and_answers_all() {
     let (fleet, sent) = full(24).await;
-    assert_eq!(fleet.sessions().await, SLOTS);
+    all_slots_in_use(&fleet).await;
     assert_eq!(gauge(&fleet, "hyssop_slots_free").await, Some(0));
     step_us(&fleet, FAST_US).await;
     all_right(sent).await;
@@ -105,7 +119,7 @@
     assert_eq!((answer.status, &problem["outcome"]), (503, &json!("not-run")), "{problem}");
     assert_eq!(problem["step"], "queue");
     // All the others still have their slots and their places.
-    assert_eq!(fleet.sessions().await, SLOTS);
+    all_slots_in_use(&fleet).await;
     assert_eq!(gauge(&fleet, "hyssop_queue_waiting").await, Some(24));
     step_us(&fleet, FAST_US).await;
     all_right(sent).await;
@@ -120,7 +134,7 @@
     waiting(&fleet, 6).await;
     gone.iter().for_each(JoinHandle::abort);
     waiting(&fleet, 0).await;
-    assert_eq!(fleet.sessions().await, SLOTS);
+    all_slots_in_use(&fleet).await;
     step_us(&fleet, FAST_US).await;
     all_right(sent).await;
 }
