--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -305,7 +305,9 @@
 /// Answers other routers that ask for what was read from the store.
 pub async fn routers(state: Rc<State>, listener: TcpListener) {
     let state = &state;
-    serve_all(listener, move |request| shared_read::answer(state, request)).await;
+    let answer =
+        move |request: Request<Incoming>| async move { shared_read::answer(state, &request).await };
+    serve_all(listener, answer).await;
 }
 
 /// Serves the metrics page.
@@ -320,19 +322,19 @@
 
 /// Serves short pages.
 async fn pages(listener: TcpListener, page: impl Fn(&str) -> (StatusCode, String)) {
-    let answer = |request: &Request<Incoming>| {
+    let answer = |request: Request<Incoming>| {
         let (status, text) = page(request.uri().path());
         let mut response = Response::new(Full::new(Bytes::from(text)));
         *response.status_mut() = status;
-        response
+        std::future::ready(response)
     };
     serve_all(listener, answer).await;
 }
 
 /// Answers requests without a body, all connections in one task: they are few and short.
-async fn serve_all(
+async fn serve_all<F: Future<Output = Response<Full<Bytes>>>>(
     listener: TcpListener,
-    answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>>,
+    answer: impl Fn(Request<Incoming>) -> F,
 ) {
     let answer = &answer;
     let mut open = futures_util::stream::FuturesUnordered::new();
@@ -344,7 +346,7 @@
         match accepted {
             Ok((stream, _)) => open.push(async move {
                 let service = service_fn(move |request: Request<Incoming>| async move {
-                    Ok::<_, Infallible>(answer(&request))
+                    Ok::<_, Infallible>(answer(request).await)
                 });
                 let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 if let Err(e) = served.await {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,7 +25,7 @@
 /// time a leaving one may still get work.
 const LIST: Duration = Duration::from_millis(1000);
 
-/// Longest time that the router which reads for all lets the store wait.
+/// Longest time that a router which reads for others lets the store wait.
 const FRESH: Duration = Duration::from_millis(900);
 
 /// Pause after the store did not answer. Short against the two seconds within which settings are
@@ -135,20 +135,22 @@
         };
         match read {
             Ok(Batch { items, end, source }) => {
-                state.store_answers();
+                if source != Source::Router {
+                    shared_read::note_answer(state);
+                    state.store_answers();
+                }
                 failures = 0;
                 if let Some(since) = away.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
                     back = Some(Instant::now());
                 }
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
+                shared_read::keep_newest(state, log, items.iter());
                 take(&items, View { whole: source == Source::Newest, regained });
                 at = Some(end);
-                sleep(match source {
-                    Source::Router => shared_read::rest(state.routers()),
-                    Source::Newest | Source::Store => shared_read::pause(state, pause),
-                })
-                .await;
+                if source != Source::Router {
+                    sleep(shared_read::pause(state, pause)).await;
+                }
             }
             Err(Fault::Gone) => {
                 log::info!("gateway: log={log} from={at:?} records were deleted, reading all");
@@ -169,12 +171,15 @@
 
 /// Waits after a read of a log that failed: for `pause` if its reader is the one that asks whether the store is
 /// back, else until that one has an answer. Whether it is the one that asks.
+///
+/// A router that hears from another one asks rarely: that one says when the store is back.
 async fn rest(state: &State, log: Log, pause: Duration) -> bool {
     let asks = state.store_fails(log);
-    match asks {
-        true => sleep(pause).await,
-        false => drop(tokio::time::timeout(OTHERS, state.store_back.notified()).await),
-    }
+    let pause = match asks {
+        true => shared_read::told_pause(state).unwrap_or(pause),
+        false => OTHERS,
+    };
+    let _ = tokio::time::timeout(pause, state.store_back.notified()).await;
     asks
 }
 
@@ -198,6 +203,16 @@
 }
 
 async fn newest(state: &State, log: Log) -> Result<Batch, Fault> {
+    if let Some(snapshot) = shared_read::snapshot(state, log).await {
+        let end = snapshot.end;
+        let item = |(key, value): (String, Vec<u8>)| Item {
+            key,
+            value: Some(value.into()),
+            offset: end.saturating_sub(1),
+        };
+        let items = snapshot.items.into_iter().map(item).collect();
+        return Ok(Batch { items, end, source: Source::Newest });
+    }
     let (mut items, mut after, mut first_end) = (Vec::new(), None, None);
     loop {
         match state.store.call(Call::Newest { log, after: after.take() }).await? {
@@ -207,6 +222,7 @@
                 after = page.last().map(|i| i.key.clone());
                 items.extend(page);
                 if !more || after.is_none() {
+                    shared_read::keep(state, log, end, &[], |_| true);
                     return Ok(Batch { items, end, source: Source::Newest });
                 }
             }
@@ -222,8 +238,9 @@
     from: Offset,
     wait: Duration,
 ) -> Result<Batch, Fault> {
-    let (records, end, source) = match shared(state, log, from).await {
+    let (records, end, source) = match shared_read::read(state, log, from).await {
         Some((records, end)) => (records, end, Source::Router),
+        None if !shared_read::may_ask(state, log) => return Err(Fault::Told),
         None => {
             let wait = longest(state, wait);
             match state.store.call(Call::Read { log, from, wait }).await? {
@@ -270,25 +287,13 @@
     news
 }
 
-/// Records that the router which reads for all gives, and the offset after the last one it read.
-async fn shared(
-    state: &State,
-    log: Log,
-    from: Offset,
-) -> Option<(Vec<shared_read::Placed>, Offset)> {
-    match shared_read::applies(state) {
-        true => shared_read::read(state, log, from).await,
-        false => None,
-    }
-}
-
 /// How long the store may wait for records.
 fn longest(state: &State, usual: Duration) -> Duration {
     match () {
         // The answer tells that the store is back.
         () if state.store_away() => Duration::ZERO,
         // What others ask of this router must not grow old.
-        () if state.gives.get() => usual.min(FRESH),
+        () if shared_read::reads(state) => usual.min(FRESH),
         () => usual,
     }
 }
--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -5,8 +5,9 @@
 
 use tokio::time::sleep;
 
-use super::{DOUBLINGS, PAUSE, longest, rest, shared};
+use super::{DOUBLINGS, PAUSE, longest, rest};
 use crate::notice::{self, Notice};
+use crate::roster;
 use crate::shared_read;
 use crate::state::State;
 use crate::store::{Call, Fault, Log, Offset, Reply};
@@ -14,6 +15,9 @@
 /// Time the store may wait for notices, which come rarely and are worth nothing when late.
 const NOTICES: Duration = Duration::from_millis(2500);
 
+/// Pause of a router that reads for others after a read of notices: around a loss they come one by one.
+const BATCH: Duration = Duration::from_millis(400);
+
 /// Notices of before this process started that it reads. The giver of orders tells each second how all servers work;
 /// around a dead server some tens of routers tell of it once each.
 const BEFORE: Offset = 100;
@@ -23,6 +27,12 @@
 /// Without it, a router that starts anew sends requests through servers that all others know to be slow or full, for
 /// the second until that is said again.
 async fn before(state: &State) -> Option<Offset> {
+    if let Some(snapshot) = shared_read::snapshot(state, Log::Notices).await {
+        let said = snapshot.items.iter().filter_map(|(_, record)| Notice::decode(record));
+        listed(state).await;
+        notice::catch_up(state, &said.collect::<Vec<Notice>>());
+        return Some(snapshot.end);
+    }
     let call = Call::Append { log: Log::Notices, records: Vec::new(), epoch: None };
     let end = match state.store.call(call).await {
         Ok(Reply::Appended(end)) => end,
@@ -42,14 +52,20 @@
             return Some(end);
         }
     };
-    while !state.listed.get() {
-        let _ = tokio::time::timeout(PAUSE, state.changed.notified()).await;
-    }
+    shared_read::keep(state, Log::Notices, from, &records, |_| true);
+    listed(state).await;
     let said: Vec<Notice> = records.iter().filter_map(|r| Notice::decode(r)).collect();
     notice::catch_up(state, &said);
     Some(from + records.len() as Offset)
 }
 
+/// Waits until the servers are known that notices speak of.
+async fn listed(state: &State) {
+    while !state.listed.get() {
+        let _ = tokio::time::timeout(PAUSE, state.changed.notified()).await;
+    }
+}
+
 /// Hears what other routers say.
 pub async fn notices(state: Rc<State>) {
     let mut at: Option<Offset> = before(&state).await;
@@ -58,13 +74,16 @@
         let call = match at {
             None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
             Some(from) => {
-                if let Some((records, end)) = shared(&state, Log::Notices, from).await {
+                if let Some((records, end)) = shared_read::read(&state, Log::Notices, from).await {
                     at = Some(end);
                     records
                         .iter()
                         .filter_map(|(_, r)| Notice::decode(r))
                         .for_each(|w| notice::receive(&state, &w));
-                    sleep(shared_read::rest(state.routers())).await;
+                    continue;
+                }
+                if !shared_read::may_ask(&state, Log::Notices) {
+                    rest(&state, Log::Notices, PAUSE * (1 << DOUBLINGS)).await;
                     continue;
                 }
                 let wait = longest(&state, NOTICES);
@@ -86,8 +105,8 @@
                     .iter()
                     .filter_map(|r| Notice::decode(r))
                     .for_each(|w| notice::receive(&state, &w));
-                if state.routers() >= shared_read::FROM {
-                    sleep(shared_read::rest(state.routers())).await;
+                if shared_read::reads(&state) {
+                    sleep(BATCH).await;
                 }
             }
             Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
@@ -109,7 +128,7 @@
     loop {
         state.noticed.notified().await;
         let most = SAME * state.routers();
-        if state.routers() >= shared_read::FROM {
+        if state.routers() as usize >= roster::FROM {
             sleep(most.mul_f64(rand::random())).await;
         }
         let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -17,14 +17,21 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::shared_read;
 use crate::state::State;
 use crate::store::{Fault, Generation};
 use order::{Given, Planned};
 use term::Term;
 
-/// Time between two calls that keep the seat: two may be lost.
+/// Time between two calls that keep the first seat, or any while no other router tells of changes: two may be lost.
 const KEEP: Duration = Duration::from_millis(650);
 
+/// The same for a router that hears of changes from another one, and then asks at once.
+const CALM_KEEP: Duration = Duration::from_millis(1500);
+
+/// The same for a router that has no seats yet: it waits for them before it reads anything.
+const FIRST_KEEP: Duration = Duration::from_millis(300);
+
 /// Time until the seat is kept again after a change of the group: its new holder hears of it that much sooner
 /// than by [`KEEP`], at a tenth of a call for each router and change.
 const HAND_OVER: Duration = Duration::from_millis(150);
@@ -51,7 +58,9 @@
     /// Answers in a row with that generation.
     steady: u32,
     /// When the seat was last asked for.
-    kept: Duration,
+    kept: Option<Duration>,
+    /// Whether the last call had no answer.
+    failed: bool,
     /// The right to give orders, while this router has it.
     term: Option<Term>,
     given: Vec<Given>,
@@ -71,7 +80,8 @@
     let mut leader = Leader {
         generation: 0,
         steady: 0,
-        kept: now.saturating_sub(KEEP),
+        kept: None,
+        failed: false,
         term: None,
         given: Vec::new(),
         planned: Vec::new(),
@@ -97,21 +107,36 @@
     /// Asks for the seat again when it is time.
     async fn keep_seat(&mut self) {
         let now = self.state.now();
-        if now < self.kept + KEEP {
+        let state = &self.state;
+        let calm = self.term.is_none() && (shared_read::hears(state) || state.store_away());
+        let pause = match calm {
+            _ if state.sharing.awaits_seats() => FIRST_KEEP,
+            true => CALM_KEEP,
+            false => KEEP,
+        };
+        let heard = state.sharing.generation() > self.generation
+            || self.kept.is_some_and(|kept| kept < state.regained());
+        let wait = if heard && !self.failed { HAND_OVER } else { pause };
+        if self.kept.is_some_and(|kept| now < kept + wait) {
             return;
         }
-        self.kept = now;
-        let (seat, until) = match term::keep(&self.state, self.generation).await {
+        self.kept = Some(now);
+        let (seat, until) = match term::keep(&self.state, self.generation, calm).await {
             Ok(kept) => kept,
-            Err(e) => return log::debug!("gateway: seat not kept: {e}"),
+            Err(e) => {
+                self.failed = true;
+                return log::debug!("gateway: seat not kept: {e}");
+            }
         };
+        self.failed = false;
         self.steady = if seat.generation == self.generation { self.steady + 1 } else { 0 };
         self.generation = seat.generation;
         if self.steady == 0 {
             // A seat that moves is free once its holder has joined with the new generation.
             // Until then nobody gives orders, and what is lost stays lost.
-            self.kept = self.kept.saturating_sub(KEEP - HAND_OVER);
+            self.kept = Some((now + HAND_OVER).saturating_sub(pause));
         }
+        self.state.sharing.joined(seat);
         // While seats change hands, a router may hold few of its own, or none.
         if self.steady >= STEADY && seat.held > 0 {
             let before = self.state.routers();
--- a/crates/gateway/src/leader/term.rs
+++ b/crates/gateway/src/leader/term.rs
@@ -11,6 +11,9 @@
 /// ordered meanwhile are missing.
 const TTL: Duration = Duration::from_millis(2000);
 
+/// The same for a router that asks rarely, as it holds other seats only: nothing waits for those.
+const CALM_TTL: Duration = Duration::from_millis(4000);
+
 /// Part of the seat's time in which orders are given. The rest is for the order to arrive.
 const SURE: f64 = 0.7;
 
@@ -42,11 +45,17 @@
     }
 }
 
-pub(super) async fn keep(state: &State, generation: Generation) -> Result<(Seat, Duration), Fault> {
-    // The seat's time runs from the call's arrival, so counting from its sending is safe.
+pub(super) async fn keep(
+    state: &State,
+    generation: Generation,
+    calm: bool,
+) -> Result<(Seat, Duration), Fault> {
+    // The seat's time runs from the call's arrival, so counting from its sending is safe. The shorter time counts also
+    // for a call that asked for more: the next one shortens it.
     let until = boot_time() + TTL.mul_f64(SURE);
     let member = state.member();
-    match state.store.call(Call::Join { member, ttl: TTL, generation }).await? {
+    let ttl = if calm { CALM_TTL } else { TTL };
+    match state.store.call(Call::Join { member, ttl, generation }).await? {
         Reply::Joined(seat) => Ok((seat, until)),
         other => Err(Fault::Unreadable(format!("{other:?}"))),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod server;
 pub mod settings;
 pub mod setup;
+pub mod roster;
 pub mod shared_read;
 pub mod state;
 pub mod shutdown;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::answer::Reason;
+use crate::shared_read;
 use crate::state::State;
 
 /// The instruments of a gateway. What each tells an operator is in docs/OPERATIONS.md.
@@ -124,6 +125,11 @@
         self.event("store_call_failed");
     }
 
+    /// A router that this one hears from gave no useful answer.
+    pub fn source_lost(&self) {
+        self.event("source_lost");
+    }
+
     /// A server was ordered to hold layers.
     pub fn ordered(&self) {
         self.event("order");
@@ -141,6 +147,11 @@
             "hyssop_settings_version {version}\nhyssop_servers {}\nhyssop_serving {}\nhyssop_callers {}\nhyssop_routers {}\n",
             state.peers().len(), state.serving.get(), state.callers.get(), state.routers()
         ));
+        let reads = u8::from(shared_read::reads(state));
+        text.push_str(&format!("hyssop_reads_for_others {reads}\n"));
+        for (kind, calls) in state.store.made() {
+            text.push_str(&format!("hyssop_store_calls_total{{kind=\"{kind}\"}} {calls}\n"));
+        }
         text
     }
 }
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,137 @@
+//! Which router reads the store for which others.
+//!
+//! Load pattern: hundreds of routers that all follow the same logs. If each reads the store, its calls grow with the
+//! routers; if one small VM passes everything on, it is late with that, and all of them read the store at once.
+//!
+//! The strongest router reads the store. Among many, the strongest of each data centre asks that one and passes on to
+//! its own data centre, so that no router answers more than a data centre's routers and one for each other data
+//! centre. Everybody works this out from the same list of members, so the next reader is known before one is gone.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::store::Generation;
+
+/// Routers from which on one reads for others. With fewer, the calls saved are not worth another way for settings to
+/// arrive late.
+pub const FROM: usize = 3;
+
+/// Routers up to which all ask the one that reads the store.
+pub const DIRECT: usize = 32;
+
+/// A router as the group knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Name of its VM.
+    pub vm: String,
+    /// Where other routers reach it.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// How many routers its VM can read for.
+    pub strength: u32,
+}
+
+impl Member {
+    /// Reads a member's name in the group; what it leaves out counts as unknown, and as no strength.
+    ///
+    /// ```
+    /// use gateway::roster::Member;
+    /// let member = Member::parse("vm-1@10.0.0.1:7341@a@90").unwrap();
+    /// assert_eq!((member.data_centre.as_str(), member.strength), ("a", 90));
+    /// assert_eq!(member.to_string(), "vm-1@10.0.0.1:7341@a@90");
+    /// assert!(Member::parse("vm-1").is_none());
+    /// ```
+    pub fn parse(name: &str) -> Option<Member> {
+        let mut parts = name.split('@');
+        Some(Member {
+            vm: parts.next()?.to_owned(),
+            address: parts.next()?.parse().ok()?,
+            data_centre: parts.next().unwrap_or_default().to_owned(),
+            strength: parts.next().and_then(|text| text.parse().ok()).unwrap_or_default(),
+        })
+    }
+}
+
+impl std::fmt::Display for Member {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Member { vm, address, data_centre, strength } = self;
+        write!(f, "{vm}@{address}@{data_centre}@{strength}")
+    }
+}
+
+/// Where a router gets what the store holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From the store itself.
+    Store,
+    /// From the router that reads the store.
+    Reader(SocketAddr),
+    /// From the router that passes on to its data centre.
+    Relay(SocketAddr),
+}
+
+/// The routers of a group, the strongest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Generation of the group.
+    pub generation: Generation,
+    /// Names of the members.
+    names: Vec<String>,
+    #[serde(skip)]
+    members: Vec<Member>,
+}
+
+impl Roster {
+    /// The members with these names; names that can't be read are left out.
+    pub fn new(generation: Generation, mut names: Vec<String>) -> Roster {
+        names.sort_unstable();
+        names.dedup();
+        let mut members: Vec<Member> = names.iter().filter_map(|n| Member::parse(n)).collect();
+        members.sort_by(|a, b| b.strength.cmp(&a.strength).then_with(|| a.vm.cmp(&b.vm)));
+        Roster { generation, names, members }
+    }
+
+    /// The same after it came from another router.
+    pub fn received(self) -> Roster {
+        Roster::new(self.generation, self.names)
+    }
+
+    /// Members, the strongest first.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Where the router `vm` in `data_centre` gets what the store holds, if it passes over those that `avoid` names.
+    ///
+    /// ```
+    /// use gateway::roster::{Roster, Source};
+    /// let names = ["big@10.0.0.1:1@a@500", "small@10.0.0.2:1@a@90", "other@10.0.0.3:1@b@90"];
+    /// let roster = Roster::new(1, names.map(str::to_owned).to_vec());
+    /// let big = roster.members()[0].address;
+    /// assert_eq!(roster.source("big", "a", |_| false), Source::Store);
+    /// assert_eq!(roster.source("other", "b", |_| false), Source::Reader(big));
+    /// // Without it, the first of the others reads the store.
+    /// assert_eq!(roster.source("other", "b", |address| address == big), Source::Store);
+    /// ```
+    pub fn source(
+        &self,
+        vm: &str,
+        data_centre: &str,
+        avoid: impl Fn(SocketAddr) -> bool,
+    ) -> Source {
+        if self.members.len() < FROM {
+            return Source::Store;
+        }
+        let usable = || self.members.iter().filter(|m| m.vm == vm || !avoid(m.address));
+        let Some(reader) = usable().next().filter(|m| m.vm != vm) else { return Source::Store };
+        let relay = usable().find(|m| m.data_centre == data_centre);
+        match relay {
+            Some(relay) if relay.vm != vm && self.members.len() > DIRECT => {
+                Source::Relay(relay.address)
+            }
+            _ => Source::Reader(reader.address),
+        }
+    }
+}
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -44,8 +44,21 @@
     pub memory: u64,
     /// Descriptors of the process.
     pub descriptors: u32,
+    /// Part of a core that the VM has; none if that is not known.
+    pub processor: Option<f64>,
+    /// Rate of the VM's link in Mbit/s; none if that is not known.
+    pub link_mbps: Option<f64>,
 }
 
+/// Processor time that a router takes for each other one that it reads for, as a part of a core.
+const PROCESSOR: f64 = 0.001;
+
+/// Memory that a router takes for each other one that it reads for, in bytes.
+const MEMORY: u64 = 1 << 20;
+
+/// Rate at which a router sends to each other one that it reads for, in Mbit/s.
+const LINK: f64 = 0.1;
+
 /// Reads one section and collects every fault in it, so that an operator sees all at once.
 struct Reader<'a> {
     file: &'a Ini,
@@ -67,6 +80,12 @@
         }
     }
 
+    /// A number that may be left out.
+    fn maybe(&mut self, section: &str, key: &str) -> Option<f64> {
+        let text = self.file.get_from(Some(section), key)?.trim();
+        (!text.is_empty()).then(|| self.get::<f64>(section, key, "a number")).map(|n| n.max(0.0))
+    }
+
     fn address(&mut self, section: &str, key: &str) -> SocketAddr {
         let text: String = self.get(section, key, "an address such as 127.0.0.1:8080");
         text.parse().unwrap_or_else(|_| {
@@ -77,6 +96,22 @@
 }
 
 impl Setup {
+    /// How many other routers this VM can read the store for.
+    ///
+    /// ```
+    /// # let text = "[process]\nvm=v\ndata-centre=a\nlisten=127.0.0.1:1\nready=127.0.0.1:2\ngrace-s=8\n\
+    /// #     memory-mb=160\ndescriptors=4000\nprocessor=0.09\nlink-mbps=20\n\
+    /// #     [store]\naddress=127.0.0.1:3\nparts=12\n[retries]\nratio=0.2\nslack=196\nwindow-s=10\n";
+    /// let small = gateway::setup::Setup::parse(text).unwrap();
+    /// assert_eq!(small.strength(), 90);
+    /// ```
+    pub fn strength(&self) -> u32 {
+        let processor = self.processor.unwrap_or_default() / PROCESSOR;
+        let link = self.link_mbps.unwrap_or_default() / LINK;
+        let memory = (self.memory / MEMORY) as f64;
+        processor.min(link).min(memory).round() as u32
+    }
+
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Setup, Fault> {
         let file = Ini::load_from_file(path)
@@ -116,6 +151,8 @@
             ),
             memory: r.get::<u64>("process", "memory-mb", "a whole number") << 20,
             descriptors: r.get("process", "descriptors", "a whole number"),
+            processor: r.maybe("process", "processor"),
+            link_mbps: r.maybe("process", "link-mbps"),
         };
         match r.faults.is_empty() {
             true => Ok(setup),
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -1,273 +1,557 @@
-//! One router reads the store for all.
+//! One router reads the store, and the others hear from it.
 //!
-//! Load pattern: tens of routers that all follow the same logs. Each reads them two or three times a
-//! second, so the calls to the store grow with the routers while what is read stays the same. From
-//! [`FROM`] routers on, the one that gives orders keeps the newest records of each log, and the
-//! others ask it.
+//! [`crate::roster`] says who reads for whom. A router asks its source for all logs with one request, which is answered
+//! as soon as there is news. What is heard is kept for a while, so that any router can be asked by others at once when
+//! it becomes the next reader.
 //!
 //! What could go wrong is that the reader is cut off from the store and the others with it, without
-//! any of them noticing. So each answer says how old the reader's knowledge is; if it is too old,
-//! or there is no answer, a router reads the store itself.
+//! any of them noticing. So each answer says how old the reader's knowledge is, and whether the store answers it; a
+//! router whose source knows too little asks the next one, and reads the store itself if it has heard nothing for
+//! more than a second.
 
-use std::collections::VecDeque;
+pub mod page;
+mod tail;
+
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::pool::Pool;
+use crate::roster::{DIRECT, FROM, Roster, Source};
 use crate::state::State;
-use crate::store::{Call, Log, Offset, Reply};
+use crate::store::{Call, Generation, Item, Log, Offset, Reply, Seat};
+use page::{LONGEST, Page, Part, Snapshot};
+pub use tail::{Placed, Tail};
 
-/// Routers from which on one reads for all. With fewer, the calls saved are not worth another way for
-/// settings to arrive late.
-pub const FROM: u32 = 3;
+/// Logs that are shared.
+pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
 
-/// Records that are kept of each log: all servers of a large fleet may change within some seconds.
-const KEPT: usize = 4096;
+/// Age from which on what a router knows is not used. The store is read at least once a second, and an answer may
+/// wait for [`WAIT`] twice on its way.
+const OLD: Duration = Duration::from_millis(1900);
 
-/// Age from which on a reader's knowledge is not used. It reads each log at least once a second.
-const OLD: Duration = Duration::from_millis(1500);
+/// Time for which an answer is held back if there is no news.
+const WAIT: Duration = Duration::from_millis(400);
 
-/// The same for the list of servers. With the pauses of both routers, a leaving server gets no more
-/// work after one and a half seconds; the shortest time in which that is asked is two.
-const OLD_LIST: Duration = Duration::from_millis(900);
+/// Time a router gets to answer beyond that.
+const ANSWER: Duration = Duration::from_millis(400);
 
-/// Time a reader gets to answer.
-const ANSWER: Duration = Duration::from_millis(250);
+/// Time since the last answer after which a router reads the store itself. Two sources may be lost one after the
+/// other; a leaving server gets no more work after two seconds.
+const GRACE: Duration = Duration::from_millis(1200);
 
-/// Time between two looks for who reads. A look is one call; a router that reads alone makes three to
-/// five a second.
-const LOCATE: Duration = Duration::from_secs(1);
+/// Pause after an answer: what comes meanwhile is asked for at once.
+const PAUSE: Duration = Duration::from_millis(100);
 
-/// Logs that are shared.
-pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
+/// Routers up to which they ask at that pace. The pause grows with their number, to four times as long.
+const CROWD: f64 = 60.0;
 
-/// A record and where it stands in its log.
-pub type Placed = (Offset, Bytes);
+/// Time for which a router that did not answer is passed over.
+const AVOIDED: Duration = Duration::from_secs(4);
 
-/// The newest records of a log that tell something new.
-///
-/// Most entries of servers are heartbeats. A thousand servers write 200 KB of them a second, which a reader
-/// on a link of 20 Mbit/s can't pass on to a hundred routers: all of them lose it, read the store
-/// themselves, and suspect whoever answers late meanwhile.
+/// Mean time between two questions to a store that is said to be away.
+const ASK: Duration = Duration::from_secs(3);
+
+/// Time after the store is back within which all logs are read again.
+const REGAINED: Duration = Duration::from_secs(2);
+
+/// Shortest time between two reads of the members.
+const LOCATE: Duration = Duration::from_millis(400);
+
+/// Time without an answer of any source after which a router reads the members itself.
+const LOST: Duration = Duration::from_secs(3);
+
+/// Longest wait of a router that has just started for the members of a group that is forming.
+const START: Duration = Duration::from_millis(2000);
+
+/// Longest wait for all that another router holds.
+const SNAPSHOT: Duration = Duration::from_millis(600);
+
+/// Longest wait of a router that is asked for all it holds, until it holds it.
+const SETTLE: Duration = Duration::from_millis(250);
+
+/// Longest time between two looks whether there is anything to do.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// What a router knows of those that read for others.
 #[derive(Debug, Default)]
-pub struct Tail {
-    base: Offset,
-    end: Offset,
-    records: VecDeque<Placed>,
-    read: Option<Duration>,
+pub struct Sharing {
+    /// The members of the group.
+    roster: RefCell<Roster>,
+    /// Generation of the group that this router last heard as a member.
+    joined: Cell<Generation>,
+    /// Routers of the group, as far as this one's seats tell; none while it has no seats.
+    dealt: Cell<Option<u32>>,
+    /// When a source last gave a useful answer.
+    heard: Cell<Option<Duration>>,
+    /// Whether the source said that the store does not answer it.
+    away: Cell<bool>,
+    /// When this router may ask the store itself, while its source says that it is away.
+    next_ask: Cell<Duration>,
+    /// Routers that are passed over, and until when.
+    avoided: RefCell<Vec<(SocketAddr, Duration)>>,
+    /// Connections to the source.
+    source: RefCell<Option<(SocketAddr, Rc<Pool>)>>,
+    /// When the members were last read.
+    located: Cell<Option<Duration>>,
+    /// What was read or heard of each log.
+    tails: RefCell<[Tail; LOGS.len()]>,
+    /// Newest value of each key of the settings and of the list of servers.
+    newest: RefCell<[Vec<(String, Bytes)>; 2]>,
+    /// Woken when there is news, or another source.
+    news: Notify,
 }
 
-/// A reader's answer.
-#[derive(Debug, Serialize, Deserialize)]
-struct Page {
-    records: Vec<(Offset, Vec<u8>)>,
-    end: Offset,
-    age_ms: u64,
-}
+impl Sharing {
+    /// Records of a log from an offset on, and the offset after the last one; none if some are not kept.
+    pub fn from(&self, log: Log, from: Offset) -> Option<(Vec<Placed>, Offset)> {
+        self.tails.borrow()[position(log)?].from(from)
+    }
 
-impl Tail {
-    /// Adds what was read from the store, of which `worth` says what tells something new.
-    ///
-    /// ```
-    /// # use std::time::Duration;
-    /// let mut tail = gateway::shared_read::Tail::default();
-    /// tail.add(7, &["a".into(), "b".into()], |record| record != "b", Duration::from_secs(1));
-    /// assert_eq!(tail.from(7).unwrap(), (vec![(7, "a".into())], 9));
-    /// assert_eq!(tail.from(8).unwrap(), (vec![], 9));
-    /// assert!(tail.from(6).is_none());
-    /// ```
-    pub fn add(
-        &mut self,
-        from: Offset,
-        records: &[Bytes],
-        worth: impl Fn(&Bytes) -> bool,
-        now: Duration,
-    ) {
-        if from != self.end {
-            self.records.clear();
-            self.base = from;
-        }
-        let placed = (from..).zip(records.iter().cloned());
-        self.records.extend(placed.filter(|(_, record)| worth(record)));
-        self.end = from + records.len() as Offset;
-        while self.records.len() > KEPT {
-            if let Some((offset, _)) = self.records.pop_front() {
-                self.base = offset + 1;
-            }
+    /// Notes the generation of the group and the seats of this router.
+    pub fn joined(&self, seat: Seat) {
+        self.dealt.set(seat.all.checked_div(seat.held));
+        let generation = seat.generation;
+        if self.joined.replace(generation) != generation || seat.held > 0 && self.members() < FROM {
+            self.news.notify_waiters();
         }
-        self.read = Some(now);
     }
 
-    /// Records from an offset on, and the offset after the last one read; none if some are not kept.
-    pub fn from(&self, from: Offset) -> Option<(Vec<Placed>, Offset)> {
-        let known = self.base <= from && from <= self.end;
-        let skip = self.records.partition_point(|(offset, _)| *offset < from);
-        known.then(|| (self.records.iter().skip(skip).cloned().collect(), self.end))
+    /// Generation of the group that some router has heard.
+    pub fn generation(&self) -> Generation {
+        self.roster.borrow().generation
+    }
+
+    /// Whether it is known of which routers the group consists. One that is just forming names none but its first member
+    /// until that one gives seats up; if all others went by that, each would read the store.
+    fn is_settled(&self) -> bool {
+        self.members() >= FROM || self.dealt.get().is_some_and(|routers| (routers as usize) < FROM)
+    }
+
+    /// Whether this router has asked for seats and got none yet.
+    pub fn awaits_seats(&self) -> bool {
+        self.joined.get() > 0 && self.dealt.get().is_none()
     }
 
-    /// How long ago the store was read.
-    fn age(&self, now: Duration) -> Option<Duration> {
-        self.read.map(|read| now.saturating_sub(read))
+    /// Members of the group, as far as they are known.
+    pub fn members(&self) -> usize {
+        self.roster.borrow().members().len()
     }
 }
 
-/// Whether this router should ask another one.
-pub fn applies(state: &State) -> bool {
-    state.setup.inner.is_some() && state.routers() >= FROM && !state.gives.get()
+fn position(log: Log) -> Option<usize> {
+    LOGS.iter().position(|l| *l == log)
 }
 
-/// Pause after an answer of the reader. Settings are in force everywhere half a second after the reader has them.
-const PAUSE: Duration = Duration::from_millis(400);
+/// Where this router gets what the store holds.
+pub fn source(state: &State) -> Source {
+    if state.setup.inner.is_none() {
+        return Source::Store;
+    }
+    let (now, sharing) = (state.now(), &state.sharing);
+    let avoided = sharing.avoided.borrow();
+    let avoid = |address| avoided.iter().any(|(a, until)| *a == address && now < *until);
+    sharing.roster.borrow().source(&state.setup.vm, &state.setup.zone, avoid)
+}
 
-/// Routers up to which they ask at that pace. Three hundred make over two thousand requests a second, more than
-/// the reader's VM can answer; the pause grows with their number, to twice as long: what they
-/// know is then still younger than the shortest time within which settings are to be in force.
-const CROWD: f64 = 60.0;
+/// Whether this router reads the store for others.
+pub fn reads(state: &State) -> bool {
+    state.sharing.members() >= FROM && source(state) == Source::Store
+}
+
+/// Whether this router hears from another one.
+pub fn hears(state: &State) -> bool {
+    let recently = |at: Duration| state.now() < at + GRACE;
+    !state.sharing.away.get()
+        && source(state) != Source::Store
+        && state.sharing.heard.get().is_some_and(recently)
+}
+
+/// Whether the router that this one hears from says that the store does not answer.
+fn is_told_away(state: &State) -> bool {
+    state.sharing.away.get() && source(state) != Source::Store
+}
 
-/// Pause after an answer of the reader, among that many routers.
+/// Whether the reader of a log may ask the store now. While another router says that the store is away, one of this
+/// router's readers asks now and then, as only the other router may be cut off.
+pub fn may_ask(state: &State, log: Log) -> bool {
+    !is_told_away(state) || (state.asks(log) && state.now() >= state.sharing.next_ask.get())
+}
+
+/// Notes that the store answered this router: a source that says it is away is cut off alone.
+pub fn note_answer(state: &State) {
+    let source = state.sharing.source.borrow().as_ref().map(|(address, _)| *address);
+    if let Some(address) = source.filter(|_| is_told_away(state)) {
+        state.sharing.away.set(false);
+        lose(state, address, "the store answers others");
+    }
+}
+
+/// Pause until this router asks the store again, if another one says that it is away. Those that pass on to others ask
+/// more often.
+pub fn told_pause(state: &State) -> Option<Duration> {
+    let pause = match source(state) {
+        Source::Relay(_) => 2 * ASK,
+        Source::Reader(_) | Source::Store => ASK,
+    };
+    let pause = pause.mul_f64(0.5 + rand::random::<f64>());
+    is_told_away(state).then(|| {
+        state.sharing.next_ask.set(state.now() + pause);
+        pause
+    })
+}
+
+/// Pause after a read of the list of servers from the store, where a router that reads alone pauses for
+/// `alone`. The router that reads for others does it twice as often, as what it knows ages on its way.
+pub fn pause(state: &State, alone: Duration) -> Duration {
+    if reads(state) { alone / 2 } else { alone }
+}
+
+/// Pause after an answer of another router, among that many.
 ///
 /// ```
 /// # use std::time::Duration;
-/// assert_eq!(gateway::shared_read::rest(4), Duration::from_millis(400));
-/// assert_eq!(gateway::shared_read::rest(300), Duration::from_millis(800));
+/// assert_eq!(gateway::shared_read::rest(4), Duration::from_millis(100));
+/// assert_eq!(gateway::shared_read::rest(300), Duration::from_millis(400));
 /// ```
 pub fn rest(routers: u32) -> Duration {
-    PAUSE.mul_f64((f64::from(routers) / CROWD).clamp(1.0, 2.0))
+    PAUSE.mul_f64((f64::from(routers) / CROWD).clamp(1.0, 4.0))
 }
 
-/// Pause after a read of the list of servers from the store, where a router that reads alone pauses for
-/// `alone`. The router that reads for all does it twice as often, as what it knows ages on its way.
-pub fn pause(state: &State, alone: Duration) -> Duration {
-    match state.routers() >= FROM && state.gives.get() {
-        true => alone / 2,
-        false => alone,
+/// Records that another router gave, and the offset after the last one it read; waits a moment if there are none.
+/// None if this router has to read the store itself.
+pub async fn read(state: &State, log: Log, from: Offset) -> Option<(Vec<Placed>, Offset)> {
+    if !hears(state) {
+        return None;
     }
+    let (records, end) = state.sharing.from(log, from)?;
+    if !records.is_empty() {
+        return Some((records, end));
+    }
+    let _ = timeout(LOOK, state.sharing.news.notified()).await;
+    state.sharing.from(log, from).filter(|_| hears(state))
 }
 
-/// Asks the reader for records, and the offset after the last one it read. None if it is not known, does not
-/// answer, or knows too little.
-pub async fn read(state: &State, log: Log, from: Offset) -> Option<(Vec<Placed>, Offset)> {
-    let reader = locate(state).await?;
-    let path = format!("/tail?log={log}&from={from}");
-    let asked = timeout(ANSWER, ask(&reader, &path)).await;
-    let page = match asked {
-        Ok(Ok(page)) => page,
-        Ok(Err(Unshared::Unknown(status))) => {
-            log::debug!("gateway: reader gave nothing for {log}: status {status}");
-            return None;
+/// Keeps what was read from the store for the others; `worth` says which records tell something new.
+pub fn keep(
+    state: &State,
+    log: Log,
+    from: Offset,
+    records: &[Bytes],
+    worth: impl Fn(&Bytes) -> bool,
+) {
+    let Some(at) = position(log) else { return };
+    if state.sharing.tails.borrow_mut()[at].add(from, records, worth, state.now()) {
+        state.sharing.news.notify_waiters();
+    }
+}
+
+/// Keeps the newest values of keys for routers that start.
+pub fn keep_newest<'a>(state: &State, log: Log, items: impl Iterator<Item = &'a Item>) {
+    let mut newest = state.sharing.newest.borrow_mut();
+    let Some(newest) = position(log).and_then(|at| newest.get_mut(at)) else { return };
+    for item in items {
+        let found = newest.binary_search_by(|(key, _)| key.cmp(&item.key));
+        match (found, &item.value) {
+            (Ok(at), Some(value)) => newest[at].1 = value.clone(),
+            (Ok(at), None) => drop(newest.remove(at)),
+            (Err(at), Some(value)) => newest.insert(at, (item.key.clone(), value.clone())),
+            (Err(_), None) => {}
         }
-        // It is gone; another router reads for all from now on.
-        Ok(Err(Unshared::Silent(why))) => {
-            log::info!("gateway: reader lost why={why}");
-            state.reader.borrow_mut().take();
-            return None;
+    }
+}
+
+/// Asks the source for news as long as the process runs, and reads the members when they have changed.
+pub async fn run(state: Rc<State>) {
+    loop {
+        locate(&state).await;
+        let address = match source(&state) {
+            Source::Store => {
+                let _ = timeout(LOOK, state.sharing.news.notified()).await;
+                continue;
+            }
+            Source::Reader(address) | Source::Relay(address) => address,
+        };
+        let pool = pool(&state, address);
+        let from = offsets(&state);
+        let limit = WAIT + ANSWER;
+        match timeout(limit, ask(&state, &pool, from)).await {
+            Ok(Ok(page)) => take(&state, address, page),
+            Ok(Err(why)) => lose(&state, address, &why),
+            Err(_) => lose(&state, address, &format!("no answer within {limit:?}")),
         }
-        Err(_) => {
-            log::info!("gateway: reader lost why=no answer within {ANSWER:?}");
-            state.reader.borrow_mut().take();
-            return None;
+        sleep(rest(state.routers())).await;
+    }
+}
+
+/// Connections to a source.
+fn pool(state: &State, address: SocketAddr) -> Rc<Pool> {
+    let mut source = state.sharing.source.borrow_mut();
+    match source.as_ref() {
+        Some((known, pool)) if *known == address => pool.clone(),
+        _ => {
+            log::info!("gateway: source={address} members={}", state.sharing.members());
+            let pool = Rc::new(Pool::new(address));
+            *source = Some((address, pool.clone()));
+            pool
         }
-    };
-    let old = if log == Log::Servers { OLD_LIST } else { OLD };
-    if Duration::from_millis(page.age_ms) > old {
-        state.reader.borrow_mut().take();
-        return None;
     }
-    let records = page.records.into_iter().map(|(offset, record)| (offset, Bytes::from(record)));
-    Some((records.collect(), page.end))
 }
 
-/// Why the reader gave no records.
-enum Unshared {
-    /// It does not know all that was asked for.
-    Unknown(StatusCode),
-    /// It does not answer, or not so that one could read it.
-    Silent(String),
+/// Offsets from which on records are wanted; all from the first on where nothing is known yet.
+fn offsets(state: &State) -> [Offset; LOGS.len()] {
+    let tails = state.sharing.tails.borrow();
+    std::array::from_fn(|at| tails[at].end().unwrap_or_default())
+}
+
+async fn ask(state: &State, pool: &Pool, from: [Offset; LOGS.len()]) -> Result<Page, String> {
+    let [settings, servers, notices] = from;
+    let generation = state.sharing.generation();
+    let path = format!(
+        "/tail?settings={settings}&servers={servers}&notices={notices}&generation={generation}"
+    );
+    let body = get(pool, &path).await?;
+    Page::decode(&body, from).map_err(|e| e.to_string())
 }
 
-async fn ask(reader: &Pool, path: &str) -> Result<Page, Unshared> {
-    let silent = |e: hyper::Error| Unshared::Silent(e.to_string());
-    let mut link = reader.take().await.map_err(|e| Unshared::Silent(e.to_string()))?;
+/// Body of a router's answer.
+async fn get(pool: &Pool, path: &str) -> Result<Bytes, String> {
+    let mut link = pool.take().await.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().expect("names and digits");
-    let answer = link.sender.send_request(request).await.map_err(silent)?;
+    let answer = link.sender.send_request(request).await.map_err(|e| e.to_string())?;
     let (head, body) = answer.into_parts();
-    let body = body.collect().await.map_err(silent)?.to_bytes();
-    reader.keep(link, &head.headers);
+    let body = Limited::new(body, LONGEST).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    pool.keep(link, &head.headers);
     match head.status {
-        StatusCode::OK => postcard::from_bytes(&body).map_err(|e| Unshared::Silent(e.to_string())),
-        status => Err(Unshared::Unknown(status)),
+        StatusCode::OK => Ok(body),
+        status => Err(format!("status {status}")),
     }
 }
 
-/// Connections to the router that reads for all.
-async fn locate(state: &State) -> Option<Rc<Pool>> {
-    if let Some(reader) = state.reader.borrow().as_ref() {
-        return Some(reader.clone());
+/// Takes a source's answer over.
+fn take(state: &State, address: SocketAddr, page: Page) {
+    let (sharing, now) = (&state.sharing, state.now());
+    if let Some(roster) = page.roster {
+        adopt(state, roster);
+    }
+    let oldest = page.parts.iter().filter_map(Part::age).max().unwrap_or_default();
+    let told = sharing.away.replace(page.away);
+    if page.away {
+        // It says so at once when the store is back.
+        state.store_fails(Log::Settings);
+        if !told {
+            told_pause(state);
+        }
+        sharing.news.notify_waiters();
+        return;
+    }
+    if oldest > OLD {
+        return lose(state, address, &format!("what it knows is {oldest:?} old"));
     }
-    let now = state.now();
-    if now < state.located.get() + LOCATE || state.store_away() {
+    sharing.heard.set(Some(now));
+    state.store_answers();
+    let mut news = false;
+    for (tail, part) in sharing.tails.borrow_mut().iter_mut().zip(page.parts) {
+        match part.age() {
+            Some(age) => {
+                let (from, end) = (part.from, part.end);
+                news |= tail.take(from, part.placed(), end, now.saturating_sub(age), now);
+            }
+            None => tail.clear(),
+        }
+    }
+    if news {
+        sharing.news.notify_waiters();
+    }
+}
+
+/// Passes over a router that gave no useful answer.
+fn lose(state: &State, address: SocketAddr, why: &str) {
+    log::info!("gateway: source lost address={address} why={why}");
+    state.metrics.source_lost();
+    let (now, sharing) = (state.now(), &state.sharing);
+    sharing.source.borrow_mut().take();
+    let mut avoided = sharing.avoided.borrow_mut();
+    avoided.retain(|(a, until)| now < *until && *a != address);
+    avoided.push((address, now + AVOIDED));
+    drop(avoided);
+    sharing.news.notify_waiters();
+}
+
+/// Takes a newer list of members over.
+fn adopt(state: &State, roster: Roster) {
+    if roster.generation <= state.sharing.generation() {
+        return;
+    }
+    let before = source(state);
+    *state.sharing.roster.borrow_mut() = roster;
+    let after = source(state);
+    if before != after {
+        log::info!(
+            "gateway: source={after:?} before={before:?} members={} generation={}",
+            state.sharing.members(),
+            state.sharing.generation()
+        );
+    }
+    state.sharing.news.notify_waiters();
+}
+
+/// Reads the members, if this router has to: once at its start, when the group has changed and it reads for others, or
+/// when no source has answered for a while.
+async fn locate(state: &State) {
+    let (now, sharing) = (state.now(), &state.sharing);
+    let joined = sharing.joined.get();
+    if joined == 0 || state.setup.inner.is_none() {
+        return;
+    }
+    let changed = joined > sharing.generation();
+    let lost = sharing.heard.get().is_none_or(|at| at + LOST < now) && !sharing.away.get();
+    let few = sharing.members() < FROM && sharing.dealt.get().is_some();
+    let due = match sharing.located.get() {
+        None => true,
+        Some(at) if changed && (few || reads(state)) => at + LOCATE < now,
+        Some(at) => changed && lost && at + LOST < now,
+    };
+    if !due {
+        return;
+    }
+    sharing.located.set(Some(now));
+    match state.store.call(Call::Members).await {
+        Ok(Reply::Members(names)) => adopt(state, Roster::new(joined, names)),
+        other => log::debug!("gateway: members are not known: {other:?}"),
+    }
+}
+
+/// All that another router holds of a log, for a router that has just started. None if it has to read the store.
+pub async fn snapshot(state: &State, log: Log) -> Option<Snapshot> {
+    let known = async {
+        while !state.sharing.is_settled() {
+            state.sharing.news.notified().await;
+        }
+    };
+    if state.setup.inner.is_none() || timeout(START, known).await.is_err() {
         return None;
     }
-    state.located.set(now);
-    let holder = match state.store.call(Call::Holder).await {
-        Ok(Reply::Holder(holder)) => holder?,
+    // Those that pass on to others have it from the store: all may have started at the same moment.
+    let address = match source(state) {
+        Source::Relay(address) => address,
+        Source::Reader(address) if state.sharing.members() <= DIRECT => address,
+        Source::Reader(_) | Source::Store => return None,
+    };
+    let pool = pool(state, address);
+    let asked = timeout(SNAPSHOT, get(&pool, &format!("/all?log={log}"))).await;
+    let body = match asked {
+        Ok(Ok(body)) => body,
         other => {
-            log::debug!("gateway: nobody knows who reads: {other:?}");
+            log::info!("gateway: no snapshot log={log} address={address} why={other:?}");
             return None;
         }
     };
-    let (_, address) = holder.rsplit_once('@')?;
-    let address: SocketAddr = address.parse().ok()?;
-    if Some(address) == state.setup.inner {
-        return None;
+    match Snapshot::decode(&body) {
+        Ok(snapshot) => {
+            log::info!("gateway: snapshot log={log} address={address} end={}", snapshot.end);
+            let at = position(log)?;
+            let now = state.now();
+            state.sharing.tails.borrow_mut()[at].take(snapshot.end, vec![], snapshot.end, now, now);
+            Some(snapshot)
+        }
+        Err(why) => {
+            log::warn!("gateway: no snapshot log={log} address={address} why={why}");
+            None
+        }
     }
-    let pool = Rc::new(Pool::new(address));
-    *state.reader.borrow_mut() = Some(pool.clone());
-    Some(pool)
 }
 
 /// Answers another router.
-pub fn answer(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let page = page(state, request.uri().query().unwrap_or_default());
-    let (status, body) = match page {
-        Some(page) => (StatusCode::OK, postcard::to_allocvec(&page).expect("plain fields")),
-        None => (StatusCode::GONE, Vec::new()),
+pub async fn answer(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or_default();
+    let body = match request.uri().path() {
+        "/tail" => page(state, query).await,
+        "/all" => all(state, query).await,
+        _ => None,
     };
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = status;
+    let mut response = Response::new(Full::new(body.clone().unwrap_or_default()));
+    if body.is_none() {
+        *response.status_mut() = StatusCode::GONE;
+    }
     response
 }
 
-fn page(state: &State, query: &str) -> Option<Page> {
-    let value =
-        |key: &str| query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='));
-    let name = value("log")?;
-    let at = LOGS.iter().position(|log| log.to_string() == name)?;
-    let tails = state.tails.borrow();
-    let age = tails[at].age(state.now())?;
-    let (records, end) = tails[at].from(value("from")?.parse().ok()?)?;
-    let records = records.iter().map(|(offset, record)| (*offset, record.to_vec())).collect();
-    Some(Page { records, end, age_ms: age.as_millis() as u64 })
+fn value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
 }
 
-/// Keeps what was read from the store for the others, if it tells something new.
-pub fn keep(
-    state: &State,
-    log: Log,
-    from: Offset,
-    records: &[Bytes],
-    worth: impl Fn(&Bytes) -> bool,
-) {
-    if let Some(at) = LOGS.iter().position(|l| *l == log) {
-        state.tails.borrow_mut()[at].add(from, records, worth, state.now());
-    }
+/// What is new since the offsets in the query; waits a while for it.
+async fn page(state: &State, query: &str) -> Option<Bytes> {
+    let number = |key: &str| value(query, key)?.parse::<u64>().ok();
+    let from = [number("settings")?, number("servers")?, number("notices")?];
+    let generation = number("generation")?;
+    let news = async {
+        while !has_news(state, from, generation) {
+            state.sharing.news.notified().await;
+        }
+    };
+    let _ = timeout(WAIT, news).await;
+    let tails = state.sharing.tails.borrow();
+    let parts =
+        tails.iter().zip(from).map(|(tail, from)| match (tail.from(from), tail.age(state.now())) {
+            (Some((records, end)), Some(age)) => Part {
+                from,
+                end,
+                age_ms: Some(age.as_millis() as u64),
+                records: records.iter().map(|(offset, r)| (*offset, r.to_vec())).collect(),
+            },
+            _ => Part { from, end: from, ..Part::default() },
+        });
+    let parts = parts.collect();
+    let roster = state.sharing.roster.borrow();
+    let roster = (roster.generation > generation).then(|| roster.clone());
+    Some(Page::new(is_away(state), roster, parts).encode())
+}
+
+/// Whether what this router knows comes from a store that does not answer, or has not been read again since.
+fn is_away(state: &State) -> bool {
+    let old = || {
+        let tails = state.sharing.tails.borrow();
+        tails.iter().any(|tail| tail.age(state.now()).is_some_and(|age| age > OLD))
+    };
+    let regained = state.now() < state.regained() + REGAINED;
+    state.store_away() || is_told_away(state) || (regained && old())
+}
+
+fn has_news(state: &State, from: [Offset; LOGS.len()], generation: Generation) -> bool {
+    let tails = state.sharing.tails.borrow();
+    let new = |(tail, from): (&Tail, Offset)| tail.from(from).is_none_or(|(r, _)| !r.is_empty());
+    is_away(state) || state.sharing.generation() > generation || tails.iter().zip(from).any(new)
+}
+
+/// All that this router holds of the log in the query; waits a while until it holds it.
+async fn all(state: &State, query: &str) -> Option<Bytes> {
+    let name = value(query, "log")?;
+    let at = LOGS.iter().position(|log| log.to_string() == name)?;
+    let held = || state.sharing.tails.borrow()[at].end().filter(|_| state.ready());
+    let settled = async {
+        while held().is_none() {
+            state.sharing.news.notified().await;
+        }
+    };
+    let _ = timeout(SETTLE, settled).await;
+    let end = held().filter(|_| !is_away(state))?;
+    let items = match state.sharing.newest.borrow().get(at) {
+        Some(newest) => newest.iter().map(|(key, v)| (key.clone(), v.to_vec())).collect(),
+        None => {
+            let kept = state.sharing.tails.borrow()[at].kept();
+            kept.into_iter().map(|(_, record)| (String::new(), record.to_vec())).collect()
+        }
+    };
+    Some(Snapshot::new(end, items).encode())
 }
--- /dev/null
+++ b/crates/gateway/src/shared_read/page.rs
@@ -0,0 +1,146 @@
+//! What one router answers another that asks for what the store holds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use super::LOGS;
+use super::tail::Placed;
+use crate::roster::Roster;
+use crate::store::Offset;
+
+/// Version of a page. Routers of another version read the store until all are upgraded.
+const VERSION: u16 = 2;
+
+/// Version of a snapshot, apart from those of pages, so that one is never taken for the other.
+const SNAPSHOT: u16 = 0x100;
+
+/// Longest answer that is read. Fleet settings take up to a megabyte.
+pub(super) const LONGEST: usize = 8 << 20;
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    version: u16,
+    /// Whether the store does not answer the router that reads it.
+    pub away: bool,
+    /// The members of the group, if they have changed.
+    pub roster: Option<Roster>,
+    /// One for each of [`LOGS`].
+    pub parts: Vec<Part>,
+}
+
+/// What is new in one log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// First offset asked for.
+    pub from: Offset,
+    /// Offset after the last record read.
+    pub end: Offset,
+    /// How long ago the store was read, in milliseconds; none if the records asked for are not kept.
+    pub age_ms: Option<u64>,
+    /// Records that tell something new.
+    pub records: Vec<(Offset, Vec<u8>)>,
+}
+
+/// Why a page is not used.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// It can't be read.
+    #[display("its answer can't be read: {_0}")]
+    Unreadable(#[error(not(source))] String),
+    /// Another release answers otherwise.
+    #[display("its answer has version {_0}")]
+    Version(#[error(not(source))] u16),
+    /// It names records that were not asked for, or not in order.
+    #[display("its answer does not follow on what is known")]
+    Past,
+}
+
+impl Page {
+    /// A page of this version.
+    pub fn new(away: bool, roster: Option<Roster>, parts: Vec<Part>) -> Page {
+        Page { version: VERSION, away, roster, parts }
+    }
+
+    /// The bytes of the answer.
+    pub fn encode(&self) -> Bytes {
+        Bytes::from(postcard::to_allocvec(self).expect("plain fields"))
+    }
+
+    /// Reads an answer to a question for records from these offsets on.
+    ///
+    /// ```
+    /// use gateway::shared_read::page::{Fault, Page, Part};
+    /// let part = |from, end| Part { from, end, age_ms: Some(3), records: vec![(from, vec![1])] };
+    /// let page = Page::new(false, None, vec![part(4, 5), part(0, 1), part(9, 10)]);
+    /// assert_eq!(Page::decode(&page.encode(), [4, 0, 9]).unwrap(), page);
+    /// assert_eq!(Page::decode(&page.encode(), [4, 0, 11]), Err(Fault::Past));
+    /// ```
+    pub fn decode(bytes: &[u8], from: [Offset; LOGS.len()]) -> Result<Page, Fault> {
+        let unreadable = |e: postcard::Error| Fault::Unreadable(e.to_string());
+        let (version, _) = postcard::take_from_bytes::<u16>(bytes).map_err(unreadable)?;
+        if version != VERSION {
+            return Err(Fault::Version(version));
+        }
+        let mut page: Page = postcard::from_bytes(bytes).map_err(unreadable)?;
+        let follows = page.parts.len() == from.len()
+            && page.parts.iter().zip(from).all(|(part, from)| part.follows(from));
+        page.roster = page.roster.map(Roster::received);
+        if follows { Ok(page) } else { Err(Fault::Past) }
+    }
+}
+
+impl Part {
+    /// Whether it holds records from `from` on, in order and none beyond its end.
+    fn follows(&self, from: Offset) -> bool {
+        let offsets = || self.records.iter().map(|(offset, _)| *offset);
+        let ordered = offsets().zip(offsets().skip(1)).all(|(a, b)| a < b);
+        let within = offsets().all(|offset| (from..self.end).contains(&offset));
+        self.from == from && self.end >= from && ordered && within
+    }
+
+    /// How long ago the store was read.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(Duration::from_millis)
+    }
+
+    /// Its records.
+    pub fn placed(self) -> Vec<Placed> {
+        self.records.into_iter().map(|(offset, record)| (offset, Bytes::from(record))).collect()
+    }
+}
+
+/// All that a router holds of one log, for one that has just started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    version: u16,
+    /// Offset after the last record read.
+    pub end: Offset,
+    /// The newest value of each key; or the newest records, with no keys.
+    pub items: Vec<(String, Vec<u8>)>,
+}
+
+impl Snapshot {
+    /// A snapshot of this version.
+    pub fn new(end: Offset, items: Vec<(String, Vec<u8>)>) -> Snapshot {
+        Snapshot { version: SNAPSHOT, end, items }
+    }
+
+    /// The bytes of the answer.
+    pub fn encode(&self) -> Bytes {
+        Bytes::from(postcard::to_allocvec(self).expect("plain fields"))
+    }
+
+    /// Reads an answer.
+    pub fn decode(bytes: &[u8]) -> Result<Snapshot, Fault> {
+        let unreadable = |e: postcard::Error| Fault::Unreadable(e.to_string());
+        let (version, _) = postcard::take_from_bytes::<u16>(bytes).map_err(unreadable)?;
+        match version {
+            SNAPSHOT => postcard::from_bytes(bytes).map_err(unreadable),
+            version => Err(Fault::Version(version)),
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,11 +15,11 @@
 use crate::logging::Quota;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
-use crate::pool::Pool;
+use crate::roster::Member;
 use crate::server::Id;
 use crate::settings::Settings;
 use crate::setup::Setup;
-use crate::shared_read::{LOGS, Tail};
+use crate::shared_read::Sharing;
 use crate::store::{Client, Log};
 use crate::wire::Codec;
 
@@ -70,6 +70,8 @@
     pub lag: Cell<Duration>,
     /// The log whose reader asks again whether the store answers, while it does not.
     asker: Cell<Option<Log>>,
+    /// When the store last answered again after it had not.
+    regained: Cell<Duration>,
     /// Woken when the store answers again.
     pub store_back: Notify,
     /// Last line that was logged of the layers that data centres lack.
@@ -78,12 +80,8 @@
     pub broken_since: Cell<Option<Duration>>,
     /// Whether this router gives orders.
     pub gives: Cell<bool>,
-    /// What it has read of each shared log.
-    pub tails: RefCell<[Tail; LOGS.len()]>,
-    /// The router that reads the store for all.
-    pub reader: RefCell<Option<Rc<Pool>>>,
-    /// When it was last looked for.
-    pub located: Cell<Duration>,
+    /// What it knows of the routers that read the store for others.
+    pub sharing: Sharing,
     /// Lines about refused requests.
     pub refusals: RefCell<Quota>,
     /// Notices for the other routers that are still to be written.
@@ -117,12 +115,11 @@
             links: RefCell::default(),
             lag: Cell::default(),
             asker: Cell::new(None),
+            regained: Cell::default(),
             store_back: Notify::new(),
             placement: RefCell::default(),
             gives: Cell::new(false),
-            tails: RefCell::default(),
-            reader: RefCell::default(),
-            located: Cell::default(),
+            sharing: Sharing::default(),
             refusals: RefCell::default(),
             broken_since: Cell::new(None),
             notices: RefCell::default(),
@@ -157,13 +154,24 @@
         self.asker.get().is_some()
     }
 
+    /// Whether the reader of that log is the one that asks whether the store is back.
+    pub fn asks(&self, log: Log) -> bool {
+        self.asker.get() == Some(log)
+    }
+
     /// Notes that the store answered.
     pub fn store_answers(&self) {
         if self.asker.take().is_some() {
+            self.regained.set(self.now());
             self.store_back.notify_waiters();
         }
     }
 
+    /// When the store last answered again after it had not.
+    pub fn regained(&self) -> Duration {
+        self.regained.get()
+    }
+
     /// Notes that a read of a log failed; whether its reader is the one to ask again soon. Tens of routers
     /// that each ask for each log make hundreds of calls a second to a store that answers none,
     /// and a store that comes back is met by all of them; one call tells as much.
@@ -173,10 +181,16 @@
         asker == log
     }
 
-    /// Name in the group of routers, which tells the others where to reach this one.
+    /// Name in the group of routers, which tells the others where to reach this one and what its VM can do.
     pub fn member(&self) -> String {
         match self.setup.inner {
-            Some(address) => format!("{}@{address}", self.setup.vm),
+            Some(address) => Member {
+                vm: self.setup.vm.clone(),
+                address,
+                data_centre: self.setup.zone.clone(),
+                strength: self.setup.strength(),
+            }
+            .to_string(),
             None => self.setup.vm.clone(),
         }
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,6 +3,7 @@
 //! The store keeps logs and membership of groups. How a call looks on the wire is the adapter's
 //! matter: it gives a [`Client`] a closure that carries one call out.
 
+use std::cell::RefCell;
 use std::fmt::{self, Debug, Formatter};
 use std::future::Future;
 use std::pin::Pin;
@@ -71,8 +72,8 @@
         /// The generation of the last answer.
         generation: Generation,
     },
-    /// Asks who holds the first seat.
-    Holder,
+    /// Asks for the members of the group of routers.
+    Members,
     /// Leaves the group of routers.
     Leave {
         /// This router.
@@ -80,6 +81,24 @@
     },
 }
 
+impl Call {
+    /// What kind of call it is, for the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Call::Read { log: Log::Settings, .. } => "read_settings",
+            Call::Read { log: Log::Servers, .. } => "read_servers",
+            Call::Read { log: Log::Notices, .. } => "read_notices",
+            Call::Read { log: Log::Orders, .. } => "read_orders",
+            Call::Newest { .. } => "read_newest",
+            Call::Append { log: Log::Orders, .. } => "append_orders",
+            Call::Append { .. } => "append_notices",
+            Call::Join { .. } => "join",
+            Call::Members => "members",
+            Call::Leave { .. } => "leave",
+        }
+    }
+}
+
 /// A record of a log with one newest record for each key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -115,8 +134,8 @@
     Appended(Offset),
     /// A share in the group.
     Joined(Seat),
-    /// The member that holds the first seat, if one does.
-    Holder(Option<String>),
+    /// Names of the members.
+    Members(Vec<String>),
     /// Done.
     Left,
 }
@@ -132,6 +151,9 @@
         /// What went wrong.
         why: String,
     },
+    /// Another router says that the store does not answer it; nothing was asked.
+    #[display("the router that reads the store has no answer")]
+    Told,
     /// Turned away; nothing was done.
     #[display("the store turned the call away with status {_0}")]
     Refused(#[error(not(source))] u16),
@@ -151,6 +173,8 @@
 /// Carries calls out, one at a time.
 pub struct Client {
     carry: Box<dyn Fn(Call) -> Pending>,
+    /// Calls made, by kind.
+    made: RefCell<Vec<(&'static str, u64)>>,
 }
 
 impl Client {
@@ -159,13 +183,27 @@
     where
         F: Future<Output = Result<Reply, Fault>> + 'static,
     {
-        Client { carry: Box::new(move |call| Box::pin(carry(call))) }
+        Client { carry: Box::new(move |call| Box::pin(carry(call))), made: RefCell::default() }
     }
 
     /// Carries out one call.
     pub async fn call(&self, call: Call) -> Result<Reply, Fault> {
+        self.count(call.kind());
         (self.carry)(call).await
     }
+
+    /// Calls made so far, by kind.
+    pub fn made(&self) -> Vec<(&'static str, u64)> {
+        self.made.borrow().clone()
+    }
+
+    fn count(&self, kind: &'static str) {
+        let mut made = self.made.borrow_mut();
+        match made.binary_search_by_key(&kind, |(kind, _)| kind) {
+            Ok(at) => made[at].1 += 1,
+            Err(at) => made.insert(at, (kind, 1)),
+        }
+    }
 }
 
 impl Debug for Client {
