Notices pass from router to router; what one learned of a server, the others do not find out again

Notices went through the store, half a second late, and not at all while it was away.

A router now tells its source, and the sources tell their own and all that hear from them, without the store; the same notice from several routers within 0.7 s is one. A server's decline is a notice too, unless its memory was nearly full. Notices still go through the store where fewer than three routers are known.

Every refusal that callers see now has a line with outcome=refused and its reason, and is counted (refusals_are_counted_by_reason).

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Whether it says that the request did not run.
+    pub fn is_refusal(self) -> bool {
+        !matches!(self, Reason::Lost | Reason::Late)
+    }
+
     /// When it is worth coming back.
     fn again(self) -> Option<Duration> {
         match self {
@@ -116,11 +121,17 @@
     own_after(reason, reason.again())
 }
 
+/// Why this router answered by itself, if it did.
+pub fn reason(answer: &Response<Body>) -> Option<Reason> {
+    answer.extensions().get().copied()
+}
+
 /// Our own answer; its caller may come back after `again`, if that makes sense.
 pub fn own_after(reason: Reason, again: Option<Duration>) -> Response<Body> {
     let text = Bytes::from(format!("{reason}\n"));
     let mut answer = Response::new(Full::new(text).map_err(never).boxed_unsync());
     *answer.status_mut() = reason.status();
+    answer.extensions_mut().insert(reason);
     if let Some(again) = again {
         let seconds = format!("{:.1}", again.as_secs_f64());
         let value = HeaderValue::from_str(&seconds).expect("digits");
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -252,7 +252,10 @@
 
 /// Sends a checked request to its service.
 async fn dispatch(state: &Rc<State>, call: Call) -> Response<Body> {
-    let Some(name) = target(&call.route) else { return answer::own(Reason::NoServer) };
+    let Some(name) = target(&call.route) else {
+        state.metrics.refused(Reason::NoServer);
+        return answer::own(Reason::NoServer);
+    };
     let now = state.now();
     state.budget(&name, |budget| budget.request(now));
     let settings = call.settings.clone();
@@ -267,18 +270,35 @@
         None => plain::serve(state, &call, &name).await,
     };
     if response.status() != StatusCode::OK {
-        log::info!(
-            "gateway: request={} route={} service={name} settings={} status={} age={:?}",
-            call.id,
-            call.route.name,
-            settings.version,
-            response.status(),
-            call.came.elapsed()
-        );
+        say_ending(state, &call, &name, &response);
     }
     response
 }
 
+/// Says how a request ended that was not answered well, by whom and why.
+fn say_ending(state: &State, call: &Call, service: &str, response: &Response<Body>) {
+    let reason = answer::reason(response);
+    let outcome = match reason {
+        Some(reason) if reason.is_refusal() => {
+            state.metrics.refused(reason);
+            "refused"
+        }
+        Some(_) => "unknown",
+        None => "failed",
+    };
+    let again = response.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok());
+    log::info!(
+        "gateway: request={} outcome={outcome} why={} route={} service={service} settings={} status={} retry_after={} age={:?}",
+        call.id,
+        reason.map_or_else(|| "the backend server says so".to_owned(), |r| r.to_string()),
+        call.route.name,
+        call.settings.version,
+        response.status(),
+        again.unwrap_or("none"),
+        call.came.elapsed()
+    );
+}
+
 /// The service that a request of this route goes to, by weight.
 fn target(route: &Route) -> Option<String> {
     let total: u32 = route.targets.iter().map(|t| t.weight).sum();
@@ -306,7 +326,7 @@
 pub async fn routers(state: Rc<State>, listener: TcpListener) {
     let state = &state;
     let answer =
-        move |request: Request<Incoming>| async move { shared_read::answer(state, &request).await };
+        move |request: Request<Incoming>| async move { shared_read::answer(state, request).await };
     serve_all(listener, answer).await;
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -136,7 +136,6 @@
         match read {
             Ok(Batch { items, end, source }) => {
                 if source != Source::Router {
-                    shared_read::note_answer(state);
                     state.store_answers();
                 }
                 failures = 0;
@@ -172,13 +171,10 @@
 /// Waits after a read of a log that failed: for `pause` if its reader is the one that asks whether the store is
 /// back, else until that one has an answer. Whether it is the one that asks.
 ///
-/// A router that hears from another one asks rarely: that one says when the store is back.
+/// A router that hears from another one does not ask: that one says when the store is back.
 async fn rest(state: &State, log: Log, pause: Duration) -> bool {
     let asks = state.store_fails(log);
-    let pause = match asks {
-        true => shared_read::told_pause(state).unwrap_or(pause),
-        false => OTHERS,
-    };
+    let pause = if asks && shared_read::may_ask(state) { pause } else { OTHERS };
     let _ = tokio::time::timeout(pause, state.store_back.notified()).await;
     asks
 }
@@ -240,7 +236,7 @@
 ) -> Result<Batch, Fault> {
     let (records, end, source) = match shared_read::read(state, log, from).await {
         Some((records, end)) => (records, end, Source::Router),
-        None if !shared_read::may_ask(state, log) => return Err(Fault::Told),
+        None if !shared_read::may_ask(state) => return Err(Fault::Told),
         None => {
             let wait = longest(state, wait);
             match state.store.call(Call::Read { log, from, wait }).await? {
--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -82,7 +82,7 @@
                         .for_each(|w| notice::receive(&state, &w));
                     continue;
                 }
-                if !shared_read::may_ask(&state, Log::Notices) {
+                if !shared_read::may_ask(&state) {
                     rest(&state, Log::Notices, PAUSE * (1 << DOUBLINGS)).await;
                     continue;
                 }
@@ -128,11 +128,12 @@
     loop {
         state.noticed.notified().await;
         let most = SAME * state.routers();
-        if state.routers() as usize >= roster::FROM {
+        if state.sharing.members() < roster::FROM {
             sleep(most.mul_f64(rand::random())).await;
         }
         let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
         notices.retain(|notice| !notice::was_announced(&state, notice));
+        notices.retain(|notice| !shared_read::say(&state, notice));
         // What is told after the store is back is out of date.
         if notices.is_empty() || state.store_away() {
             continue;
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -116,19 +116,22 @@
         };
         let heard = state.sharing.generation() > self.generation
             || self.kept.is_some_and(|kept| kept < state.regained());
+        let due = shared_read::is_check_due(state);
         let wait = if heard && !self.failed { HAND_OVER } else { pause };
-        if self.kept.is_some_and(|kept| now < kept + wait) {
+        if !due && self.kept.is_some_and(|kept| now < kept + wait) {
             return;
         }
         self.kept = Some(now);
         let (seat, until) = match term::keep(&self.state, self.generation, calm).await {
             Ok(kept) => kept,
             Err(e) => {
+                shared_read::note_silence(&self.state);
                 self.failed = true;
                 return log::debug!("gateway: seat not kept: {e}");
             }
         };
         self.failed = false;
+        shared_read::note_answer(&self.state, now);
         self.steady = if seat.generation == self.generation { self.steady + 1 } else { 0 };
         self.generation = seat.generation;
         if self.steady == 0 {
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -18,6 +18,11 @@
         /// The server.
         server: String,
     },
+    /// A server declined a request: it is leaving, or gives layers up.
+    Declines {
+        /// The server.
+        server: String,
+    },
     /// A server works so many times slower than its kind.
     Slow {
         /// The server.
@@ -93,6 +98,12 @@
                 log::info!("gateway: server={server} suspect=true why=another router says so");
             }
         }
+        Notice::Declines { server } => {
+            if let Some(peer) = state.peer(server) {
+                peer.declines.borrow_mut().fail(now);
+            }
+            return;
+        }
         Notice::Slow { server, percent } => {
             if let Some(peer) = state.peer(server) {
                 peer.slow.set(f64::from(*percent) / 100.0);
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -294,8 +294,8 @@
 /// Bytes of a server's memory for requests that those of all routers take, as it told or else as far as this
 /// router's own say: at most all that run in the data centre.
 fn taken_by_all(peer: &Peer, model: &Model, memory: f64, now: Duration, crowd: Crowd) -> f64 {
-    match peer.filled.get().filter(|(_, at)| now < *at + FILLED) {
-        Some((part, _)) => part * memory,
+    match told_filled(peer, now) {
+        Some(part) => part * memory,
         None => {
             let own = f64::from(peer.running.get());
             let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
@@ -305,6 +305,11 @@
     }
 }
 
+/// Part of a server's memory for requests that is taken, if it has told lately.
+pub fn told_filled(peer: &Peer, now: Duration) -> Option<f64> {
+    peer.filled.get().filter(|(_, at)| now < *at + FILLED).map(|(part, _)| part)
+}
+
 /// Cost of beginning a request that takes `whole` milliseconds at a server, as far as it told of its slots.
 fn begin_ms(peer: &Peer, now: Duration, whole: f64) -> f64 {
     let told = peer.told.get().filter(|(_, at)| now < *at + TOLD);
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -10,6 +10,7 @@
 //! more than a second.
 
 pub mod page;
+mod rumour;
 mod tail;
 
 use std::cell::{Cell, RefCell};
@@ -24,11 +25,13 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::notice::{self, Notice};
 use crate::pool::Pool;
 use crate::roster::{DIRECT, FROM, Roster, Source};
 use crate::state::State;
 use crate::store::{Call, Generation, Item, Log, Offset, Reply, Seat};
-use page::{LONGEST, Page, Part, Snapshot};
+use page::{LONGEST, Page, Part, Snapshot, Told};
+pub use rumour::{From, Rumours};
 pub use tail::{Placed, Tail};
 
 /// Logs that are shared.
@@ -57,8 +60,11 @@
 /// Time for which a router that did not answer is passed over.
 const AVOIDED: Duration = Duration::from_secs(4);
 
-/// Mean time between two questions to a store that is said to be away.
-const ASK: Duration = Duration::from_secs(3);
+/// Time within which a router finds out whether a store that is said to be away answers it.
+const CHECK: Duration = Duration::from_millis(500);
+
+/// Time for which an answer of the store shows that it is there.
+const ANSWERED: Duration = Duration::from_secs(2);
 
 /// Time after the store is back within which all logs are read again.
 const REGAINED: Duration = Duration::from_secs(2);
@@ -66,6 +72,9 @@
 /// Shortest time between two reads of the members.
 const LOCATE: Duration = Duration::from_millis(400);
 
+/// Time in which notices are gathered before the source is told.
+const GATHER: Duration = Duration::from_millis(20);
+
 /// Time without an answer of any source after which a router reads the members itself.
 const LOST: Duration = Duration::from_secs(3);
 
@@ -94,8 +103,12 @@
     heard: Cell<Option<Duration>>,
     /// Whether the source said that the store does not answer it.
     away: Cell<bool>,
-    /// When this router may ask the store itself, while its source says that it is away.
-    next_ask: Cell<Duration>,
+    /// When the source first said so.
+    told_away: Cell<Duration>,
+    /// When this router is to find out whether the store answers it.
+    check: Cell<Option<Duration>>,
+    /// When the store answered this router though the source says that it is away.
+    answered: Cell<Option<Duration>>,
     /// Routers that are passed over, and until when.
     avoided: RefCell<Vec<(SocketAddr, Duration)>>,
     /// Connections to the source.
@@ -108,6 +121,16 @@
     newest: RefCell<[Vec<(String, Bytes)>; 2]>,
     /// Woken when there is news, or another source.
     news: Notify,
+    /// Notices that were heard or said.
+    rumours: RefCell<Rumours>,
+    /// Start of the source's process and the number of its next notice.
+    heard_notices: Cell<(u64, u64)>,
+    /// Number of the next own notice that the source is to be told.
+    told: Cell<u64>,
+    /// Woken when there are notices for the source.
+    tell: Notify,
+    /// Start of this process, as a random number.
+    incarnation: std::cell::OnceCell<u64>,
 }
 
 impl Sharing {
@@ -136,6 +159,11 @@
         self.members() >= FROM || self.dealt.get().is_some_and(|routers| (routers as usize) < FROM)
     }
 
+    /// A number of this process that no earlier one had.
+    fn incarnation(&self) -> u64 {
+        *self.incarnation.get_or_init(rand::random)
+    }
+
     /// Whether this router has asked for seats and got none yet.
     pub fn awaits_seats(&self) -> bool {
         self.joined.get() > 0 && self.dealt.get().is_none()
@@ -180,33 +208,40 @@
     state.sharing.away.get() && source(state) != Source::Store
 }
 
-/// Whether the reader of a log may ask the store now. While another router says that the store is away, one of this
-/// router's readers asks now and then, as only the other router may be cut off.
-pub fn may_ask(state: &State, log: Log) -> bool {
-    !is_told_away(state) || (state.asks(log) && state.now() >= state.sharing.next_ask.get())
+/// Whether this router may read the store now. While another router says that the store is away, only the calls that
+/// keep the seat go there: they tell as much, and are the cheapest.
+pub fn may_ask(state: &State) -> bool {
+    !is_told_away(state)
 }
 
-/// Notes that the store answered this router: a source that says it is away is cut off alone.
-pub fn note_answer(state: &State) {
-    let source = state.sharing.source.borrow().as_ref().map(|(address, _)| *address);
-    if let Some(address) = source.filter(|_| is_told_away(state)) {
-        state.sharing.away.set(false);
-        lose(state, address, "the store answers others");
+/// Whether the seat is to be asked for at once, to see whether the store answers this router.
+pub fn is_check_due(state: &State) -> bool {
+    is_told_away(state) && state.sharing.check.get().is_some_and(|at| at <= state.now())
+}
+
+/// Notes that the store answered a call that this router began at `began`. A source that said before that the store is
+/// away is asked to look again; it may be cut off alone, or have missed that the store is back.
+pub fn note_answer(state: &State, began: Duration) {
+    state.sharing.check.set(None);
+    match is_told_away(state) {
+        true if state.sharing.told_away.get() < began => {
+            state.sharing.answered.set(Some(state.now()));
+        }
+        true => {}
+        false if state.store_away() => state.store_back.notify_waiters(),
+        false => {}
     }
 }
 
-/// Pause until this router asks the store again, if another one says that it is away. Those that pass on to others ask
-/// more often.
-pub fn told_pause(state: &State) -> Option<Duration> {
-    let pause = match source(state) {
-        Source::Relay(_) => 2 * ASK,
-        Source::Reader(_) | Source::Store => ASK,
-    };
-    let pause = pause.mul_f64(0.5 + rand::random::<f64>());
-    is_told_away(state).then(|| {
-        state.sharing.next_ask.set(state.now() + pause);
-        pause
-    })
+/// Notes that the store did not answer a call of this router.
+pub fn note_silence(state: &State) {
+    state.sharing.check.set(None);
+    state.sharing.answered.set(None);
+}
+
+/// Whether the store has answered this router since its source said that it is away.
+fn is_answered(state: &State) -> bool {
+    state.sharing.answered.get().is_some_and(|at| state.now() < at + ANSWERED)
 }
 
 /// Pause after a read of the list of servers from the store, where a router that reads alone pauses for
@@ -315,17 +350,20 @@
 async fn ask(state: &State, pool: &Pool, from: [Offset; LOGS.len()]) -> Result<Page, String> {
     let [settings, servers, notices] = from;
     let generation = state.sharing.generation();
+    let (incarnation, heard) = state.sharing.heard_notices.get();
+    let answered = u8::from(is_answered(state));
     let path = format!(
-        "/tail?settings={settings}&servers={servers}&notices={notices}&generation={generation}"
+        "/tail?settings={settings}&servers={servers}&notices={notices}&generation={generation}\
+         &incarnation={incarnation}&heard={heard}&answered={answered}"
     );
-    let body = get(pool, &path).await?;
+    let body = get(pool, &path, Bytes::new()).await?;
     Page::decode(&body, from).map_err(|e| e.to_string())
 }
 
 /// Body of a router's answer.
-async fn get(pool: &Pool, path: &str) -> Result<Bytes, String> {
+async fn get(pool: &Pool, path: &str, body: Bytes) -> Result<Bytes, String> {
     let mut link = pool.take().await.map_err(|e| e.to_string())?;
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(Full::new(body));
     *request.uri_mut() = path.parse().expect("names and digits");
     let answer = link.sender.send_request(request).await.map_err(|e| e.to_string())?;
     let (head, body) = answer.into_parts();
@@ -343,17 +381,28 @@
     if let Some(roster) = page.roster {
         adopt(state, roster);
     }
-    let oldest = page.parts.iter().filter_map(Part::age).max().unwrap_or_default();
+    sharing.heard_notices.set((page.incarnation, page.next_notice));
+    hear(state, page.notices, From::Source);
+    // Notices come by the way; those in the store are of routers that have no source.
+    let timely = page.parts.iter().zip(LOGS).filter(|(_, log)| *log != Log::Notices);
+    let oldest = timely.filter_map(|(part, _)| part.age()).max().unwrap_or_default();
     let told = sharing.away.replace(page.away);
     if page.away {
         // It says so at once when the store is back.
         state.store_fails(Log::Settings);
         if !told {
-            told_pause(state);
+            sharing.told_away.set(now);
+            sharing.check.set(Some(now + CHECK.mul_f64(rand::random())));
+        }
+        if is_answered(state) {
+            sharing.away.set(false);
+            state.store_answers();
+            lose(state, address, "the store answers this router");
         }
         sharing.news.notify_waiters();
         return;
     }
+    sharing.answered.set(None);
     if oldest > OLD {
         return lose(state, address, &format!("what it knows is {oldest:?} old"));
     }
@@ -374,6 +423,54 @@
     }
 }
 
+/// Takes notices of other routers over, and passes on those that are news.
+fn hear(state: &State, notices: Vec<Vec<u8>>, from: From) {
+    for notice in notices {
+        let notice = Bytes::from(notice);
+        if state.sharing.rumours.borrow_mut().hear(notice.clone(), from, state.now()) {
+            match Notice::decode(&notice) {
+                Some(notice) => notice::receive(state, &notice),
+                None => log::debug!("gateway: a notice of another version is passed on unread"),
+            }
+            state.sharing.news.notify_waiters();
+            state.sharing.tell.notify_one();
+        }
+    }
+}
+
+/// Tells the other routers by way of those that read for others; false if there are none.
+pub fn say(state: &State, notice: &Notice) -> bool {
+    if state.sharing.members() < FROM || state.setup.inner.is_none() {
+        return false;
+    }
+    if state.sharing.rumours.borrow_mut().hear(notice.encode(), From::Below, state.now()) {
+        state.sharing.news.notify_waiters();
+        state.sharing.tell.notify_one();
+    }
+    true
+}
+
+/// Tells the source what this router has heard or said, as long as the process runs.
+pub async fn tell(state: Rc<State>) {
+    loop {
+        state.sharing.tell.notified().await;
+        sleep(GATHER).await;
+        let (notices, next) = state.sharing.rumours.borrow().from_below(state.sharing.told.get());
+        state.sharing.told.set(next);
+        let (Source::Reader(address) | Source::Relay(address)) = source(&state) else { continue };
+        if notices.is_empty() {
+            continue;
+        }
+        let notices = notices.iter().map(|notice| notice.to_vec()).collect();
+        let told = Told::new(notices).encode();
+        let pool = pool(&state, address);
+        match timeout(ANSWER, get(&pool, "/told", told)).await {
+            Ok(Ok(_)) => {}
+            other => log::info!("gateway: notices not told address={address} why={other:?}"),
+        }
+    }
+}
+
 /// Passes over a router that gave no useful answer.
 fn lose(state: &State, address: SocketAddr, why: &str) {
     log::info!("gateway: source lost address={address} why={why}");
@@ -448,7 +545,7 @@
         Source::Reader(_) | Source::Store => return None,
     };
     let pool = pool(state, address);
-    let asked = timeout(SNAPSHOT, get(&pool, &format!("/all?log={log}"))).await;
+    let asked = timeout(SNAPSHOT, get(&pool, &format!("/all?log={log}"), Bytes::new())).await;
     let body = match asked {
         Ok(Ok(body)) => body,
         other => {
@@ -472,11 +569,13 @@
 }
 
 /// Answers another router.
-pub async fn answer(state: &State, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let query = request.uri().query().unwrap_or_default();
-    let body = match request.uri().path() {
+pub async fn answer(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let query = head.uri.query().unwrap_or_default();
+    let body = match head.uri.path() {
         "/tail" => page(state, query).await,
         "/all" => all(state, query).await,
+        "/told" => listen(state, body).await,
         _ => None,
     };
     let mut response = Response::new(Full::new(body.clone().unwrap_or_default()));
@@ -486,6 +585,22 @@
     response
 }
 
+/// Hears the notices of another router.
+async fn listen(state: &State, body: Incoming) -> Option<Bytes> {
+    let body = Limited::new(body, rumour::LONGEST * 4).collect().await;
+    let told = body.map_err(|e| e.to_string());
+    match told.and_then(|body| Told::decode(&body.to_bytes()).map_err(|e| e.to_string())) {
+        Ok(told) => {
+            hear(state, told.notices, From::Below);
+            Some(Bytes::new())
+        }
+        Err(why) => {
+            log::warn!("gateway: notices of another router left out why={why}");
+            None
+        }
+    }
+}
+
 fn value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
     query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
 }
@@ -495,8 +610,21 @@
     let number = |key: &str| value(query, key)?.parse::<u64>().ok();
     let from = [number("settings")?, number("servers")?, number("notices")?];
     let generation = number("generation")?;
+    let incarnation = state.sharing.incarnation();
+    // Notices of before it knew this process are not news.
+    let next = state.sharing.rumours.borrow().since(0).1;
+    let heard = number("heard").filter(|_| number("incarnation") == Some(incarnation));
+    let heard = heard.unwrap_or(next).min(next);
+    // The other router knows that the store is there: this one looks again before it says that it is away.
+    let look_again = number("answered") == Some(1) && is_away(state);
+    if look_again {
+        state.sharing.check.set(Some(state.now()));
+        state.store_back.notify_waiters();
+    }
+    let away = || !look_again && is_away(state);
+    let rumours = || state.sharing.rumours.borrow().since(heard);
     let news = async {
-        while !has_news(state, from, generation) {
+        while !away() && !has_news(state, from, generation) && rumours().1 == heard {
             state.sharing.news.notified().await;
         }
     };
@@ -515,14 +643,19 @@
     let parts = parts.collect();
     let roster = state.sharing.roster.borrow();
     let roster = (roster.generation > generation).then(|| roster.clone());
-    Some(Page::new(is_away(state), roster, parts).encode())
+    let (notices, next_notice) = rumours();
+    let notices = notices.iter().map(|notice| notice.to_vec()).collect();
+    let mut page = Page::new(is_away(state), roster, parts);
+    (page.notices, page.incarnation, page.next_notice) = (notices, incarnation, next_notice);
+    Some(page.encode())
 }
 
 /// Whether what this router knows comes from a store that does not answer, or has not been read again since.
 fn is_away(state: &State) -> bool {
     let old = || {
         let tails = state.sharing.tails.borrow();
-        tails.iter().any(|tail| tail.age(state.now()).is_some_and(|age| age > OLD))
+        let mut timely = tails.iter().zip(LOGS).filter(|(_, log)| *log != Log::Notices);
+        timely.any(|(tail, _)| tail.age(state.now()).is_some_and(|age| age > OLD))
     };
     let regained = state.now() < state.regained() + REGAINED;
     state.store_away() || is_told_away(state) || (regained && old())
@@ -531,7 +664,7 @@
 fn has_news(state: &State, from: [Offset; LOGS.len()], generation: Generation) -> bool {
     let tails = state.sharing.tails.borrow();
     let new = |(tail, from): (&Tail, Offset)| tail.from(from).is_none_or(|(r, _)| !r.is_empty());
-    is_away(state) || state.sharing.generation() > generation || tails.iter().zip(from).any(new)
+    state.sharing.generation() > generation || tails.iter().zip(from).any(new)
 }
 
 /// All that this router holds of the log in the query; waits a while until it holds it.
@@ -550,7 +683,9 @@
         Some(newest) => newest.iter().map(|(key, v)| (key.clone(), v.to_vec())).collect(),
         None => {
             let kept = state.sharing.tails.borrow()[at].kept();
-            kept.into_iter().map(|(_, record)| (String::new(), record.to_vec())).collect()
+            let (rumours, _) = state.sharing.rumours.borrow().since(0);
+            let notices = kept.into_iter().map(|(_, record)| record).chain(rumours);
+            notices.map(|notice| (String::new(), notice.to_vec())).collect()
         }
     };
     Some(Snapshot::new(end, items).encode())
--- a/crates/gateway/src/shared_read/page.rs
+++ b/crates/gateway/src/shared_read/page.rs
@@ -7,12 +7,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::LOGS;
+use super::rumour::Number;
 use super::tail::Placed;
 use crate::roster::Roster;
 use crate::store::Offset;
 
 /// Version of a page. Routers of another version read the store until all are upgraded.
-const VERSION: u16 = 2;
+const VERSION: u16 = 3;
 
 /// Version of a snapshot, apart from those of pages, so that one is never taken for the other.
 const SNAPSHOT: u16 = 0x100;
@@ -30,6 +31,12 @@
     pub roster: Option<Roster>,
     /// One for each of [`LOGS`].
     pub parts: Vec<Part>,
+    /// Notices since the one asked for.
+    pub notices: Vec<Vec<u8>>,
+    /// Start of the process that numbers them.
+    pub incarnation: u64,
+    /// Number of the next notice.
+    pub next_notice: Number,
 }
 
 /// What is new in one log.
@@ -60,9 +67,10 @@
 }
 
 impl Page {
-    /// A page of this version.
+    /// A page of this version without notices.
     pub fn new(away: bool, roster: Option<Roster>, parts: Vec<Part>) -> Page {
-        Page { version: VERSION, away, roster, parts }
+        let (notices, incarnation, next_notice) = (Vec::new(), 0, 0);
+        Page { version: VERSION, away, roster, parts, notices, incarnation, next_notice }
     }
 
     /// The bytes of the answer.
@@ -144,3 +152,30 @@
         }
     }
 }
+
+/// Notices that one router tells another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    version: u16,
+    /// The notices.
+    pub notices: Vec<Vec<u8>>,
+}
+
+impl Told {
+    /// Notices of this version.
+    pub fn new(notices: Vec<Vec<u8>>) -> Told {
+        Told { version: VERSION, notices }
+    }
+
+    /// The bytes of the question.
+    pub fn encode(&self) -> Bytes {
+        Bytes::from(postcard::to_allocvec(self).expect("plain fields"))
+    }
+
+    /// Reads them.
+    pub fn decode(bytes: &[u8]) -> Result<Told, Fault> {
+        let unreadable = |e: postcard::Error| Fault::Unreadable(e.to_string());
+        let told: Told = postcard::from_bytes(bytes).map_err(unreadable)?;
+        if told.version == VERSION { Ok(told) } else { Err(Fault::Version(told.version)) }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -154,11 +154,6 @@
         self.asker.get().is_some()
     }
 
-    /// Whether the reader of that log is the one that asks whether the store is back.
-    pub fn asks(&self, log: Log) -> bool {
-        self.asker.get() == Some(log)
-    }
-
     /// Notes that the store answered.
     pub fn store_answers(&self) {
         if self.asker.take().is_some() {
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -12,9 +12,12 @@
 use crate::count::Counted;
 use crate::event::{Event, Splitter};
 use crate::exchange::{self, Answer, Outcome};
+use crate::notice::Notice;
+use crate::peer::Peer;
 use crate::plain;
 use crate::probe;
 use crate::route::{self, Path};
+use crate::state::State;
 
 /// Paths tried for one request at most, counting those whose servers decline it.
 const TRIES: u32 = 5;
@@ -31,6 +34,9 @@
 /// Part of the goal for which a new request waits for a place; the rest is for its first event.
 const PLACE: f64 = 0.5;
 
+/// Part of a server's memory from which on it may decline a request for want of memory.
+const NEARLY_FULL: f64 = 0.85;
+
 /// What opening a path led to.
 pub(super) enum Opened {
     Stream(Source, Event),
@@ -349,7 +355,7 @@
         match culprit {
             Some(peer) => {
                 self.but.push(peer.server().id.clone());
-                peer.declines.borrow_mut().fail(self.state.now());
+                note_declined(self.state, &peer);
                 // If it is dead rather than full, the streams that pass through it are helped at once.
                 let state = self.state.clone();
                 tokio::task::spawn_local(async move {
@@ -360,7 +366,7 @@
             }
             None => {
                 if let Some(peer) = self.state.peer(first) {
-                    peer.declines.borrow_mut().fail(self.state.now());
+                    note_declined(self.state, &peer);
                 }
                 self.but.push(first.to_owned());
             }
@@ -381,3 +387,15 @@
         fields
     }
 }
+
+/// Passes over a server that declined a request, and tells the other routers. Not if its memory was nearly full a moment
+/// ago: it may have room again by the time they hear of it.
+fn note_declined(state: &State, peer: &Peer) {
+    let now = state.now();
+    let known = peer.declines.borrow().holds(now);
+    peer.declines.borrow_mut().fail(now);
+    let full = route::told_filled(peer, now).is_some_and(|part| part > NEARLY_FULL);
+    if !known && !full {
+        state.announce(Notice::Declines { server: peer.server().id.clone() });
+    }
+}
