Links between data centres are shared by what wants them; reserves beside a copy that can't be whole

Small twins of the large deployment, where each data centre holds one copy: a crash of five servers leaves no data centre with a whole one, and every router sends its next request over the links at once. A meter of what this router sent is empty then; 19 routers put three seconds of prompts before a link whose wait may be 0.25 s, and 68 two seconds.

Each router now counts how many of its requests want a link and sends the share of them with which all together fill it (policy::demand); a path within a data centre goes before one across. And a group of data centres that can't be made whole no longer keeps the others without reserves and relief; only loads that are under way do.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -75,6 +75,12 @@
         self.charges.drain(..).for_each(|charge| charge.apply(state));
     }
 
+    /// Whether a new request may take it, of which a fixed random number is `luck`: of those that want a link between
+    /// data centres, all routers together send as many as it carries. With `wants`, it is counted among them.
+    pub fn may_cross(&self, state: &State, luck: f64, wants: bool) -> bool {
+        self.charges.iter().all(|charge| charge.allows(state, luck, wants))
+    }
+
     /// Notes that an event came along it.
     pub fn seen(&self, now: Duration) {
         self.peers.iter().for_each(|peer| peer.seen.set(now));
@@ -86,8 +92,8 @@
     }
 }
 
-/// The best path for a request of that size that avoids the servers in `but`; with `willing`, also
-/// those that have just declined others.
+/// The best path for a request of that size that avoids the servers in `but`, and unless `crosses`, links between data
+/// centres; with `willing`, also those that have just declined others.
 pub fn find(
     state: &State,
     service: &str,
@@ -95,9 +101,11 @@
     tokens: Tokens,
     but: &[String],
     willing: bool,
+    crosses: bool,
 ) -> Option<Path> {
     let zone = zone(&state.setup.zone);
-    let want = Want { from: 0, zone, kept: &[], willing, transfer: f64::INFINITY };
+    let transfer = if crosses { f64::INFINITY } else { 0.0 };
+    let want = Want { from: 0, zone, kept: &[], willing, transfer };
     search(state, service, model, tokens, but, &want)
 }
 
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -5,6 +5,7 @@
 
 use layers::Span;
 use layers::server::Zone;
+use policy::demand::Demand;
 use policy::meter::Meter;
 
 use super::zone;
@@ -131,6 +132,24 @@
         Some(Charge { at: Place::Server(peer.clone()), work, share: 1.0 / crowd.others })
     }
 
+    /// Whether a new request may bring this work to a link.
+    pub(super) fn allows(&self, state: &State, luck: f64, wants: bool) -> bool {
+        let Place::Link(ends) = self.at else { return true };
+        let now = state.now();
+        let mut crossings = state.crossings.borrow_mut();
+        let at = match crossings.binary_search_by_key(&ends, |(ends, _)| *ends) {
+            Ok(at) => at,
+            Err(at) => {
+                crossings.insert(at, (ends, Demand::default()));
+                at
+            }
+        };
+        if wants {
+            crossings[at].1.note(now);
+        }
+        luck < crossings[at].1.share(now, self.work, LINK, state.routers())
+    }
+
     pub(super) fn apply(self, state: &State) {
         let now = state.now();
         match self.at {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use layers::server::Zone;
+use policy::demand::Demand;
 use policy::meter::Meter;
 use policy::shortage::Shortage;
 use policy::window::{Budget, Crowd};
@@ -66,6 +67,8 @@
     pub lost: Notify,
     /// What this router sent over the links between data centres, by the pair of them.
     pub links: RefCell<Vec<((Zone, Zone), Meter)>>,
+    /// Requests that wanted to cross a link between data centres, by the pair of them.
+    pub crossings: RefCell<Vec<((Zone, Zone), Demand)>>,
     /// By how much timers are late in this process.
     pub lag: Cell<Duration>,
     /// The log whose reader asks again whether the store answers, while it does not.
@@ -113,6 +116,7 @@
             changed: Notify::new(),
             lost: Notify::new(),
             links: RefCell::default(),
+            crossings: RefCell::default(),
             lag: Cell::default(),
             asker: Cell::new(None),
             regained: Cell::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,6 +4,7 @@
 mod open;
 mod watch;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,6 +79,10 @@
     passed: Instant,
     /// What happened since then that may have held the next event up.
     held_up: &'static str,
+    /// A random number below one, by which requests are chosen that may cross a link between data centres.
+    luck: f64,
+    /// Whether it is counted among those that want to.
+    wants_link: Cell<bool>,
 }
 
 /// Why a request can't go on along another path.
@@ -170,6 +175,8 @@
         last: None,
         passed: Instant::now(),
         held_up: "start",
+        luck: rand::random(),
+        wants_link: Cell::new(false),
     };
     let (mut source, first) = match progress.open().await {
         Ok(Opened::Stream(source, first)) => (source, first),
@@ -204,6 +211,8 @@
             last: None,
             passed: Instant::now(),
             held_up: STEPS,
+            luck: 0.0,
+            wants_link: Cell::new(true),
         };
         relay(progress, source, first, sender).await;
     });
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -214,12 +214,24 @@
         }
     }
 
+    /// A path; one across links between data centres only where there is no other, and for a new request only as far as
+    /// the links carry what all routers send.
     fn path(&self) -> Option<Path> {
-        let find = |but: &[String], willing| {
-            route::find(self.state, self.service, self.model, self.call.tokens, but, willing)
+        let find = |willing, crosses| {
+            let tokens = self.call.tokens;
+            route::find(self.state, self.service, self.model, tokens, &self.but, willing, crosses)
+        };
+        let crossing = |willing| {
+            let path = find(willing, true)?;
+            let wants = !self.wants_link.replace(true);
+            let new = self.last.is_none() && self.tries == 0;
+            (!new || path.may_cross(self.state, self.luck, wants)).then_some(path)
         };
         // Servers that declined may take it after all, if there is no way without them.
-        find(&self.but, true).or_else(|| find(&self.but, false))
+        find(true, false)
+            .or_else(|| crossing(true))
+            .or_else(|| find(false, false))
+            .or_else(|| crossing(false))
     }
 
     /// Sends the request along a path and waits for the first event.
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -79,9 +79,11 @@
     if lasting || groups.len() - broken.len() < COPIES {
         broken.into_iter().for_each(|group| work.rebuild(group));
     }
-    // Only where nothing is missing: loads at the same time slow each other.
-    if whole {
-        for group in &groups {
+    // Only while nothing that is missing is being loaded: loads at the same time slow each other. What can't be loaded
+    // now is no reason to leave the other groups without reserves.
+    let loads = work.servers.iter().any(|s| s.usable && s.busy);
+    for group in &groups {
+        if whole || !loads && work.missing(group, None).is_empty() {
             work.relieve(group);
             work.reserve(group);
         }
--- a/crates/layers/tests/placement.rs
+++ b/crates/layers/tests/placement.rs
@@ -205,3 +205,22 @@
         assert!(!servers[slow].span.is_empty());
     }
 }
+
+/// One data centre has lost more than its memory can make up for. If the others get no reserves until it is whole, the
+/// next crash breaks them too.
+#[test]
+fn a_gap_that_can_not_be_closed_leaves_others_their_reserves() {
+    let mut servers = fleet();
+    settle(&mut servers, false);
+    // The third data centre keeps one server only, with layers that the others hold as well.
+    let third: Vec<usize> = (0..servers.len()).filter(|i| servers[*i].zone == 2).collect();
+    third.iter().skip(1).for_each(|i| servers[*i].usable = false);
+    settle(&mut servers, true);
+    assert!(!missing(&servers, &SHAPE, 2).is_empty());
+    // A new server comes to each of the whole ones.
+    let fresh = [server(0, MIDDLE), server(1, MIDDLE)];
+    let at = servers.len();
+    servers.extend(fresh);
+    settle(&mut servers, true);
+    assert!(servers[at..].iter().all(|s| !s.span.is_empty()), "{:?}", &servers[at..]);
+}
--- /dev/null
+++ b/crates/policy/tests/demand.rs
@@ -0,0 +1,79 @@
+//! What a link between data centres carries when all routers want it at the same moment.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use policy::demand::Demand;
+use policy::meter::Meter;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Part of the link that is used.
+const PART: f64 = 0.7;
+
+/// Wait for the link after which a first event is late.
+const LATE: Duration = Duration::from_millis(400);
+
+struct Load {
+    routers: usize,
+    /// Time that one request takes of the link.
+    transfer: Duration,
+    /// Requests a second at each router.
+    rate: f64,
+}
+
+/// Plays ten seconds in which all requests want the link: how many were sent, and how many of those were on time.
+fn sent(load: &Load, chosen: bool) -> (usize, usize) {
+    let mut random = Pcg64::seed_from_u64(7);
+    let mut routers = vec![(Demand::default(), Meter::default()); load.routers];
+    let others = load.routers as f64;
+    let (mut free, mut sent, mut on_time) = (Duration::ZERO, 0, 0);
+    let step = Duration::from_millis(1);
+    let mut now = Duration::from_secs(5);
+    let mut queue: VecDeque<usize> = VecDeque::new();
+    while now < Duration::from_secs(15) {
+        now += step;
+        queue.extend((0..load.routers).filter(|_| random.random::<f64>() < load.rate * 1e-3));
+        for router in queue.drain(..) {
+            let (demand, meter) = &mut routers[router];
+            demand.note(now);
+            let share = demand.share(now, load.transfer, PART, load.routers as u32);
+            let chosen = !chosen || random.random::<f64>() < share;
+            if !chosen || !meter.takes(now, PART, others, Duration::from_millis(250)) {
+                continue;
+            }
+            meter.add(now, load.transfer, PART / others);
+            free = free.max(now) + load.transfer;
+            sent += 1;
+            on_time += usize::from(free - now <= LATE);
+        }
+    }
+    (sent, on_time)
+}
+
+/// Every router sends one transfer over an empty link at the same moment, and all of them come late. Those chosen by
+/// the share of each router are on time, and they are not fewer.
+#[test]
+fn routers_that_want_a_link_at_once_fill_it_without_a_queue() {
+    for load in [
+        Load { routers: 19, transfer: Duration::from_millis(155), rate: 2.4 },
+        Load { routers: 68, transfer: Duration::from_millis(34), rate: 3.0 },
+        Load { routers: 400, transfer: Duration::from_millis(34), rate: 1.0 },
+    ] {
+        let (all, _) = sent(&load, false);
+        let (some, on_time) = sent(&load, true);
+        assert!(
+            on_time * 10 >= some * 8,
+            "{on_time} of {some} on time, {all} sent by meters alone"
+        );
+        let carried = 10.0 / load.transfer.as_secs_f64();
+        assert!(on_time as f64 >= 0.35 * carried, "{on_time} of {carried} that the link carries");
+    }
+}
+
+/// A link that few want is used by all of them.
+#[test]
+fn a_link_that_few_want_is_free() {
+    let load = Load { routers: 4, transfer: Duration::from_millis(10), rate: 2.0 };
+    assert_eq!(sent(&load, true).0, sent(&load, false).0);
+}
