A router is ready at once though its group is forming; heard declines hold for the shortest pause

The difference lies in the two seconds after all VMs lose power: callers were turned away for 0.8 to 1 s, as a router waited for the members of a group that was forming again before it read settings (up to two seconds). It now waits 0.1 s for the first list of members, and asks the store if that names no source.

A decline that another router tells of now passes the server over for half a second and leaves the doubling pauses to what a router sees itself: a server that declines some requests of several routers got none from any of them for up to four seconds.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -29,9 +29,6 @@
 /// The same for a router that hears of changes from another one, and then asks at once.
 const CALM_KEEP: Duration = Duration::from_millis(1500);
 
-/// The same for a router that has no seats yet: it waits for them before it reads anything.
-const FIRST_KEEP: Duration = Duration::from_millis(300);
-
 /// Time until the seat is kept again after a change of the group: its new holder hears of it that much sooner
 /// than by [`KEEP`], at a tenth of a call for each router and change.
 const HAND_OVER: Duration = Duration::from_millis(150);
@@ -110,7 +107,6 @@
         let state = &self.state;
         let calm = self.term.is_none() && (shared_read::hears(state) || state.store_away());
         let pause = match calm {
-            _ if state.sharing.awaits_seats() => FIRST_KEEP,
             true => CALM_KEEP,
             false => KEEP,
         };
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -100,7 +100,7 @@
         }
         Notice::Declines { server } => {
             if let Some(peer) = state.peer(server) {
-                peer.declines.borrow_mut().fail(now);
+                peer.declines.borrow_mut().hint(now);
             }
             return;
         }
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -78,14 +78,15 @@
 /// Time without an answer of any source after which a router reads the members itself.
 const LOST: Duration = Duration::from_secs(3);
 
-/// Longest wait of a router that has just started for the members of a group that is forming.
-const START: Duration = Duration::from_millis(2000);
+/// Longest wait of a router that has just started for the members. Where all start at once, the group names few of them
+/// for a second; callers wait for none of that.
+const START: Duration = Duration::from_millis(100);
 
 /// Longest wait for all that another router holds.
-const SNAPSHOT: Duration = Duration::from_millis(600);
+const SNAPSHOT: Duration = Duration::from_millis(250);
 
 /// Longest wait of a router that is asked for all it holds, until it holds it.
-const SETTLE: Duration = Duration::from_millis(250);
+const SETTLE: Duration = Duration::from_millis(50);
 
 /// Longest time between two looks whether there is anything to do.
 const LOOK: Duration = Duration::from_millis(300);
@@ -97,8 +98,6 @@
     roster: RefCell<Roster>,
     /// Generation of the group that this router last heard as a member.
     joined: Cell<Generation>,
-    /// Routers of the group, as far as this one's seats tell; none while it has no seats.
-    dealt: Cell<Option<u32>>,
     /// When a source last gave a useful answer.
     heard: Cell<Option<Duration>>,
     /// Whether the source said that the store does not answer it.
@@ -141,9 +140,8 @@
 
     /// Notes the generation of the group and the seats of this router.
     pub fn joined(&self, seat: Seat) {
-        self.dealt.set(seat.all.checked_div(seat.held));
         let generation = seat.generation;
-        if self.joined.replace(generation) != generation || seat.held > 0 && self.members() < FROM {
+        if self.joined.replace(generation) != generation {
             self.news.notify_waiters();
         }
     }
@@ -153,22 +151,11 @@
         self.roster.borrow().generation
     }
 
-    /// Whether it is known of which routers the group consists. One that is just forming names none but its first member
-    /// until that one gives seats up; if all others went by that, each would read the store.
-    fn is_settled(&self) -> bool {
-        self.members() >= FROM || self.dealt.get().is_some_and(|routers| (routers as usize) < FROM)
-    }
-
     /// A number of this process that no earlier one had.
     fn incarnation(&self) -> u64 {
         *self.incarnation.get_or_init(rand::random)
     }
 
-    /// Whether this router has asked for seats and got none yet.
-    pub fn awaits_seats(&self) -> bool {
-        self.joined.get() > 0 && self.dealt.get().is_none()
-    }
-
     /// Members of the group, as far as they are known.
     pub fn members(&self) -> usize {
         self.roster.borrow().members().len()
@@ -512,7 +499,7 @@
     }
     let changed = joined > sharing.generation();
     let lost = sharing.heard.get().is_none_or(|at| at + LOST < now) && !sharing.away.get();
-    let few = sharing.members() < FROM && sharing.dealt.get().is_some();
+    let few = sharing.members() < FROM;
     let due = match sharing.located.get() {
         None => true,
         Some(at) if changed && (few || reads(state)) => at + LOCATE < now,
@@ -531,7 +518,7 @@
 /// All that another router holds of a log, for a router that has just started. None if it has to read the store.
 pub async fn snapshot(state: &State, log: Log) -> Option<Snapshot> {
     let known = async {
-        while !state.sharing.is_settled() {
+        while state.sharing.members() < FROM {
             state.sharing.news.notified().await;
         }
     };
--- a/crates/policy/src/suspicion.rs
+++ b/crates/policy/src/suspicion.rs
@@ -49,6 +49,21 @@
         self.open = true;
     }
 
+    /// Passes over it for the first pause, as others say that it failed them. Only what this router sees itself makes
+    /// pauses longer: a server that declines some requests of many routers would else get none for seconds.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use policy::suspicion::{FIRST, Suspicion};
+    /// let mut suspicion = Suspicion::default();
+    /// let now = Duration::from_secs(5);
+    /// (0..9).for_each(|_| suspicion.hint(now));
+    /// assert!(suspicion.holds(now) && !suspicion.holds(now + FIRST));
+    /// ```
+    pub fn hint(&mut self, now: Duration) {
+        self.until = self.until.max(now + FIRST);
+    }
+
     /// Notes an answer. The next failure within a while still leads to a longer pause: a server that
     /// goes down and up by turns answers in between.
     pub fn clear(&mut self) {
