--- /dev/null
+++ b/crates/gateway/src/shared_read/members.rs
@@ -0,0 +1,58 @@
+//! Who the members of the group are.
+
+use std::time::Duration;
+
+use super::{reads, source};
+use crate::roster::{FROM, Roster};
+use crate::state::State;
+use crate::store::{Call, Reply};
+
+/// Shortest time between two reads of the members.
+const LOCATE: Duration = Duration::from_millis(400);
+
+/// Time without an answer of any source after which a router reads the members itself.
+const LOST: Duration = Duration::from_secs(3);
+
+/// Reads the members, if this router has to: once at its start, when the group has changed and it reads for others, or
+/// when no source has answered for a while.
+pub(super) async fn locate(state: &State) {
+    let (now, sharing) = (state.now(), &state.sharing);
+    let joined = sharing.joined.get();
+    if joined == 0 || state.setup.inner.is_none() {
+        return;
+    }
+    let changed = joined > sharing.generation();
+    let lost = sharing.heard.get().is_none_or(|at| at + LOST < now) && !sharing.away.get();
+    let few = sharing.members() < FROM;
+    let due = match sharing.located.get() {
+        None => true,
+        Some(at) if changed && (few || reads(state)) => at + LOCATE < now,
+        Some(at) => changed && lost && at + LOST < now,
+    };
+    if !due {
+        return;
+    }
+    sharing.located.set(Some(now));
+    match state.store.call(Call::Members).await {
+        Ok(Reply::Members(names)) => adopt(state, Roster::new(joined, names)),
+        other => log::debug!("gateway: members are not known: {other:?}"),
+    }
+}
+
+/// Takes a newer list of members over.
+pub(super) fn adopt(state: &State, roster: Roster) {
+    if roster.generation <= state.sharing.generation() {
+        return;
+    }
+    let before = source(state);
+    *state.sharing.roster.borrow_mut() = roster;
+    let after = source(state);
+    if before != after {
+        log::info!(
+            "gateway: source={after:?} before={before:?} members={} generation={}",
+            state.sharing.members(),
+            state.sharing.generation()
+        );
+    }
+    state.sharing.news.notify_waiters();
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,9 +20,10 @@
 use crate::answer::{self, Body, Cut, Reason};
 use crate::event::{Event, Id, Splitter};
 use crate::exchange::Answer;
+use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::request::Call;
-use crate::route::Path;
+use crate::route::{self, Path};
 use crate::settings::Model;
 use crate::state::State;
 use open::Opened;
@@ -49,6 +50,9 @@
 /// Pause between two looks at a silent path. What a server reports is some hundred milliseconds old.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// Part of a server's memory from which on it may decline a request for want of memory.
+const NEARLY_FULL: f64 = 0.85;
+
 /// Events on their way to one caller. A caller that does not read holds up its own stream only.
 const AHEAD: usize = 64;
 
@@ -340,3 +344,15 @@
         (self.passed, self.held_up, self.obstacle) = (Instant::now(), STEPS, None);
     }
 }
+
+/// Passes over a server that declined a request, and tells the other routers. Not if its memory was nearly full a moment
+/// ago: it may have room again by the time they hear of it.
+fn note_declined(state: &State, peer: &Peer) {
+    let now = state.now();
+    let known = peer.declines.borrow().holds(now);
+    peer.declines.borrow_mut().fail(now);
+    let full = route::told_filled(peer, now).is_some_and(|part| part > NEARLY_FULL);
+    if !known && !full {
+        state.announce(Notice::Declines { server: peer.server().id.clone() });
+    }
+}
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -7,17 +7,14 @@
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
-use super::{LOOK, Next, Obstacle, PAUSE, Progress, SHORTEST, STUCK, Source};
+use super::{LOOK, Next, Obstacle, PAUSE, Progress, SHORTEST, STUCK, Source, note_declined};
 use crate::answer::{self, Body, Reason};
 use crate::count::Counted;
 use crate::event::{Event, Splitter};
 use crate::exchange::{self, Answer, Outcome};
-use crate::notice::Notice;
-use crate::peer::Peer;
 use crate::plain;
 use crate::probe;
 use crate::route::{self, Path};
-use crate::state::State;
 
 /// Paths tried for one request at most, counting those whose servers decline it.
 const TRIES: u32 = 5;
@@ -34,9 +31,6 @@
 /// Part of the goal for which a new request waits for a place; the rest is for its first event.
 const PLACE: f64 = 0.5;
 
-/// Part of a server's memory from which on it may decline a request for want of memory.
-const NEARLY_FULL: f64 = 0.85;
-
 /// What opening a path led to.
 pub(super) enum Opened {
     Stream(Source, Event),
@@ -399,15 +393,3 @@
         fields
     }
 }
-
-/// Passes over a server that declined a request, and tells the other routers. Not if its memory was nearly full a moment
-/// ago: it may have room again by the time they hear of it.
-fn note_declined(state: &State, peer: &Peer) {
-    let now = state.now();
-    let known = peer.declines.borrow().holds(now);
-    peer.declines.borrow_mut().fail(now);
-    let full = route::told_filled(peer, now).is_some_and(|part| part > NEARLY_FULL);
-    if !known && !full {
-        state.announce(Notice::Declines { server: peer.server().id.clone() });
-    }
-}
