--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -33,7 +33,7 @@
 use crate::store::{Generation, Item, Log, Offset, Seat};
 pub use away::{is_check_due, may_ask, note_answer, note_silence};
 pub use client::{run, snapshot};
-pub use rumour::{From, Rumours};
+pub use rumour::{Origin, Rumours};
 pub use server::answer;
 pub use spread::{say, tell};
 pub use tail::{Placed, Tail};
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -12,7 +12,7 @@
 use super::away::is_answered;
 use super::members::{adopt, locate};
 use super::page::{LONGEST, Page, Snapshot};
-use super::rumour::From;
+use super::rumour::Origin;
 use super::spread::hear;
 use super::{LOGS, LOOK, OLD, WAIT, position, rest, source};
 use crate::pool::Pool;
@@ -20,7 +20,7 @@
 use crate::state::State;
 use crate::store::{Log, Offset};
 
-/// Time a router gets to answer beyond that.
+/// Time another router gets to answer, beyond that for which it may hold an answer back.
 pub(super) const ANSWER: Duration = Duration::from_millis(400);
 
 /// Time for which a router that did not answer is passed over.
@@ -114,7 +114,7 @@
         adopt(state, roster);
     }
     sharing.heard_notices.set((page.incarnation, page.next_notice));
-    hear(state, page.notices, From::Source);
+    hear(state, page.notices, Origin::Source);
     // Notices come by the way; those in the store are of routers that have no source.
     let timely = page.parts.iter().zip(LOGS).filter(|(_, log)| *log != Log::Notices);
     let oldest = timely.filter_map(|(part, _)| part.age()).max().unwrap_or_default();
--- a/crates/gateway/src/shared_read/rumour.rs
+++ b/crates/gateway/src/shared_read/rumour.rs
@@ -37,12 +37,12 @@
     number: Number,
     notice: Bytes,
     at: Duration,
-    from: From,
+    from: Origin,
 }
 
 /// Who told of a notice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum From {
+pub enum Origin {
     /// The router that this one hears from.
     Source,
     /// This router itself, or one that hears from it.
@@ -55,15 +55,15 @@
     /// ```
     /// # use std::time::Duration;
     /// let mut rumours = gateway::shared_read::Rumours::default();
-    /// # use gateway::shared_read::From;
+    /// # use gateway::shared_read::Origin;
     /// let at = Duration::from_millis;
-    /// assert!(rumours.hear("a".into(), From::Below, at(0)));
-    /// assert!(!rumours.hear("a".into(), From::Source, at(100)));
-    /// assert!(rumours.hear("a".into(), From::Source, at(2000)));
+    /// assert!(rumours.hear("a".into(), Origin::Below, at(0)));
+    /// assert!(!rumours.hear("a".into(), Origin::Source, at(100)));
+    /// assert!(rumours.hear("a".into(), Origin::Source, at(2000)));
     /// assert_eq!(rumours.since(1), (vec!["a".into()], 2));
     /// assert_eq!(rumours.from_below(0), (vec!["a".into()], 2));
     /// ```
-    pub fn hear(&mut self, notice: Bytes, from: From, now: Duration) -> bool {
+    pub fn hear(&mut self, notice: Bytes, from: Origin, now: Duration) -> bool {
         let old = |rumour: &Rumour| rumour.at + KEPT_FOR < now;
         while self.kept.front().is_some_and(|first| self.kept.len() >= KEPT || old(first)) {
             self.kept.pop_front();
@@ -84,7 +84,7 @@
 
     /// The same without those that came from the source.
     pub fn from_below(&self, from: Number) -> (Vec<Bytes>, Number) {
-        let below = self.kept_from(from).filter(|rumour| rumour.from == From::Below);
+        let below = self.kept_from(from).filter(|rumour| rumour.from == Origin::Below);
         (below.map(|rumour| rumour.notice.clone()).collect(), self.next)
     }
 
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -10,7 +10,7 @@
 
 use super::away::is_told_away;
 use super::page::{Page, Part, Snapshot, Told};
-use super::rumour::{self, From};
+use super::rumour::{self, Origin};
 use super::spread::hear;
 use super::tail::Tail;
 use super::{LOGS, OLD, WAIT};
@@ -46,7 +46,7 @@
     let told = body.map_err(|e| e.to_string());
     match told.and_then(|body| Told::decode(&body.to_bytes()).map_err(|e| e.to_string())) {
         Ok(told) => {
-            hear(state, told.notices, From::Below);
+            hear(state, told.notices, Origin::Below);
             Some(Bytes::new())
         }
         Err(why) => {
--- a/crates/gateway/src/shared_read/spread.rs
+++ b/crates/gateway/src/shared_read/spread.rs
@@ -8,7 +8,7 @@
 
 use super::client::{ANSWER, get, pool};
 use super::page::Told;
-use super::rumour::From;
+use super::rumour::Origin;
 use super::source;
 use crate::notice::{self, Notice};
 use crate::roster::{FROM, Source};
@@ -18,7 +18,7 @@
 const GATHER: Duration = Duration::from_millis(20);
 
 /// Takes notices of other routers over, and passes on those that are news.
-pub(super) fn hear(state: &State, notices: Vec<Vec<u8>>, from: From) {
+pub(super) fn hear(state: &State, notices: Vec<Vec<u8>>, from: Origin) {
     for notice in notices {
         let notice = Bytes::from(notice);
         if state.sharing.rumours.borrow_mut().hear(notice.clone(), from, state.now()) {
@@ -37,7 +37,7 @@
     if state.sharing.members() < FROM || state.setup.inner.is_none() {
         return false;
     }
-    if state.sharing.rumours.borrow_mut().hear(notice.encode(), From::Below, state.now()) {
+    if state.sharing.rumours.borrow_mut().hear(notice.encode(), Origin::Below, state.now()) {
         state.sharing.news.notify_waiters();
         state.sharing.tell.notify_one();
     }
