A reader that is cut off alone is no outage of the store for the others

Cause, from the lines of that play: the store turned the reader away, the others were told that it is away and a second later read it themselves; they took that for the store's return, and an entry that is gone within 1.5 s of it for one that lapsed and gets 2.2 s to come back.

Being told counts as an outage now only if the store has not answered this router either.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -127,6 +127,8 @@
     let mut at: Option<Offset> = None;
     let mut away: Option<Instant> = None;
     let mut back: Option<Instant> = None;
+    // When another router first said that the store is away.
+    let mut told: Option<Duration> = None;
     let mut failures = 0;
     loop {
         let read = match at {
@@ -139,6 +141,12 @@
                     state.store_answers();
                 }
                 failures = 0;
+                if let Some(since) =
+                    told.take().filter(|since| shared_read::was_silent(state, *since))
+                {
+                    log::info!("gateway: store regained log={log} told_away={since:?}");
+                    back = Some(Instant::now());
+                }
                 if let Some(since) = away.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
                     back = Some(Instant::now());
@@ -155,6 +163,10 @@
                 log::info!("gateway: log={log} from={at:?} records were deleted, reading all");
                 at = None;
             }
+            Err(Fault::Told) => {
+                told.get_or_insert(state.now());
+                rest(state, log, PAUSE).await;
+            }
             Err(e) => {
                 if away.is_none() {
                     log::warn!("gateway: store lost log={log} why={e}");
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -31,7 +31,7 @@
 use crate::roster::{FROM, Roster, Source};
 use crate::state::State;
 use crate::store::{Generation, Item, Log, Offset, Seat};
-pub use away::{is_check_due, may_ask, note_answer, note_silence};
+pub use away::{is_check_due, may_ask, note_answer, note_silence, was_silent};
 pub use client::{run, snapshot};
 pub use rumour::{Origin, Rumours};
 pub use server::answer;
@@ -78,6 +78,8 @@
     check: Cell<Option<Duration>>,
     /// When the store answered this router though the source says that it is away.
     answered: Cell<Option<Duration>>,
+    /// When the store last did not answer a call of this router.
+    silent: Cell<Option<Duration>>,
     /// Routers that are passed over, and until when.
     avoided: RefCell<Vec<(SocketAddr, Duration)>>,
     /// Connections to the source.
--- a/crates/gateway/src/shared_read/away.rs
+++ b/crates/gateway/src/shared_read/away.rs
@@ -43,6 +43,13 @@
 pub fn note_silence(state: &State) {
     state.sharing.check.set(None);
     state.sharing.answered.set(None);
+    state.sharing.silent.set(Some(state.now()));
+}
+
+/// Whether the store has not answered this router itself since then. If not, it was away for the router that said so
+/// only, and entries that are gone have not lapsed.
+pub fn was_silent(state: &State, since: Duration) -> bool {
+    state.sharing.silent.get().is_some_and(|at| at >= since)
 }
 
 /// Whether the store has answered this router since its source said that it is away.
