Lines of requests sent to servers name the entry that was believed

Of the request that reached a leaving server nothing told what its router believed. Each request that is sent to a server now has a line with the sequence and the offset of the server's entry, when it was heard, and up to which offset and how long ago the list was read. A change of an entry names its sequence; an entry that was written before the known one has a line and a counter (old_entry).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,7 +13,9 @@
 use crate::peer::Peer;
 use crate::pool::Link;
 use crate::request::Call;
+use crate::shared_read;
 use crate::state::State;
+use crate::store::Log;
 
 /// Longest answer of a plain service that is collected before the caller gets any of it.
 const LONGEST: usize = 8 << 20;
@@ -97,6 +99,7 @@
             return Outcome::NotSent(e.to_string());
         }
     };
+    say_sent(state, peer, call);
     let used = link.used;
     match exchange(state, peer, call, &extra, link, until).await {
         // A used connection that ends before any byte of the answer was most likely idle too long.
@@ -116,6 +119,20 @@
     }
 }
 
+/// Logs what is believed of the server that a request is sent to.
+fn say_sent(state: &State, peer: &Peer, call: &Call) {
+    let (server, entry, now) = (peer.server(), peer.entry(), state.now());
+    log::info!(
+        "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={}",
+        call.id,
+        server.id,
+        server.sequence,
+        entry.offset,
+        now.saturating_sub(entry.heard),
+        shared_read::known(state, Log::Servers)
+    );
+}
+
 async fn exchange(
     state: &State,
     peer: &Rc<Peer>,
--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -3,35 +3,40 @@
 use std::time::Duration;
 
 use super::Reader;
-use crate::peer::Peer;
-use crate::server::Id;
+use crate::peer::{Entry, Peer};
+use crate::server::{Id, Server};
 use crate::state::State;
-use crate::store::Item;
+use crate::store::{Item, Offset};
 
 /// Time within which entries that lapsed while the store was away come back.
 const LAPSED: Duration = Duration::from_millis(2200);
 
 pub(super) fn change(state: &State, reader: Reader, item: &Item, regained: bool) {
     let entry = item.value.as_ref().and_then(|value| (reader.server)(&item.key, value));
+    let known = Entry { offset: item.offset, heard: state.now() };
     match (entry, state.peer(&item.key)) {
         (Some(server), Some(peer)) => {
             let was = peer.server();
+            if server.is_before(&was) {
+                note_old(state, &server, &was, item.offset);
+            }
             if was.address != server.address || was.service != server.service {
                 state.remove(&item.key);
-                state.add(Peer::new(server));
+                state.add(Peer::new(server, known));
                 return;
             }
             if was.state != server.state || was.span != server.span || was.born != server.born {
                 log::info!(
-                    "gateway: server={} state={:?} layers={} born={} offset={}",
+                    "gateway: server={} state={:?} layers={} born={} sequence={:?} offset={}",
                     item.key,
                     server.state,
                     server.span,
                     server.born,
+                    server.sequence,
                     item.offset
                 );
             }
-            peer.update(server);
+            peer.update(server, known);
         }
         (Some(server), None) => {
             log::info!(
@@ -42,7 +47,7 @@
                 server.span,
                 item.offset
             );
-            state.add(Peer::new(server));
+            state.add(Peer::new(server, known));
         }
         // An entry that can't be read names no server to use.
         (None, Some(_)) => lose(state, &item.key, regained),
@@ -50,6 +55,19 @@
     }
 }
 
+/// Notes an entry that was written before the one that is known.
+fn note_old(state: &State, server: &Server, known: &Server, offset: Offset) {
+    state.metrics.old_entry();
+    log::info!(
+        "gateway: server={} entry=old state={:?} sequence={:?} known={:?} known_sequence={:?} offset={offset}",
+        server.id,
+        server.state,
+        server.sequence,
+        known.state,
+        known.sequence
+    );
+}
+
 /// Handles a server whose entry is gone. Entries lapse while the store is away and come back soon
 /// after it; dropping all of them at once would leave nothing to send requests to.
 fn lose(state: &State, id: &Id, regained: bool) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -130,6 +130,11 @@
         self.event("source_lost");
     }
 
+    /// A server's entry came that is older than the one known.
+    pub fn old_entry(&self) {
+        self.event("old_entry");
+    }
+
     /// A server was ordered to hold layers.
     pub fn ordered(&self) {
         self.event("order");
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,15 +12,26 @@
 
 use crate::pool::Pool;
 use crate::server::{Server, Stall, State};
+use crate::store::Offset;
 
 /// How long a notice of layers that were just loaded goes before the server's own entry, which is
 /// written every heartbeat and read every second.
 const FRESH: Duration = Duration::from_millis(3500);
 
+/// Which entry of a server is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// Its offset in the list.
+    pub offset: Offset,
+    /// When this router heard of it.
+    pub heard: Duration,
+}
+
 /// A backend server: its entry, its connections, and what this router runs there.
 #[derive(Debug)]
 pub struct Peer {
     server: RefCell<Rc<Server>>,
+    entry: Cell<Entry>,
     /// Connections to it.
     pub pool: Pool,
     /// Whether it answers.
@@ -56,9 +67,10 @@
 
 impl Peer {
     /// A server that has just appeared on the list.
-    pub fn new(server: Server) -> Peer {
+    pub fn new(server: Server, entry: Entry) -> Peer {
         Peer {
             pool: Pool::new(server.address),
+            entry: Cell::new(entry),
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
             declines: RefCell::default(),
@@ -83,9 +95,15 @@
         self.server.borrow().clone()
     }
 
+    /// Which entry that is.
+    pub fn entry(&self) -> Entry {
+        self.entry.get()
+    }
+
     /// Takes a new entry over.
-    pub fn update(&self, server: Server) {
+    pub fn update(&self, server: Server, entry: Entry) {
         self.lapsed.set(None);
+        self.entry.set(entry);
         if self.server.borrow().born != server.born {
             // A new start holds nothing of before.
             self.fresh.set(None);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -36,6 +36,8 @@
     pub cold: Duration,
     /// When it started, in milliseconds of Unix time.
     pub born: u64,
+    /// Number of this entry since its start, if it says.
+    pub sequence: Option<u64>,
     /// Its accelerator type, where it is a model server.
     pub card: Option<String>,
     /// The layers it holds.
@@ -45,9 +47,25 @@
 impl Server {
     /// Whether another entry says the same. The time it stays slow runs down and is no news.
     pub fn says_same(&self, other: &Server) -> bool {
-        let same = Server { cold: other.cold, ..self.clone() };
+        let same = Server { cold: other.cold, sequence: other.sequence, ..self.clone() };
         same == *other
     }
+
+    /// Whether the same start of the server wrote this entry before the other one.
+    ///
+    /// ```
+    /// # use gateway::server::{Server, State};
+    /// # let entry = |born, sequence| Server {
+    /// #     id: "s".into(), service: "desk".into(), address: ([127, 0, 0, 1], 1).into(), zone: "a".into(),
+    /// #     slots: 6, state: State::Ready, cold: std::time::Duration::ZERO, born, sequence: Some(sequence),
+    /// #     card: None, span: layers::Span::default(),
+    /// # };
+    /// assert!(entry(100, 7).is_before(&entry(100, 8)));
+    /// assert!(!entry(200, 1).is_before(&entry(100, 8)));
+    /// ```
+    pub fn is_before(&self, other: &Server) -> bool {
+        self.born == other.born && self.sequence.zip(other.sequence).is_some_and(|(a, b)| a < b)
+    }
 }
 
 /// What a model server answers when asked for its state.
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -207,6 +207,16 @@
     }
 }
 
+/// Up to which offset a log is known, and how long ago that was read from the store, for log lines.
+pub fn known(state: &State, log: Log) -> String {
+    let tails = state.sharing.tails.borrow();
+    let tail = position(log).map(|at| &tails[at]);
+    match tail.and_then(|tail| tail.end().zip(tail.age(state.now()))) {
+        Some((end, age)) => format!("{end} age={age:?}"),
+        None => "unknown".to_owned(),
+    }
+}
+
 /// Keeps the newest values of keys for routers that start.
 pub fn keep_newest<'a>(state: &State, log: Log, items: impl Iterator<Item = &'a Item>) {
     let mut newest = state.sharing.newest.borrow_mut();
