An older entry of a server does not replace a newer one

A caller's request could be sent to a server that had said it leaves, if an entry that the server wrote before that reached the list after it: a write without an answer may be carried out seconds later, and any entry was taken for the newest.

Entries of one start of a server are now ordered by their number; an older one is logged (entry=old), counted (old_entry) and left out, and is no news that a router which reads for others passes on. Another start (another time of birth) counts anew, as its numbers do. Where a server names neither, the order of the list holds as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -284,7 +284,10 @@
         .filter(|(key, value)| {
             let entry = value.as_ref().and_then(|value| (reader.server)(key, value));
             match (entry, state.peer(key)) {
-                (Some(entry), Some(peer)) => peer.lapsed() || !entry.says_same(&peer.server()),
+                (Some(entry), Some(peer)) => {
+                    let known = peer.server();
+                    !entry.is_before(&known) && (peer.lapsed() || !entry.says_same(&known))
+                }
                 _ => true,
             }
         })
--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -18,7 +18,7 @@
         (Some(server), Some(peer)) => {
             let was = peer.server();
             if server.is_before(&was) {
-                note_old(state, &server, &was, item.offset);
+                return note_old(state, &server, &was, item.offset);
             }
             if was.address != server.address || was.service != server.service {
                 state.remove(&item.key);
@@ -55,7 +55,8 @@
     }
 }
 
-/// Notes an entry that was written before the one that is known.
+/// Notes an entry that was written before the one that is known, and is left out: a server that leaves would get work
+/// again.
 fn note_old(state: &State, server: &Server, known: &Server, offset: Offset) {
     state.metrics.old_entry();
     log::info!(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -34,7 +34,7 @@
     pub state: State,
     /// How long it stays slow after its start.
     pub cold: Duration,
-    /// When it started, in milliseconds of Unix time.
+    /// When it started, in milliseconds of Unix time; nought if it does not say.
     pub born: u64,
     /// Number of this entry since its start, if it says.
     pub sequence: Option<u64>,
@@ -51,7 +51,7 @@
         same == *other
     }
 
-    /// Whether the same start of the server wrote this entry before the other one.
+    /// Whether the same start of the server wrote this entry before the other one. Not known where either does not say.
     ///
     /// ```
     /// # use gateway::server::{Server, State};
@@ -64,7 +64,8 @@
     /// assert!(!entry(200, 1).is_before(&entry(100, 8)));
     /// ```
     pub fn is_before(&self, other: &Server) -> bool {
-        self.born == other.born && self.sequence.zip(other.sequence).is_some_and(|(a, b)| a < b)
+        let same_start = self.born == other.born && self.born != 0;
+        same_start && self.sequence.zip(other.sequence).is_some_and(|(a, b)| a < b)
     }
 }
 
