What a router tells of the list is replaced when it reads all of it

Callers' requests were sent to a server whose entry was gone: the store had deleted the record of its end, so the router that reads for the others read the whole list, dropped the server from its own view, and kept it among the values that it gives to whoever asks for all of them. Those were every router that met the deleted records, and every one that started later. No record names such a server again, so they kept it until their process ended.

A whole list now replaces the values that are kept. Test a_server_of_before_deleted_records_is_not_told_to_others: never true before, passes now.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -152,8 +152,9 @@
                     back = Some(Instant::now());
                 }
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
-                shared_read::keep_newest(state, log, items.iter());
-                take(&items, View { whole: source == Source::Newest, regained });
+                let whole = source == Source::Newest;
+                shared_read::keep_newest(state, log, &items, whole);
+                take(&items, View { whole, regained });
                 at = Some(end);
                 if source != Source::Router {
                     sleep(shared_read::pause(state, pause)).await;
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -217,10 +217,14 @@
     }
 }
 
-/// Keeps the newest values of keys for routers that start.
-pub fn keep_newest<'a>(state: &State, log: Log, items: impl Iterator<Item = &'a Item>) {
+/// Keeps the newest values of keys for routers that ask for all of them; `whole` says that the items are all there are.
+/// The record of a key's end may have been deleted.
+pub fn keep_newest(state: &State, log: Log, items: &[Item], whole: bool) {
     let mut newest = state.sharing.newest.borrow_mut();
     let Some(newest) = position(log).and_then(|at| newest.get_mut(at)) else { return };
+    if whole {
+        newest.clear();
+    }
     for item in items {
         let found = newest.binary_search_by(|(key, _)| key.cmp(&item.key));
         match (found, &item.value) {
