A list that a router tells is as new as the offset that goes with it

A router that starts asks another one for the whole list. The offset in the answer was that of the last records heard, the values those taken over; between the two lies the time in which the task that follows the list pauses after a read of the store, up to a second. A change in between was in neither the values nor the records after the offset, so the router that started never heard of it: a server that said in that moment that it leaves got work until it was gone.

The values now carry their own offset.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -153,7 +153,7 @@
                 }
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
                 let whole = source == Source::Newest;
-                shared_read::keep_newest(state, log, &items, whole);
+                shared_read::keep_newest(state, log, &items, end, whole);
                 take(&items, View { whole, regained });
                 at = Some(end);
                 if source != Source::Router {
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -61,6 +61,14 @@
 /// Longest time between two looks whether there is anything to do.
 const LOOK: Duration = Duration::from_millis(300);
 
+/// Newest values of the keys of a log, sorted by key, as of one offset.
+#[derive(Debug, Default)]
+struct Newest {
+    values: Vec<(String, Bytes)>,
+    /// Offset after the last record that is among them; none if nothing was read.
+    end: Option<Offset>,
+}
+
 /// What a router knows of those that read for others.
 #[derive(Debug, Default)]
 pub struct Sharing {
@@ -89,7 +97,7 @@
     /// What was read or heard of each log.
     tails: RefCell<[Tail; LOGS.len()]>,
     /// Newest value of each key of the settings and of the list of servers.
-    newest: RefCell<[Vec<(String, Bytes)>; 2]>,
+    newest: RefCell<[Newest; 2]>,
     /// Woken when there is news, or another source.
     news: Notify,
     /// Notices that were heard or said.
@@ -217,20 +225,21 @@
     }
 }
 
-/// Keeps the newest values of keys for routers that ask for all of them; `whole` says that the items are all there are.
-/// The record of a key's end may have been deleted.
-pub fn keep_newest(state: &State, log: Log, items: &[Item], whole: bool) {
+/// Keeps the newest values of keys up to the offset `end`, for routers that ask for all of them; `whole` says that the
+/// items are all there are. The record of a key's end may have been deleted.
+pub fn keep_newest(state: &State, log: Log, items: &[Item], end: Offset, whole: bool) {
     let mut newest = state.sharing.newest.borrow_mut();
     let Some(newest) = position(log).and_then(|at| newest.get_mut(at)) else { return };
+    newest.end = Some(end);
     if whole {
-        newest.clear();
+        newest.values.clear();
     }
     for item in items {
-        let found = newest.binary_search_by(|(key, _)| key.cmp(&item.key));
+        let found = newest.values.binary_search_by(|(key, _)| key.cmp(&item.key));
         match (found, &item.value) {
-            (Ok(at), Some(value)) => newest[at].1 = value.clone(),
-            (Ok(at), None) => drop(newest.remove(at)),
-            (Err(at), Some(value)) => newest.insert(at, (item.key.clone(), value.clone())),
+            (Ok(at), Some(value)) => newest.values[at].1 = value.clone(),
+            (Ok(at), None) => drop(newest.values.remove(at)),
+            (Err(at), Some(value)) => newest.values.insert(at, (item.key.clone(), value.clone())),
             (Err(_), None) => {}
         }
     }
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -126,7 +126,14 @@
 async fn all(state: &State, query: &str) -> Option<Bytes> {
     let name = value(query, "log")?;
     let at = LOGS.iter().position(|log| log.to_string() == name)?;
-    let held = || state.sharing.tails.borrow()[at].end().filter(|_| state.ready());
+    // Records that were heard of are taken over by another task: values are as new as their own offset.
+    let held = || {
+        let end = match state.sharing.newest.borrow().get(at) {
+            Some(newest) => newest.end,
+            None => state.sharing.tails.borrow()[at].end(),
+        };
+        end.filter(|_| state.ready())
+    };
     let settled = async {
         while held().is_none() {
             state.sharing.news.notified().await;
@@ -135,7 +142,9 @@
     let _ = timeout(SETTLE, settled).await;
     let end = held().filter(|_| !is_away(state))?;
     let items = match state.sharing.newest.borrow().get(at) {
-        Some(newest) => newest.iter().map(|(key, v)| (key.clone(), v.to_vec())).collect(),
+        Some(newest) => {
+            newest.values.iter().map(|(key, value)| (key.clone(), value.to_vec())).collect()
+        }
         None => {
             let kept = state.sharing.tails.borrow()[at].kept();
             let (rumours, _) = state.sharing.rumours.borrow().since(0);
