Routers compare their lists of servers with each question and answer

A caller's request reached a server 12.4 s after it had said that it leaves, from one router of five. Servers write only what changes, and a router passes on only what is new to itself; so a router that misses one change, for whatever reason, believes the old entry until the server is gone.

With each question and answer two routers now compare a digest of the entries they believe, where both know the list up to the same changes. A difference is a line (list differs) and a counter (list_differs).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::server::{Id, Server};
 use crate::settings::Settings;
@@ -91,6 +91,7 @@
             entries::drop_missing(&state, items, view.regained);
         }
         entries::drop_expired(&state);
+        shared_read::note_list(&state, view.end);
         state.listed.set(true);
         let after = state.peers().len();
         if after != before {
@@ -109,6 +110,8 @@
 /// How records were read.
 #[derive(Debug, Clone, Copy)]
 struct View {
+    /// Offset after the last one.
+    end: Offset,
     /// Whether they are all there are, not only changes.
     whole: bool,
     /// Whether the store was away until shortly before.
@@ -131,6 +134,9 @@
     let mut told: Option<Duration> = None;
     let mut failures = 0;
     loop {
+        if log == Log::Servers && shared_read::take_read_all(state) {
+            at = None;
+        }
         let read = match at {
             None => newest(state, log).await,
             Some(from) => changes(state, log, reader, from, wait).await,
@@ -154,10 +160,10 @@
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
                 let whole = source == Source::Newest;
                 shared_read::keep_newest(state, log, &items, end, whole);
-                take(&items, View { whole, regained });
+                take(&items, View { end, whole, regained });
                 at = Some(end);
                 if source != Source::Router {
-                    sleep(shared_read::pause(state, pause)).await;
+                    shared_read::pause_after_read(state, pause).await;
                 }
             }
             Err(Fault::Gone) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -135,6 +135,11 @@
         self.event("old_entry");
     }
 
+    /// The list of servers is not that of the router that this one hears from.
+    pub fn list_differs(&self) {
+        self.event("list_differs");
+    }
+
     /// A server was ordered to hold layers.
     pub fn ordered(&self) {
         self.event("order");
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,6 +12,7 @@
 
 use crate::pool::Pool;
 use crate::server::{Server, Stall, State};
+use crate::shared_read::{self, Digest};
 use crate::store::Offset;
 
 /// How long a notice of layers that were just loaded goes before the server's own entry, which is
@@ -32,6 +33,7 @@
 pub struct Peer {
     server: RefCell<Rc<Server>>,
     entry: Cell<Entry>,
+    digest: Cell<Digest>,
     /// Connections to it.
     pub pool: Pool,
     /// Whether it answers.
@@ -71,6 +73,7 @@
         Peer {
             pool: Pool::new(server.address),
             entry: Cell::new(entry),
+            digest: Cell::new(shared_read::digest(&server)),
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
             declines: RefCell::default(),
@@ -100,10 +103,16 @@
         self.entry.get()
     }
 
+    /// Digest of its entry.
+    pub fn digest(&self) -> Digest {
+        self.digest.get()
+    }
+
     /// Takes a new entry over.
     pub fn update(&self, server: Server, entry: Entry) {
         self.lapsed.set(None);
         self.entry.set(entry);
+        self.digest.set(shared_read::digest(&server));
         if self.server.borrow().born != server.born {
             // A new start holds nothing of before.
             self.fresh.set(None);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,7 +9,7 @@
 pub type Id = String;
 
 /// Whether a server takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum State {
     /// It does.
     Ready,
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -17,6 +17,7 @@
 mod server;
 mod spread;
 mod tail;
+mod view;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -37,6 +38,7 @@
 pub use server::answer;
 pub use spread::{say, tell};
 pub use tail::{Placed, Tail};
+pub use view::{Digest, View, digest, note_list, take_read_all};
 
 /// Logs that are shared.
 pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
@@ -108,6 +110,16 @@
     told: Cell<u64>,
     /// Woken when there are notices for the source.
     tell: Notify,
+    /// The list of servers as this router believes it.
+    view: Cell<Option<View>>,
+    /// The same of the router that this one hears from.
+    source_view: Cell<Option<View>>,
+    /// Since when the two are known to differ.
+    dispute: Cell<Option<Duration>>,
+    /// Whether the whole list is to be read again.
+    read_all: Cell<bool>,
+    /// When it last was to be.
+    read_all_at: Cell<Option<Duration>>,
     /// Start of this process, as a random number.
     incarnation: std::cell::OnceCell<u64>,
 }
@@ -172,7 +184,7 @@
 
 /// Pause after a read of the list of servers from the store, where a router that reads alone pauses for
 /// `alone`. The router that reads for others does it twice as often, as what it knows ages on its way.
-pub fn pause(state: &State, alone: Duration) -> Duration {
+fn pause(state: &State, alone: Duration) -> Duration {
     if reads(state) { alone / 2 } else { alone }
 }
 
@@ -187,6 +199,16 @@
     PAUSE.mul_f64((f64::from(routers) / CROWD).clamp(1.0, 4.0))
 }
 
+/// Waits after a read of the store, or until the whole list is to be read.
+pub async fn pause_after_read(state: &State, alone: Duration) {
+    let wanted = async {
+        while !state.sharing.read_all.get() {
+            state.sharing.news.notified().await;
+        }
+    };
+    let _ = timeout(pause(state, alone), wanted).await;
+}
+
 /// Records that another router gave, and the offset after the last one it read; waits a moment if there are none.
 /// None if this router has to read the store itself.
 pub async fn read(state: &State, log: Log, from: Offset) -> Option<(Vec<Placed>, Offset)> {
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -14,6 +14,7 @@
 use super::page::{LONGEST, Page, Snapshot};
 use super::rumour::Origin;
 use super::spread::hear;
+use super::view::{self, View};
 use super::{LOGS, LOOK, OLD, WAIT, position, rest, source};
 use crate::pool::Pool;
 use crate::roster::{DIRECT, FROM, Source};
@@ -68,6 +69,7 @@
             log::info!("gateway: source={address} members={}", state.sharing.members());
             let pool = Rc::new(Pool::new(address));
             *source = Some((address, pool.clone()));
+            state.sharing.source_view.set(None);
             pool
         }
     }
@@ -84,9 +86,12 @@
     let generation = state.sharing.generation();
     let (incarnation, heard) = state.sharing.heard_notices.get();
     let answered = u8::from(is_answered(state));
+    let list = state.sharing.view.get();
+    let list = list.map(|View { end, digest }| format!("&list_end={end}&list={digest}"));
     let path = format!(
         "/tail?settings={settings}&servers={servers}&notices={notices}&generation={generation}\
-         &incarnation={incarnation}&heard={heard}&answered={answered}"
+         &incarnation={incarnation}&heard={heard}&answered={answered}{}",
+        list.unwrap_or_default()
     );
     let body = get(pool, &path, Bytes::new()).await?;
     Page::decode(&body, from).map_err(|e| e.to_string())
@@ -140,7 +145,7 @@
     }
     sharing.heard.set(Some(now));
     state.store_answers();
-    let mut news = false;
+    let (mut news, list) = (false, page.view);
     for (tail, part) in sharing.tails.borrow_mut().iter_mut().zip(page.parts) {
         match part.age() {
             Some(age) => {
@@ -153,6 +158,7 @@
     if news {
         sharing.news.notify_waiters();
     }
+    view::hear_source(state, list);
 }
 
 /// Passes over a router that gave no useful answer.
--- a/crates/gateway/src/shared_read/page.rs
+++ b/crates/gateway/src/shared_read/page.rs
@@ -9,11 +9,12 @@
 use super::LOGS;
 use super::rumour::Number;
 use super::tail::Placed;
+use super::view::View;
 use crate::roster::Roster;
 use crate::store::Offset;
 
 /// Version of a page. Routers of another version read the store until all are upgraded.
-const VERSION: u16 = 3;
+const VERSION: u16 = 4;
 
 /// Version of a snapshot, apart from those of pages, so that one is never taken for the other.
 const SNAPSHOT: u16 = 0x100;
@@ -31,6 +32,8 @@
     pub roster: Option<Roster>,
     /// One for each of [`LOGS`].
     pub parts: Vec<Part>,
+    /// The list of servers as this router believes it.
+    pub view: Option<View>,
     /// Notices since the one asked for.
     pub notices: Vec<Vec<u8>>,
     /// Start of the process that numbers them.
@@ -70,7 +73,8 @@
     /// A page of this version without notices.
     pub fn new(away: bool, roster: Option<Roster>, parts: Vec<Part>) -> Page {
         let (notices, incarnation, next_notice) = (Vec::new(), 0, 0);
-        Page { version: VERSION, away, roster, parts, notices, incarnation, next_notice }
+        let (version, view) = (VERSION, None);
+        Page { version, away, roster, parts, view, notices, incarnation, next_notice }
     }
 
     /// The bytes of the answer.
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -13,6 +13,7 @@
 use super::rumour::{self, Origin};
 use super::spread::hear;
 use super::tail::Tail;
+use super::view::{self, View};
 use super::{LOGS, OLD, WAIT};
 use crate::state::State;
 use crate::store::{Generation, Log, Offset};
@@ -65,6 +66,9 @@
     let number = |key: &str| value(query, key)?.parse::<u64>().ok();
     let from = [number("settings")?, number("servers")?, number("notices")?];
     let generation = number("generation")?;
+    if let (Some(end), Some(digest)) = (number("list_end"), number("list")) {
+        view::hear_asker(state, View { end, digest });
+    }
     let incarnation = state.sharing.incarnation();
     // Notices of before it knew this process are not news.
     let next = state.sharing.rumours.borrow().since(0).1;
@@ -102,6 +106,7 @@
     let notices = notices.iter().map(|notice| notice.to_vec()).collect();
     let mut page = Page::new(is_away(state), roster, parts);
     (page.notices, page.incarnation, page.next_notice) = (notices, incarnation, next_notice);
+    page.view = state.sharing.view.get();
     Some(page.encode())
 }
 
