--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -39,6 +39,8 @@
     pub last_event: HeaderName,
     /// Load that a backend server tells.
     pub load: HeaderName,
+    /// Requests a second that a backend server in need takes from all routers together.
+    pub limit: HeaderName,
     /// Version of the weights that is expected.
     pub weights: HeaderName,
     /// Further fields that a caller can't have removed on the way.
