Lines when a server names another limit, with what was sent there lately

When a router learns that a server names a limit for all routers together, or none any more, is a line (limit=, with the requests that this router sent there in the last 4 s) and a counter (limit_named). Nothing else changes: requests go there as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
+use crate::limited;
 use crate::peer::Peer;
 use crate::pool::Link;
 use crate::request::Call;
@@ -151,6 +152,7 @@
     let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
     request.headers_mut().insert(&state.codec.names.deadline, HeaderValue::from(left));
     let sent = Instant::now();
+    peer.sent.borrow_mut().note(state.now());
     let answer = match timeout_at(until, link.sender.try_send_request(request)).await {
         Err(_) => return Outcome::Late,
         Ok(Err(mut e)) => {
@@ -179,6 +181,7 @@
     if foreign {
         return Outcome::Unknown("the answer is to another request".to_owned());
     }
+    limited::note(state, peer, headers.get(&names.limit));
     let status = answer.status();
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         let culprit = headers.get(&names.culprit).and_then(|v| v.to_str().ok()?.parse().ok());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod leader;
+pub mod limited;
 pub mod logging;
 pub mod metrics;
 pub mod notice;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -140,6 +140,11 @@
         self.event("list_differs");
     }
 
+    /// A server named another limit, or none any more.
+    pub fn limit_named(&self) {
+        self.event("limit_named");
+    }
+
     /// A server was ordered to hold layers.
     pub fn ordered(&self) {
         self.event("order");
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -7,6 +7,7 @@
 use layers::Span;
 use policy::meter::Meter;
 use policy::pick::Pace;
+use policy::quota::Sent;
 use policy::suspicion::Suspicion;
 use tokio::sync::Mutex;
 
@@ -44,6 +45,10 @@
     pub told: Cell<Option<(u32, Duration)>>,
     /// Times of its answers.
     pub pace: Cell<Pace>,
+    /// Requests a second that it takes from all routers together, as it last named.
+    pub limit: Cell<Option<f64>>,
+    /// Requests that this router sent there lately.
+    pub sent: RefCell<Sent>,
     /// Requests of this router that run there.
     pub running: Cell<u32>,
     /// Bytes of context that requests of this router take there.
@@ -79,6 +84,8 @@
             declines: RefCell::default(),
             told: Cell::new(None),
             pace: Cell::default(),
+            limit: Cell::new(None),
+            sent: RefCell::default(),
             running: Cell::new(0),
             context: Cell::new(0.0),
             reading: Cell::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pick;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod ramp;
 mod range;
 pub mod refusal;
