Routers keep the limit that a server names for all of them together

A model server named a limit of 4 requests a second in its answers and got 10 to 13, as before (LIMIT: 46 in 4 s, 29 allowed; 51 for 23 with a limit of 3). Nobody read the field, and a router that had read it would have kept only its own requests to it.

The first router that reads a limit tells the others by a notice; from then on each request that begins at that server needs a permit. A router asks when it has a request and no permit; what finds none goes to another server, or is refused at once with a time to come back that spreads callers as permits come. A limit ends when an answer to a later request no longer names it. Ruled out by the record: late news alone (the only server of its data centre was asked 12 times a second for 28 s).

Equal parts were weighed: with unequal demand at 20 routers they leave most of a limit unused, and tokens saved at each of 68 routers break the rule in a burst. Parts by demand told in notices need a notice of each router each half second.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -54,6 +54,9 @@
     /// Some layers are held nowhere, and the store is away.
     #[display("part of the model is lost, and the platform's store is away")]
     NoPathAway,
+    /// All servers that could take it name limits, which are used up.
+    #[display("the limit that the backend servers name is used up")]
+    Limited,
     /// All servers that were asked declined.
     #[display("the backend servers are full")]
     Full,
@@ -85,6 +88,7 @@
             | Reason::NoServer
             | Reason::NoPath
             | Reason::NoPathAway
+            | Reason::Limited
             | Reason::Full
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -108,7 +112,7 @@
             Reason::NoPath => Some(Duration::from_millis(1800)),
             // Another router takes it at once.
             Reason::Stopping => Some(Duration::from_millis(100)),
-            Reason::NoServer => Some(Duration::from_millis(1000)),
+            Reason::NoServer | Reason::Limited => Some(Duration::from_millis(1000)),
             // About as long as a request runs: by then, what fills the memory now has ended.
             Reason::Full | Reason::NoMemory => Some(Duration::from_millis(1500)),
             _ => None,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -82,7 +82,7 @@
 ///
 /// `extra` are the fields that this router sets for this server.
 pub async fn send(
-    state: &State,
+    state: &Rc<State>,
     peer: &Rc<Peer>,
     call: &Call,
     extra: HeaderMap,
@@ -108,7 +108,8 @@
             if used
                 && call.route.class.repeatable()
                 && Instant::now() < until
-                && state.may_repeat(&peer.server().service) =>
+                && state.may_repeat(&peer.server().service)
+                && peer.limited.take(state.now()) =>
         {
             log::debug!("gateway: request={} sent anew: {why}", call.id);
             match peer.pool.connect().await {
@@ -135,7 +136,7 @@
 }
 
 async fn exchange(
-    state: &State,
+    state: &Rc<State>,
     peer: &Rc<Peer>,
     call: &Call,
     extra: &HeaderMap,
@@ -167,7 +168,7 @@
 
 /// Decides whether an answer is this request's, and whether the request ran.
 fn judge(
-    state: &State,
+    state: &Rc<State>,
     peer: &Rc<Peer>,
     call: &Call,
     answer: Response<Incoming>,
@@ -181,7 +182,8 @@
     if foreign {
         return Outcome::Unknown("the answer is to another request".to_owned());
     }
-    limited::note(state, peer, headers.get(&names.limit));
+    let own = headers.contains_key(&names.stamp);
+    limited::note(state, peer, headers.get(&names.limit), own, took);
     let status = answer.status();
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         let culprit = headers.get(&names.culprit).and_then(|v| v.to_str().ok()?.parse().ok());
--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -26,7 +26,7 @@
 ///
 /// Without it, a router that starts anew sends requests through servers that all others know to be slow or full, for
 /// the second until that is said again.
-async fn before(state: &State) -> Option<Offset> {
+async fn before(state: &Rc<State>) -> Option<Offset> {
     if let Some(snapshot) = shared_read::snapshot(state, Log::Notices).await {
         let said = snapshot.items.iter().filter_map(|(_, record)| Notice::decode(record));
         listed(state).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::answer::Reason;
+use crate::limited;
 use crate::shared_read;
 use crate::state::State;
 
@@ -164,6 +165,7 @@
         ));
         let reads = u8::from(shared_read::reads(state));
         text.push_str(&format!("hyssop_reads_for_others {reads}\n"));
+        text.push_str(&limited::page(state));
         for (kind, calls) in state.store.made() {
             text.push_str(&format!("hyssop_store_calls_total{{kind=\"{kind}\"}} {calls}\n"));
         }
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,11 +1,13 @@
 //! What one router tells the others, through the store.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use layers::Span;
 use serde::{Deserialize, Serialize};
 
+use crate::limited;
 use crate::peer::Peer;
 use crate::state::State;
 
@@ -38,6 +40,13 @@
         #[serde(default)]
         slow: Vec<(String, u32)>,
     },
+    /// A server names another limit for all routers together, or none any more.
+    Limit {
+        /// The server.
+        server: String,
+        /// Thousandths of a request a second.
+        per_s_milli: Option<u64>,
+    },
     /// A server holds layers now.
     Holds {
         /// The server.
@@ -75,17 +84,23 @@
 }
 
 /// Takes over what was said before this process started, the oldest first. How servers work is said anew each second,
-/// and the last word on it holds; that a server is silent or holds layers may have changed since.
-pub fn catch_up(state: &State, said: &[Notice]) {
-    for notice in said.iter().filter(|notice| matches!(notice, Notice::Filled { .. })) {
-        // Each names all that are slow at its time.
-        state.peers().iter().for_each(|peer| peer.slow.set(1.0));
-        receive(state, notice);
+/// and the last word on it and on limits holds; that a server is silent or holds layers may have changed since.
+pub fn catch_up(state: &Rc<State>, said: &[Notice]) {
+    for notice in said {
+        match notice {
+            Notice::Filled { .. } => {
+                // Each names all that are slow at its time.
+                state.peers().iter().for_each(|peer| peer.slow.set(1.0));
+                receive(state, notice);
+            }
+            Notice::Limit { .. } => receive(state, notice),
+            _ => {}
+        }
     }
 }
 
 /// Takes a notice of another router over.
-pub fn receive(state: &State, notice: &Notice) {
+pub fn receive(state: &Rc<State>, notice: &Notice) {
     let now = state.now();
     match notice {
         Notice::Silent { server } => {
@@ -122,6 +137,12 @@
             }
             return;
         }
+        Notice::Limit { server, per_s_milli } => {
+            if let Some(peer) = state.peer(server) {
+                limited::hear(state, &peer, *per_s_milli);
+            }
+            return;
+        }
         Notice::Holds { server, from, to } => {
             if let Some(peer) = state.peer(server) {
                 peer.learn(Span::new(*from, *to), now);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -11,6 +11,7 @@
 use policy::suspicion::Suspicion;
 use tokio::sync::Mutex;
 
+use crate::limited::Limited;
 use crate::pool::Pool;
 use crate::server::{Server, Stall, State};
 use crate::shared_read::{self, Digest};
@@ -45,8 +46,8 @@
     pub told: Cell<Option<(u32, Duration)>>,
     /// Times of its answers.
     pub pace: Cell<Pace>,
-    /// Requests a second that it takes from all routers together, as it last named.
-    pub limit: Cell<Option<f64>>,
+    /// The limit that it names for all routers together.
+    pub limited: Limited,
     /// Requests that this router sent there lately.
     pub sent: RefCell<Sent>,
     /// Requests of this router that run there.
@@ -84,7 +85,7 @@
             declines: RefCell::default(),
             told: Cell::new(None),
             pace: Cell::default(),
-            limit: Cell::new(None),
+            limited: Limited::default(),
             sent: RefCell::default(),
             running: Cell::new(0),
             context: Cell::new(0.0),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,6 +13,7 @@
 
 use crate::answer::{self, Body, Reason};
 use crate::exchange::{self, Outcome};
+use crate::limited;
 use crate::peer::{Load, Peer};
 use crate::request::Call;
 use crate::state::State;
@@ -68,10 +69,14 @@
     let (asked, fallback) = (Vec::new(), answer::own(Reason::NoServer));
     let mut progress = Progress { state, call, service, asked, ran: 0, fallback };
     let mut pending = FuturesUnordered::new();
+    limited::ask(state, service, |_| true).await;
     let mut next = choose(state, service, &progress.asked);
+    if next.is_none() && over_limit(state, service) {
+        return limited::refuse(state, service);
+    }
     let mut patience = None;
     loop {
-        if let Some(peer) = next.take() {
+        if let Some(peer) = next.take().filter(|peer| peer.limited.take(state.now())) {
             progress.asked.push(peer.server().id.clone());
             patience = Some((limit(call, &peer), peer.clone()));
             pending.push(ask(state, call, peer));
@@ -163,7 +168,7 @@
 }
 
 /// Sends a request to one server and waits for its whole answer, until the caller's time is up.
-async fn ask(state: &State, call: &Call, peer: Rc<Peer>) -> (Rc<Peer>, Tried) {
+async fn ask(state: &Rc<State>, call: &Call, peer: Rc<Peer>) -> (Rc<Peer>, Tried) {
     let _load = Load::new(peer.clone(), 0.0);
     let fields = fields(state, call, &peer.server().id);
     let tried = match exchange::send(state, &peer, call, fields, call.until).await {
@@ -216,7 +221,7 @@
 fn choose(state: &State, service: &str, but: &[String]) -> Option<Rc<Peer>> {
     let now = state.now();
     let mut peers = state.of(service);
-    peers.retain(|p| p.ready() && !but.contains(&p.server().id));
+    peers.retain(|p| p.ready() && p.limited.allows(now) && !but.contains(&p.server().id));
     let healthy: Vec<_> = peers.iter().filter(|p| p.usable(now)).cloned().collect();
     // If all are suspected, the suspicion is more likely about the way there than about each.
     let from = if healthy.is_empty() { peers } else { healthy };
@@ -232,6 +237,14 @@
     pick(&choices, &mut rand::rng()).map(|at| from[at].clone())
 }
 
+/// Whether all servers that take work name limits, which are used up.
+fn over_limit(state: &State, service: &str) -> bool {
+    let now = state.now();
+    let mut peers = state.of(service);
+    peers.retain(|p| p.ready());
+    !peers.is_empty() && peers.iter().all(|p| !p.limited.allows(now))
+}
+
 /// Fields that this router sets for one server.
 pub fn fields(state: &State, call: &Call, id: &str) -> HeaderMap {
     let names = &state.codec.names;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::store::Generation;
 
@@ -103,6 +104,22 @@
         &self.members
     }
 
+    /// The member that keeps what belongs to `key`, without those that `avoid` names. When a member comes or goes,
+    /// only the keys that it keeps get another keeper.
+    ///
+    /// ```
+    /// use gateway::roster::Roster;
+    /// let names = ["one@10.0.0.1:1@a@5", "two@10.0.0.2:1@a@9", "three@10.0.0.3:1@b@9"];
+    /// let roster = Roster::new(1, names.map(str::to_owned).to_vec());
+    /// let keeper = roster.keeper("key", |_| false).unwrap();
+    /// let next = roster.keeper("key", |member| member == keeper).unwrap();
+    /// assert_ne!(keeper, next);
+    /// ```
+    pub fn keeper(&self, key: &str, avoid: impl Fn(&Member) -> bool) -> Option<&Member> {
+        let rank = |member: &&Member| xxh3_64(format!("{}/{key}", member.vm).as_bytes());
+        self.members.iter().filter(|member| !avoid(member)).max_by_key(rank)
+    }
+
     /// Where the router `vm` in `data_centre` gets what the store holds, if it passes over those that `avoid` names.
     ///
     /// ```
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -153,6 +153,20 @@
     reached >= model.shape.layers
 }
 
+/// Whether a request could begin only at servers that name limits, which are used up.
+pub fn over_limit(state: &State, service: &str, but: &[String]) -> bool {
+    let now = state.now();
+    let mut firsts = state.of(service);
+    firsts.retain(|p| p.willing(now) && begins(p, now) && !but.contains(&p.server().id));
+    !firsts.is_empty() && firsts.iter().all(|p| !p.limited.allows(now))
+}
+
+/// Whether requests can begin at a server.
+pub fn begins(peer: &Peer, now: Duration) -> bool {
+    let span = peer.span(now);
+    span.from == 0 && !span.is_empty()
+}
+
 /// Where a path is to begin.
 struct Want<'a> {
     from: u32,
@@ -295,7 +309,10 @@
         span,
         layer_ms: (read + write) / f64::from(shape.layers) * scarce * shared,
         hop_ms: HOP * tokens.answer + millis(reading),
-        begin_ms: begin_ms(peer, now, whole_ms(shape, tokens, 10.0)),
+        begin_ms: match peer.limited.allows(now) {
+            true => begin_ms(peer, now, whole_ms(shape, tokens, 10.0)),
+            false => f64::INFINITY,
+        },
     })
 }
 
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -29,10 +29,11 @@
 use tokio::time::timeout;
 
 use crate::pool::Pool;
-use crate::roster::{FROM, Roster, Source};
+use crate::roster::{FROM, Member, Roster, Source};
 use crate::state::State;
 use crate::store::{Generation, Item, Log, Offset, Seat};
 pub use away::{is_check_due, may_ask, note_answer, note_silence, was_silent};
+pub(crate) use client::get;
 pub use client::{run, snapshot};
 pub use rumour::{Origin, Rumours};
 pub use server::answer;
@@ -169,6 +170,17 @@
     sharing.roster.borrow().source(&state.setup.vm, &state.setup.zone, avoid)
 }
 
+/// The router that keeps what all routers have to agree on about `key`, if the members are known; `avoid` says which
+/// ones are passed over.
+pub fn keeper(state: &State, key: &str, avoid: impl Fn(SocketAddr) -> bool) -> Option<Member> {
+    state
+        .sharing
+        .roster
+        .borrow()
+        .keeper(key, |m| m.vm != state.setup.vm && avoid(m.address))
+        .cloned()
+}
+
 /// Whether this router reads the store for others.
 pub fn reads(state: &State) -> bool {
     state.sharing.members() >= FROM && source(state) == Source::Store
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -98,7 +98,7 @@
 }
 
 /// Body of a router's answer.
-pub(super) async fn get(pool: &Pool, path: &str, body: Bytes) -> Result<Bytes, String> {
+pub(crate) async fn get(pool: &Pool, path: &str, body: Bytes) -> Result<Bytes, String> {
     let mut link = pool.take().await.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(body));
     *request.uri_mut() = path.parse().expect("names and digits");
@@ -113,7 +113,7 @@
 }
 
 /// Takes a source's answer over.
-fn take(state: &State, address: SocketAddr, page: Page) {
+fn take(state: &Rc<State>, address: SocketAddr, page: Page) {
     let (sharing, now) = (&state.sharing, state.now());
     if let Some(roster) = page.roster {
         adopt(state, roster);
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -1,5 +1,6 @@
 //! Answers the routers that hear from this one.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use super::tail::Tail;
 use super::view::{self, View};
 use super::{LOGS, OLD, WAIT};
+use crate::limited;
 use crate::state::State;
 use crate::store::{Generation, Log, Offset};
 
@@ -24,14 +26,18 @@
 /// Longest wait of a router that is asked for all it holds, until it holds it.
 const SETTLE: Duration = Duration::from_millis(50);
 
+/// Longest question for permits, in bytes: two names and some numbers.
+const QUESTION: usize = 1 << 10;
+
 /// Answers another router.
-pub async fn answer(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn answer(state: &Rc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let query = head.uri.query().unwrap_or_default();
     let body = match head.uri.path() {
         "/tail" => page(state, query).await,
         "/all" => all(state, query).await,
         "/told" => listen(state, body).await,
+        "/permits" => permits(state, body).await,
         _ => None,
     };
     let mut response = Response::new(Full::new(body.clone().unwrap_or_default()));
@@ -42,7 +48,7 @@
 }
 
 /// Hears the notices of another router.
-async fn listen(state: &State, body: Incoming) -> Option<Bytes> {
+async fn listen(state: &Rc<State>, body: Incoming) -> Option<Bytes> {
     let body = Limited::new(body, rumour::LONGEST * 4).collect().await;
     let told = body.map_err(|e| e.to_string());
     match told.and_then(|body| Told::decode(&body.to_bytes()).map_err(|e| e.to_string())) {
@@ -57,6 +63,18 @@
     }
 }
 
+/// Gives another router permits for a server that names a limit.
+async fn permits(state: &State, body: Incoming) -> Option<Bytes> {
+    let body = Limited::new(body, QUESTION).collect().await;
+    match body {
+        Ok(body) => limited::answer(state, &body.to_bytes()),
+        Err(e) => {
+            log::warn!("gateway: a question for permits is not read: {e}");
+            None
+        }
+    }
+}
+
 fn value<'a>(query: &'a str, key: &str) -> Option<&'a str> {
     query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
 }
--- a/crates/gateway/src/shared_read/spread.rs
+++ b/crates/gateway/src/shared_read/spread.rs
@@ -18,7 +18,7 @@
 const GATHER: Duration = Duration::from_millis(20);
 
 /// Takes notices of other routers over, and passes on those that are news.
-pub(super) fn hear(state: &State, notices: Vec<Vec<u8>>, from: Origin) {
+pub(super) fn hear(state: &Rc<State>, notices: Vec<Vec<u8>>, from: Origin) {
     for notice in notices {
         let notice = Bytes::from(notice);
         if state.sharing.rumours.borrow_mut().hear(notice.clone(), from, state.now()) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::limited::Keeper;
 use crate::logging::Quota;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
@@ -85,6 +86,8 @@
     pub gives: Cell<bool>,
     /// What it knows of the routers that read the store for others.
     pub sharing: Sharing,
+    /// What it keeps for servers that name limits.
+    pub keeper: Keeper,
     /// Lines about refused requests.
     pub refusals: RefCell<Quota>,
     /// Notices for the other routers that are still to be written.
@@ -124,6 +127,7 @@
             placement: RefCell::default(),
             gives: Cell::new(false),
             sharing: Sharing::default(),
+            keeper: Keeper::default(),
             refusals: RefCell::default(),
             broken_since: Cell::new(None),
             notices: RefCell::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::answer::{self, Body, Cut, Reason};
 use crate::event::{Event, Id, Splitter};
 use crate::exchange::Answer;
+use crate::limited;
 use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::request::Call;
@@ -189,6 +190,9 @@
             let again = state.shortage.borrow_mut().refused(state.now());
             return answer::own_after(Reason::Full, Some(again));
         }
+        Err(Reason::Limited) => {
+            return limited::refuse(state, service);
+        }
         Err(reason) => return answer::own(reason),
     };
     state.shortage.borrow_mut().placed(state.now());
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -12,6 +12,7 @@
 use crate::count::Counted;
 use crate::event::{Event, Splitter};
 use crate::exchange::{self, Answer, Outcome};
+use crate::limited;
 use crate::plain;
 use crate::probe;
 use crate::route::{self, Path};
@@ -150,6 +151,10 @@
                 }
                 break;
             }
+            // Another request may have used the last permit meanwhile.
+            if !path.first().limited.take(self.state.now()) {
+                continue;
+            }
             self.tries += 1;
             reason = Some(match self.begin(path).await {
                 Ok(opened) => return Ok(opened),
@@ -181,6 +186,7 @@
     /// Why there is no path. Memory that is full is free again sooner than lost layers are loaded.
     fn no_path(&self) -> Reason {
         match route::whole(self.state, self.service, self.model, &self.but) {
+            true if route::over_limit(self.state, self.service, &self.but) => Reason::Limited,
             true => Reason::Full,
             false if self.state.store_away() => Reason::NoPathAway,
             false => Reason::NoPath,
@@ -193,6 +199,8 @@
     /// that is refused comes back a second or more later, so that even if it is then served, it is late. Where
     /// many wait, few of them would get a place in time, so the rest are refused at once.
     async fn place(&self, until: Instant) -> Option<Path> {
+        let now = self.state.now();
+        limited::ask(self.state, self.service, |peer| route::begins(peer, now)).await;
         let path = self.path();
         if path.is_some() || self.last.is_some() || self.state.placeless.get() >= WAITING {
             return path;
