Offsets belong to an era of the store; what was read before a restore is read again

A store that comes back from a copy some seconds old gives offsets out again. Routers went on from their old offsets and never saw what was written in between: settings and leaving servers were missed for good, and no router gave orders again, as the group's generation had gone back.

The adapter hands the era of each answer on. The client knows the newest one: a read from an offset of another era ends with Gone, also one that the store still holds back; an answer of an older era is dropped, until nothing else has come for two seconds (then the number has fallen). Generations hold the era in their upper half, so that seats, rosters and the epochs of orders rise across eras; a term ends with its era. Values that routers tell each other keep what is newer than the copy.

A store without the field works as before. On the way: notices are heard from other routers sooner after a start, as the end of their log is kept.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::settings::Settings;
 use crate::shared_read;
 use crate::state::State;
-use crate::store::{Call, Fault, Item, Log, Offset, Reply};
+use crate::store::{Call, Era, Fault, Item, Log, Offset, Reply};
 
 pub use news::{announce, notices};
 
@@ -62,20 +62,24 @@
 /// Keeps the settings up to date.
 pub async fn settings(state: Rc<State>, reader: Reader) {
     let take = |item: &Item| {
-        let Some(value) = item.value.as_ref().filter(|_| item.key == reader.settings_key) else {
-            return;
-        };
-        match (reader.settings)(value) {
-            Some(settings) => {
+        let value = item.value.as_ref().filter(|_| item.key == reader.settings_key);
+        let settings = value.map(|value| (reader.settings)(value));
+        match settings {
+            Some(Some(settings)) => {
                 let version = settings.version;
                 let newer = state.apply(settings);
                 log::info!("gateway: settings={version} offset={} in_force={newer}", item.offset);
+                newer || state.settings().is_some_and(|s| s.version == version)
+            }
+            Some(None) => {
+                log::error!("gateway: settings at offset {} can't be read", item.offset);
+                false
             }
-            None => log::error!("gateway: settings at offset {} can't be read", item.offset),
+            None => true,
         }
     };
     follow(&state, Log::Settings, reader, WAIT, Duration::ZERO, |items, _| {
-        items.iter().for_each(&take)
+        items.iter().map(&take).collect()
     })
     .await;
 }
@@ -84,9 +88,8 @@
 pub async fn servers(state: Rc<State>, reader: Reader) {
     let take = |items: &[Item], view: View| {
         let before = state.peers().len();
-        for item in items {
-            entries::change(&state, reader, item, view.regained);
-        }
+        let change = |item| entries::change(&state, reader, item, view.regained);
+        let taken: Vec<bool> = items.iter().map(change).collect();
         if view.whole {
             entries::drop_missing(&state, items, view.regained);
         }
@@ -103,6 +106,7 @@
         if !items.is_empty() {
             state.changed.notify_waiters();
         }
+        taken
     };
     follow(&state, Log::Servers, reader, Duration::ZERO, LIST, take).await;
 }
@@ -118,14 +122,14 @@
     regained: bool,
 }
 
-/// Reads all newest records of a log, and then changes, for good.
+/// Reads all newest records of a log, and then changes, for good. `take` says of each whether it was taken over.
 async fn follow(
     state: &State,
     log: Log,
     reader: Reader,
     wait: Duration,
     pause: Duration,
-    mut take: impl FnMut(&[Item], View),
+    mut take: impl FnMut(&[Item], View) -> Vec<bool>,
 ) {
     let mut at: Option<Offset> = None;
     let mut away: Option<Instant> = None;
@@ -133,16 +137,32 @@
     // When another router first said that the store is away.
     let mut told: Option<Duration> = None;
     let mut failures = 0;
+    // Whether all is read since the store was restored.
+    let mut restored = false;
+    // The era that the offset belongs to.
+    let mut era = state.store.era();
     loop {
+        let now_era = state.store.era();
+        if now_era != era {
+            // None was known before the first answer.
+            restored = era > 0;
+            log::info!("gateway: log={log} from={at:?} era={now_era} before={era} reading all");
+            (at, era) = (None, now_era);
+        }
+        if restored {
+            // Entries that the copy lacks are written again as lapsed ones are.
+            back = Some(Instant::now());
+        }
         if log == Log::Servers && shared_read::take_read_all(state) {
             at = None;
         }
         let read = match at {
-            None => newest(state, log).await,
-            Some(from) => changes(state, log, reader, from, wait).await,
+            None => newest(state, log, restored).await,
+            Some(from) => changes(state, log, reader, Cursor { from, era }, wait).await,
         };
         match read {
             Ok(Batch { items, end, source }) => {
+                (era, restored) = (state.store.era(), false);
                 if source != Source::Router {
                     state.store_answers();
                 }
@@ -159,8 +179,8 @@
                 }
                 let regained = back.is_some_and(|b| b.elapsed() < REGAINED);
                 let whole = source == Source::Newest;
-                shared_read::keep_newest(state, log, &items, end, whole);
-                take(&items, View { end, whole, regained });
+                let taken = take(&items, View { end, whole, regained });
+                shared_read::keep_newest(state, log, &items, &taken, end, whole);
                 at = Some(end);
                 if source != Source::Router {
                     shared_read::pause_after_read(state, pause).await;
@@ -217,8 +237,8 @@
     Router,
 }
 
-async fn newest(state: &State, log: Log) -> Result<Batch, Fault> {
-    if let Some(snapshot) = shared_read::snapshot(state, log).await {
+async fn newest(state: &State, log: Log, restored: bool) -> Result<Batch, Fault> {
+    if let Some(snapshot) = shared_read::snapshot(state, log, restored).await {
         let end = snapshot.end;
         let item = |(key, value): (String, Vec<u8>)| Item {
             key,
@@ -229,9 +249,13 @@
         return Ok(Batch { items, end, source: Source::Newest });
     }
     let (mut items, mut after, mut first_end) = (Vec::new(), None, None);
+    let mut era = None;
     loop {
         match state.store.call(Call::Newest { log, after: after.take() }).await? {
             Reply::Page(page, more, end) => {
+                if *era.get_or_insert(state.store.era()) != state.store.era() {
+                    return Err(Fault::Gone);
+                }
                 // Pages are no snapshot: what changed since the first one is read again.
                 let end = *first_end.get_or_insert(end);
                 after = page.last().map(|i| i.key.clone());
@@ -246,19 +270,28 @@
     }
 }
 
+/// Where a reader stands in a log.
+#[derive(Debug, Clone, Copy)]
+struct Cursor {
+    from: Offset,
+    /// The era that the offset belongs to.
+    era: Era,
+}
+
 async fn changes(
     state: &State,
     log: Log,
     reader: Reader,
-    from: Offset,
+    Cursor { from, era }: Cursor,
     wait: Duration,
 ) -> Result<Batch, Fault> {
-    let (records, end, source) = match shared_read::read(state, log, from).await {
+    let heard = shared_read::read(state, log, from).await.filter(|_| state.store.era() == era);
+    let (records, end, source) = match heard {
         Some((records, end)) => (records, end, Source::Router),
         None if !shared_read::may_ask(state) => return Err(Fault::Told),
         None => {
             let wait = longest(state, wait);
-            match state.store.call(Call::Read { log, from, wait }).await? {
+            match state.store.call(Call::Read { log, from, era, wait }).await? {
                 Reply::Records(records, _) => {
                     let end = from + records.len() as Offset;
                     let news = changed(state, log, reader, &records);
--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -11,19 +11,21 @@
 /// Time within which entries that lapsed while the store was away come back.
 const LAPSED: Duration = Duration::from_millis(2200);
 
-pub(super) fn change(state: &State, reader: Reader, item: &Item, regained: bool) {
+/// Takes a record of the list over; whether it was taken, as none that is newer is known.
+pub(super) fn change(state: &State, reader: Reader, item: &Item, regained: bool) -> bool {
     let entry = item.value.as_ref().and_then(|value| (reader.server)(&item.key, value));
     let known = Entry { offset: item.offset, heard: state.now() };
     match (entry, state.peer(&item.key)) {
         (Some(server), Some(peer)) => {
             let was = peer.server();
             if server.is_before(&was) {
-                return note_old(state, &server, &was, item.offset);
+                note_old(state, &server, &was, item.offset);
+                return false;
             }
             if was.address != server.address || was.service != server.service {
                 state.remove(&item.key);
                 state.add(Peer::new(server, known));
-                return;
+                return true;
             }
             if was.state != server.state || was.span != server.span || was.born != server.born {
                 log::info!(
@@ -53,6 +55,7 @@
         (None, Some(_)) => lose(state, &item.key, regained),
         (None, None) => {}
     }
+    true
 }
 
 /// Notes an entry that was written before the one that is known, and is left out: a server that leaves would get work
--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -10,7 +10,7 @@
 use crate::roster;
 use crate::shared_read;
 use crate::state::State;
-use crate::store::{Call, Fault, Log, Offset, Reply};
+use crate::store::{Call, Era, Fault, Log, Offset, Reply};
 
 /// Time the store may wait for notices, which come rarely and are worth nothing when late.
 const NOTICES: Duration = Duration::from_millis(2500);
@@ -26,12 +26,12 @@
 ///
 /// Without it, a router that starts anew sends requests through servers that all others know to be slow or full, for
 /// the second until that is said again.
-async fn before(state: &Rc<State>) -> Option<Offset> {
-    if let Some(snapshot) = shared_read::snapshot(state, Log::Notices).await {
+async fn before(state: &Rc<State>) -> Option<(Offset, Era)> {
+    if let Some(snapshot) = shared_read::snapshot(state, Log::Notices, false).await {
         let said = snapshot.items.iter().filter_map(|(_, record)| Notice::decode(record));
         listed(state).await;
         notice::catch_up(state, &said.collect::<Vec<Notice>>());
-        return Some(snapshot.end);
+        return Some((snapshot.end, snapshot.era));
     }
     let call = Call::Append { log: Log::Notices, records: Vec::new(), epoch: None };
     let end = match state.store.call(call).await {
@@ -42,21 +42,22 @@
         }
     };
     state.store_answers();
+    let era = state.store.era();
     let from = end.saturating_sub(BEFORE);
-    let call = Call::Read { log: Log::Notices, from, wait: Duration::ZERO };
+    let call = Call::Read { log: Log::Notices, from, era, wait: Duration::ZERO };
     let records = match state.store.call(call).await {
         Ok(Reply::Records(records, _)) => records,
         // Deleted, or the store is away again: they are said anew.
         other => {
             log::debug!("gateway: no notices of before: {other:?}");
-            return Some(end);
+            return Some((end, era));
         }
     };
     shared_read::keep(state, Log::Notices, from, &records, |_| true);
     listed(state).await;
     let said: Vec<Notice> = records.iter().filter_map(|r| Notice::decode(r)).collect();
     notice::catch_up(state, &said);
-    Some(from + records.len() as Offset)
+    Some((from + records.len() as Offset, era))
 }
 
 /// Waits until the servers are known that notices speak of.
@@ -68,14 +69,19 @@
 
 /// Hears what other routers say.
 pub async fn notices(state: Rc<State>) {
-    let mut at: Option<Offset> = before(&state).await;
+    let mut at: Option<(Offset, Era)> = before(&state).await;
     loop {
+        if at.is_some_and(|(_, era)| era != state.store.era()) {
+            let snapshot = shared_read::snapshot(&state, Log::Notices, true).await;
+            at = snapshot.map(|snapshot| (snapshot.end, snapshot.era));
+        }
         // After a gap, what was said meanwhile is out of date.
         let call = match at {
             None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
-            Some(from) => {
-                if let Some((records, end)) = shared_read::read(&state, Log::Notices, from).await {
-                    at = Some(end);
+            Some((from, era)) => {
+                let heard = shared_read::read(&state, Log::Notices, from).await;
+                if let Some((records, end)) = heard.filter(|_| state.store.era() == era) {
+                    at = Some((end, era));
                     records
                         .iter()
                         .filter_map(|(_, r)| Notice::decode(r))
@@ -87,20 +93,21 @@
                     continue;
                 }
                 let wait = longest(&state, NOTICES);
-                Call::Read { log: Log::Notices, from, wait }
+                Call::Read { log: Log::Notices, from, era, wait }
             }
         };
         match state.store.call(call).await {
             Ok(Reply::Appended(end)) => {
                 state.store_answers();
-                at = Some(end);
+                shared_read::keep(&state, Log::Notices, end, &[], |_| true);
+                at = Some((end, state.store.era()));
             }
             Ok(Reply::Records(records, _)) => {
                 state.store_answers();
-                if let Some(from) = at {
+                if let Some((from, _)) = at {
                     shared_read::keep(&state, Log::Notices, from, &records, |_| true);
                 }
-                at = at.map(|from| from + records.len() as Offset);
+                at = at.map(|(from, era)| (from + records.len() as Offset, era));
                 records
                     .iter()
                     .filter_map(|r| Notice::decode(r))
@@ -110,7 +117,8 @@
                 }
             }
             Ok(other) => log::error!("gateway: unexpected answer of the store: {other:?}"),
-            Err(Fault::Gone) => at = None,
+            // Of another era, or deleted.
+            Err(Fault::Gone) => at = at.filter(|(_, era)| *era != state.store.era()),
             Err(e) => {
                 log::debug!("gateway: no notices: {e}");
                 rest(&state, Log::Notices, PAUSE * (1 << DOUBLINGS)).await;
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -62,7 +62,8 @@
 /// Orders of the router before that may still be under way. They count as given, so that no
 /// server gets the same order twice.
 pub(super) async fn inherit(state: &State, end: u64) -> Vec<Given> {
-    let call = Call::Read { log: Log::Orders, from: end.saturating_sub(48), wait: Duration::ZERO };
+    let (from, era) = (end.saturating_sub(48), state.store.era());
+    let call = Call::Read { log: Log::Orders, from, era, wait: Duration::ZERO };
     let records = match state.store.call(call).await {
         Ok(Reply::Records(records, _)) => records,
         other => {
--- a/crates/gateway/src/leader/term.rs
+++ b/crates/gateway/src/leader/term.rs
@@ -5,7 +5,7 @@
 use nix::time::{ClockId, clock_gettime};
 
 use crate::state::State;
-use crate::store::{Call, Fault, Generation, Log, Offset, Reply, Seat};
+use crate::store::{Call, Era, Fault, Generation, Log, Offset, Reply, Seat};
 
 /// How long a seat lasts. A dead holder is replaced after this time; layers that it would have
 /// ordered meanwhile are missing.
@@ -33,6 +33,8 @@
 pub(super) struct Term {
     /// Generation in which it was gained: the fencing number.
     pub(super) epoch: Generation,
+    /// Era of the store in which it was gained.
+    era: Era,
     /// Number of the next call under it.
     pub(super) next: u64,
     /// When it ends, by the clock that counts suspended time.
@@ -68,6 +70,8 @@
     seat: Seat,
     until: Duration,
 ) -> (Option<Term>, Option<Offset>) {
+    // What another router was given in the same era is fenced by its generation, which holds the era.
+    let term = term.filter(|term| state.store.era() == term.era);
     match term {
         _ if !seat.first => {
             if term.is_some() {
@@ -83,7 +87,8 @@
             match state.store.call(call).await {
                 Ok(Reply::Appended(end)) => {
                     log::info!("gateway: gives_orders=true epoch={epoch} orders_end={end}");
-                    (Some(Term { epoch, next: 0, until }), Some(end))
+                    let era = state.store.era();
+                    (Some(Term { epoch, era, next: 0, until }), Some(end))
                 }
                 other => {
                     log::info!("gateway: gives_orders=false epoch={epoch} why={other:?}");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -166,6 +166,8 @@
         let reads = u8::from(shared_read::reads(state));
         text.push_str(&format!("hyssop_reads_for_others {reads}\n"));
         text.push_str(&limited::page(state));
+        let restores = state.store.restores();
+        text.push_str(&format!("hyssop_store_restores_total {restores}\n"));
         for (kind, calls) in state.store.made() {
             text.push_str(&format!("hyssop_store_calls_total{{kind=\"{kind}\"}} {calls}\n"));
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -51,6 +51,11 @@
         same == *other
     }
 
+    /// Whether both are entries of one start of the server, as far as they say.
+    pub fn is_same_start(&self, other: &Server) -> bool {
+        self.born == other.born && self.born != 0
+    }
+
     /// Whether the same start of the server wrote this entry before the other one. Not known where either does not say.
     ///
     /// ```
@@ -64,8 +69,7 @@
     /// assert!(!entry(200, 1).is_before(&entry(100, 8)));
     /// ```
     pub fn is_before(&self, other: &Server) -> bool {
-        let same_start = self.born == other.born && self.born != 0;
-        same_start && self.sequence.zip(other.sequence).is_some_and(|(a, b)| a < b)
+        self.is_same_start(other) && self.sequence.zip(other.sequence).is_some_and(|(a, b)| a < b)
     }
 }
 
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -31,7 +31,7 @@
 use crate::pool::Pool;
 use crate::roster::{FROM, Member, Roster, Source};
 use crate::state::State;
-use crate::store::{Generation, Item, Log, Offset, Seat};
+use crate::store::{Era, Generation, Item, Log, Offset, Seat};
 pub use away::{is_check_due, may_ask, note_answer, note_silence, was_silent};
 pub(crate) use client::get;
 pub use client::{run, snapshot};
@@ -101,6 +101,8 @@
     tails: RefCell<[Tail; LOGS.len()]>,
     /// Newest value of each key of the settings and of the list of servers.
     newest: RefCell<[Newest; 2]>,
+    /// Era of the store that all of that is of.
+    era: Cell<Era>,
     /// Woken when there is news, or another source.
     news: Notify,
     /// Notices that were heard or said.
@@ -155,6 +157,23 @@
     }
 }
 
+/// Drops what was read or heard before the store was restored: its offsets are given out again.
+fn renew(state: &State) {
+    let (era, sharing) = (state.store.era(), &state.sharing);
+    let before = sharing.era.replace(era);
+    if before == era || before == 0 {
+        return;
+    }
+    let ends = sharing.tails.take().map(|tail| tail.end().unwrap_or_default());
+    sharing.newest.borrow_mut().iter_mut().for_each(|newest| newest.end = None);
+    sharing.view.set(None);
+    sharing.source_view.set(None);
+    sharing.dispute.set(None);
+    log::info!("gateway: era={era} before={before} dropped offsets={ends:?}");
+    sharing.news.notify_waiters();
+    state.store_back.notify_waiters();
+}
+
 fn position(log: Log) -> Option<usize> {
     LOGS.iter().position(|l| *l == log)
 }
@@ -224,6 +243,7 @@
 /// Records that another router gave, and the offset after the last one it read; waits a moment if there are none.
 /// None if this router has to read the store itself.
 pub async fn read(state: &State, log: Log, from: Offset) -> Option<(Vec<Placed>, Offset)> {
+    renew(state);
     if !hears(state) {
         return None;
     }
@@ -243,6 +263,7 @@
     records: &[Bytes],
     worth: impl Fn(&Bytes) -> bool,
 ) {
+    renew(state);
     let Some(at) = position(log) else { return };
     if state.sharing.tails.borrow_mut()[at].add(from, records, worth, state.now()) {
         state.sharing.news.notify_waiters();
@@ -260,15 +281,24 @@
 }
 
 /// Keeps the newest values of keys up to the offset `end`, for routers that ask for all of them; `whole` says that the
-/// items are all there are. The record of a key's end may have been deleted.
-pub fn keep_newest(state: &State, log: Log, items: &[Item], end: Offset, whole: bool) {
+/// items are all there are, as the record of a key's end may have been deleted. Of an item that was not `taken` over, as
+/// a newer one is known, the value of before stays: a restored store may hold older ones.
+pub fn keep_newest(
+    state: &State,
+    log: Log,
+    items: &[Item],
+    taken: &[bool],
+    end: Offset,
+    whole: bool,
+) {
+    renew(state);
     let mut newest = state.sharing.newest.borrow_mut();
     let Some(newest) = position(log).and_then(|at| newest.get_mut(at)) else { return };
     newest.end = Some(end);
     if whole {
-        newest.values.clear();
+        newest.values.retain(|(key, _)| items.iter().any(|item| item.key == *key));
     }
-    for item in items {
+    for (item, _) in items.iter().zip(taken).filter(|(_, taken)| **taken) {
         let found = newest.values.binary_search_by(|(key, _)| key.cmp(&item.key));
         match (found, &item.value) {
             (Ok(at), Some(value)) => newest.values[at].1 = value.clone(),
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::away::is_answered;
 use super::members::{adopt, locate};
@@ -15,7 +15,7 @@
 use super::rumour::Origin;
 use super::spread::hear;
 use super::view::{self, View};
-use super::{LOGS, LOOK, OLD, WAIT, position, rest, source};
+use super::{LOGS, LOOK, OLD, WAIT, position, renew, rest, source};
 use crate::pool::Pool;
 use crate::roster::{DIRECT, FROM, Source};
 use crate::state::State;
@@ -34,6 +34,9 @@
 /// for a second; callers wait for none of that.
 const START: Duration = Duration::from_millis(100);
 
+/// Longest wait after a restore of the store until another router holds all again.
+const RESTORED: Duration = Duration::from_millis(1200);
+
 /// Longest wait for all that another router holds.
 const SNAPSHOT: Duration = Duration::from_millis(250);
 
@@ -49,9 +52,19 @@
             Source::Reader(address) | Source::Relay(address) => address,
         };
         let pool = pool(&state, address);
-        let from = offsets(&state);
+        renew(&state);
+        let (from, era) = (offsets(&state), state.store.era());
         let limit = WAIT + ANSWER;
         match timeout(limit, ask(&state, &pool, from)).await {
+            // An answer from before the restore that this router has heard of meanwhile.
+            Ok(Ok(page)) if page.era < state.store.era() => {
+                log::debug!("gateway: a page of era {} is left out", page.era);
+            }
+            Ok(Ok(page)) if page.era > era => {
+                state.store.learn(page.era);
+                renew(&state);
+                continue;
+            }
             Ok(Ok(page)) => take(&state, address, page),
             Ok(Err(why)) => lose(&state, address, &why),
             Err(_) => lose(&state, address, &format!("no answer within {limit:?}")),
@@ -90,7 +103,8 @@
     let list = list.map(|View { end, digest }| format!("&list_end={end}&list={digest}"));
     let path = format!(
         "/tail?settings={settings}&servers={servers}&notices={notices}&generation={generation}\
-         &incarnation={incarnation}&heard={heard}&answered={answered}{}",
+         &incarnation={incarnation}&heard={heard}&answered={answered}&era={}{}",
+        state.store.era(),
         list.unwrap_or_default()
     );
     let body = get(pool, &path, Bytes::new()).await?;
@@ -152,6 +166,8 @@
                 let (from, end) = (part.from, part.end);
                 news |= tail.take(from, part.placed(), end, now.saturating_sub(age), now);
             }
+            // More may have been read since the question was asked.
+            None if tail.end().is_some_and(|end| end != part.from) => {}
             None => tail.clear(),
         }
     }
@@ -175,7 +191,31 @@
 }
 
 /// All that another router holds of a log, for a router that has just started. None if it has to read the store.
-pub async fn snapshot(state: &State, log: Log) -> Option<Snapshot> {
+///
+/// After a restore of the store, `patient`, it waits until the other router has read all again: hundreds that read the store
+/// at once would be turned away.
+pub async fn snapshot(state: &State, log: Log, patient: bool) -> Option<Snapshot> {
+    let until = Instant::now() + if patient { RESTORED } else { Duration::ZERO };
+    loop {
+        let snapshot = ask_all(state, log).await;
+        if snapshot.is_some() || Instant::now() >= until || giver(state).is_none() {
+            return snapshot;
+        }
+        sleep(LOOK / 3).await;
+    }
+}
+
+/// The router that is asked for all it holds. Those that pass on to others have it from the store: all may have started at
+/// the same moment.
+fn giver(state: &State) -> Option<SocketAddr> {
+    match source(state) {
+        Source::Relay(address) => Some(address),
+        Source::Reader(address) if state.sharing.members() <= DIRECT => Some(address),
+        Source::Reader(_) | Source::Store => None,
+    }
+}
+
+async fn ask_all(state: &State, log: Log) -> Option<Snapshot> {
     let known = async {
         while state.sharing.members() < FROM {
             state.sharing.news.notified().await;
@@ -184,12 +224,7 @@
     if state.setup.inner.is_none() || timeout(START, known).await.is_err() {
         return None;
     }
-    // Those that pass on to others have it from the store: all may have started at the same moment.
-    let address = match source(state) {
-        Source::Relay(address) => address,
-        Source::Reader(address) if state.sharing.members() <= DIRECT => address,
-        Source::Reader(_) | Source::Store => return None,
-    };
+    let address = giver(state)?;
     let pool = pool(state, address);
     let asked = timeout(SNAPSHOT, get(&pool, &format!("/all?log={log}"), Bytes::new())).await;
     let body = match asked {
@@ -200,7 +235,13 @@
         }
     };
     match Snapshot::decode(&body) {
+        Ok(snapshot) if snapshot.era < state.store.era() => {
+            log::info!("gateway: no snapshot log={log} why=it is of era {}", snapshot.era);
+            None
+        }
         Ok(snapshot) => {
+            state.store.learn(snapshot.era);
+            renew(state);
             log::info!("gateway: snapshot log={log} address={address} end={}", snapshot.end);
             let at = position(log)?;
             let now = state.now();
--- a/crates/gateway/src/shared_read/page.rs
+++ b/crates/gateway/src/shared_read/page.rs
@@ -11,13 +11,13 @@
 use super::tail::Placed;
 use super::view::View;
 use crate::roster::Roster;
-use crate::store::Offset;
+use crate::store::{Era, Offset};
 
 /// Version of a page. Routers of another version read the store until all are upgraded.
-const VERSION: u16 = 4;
+const VERSION: u16 = 5;
 
 /// Version of a snapshot, apart from those of pages, so that one is never taken for the other.
-const SNAPSHOT: u16 = 0x100;
+const SNAPSHOT: u16 = 0x101;
 
 /// Longest answer that is read. Fleet settings take up to a megabyte.
 pub(super) const LONGEST: usize = 8 << 20;
@@ -26,6 +26,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     version: u16,
+    /// The store's era that offsets belong to.
+    pub era: Era,
     /// Whether the store does not answer the router that reads it.
     pub away: bool,
     /// The members of the group, if they have changed.
@@ -73,8 +75,8 @@
     /// A page of this version without notices.
     pub fn new(away: bool, roster: Option<Roster>, parts: Vec<Part>) -> Page {
         let (notices, incarnation, next_notice) = (Vec::new(), 0, 0);
-        let (version, view) = (VERSION, None);
-        Page { version, away, roster, parts, view, notices, incarnation, next_notice }
+        let (version, era, view) = (VERSION, 0, None);
+        Page { version, era, away, roster, parts, view, notices, incarnation, next_notice }
     }
 
     /// The bytes of the answer.
@@ -129,6 +131,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     version: u16,
+    /// The store's era that the offset belongs to.
+    pub era: Era,
     /// Offset after the last record read.
     pub end: Offset,
     /// The newest value of each key; or the newest records, with no keys.
@@ -137,8 +141,8 @@
 
 impl Snapshot {
     /// A snapshot of this version.
-    pub fn new(end: Offset, items: Vec<(String, Vec<u8>)>) -> Snapshot {
-        Snapshot { version: SNAPSHOT, end, items }
+    pub fn new(era: Era, end: Offset, items: Vec<(String, Vec<u8>)>) -> Snapshot {
+        Snapshot { version: SNAPSHOT, era, end, items }
     }
 
     /// The bytes of the answer.
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -15,7 +15,7 @@
 use super::spread::hear;
 use super::tail::Tail;
 use super::view::{self, View};
-use super::{LOGS, OLD, WAIT};
+use super::{LOGS, OLD, WAIT, renew};
 use crate::limited;
 use crate::state::State;
 use crate::store::{Generation, Log, Offset};
@@ -84,6 +84,9 @@
     let number = |key: &str| value(query, key)?.parse::<u64>().ok();
     let from = [number("settings")?, number("servers")?, number("notices")?];
     let generation = number("generation")?;
+    let era = number("era").unwrap_or_default();
+    state.store.learn(era);
+    renew(state);
     if let (Some(end), Some(digest)) = (number("list_end"), number("list")) {
         view::hear_asker(state, View { end, digest });
     }
@@ -101,11 +104,16 @@
     let away = || !look_again && is_away(state);
     let rumours = || state.sharing.rumours.borrow().since(heard);
     let news = async {
-        while !away() && !has_news(state, from, generation) && rumours().1 == heard {
+        while !away()
+            && state.store.era() == era
+            && !has_news(state, from, generation)
+            && rumours().1 == heard
+        {
             state.sharing.news.notified().await;
         }
     };
     let _ = timeout(WAIT, news).await;
+    renew(state);
     let tails = state.sharing.tails.borrow();
     let parts =
         tails.iter().zip(from).map(|(tail, from)| match (tail.from(from), tail.age(state.now())) {
@@ -124,7 +132,7 @@
     let notices = notices.iter().map(|notice| notice.to_vec()).collect();
     let mut page = Page::new(is_away(state), roster, parts);
     (page.notices, page.incarnation, page.next_notice) = (notices, incarnation, next_notice);
-    page.view = state.sharing.view.get();
+    (page.view, page.era) = (state.sharing.view.get(), state.store.era());
     Some(page.encode())
 }
 
@@ -151,6 +159,7 @@
     let at = LOGS.iter().position(|log| log.to_string() == name)?;
     // Records that were heard of are taken over by another task: values are as new as their own offset.
     let held = || {
+        renew(state);
         let end = match state.sharing.newest.borrow().get(at) {
             Some(newest) => newest.end,
             None => state.sharing.tails.borrow()[at].end(),
@@ -175,5 +184,5 @@
             notices.map(|notice| (String::new(), notice.to_vec())).collect()
         }
     };
-    Some(Snapshot::new(end, items).encode())
+    Some(Snapshot::new(state.store.era(), end, items).encode())
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,7 +3,7 @@
 //! The store keeps logs and membership of groups. How a call looks on the wire is the adapter's
 //! matter: it gives a [`Client`] a closure that carries one call out.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::{self, Debug, Formatter};
 use std::future::Future;
 use std::pin::Pin;
@@ -11,13 +11,25 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Position of a record in a log.
 pub type Offset = u64;
 
-/// A number that rises with each change of a group's members.
+/// A number that rises with each change of a group's members, also across eras of the store.
 pub type Generation = u64;
 
+/// Number of the store's present life. It rises when the store comes back from an older copy of itself: what was
+/// written since the copy is gone, and offsets and generations are given out again. Nought where it is not known.
+pub type Era = u64;
+
+/// Bits of a generation that the store gives; those above hold the era.
+const GENERATION_BITS: u32 = 32;
+
+/// Time for which answers of an older era only are dropped. Then the store has taken a lower number.
+const FALLEN: Duration = Duration::from_secs(2);
+
 /// The logs that the gateway uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Log {
@@ -44,6 +56,8 @@
         log: Log,
         /// First offset wanted.
         from: Offset,
+        /// The era that the offset belongs to.
+        era: Era,
         /// How long the store may wait for a record.
         wait: Duration,
     },
@@ -160,6 +174,9 @@
     /// The records asked for are gone.
     #[display("the records asked for were deleted")]
     Gone,
+    /// It came from before the store was restored.
+    #[display("the answer is of an older era of the store")]
+    Past,
     /// A higher epoch was seen.
     #[display("another router gives orders now")]
     Fenced,
@@ -168,28 +185,131 @@
     Unreadable(#[error(not(source))] String),
 }
 
-type Pending = Pin<Box<dyn Future<Output = Result<Reply, Fault>>>>;
+/// What came of carrying a call out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The reply, or why there is none.
+    pub reply: Result<Reply, Fault>,
+    /// The store's era, if the answer names it.
+    pub era: Option<Era>,
+}
+
+type Pending = Pin<Box<dyn Future<Output = Answer>>>;
 
 /// Carries calls out, one at a time.
 pub struct Client {
     carry: Box<dyn Fn(Call) -> Pending>,
     /// Calls made, by kind.
     made: RefCell<Vec<(&'static str, u64)>>,
+    era: Cell<Era>,
+    /// Restores of the store that were noticed.
+    restores: Cell<u64>,
+    /// Since when all answers are of an older era.
+    older: Cell<Option<Instant>>,
+    /// Woken when another era begins.
+    renewed: Notify,
 }
 
 impl Client {
     /// A client that hands each call to `carry`.
     pub fn new<F>(carry: impl Fn(Call) -> F + 'static) -> Client
     where
-        F: Future<Output = Result<Reply, Fault>> + 'static,
+        F: Future<Output = Answer> + 'static,
     {
-        Client { carry: Box::new(move |call| Box::pin(carry(call))), made: RefCell::default() }
+        Client {
+            carry: Box::new(move |call| Box::pin(carry(call))),
+            made: RefCell::default(),
+            era: Cell::default(),
+            restores: Cell::default(),
+            older: Cell::default(),
+            renewed: Notify::new(),
+        }
     }
 
-    /// Carries out one call.
+    /// Carries out one call. Generations in calls and replies rise across eras.
     pub async fn call(&self, call: Call) -> Result<Reply, Fault> {
+        if matches!(call, Call::Read { era, .. } if era != self.era.get()) {
+            return Err(Fault::Gone);
+        }
         self.count(call.kind());
-        (self.carry)(call).await
+        let (cursor, call) = self.outgoing(call);
+        let answer = tokio::select! {
+            answer = (self.carry)(call) => answer,
+            // The store may hold an answer back for seconds, to an offset that is of no use any more.
+            () = self.renewed.notified(), if cursor.is_some() => return Err(Fault::Gone),
+        };
+        if let Some(era) = answer.era {
+            self.note(era)?;
+        }
+        match answer.reply? {
+            // The offset was that of an era that has ended meanwhile.
+            Reply::Records(..) if cursor.is_some_and(|era| era != self.era.get()) => {
+                Err(Fault::Gone)
+            }
+            Reply::Joined(seat) => {
+                let generation = self.era.get() << GENERATION_BITS | seat.generation;
+                Ok(Reply::Joined(Seat { generation, ..seat }))
+            }
+            reply => Ok(reply),
+        }
+    }
+
+    /// The era of the store, as far as it is known.
+    pub fn era(&self) -> Era {
+        self.era.get()
+    }
+
+    /// Restores of the store that were noticed.
+    pub fn restores(&self) -> u64 {
+        self.restores.get()
+    }
+
+    /// Takes an era over that another router has heard of.
+    pub fn learn(&self, era: Era) {
+        if era > self.era.get() {
+            self.begin(era);
+        }
+    }
+
+    /// Takes the era of an answer over; a fault if that is an older one.
+    fn note(&self, era: Era) -> Result<(), Fault> {
+        let known = self.era.get();
+        if era < known {
+            let since = self.older.get().unwrap_or_else(Instant::now);
+            self.older.set(Some(since));
+            if since.elapsed() < FALLEN {
+                return Err(Fault::Past);
+            }
+            log::warn!("gateway: the store's era has fallen from {known} to {era}");
+        }
+        self.older.set(None);
+        if era != known {
+            self.begin(era);
+        }
+        Ok(())
+    }
+
+    fn begin(&self, era: Era) {
+        let before = self.era.replace(era);
+        self.renewed.notify_waiters();
+        if before > 0 {
+            self.restores.set(self.restores.get() + 1);
+            log::warn!("gateway: store restored era={era} before={before}");
+        }
+    }
+
+    /// The call as the store takes it, and the era of its offset.
+    fn outgoing(&self, call: Call) -> (Option<Era>, Call) {
+        match call {
+            Call::Read { era, .. } => (Some(era), call),
+            Call::Join { member, ttl, generation } => {
+                let of_era = generation >> GENERATION_BITS == self.era.get();
+                let generation = generation & ((1 << GENERATION_BITS) - 1);
+                let generation = if of_era { generation } else { 0 };
+                (None, Call::Join { member, ttl, generation })
+            }
+            call => (None, call),
+        }
     }
 
     /// Calls made so far, by kind.
