A server that was gone is not used again because a restored store lists it

After a restore from an older copy the list holds entries of servers that were gone since; routers sent callers' requests there until the entries lapsed. The last entry of a server that was removed is remembered for a minute: one of the same start that is not newer is left out, a new start is not. servers_that_left_are_not_used_again, the two cases of gone servers: failed before, pass. A server that was taken for gone by mistake comes back with its next entry.

--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -41,6 +41,10 @@
             peer.update(server, known);
         }
         (Some(server), None) => {
+            if let Some(gone) = state.gone(&server).filter(|gone| !gone.is_before(&server)) {
+                note_old(state, &server, &gone, item.offset);
+                return false;
+            }
             log::info!(
                 "gateway: server={} service={} state={:?} layers={} offset={} new=true",
                 item.key,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::roster::Member;
-use crate::server::Id;
+use crate::server::{Id, Server};
 use crate::settings::Settings;
 use crate::setup::Setup;
 use crate::shared_read::Sharing;
@@ -29,6 +29,10 @@
 /// store goes on sending repeats, out of its part of the common budget.
 const REMEMBERED: Duration = Duration::from_secs(30);
 
+/// Time for which the last entry of a server that was removed is remembered. A store that is restored from an older copy
+/// lists it again, until the entry lapses there.
+const GONE: Duration = Duration::from_secs(60);
+
 /// Routers that are assumed until the group of routers has answered. High, so that a router that
 /// has just started does not use a larger part of the common retry budget than is its own.
 pub const ROUTERS: u32 = 16;
@@ -46,6 +50,8 @@
     pub metrics: Metrics,
     settings: RefCell<Option<Rc<Settings>>>,
     peers: RefCell<Vec<Rc<Peer>>>,
+    /// Last entries of servers that were removed, and when.
+    gone: RefCell<Vec<(Rc<Server>, Duration)>>,
     budgets: RefCell<Vec<(String, Budget)>>,
     routers: RefCell<Crowd>,
     /// Whether the list of servers was read once.
@@ -107,6 +113,7 @@
             metrics,
             settings: RefCell::default(),
             peers: RefCell::default(),
+            gone: RefCell::default(),
             budgets: RefCell::default(),
             routers: RefCell::new(Crowd::new(ROUTERS, REMEMBERED)),
             listed: Cell::new(false),
@@ -236,9 +243,19 @@
 
     /// Removes a server.
     pub fn remove(&self, id: &Id) {
+        let (now, mut gone) = (self.now(), self.gone.borrow_mut());
+        gone.retain(|(server, at)| now < *at + GONE && server.id != *id);
+        gone.extend(self.peer(id).map(|peer| (peer.server(), now)));
         self.peers.borrow_mut().retain(|p| p.server().id != *id);
     }
 
+    /// The last entry of a server that was removed lately, if it is of the same start.
+    pub fn gone(&self, server: &Server) -> Option<Rc<Server>> {
+        let gone = self.gone.borrow();
+        let same = |gone: &Server| gone.id == server.id && gone.is_same_start(server);
+        gone.iter().map(|(gone, _)| gone).find(|gone| same(gone)).cloned()
+    }
+
     /// Works on the retry budget of a service.
     pub fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
