--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -167,7 +167,10 @@
         text.push_str(&format!("hyssop_reads_for_others {reads}\n"));
         text.push_str(&limited::page(state));
         let restores = state.store.restores();
-        text.push_str(&format!("hyssop_store_restores_total {restores}\n"));
+        let odd = state.store.odd_eras();
+        text.push_str(&format!(
+            "hyssop_store_restores_total {restores}\nhyssop_store_odd_eras_total {odd}\n"
+        ));
         for (kind, calls) in state.store.made() {
             text.push_str(&format!("hyssop_store_calls_total{{kind=\"{kind}\"}} {calls}\n"));
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -185,13 +185,24 @@
     Unreadable(#[error(not(source))] String),
 }
 
+/// What an answer says of the store's era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// Nothing, or there is no answer.
+    Nothing,
+    /// The era.
+    Era(Era),
+    /// Something that is no number.
+    Unreadable,
+}
+
 /// What came of carrying a call out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
     /// The reply, or why there is none.
     pub reply: Result<Reply, Fault>,
-    /// The store's era, if the answer names it.
-    pub era: Option<Era>,
+    /// What the answer says of the store's era.
+    pub era: Told,
 }
 
 type Pending = Pin<Box<dyn Future<Output = Answer>>>;
@@ -204,6 +215,9 @@
     era: Cell<Era>,
     /// Restores of the store that were noticed.
     restores: Cell<u64>,
+    /// Answers whose era was of no use, and whether the last one that told anything was such.
+    odd: Cell<u64>,
+    is_odd: Cell<bool>,
     /// Since when all answers are of an older era.
     older: Cell<Option<Instant>>,
     /// Woken when another era begins.
@@ -221,6 +235,8 @@
             made: RefCell::default(),
             era: Cell::default(),
             restores: Cell::default(),
+            odd: Cell::default(),
+            is_odd: Cell::default(),
             older: Cell::default(),
             renewed: Notify::new(),
         }
@@ -238,8 +254,10 @@
             // The store may hold an answer back for seconds, to an offset that is of no use any more.
             () = self.renewed.notified(), if cursor.is_some() => return Err(Fault::Gone),
         };
-        if let Some(era) = answer.era {
-            self.note(era)?;
+        match answer.era {
+            Told::Nothing => {}
+            Told::Era(era) => self.note(era)?,
+            Told::Unreadable => self.note_odd("can't be read"),
         }
         match answer.reply? {
             // The offset was that of an era that has ended meanwhile.
@@ -264,6 +282,11 @@
         self.restores.get()
     }
 
+    /// Answers that named an older era than the one known, or none that could be read.
+    pub fn odd_eras(&self) -> u64 {
+        self.odd.get()
+    }
+
     /// Takes an era over that another router has heard of.
     pub fn learn(&self, era: Era) {
         if era > self.era.get() {
@@ -275,6 +298,7 @@
     fn note(&self, era: Era) -> Result<(), Fault> {
         let known = self.era.get();
         if era < known {
+            self.note_odd("is older than the one known");
             let since = self.older.get().unwrap_or_else(Instant::now);
             self.older.set(Some(since));
             if since.elapsed() < FALLEN {
@@ -283,12 +307,21 @@
             log::warn!("gateway: the store's era has fallen from {known} to {era}");
         }
         self.older.set(None);
+        self.is_odd.set(false);
         if era != known {
             self.begin(era);
         }
         Ok(())
     }
 
+    /// Counts an answer whose era is of no use; the first of several in a row has a line.
+    fn note_odd(&self, why: &str) {
+        self.odd.set(self.odd.get() + 1);
+        if !self.is_odd.replace(true) {
+            log::warn!("gateway: the store's era {why} known={}", self.era.get());
+        }
+    }
+
     fn begin(&self, era: Era) {
         let before = self.era.replace(era);
         self.renewed.notify_waiters();
