A router waits for its source to read a restored store before it reads that itself

Where the reader had not read its settings yet, its relays took them for unknown there and forgot their own, so all that hear from those read the store.

Besides, behaviour unchanged: what is asked of notices is counted without copying them, keeping one and waking others is one function, what was said before a start is decoded in one place, and why there is no path is told by the module that finds paths.

--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -28,9 +28,7 @@
 /// the second until that is said again.
 async fn before(state: &Rc<State>) -> Option<(Offset, Era)> {
     if let Some(snapshot) = shared_read::snapshot(state, Log::Notices, false).await {
-        let said = snapshot.items.iter().filter_map(|(_, record)| Notice::decode(record));
-        listed(state).await;
-        notice::catch_up(state, &said.collect::<Vec<Notice>>());
+        catch_up(state, snapshot.items.iter().map(|(_, record)| &record[..])).await;
         return Some((snapshot.end, snapshot.era));
     }
     let call = Call::Append { log: Log::Notices, records: Vec::new(), epoch: None };
@@ -54,17 +52,17 @@
         }
     };
     shared_read::keep(state, Log::Notices, from, &records, |_| true);
-    listed(state).await;
-    let said: Vec<Notice> = records.iter().filter_map(|r| Notice::decode(r)).collect();
-    notice::catch_up(state, &said);
+    catch_up(state, records.iter().map(|record| &record[..])).await;
     Some((from + records.len() as Offset, era))
 }
 
-/// Waits until the servers are known that notices speak of.
-async fn listed(state: &State) {
+/// Takes over what was said before, once the servers are known that it speaks of.
+async fn catch_up(state: &Rc<State>, said: impl Iterator<Item = &[u8]>) {
+    let said: Vec<Notice> = said.filter_map(Notice::decode).collect();
     while !state.listed.get() {
         let _ = tokio::time::timeout(PAUSE, state.changed.notified()).await;
     }
+    notice::catch_up(state, &said);
 }
 
 /// Hears what other routers say.
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -10,6 +10,7 @@
 use layers::server::Zone;
 use layers::{Shape, Span, slots};
 
+use crate::answer::Reason;
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
 use crate::settings::Model;
@@ -141,8 +142,19 @@
     Some(rest)
 }
 
+/// Why there is no path that avoids the servers in `but`. Memory that is full is free again sooner than lost layers are
+/// loaded.
+pub fn no_path(state: &State, service: &str, model: &Model, but: &[String]) -> Reason {
+    match whole(state, service, model, but) {
+        true if over_limit(state, service, but) => Reason::Limited,
+        true => Reason::Full,
+        false if state.store_away() => Reason::NoPathAway,
+        false => Reason::NoPath,
+    }
+}
+
 /// Whether each layer of the model is held by some server that takes requests and is not in `but`.
-pub fn whole(state: &State, service: &str, model: &Model, but: &[String]) -> bool {
+fn whole(state: &State, service: &str, model: &Model, but: &[String]) -> bool {
     let now = state.now();
     let peers = state.of(service);
     let taking = |p: &&Rc<Peer>| p.willing(now) && !but.contains(&p.server().id);
@@ -154,7 +166,7 @@
 }
 
 /// Whether a request could begin only at servers that name limits, which are used up.
-pub fn over_limit(state: &State, service: &str, but: &[String]) -> bool {
+fn over_limit(state: &State, service: &str, but: &[String]) -> bool {
     let now = state.now();
     let mut firsts = state.of(service);
     firsts.retain(|p| p.willing(now) && begins(p, now) && !but.contains(&p.server().id));
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -101,8 +101,9 @@
     tails: RefCell<[Tail; LOGS.len()]>,
     /// Newest value of each key of the settings and of the list of servers.
     newest: RefCell<[Newest; 2]>,
-    /// Era of the store that all of that is of.
+    /// Era of the store that all of that is of, and when it began.
     era: Cell<Era>,
+    renewed: Cell<Option<Duration>>,
     /// Woken when there is news, or another source.
     news: Notify,
     /// Notices that were heard or said.
@@ -169,6 +170,7 @@
     sharing.view.set(None);
     sharing.source_view.set(None);
     sharing.dispute.set(None);
+    sharing.renewed.set(Some(state.now()));
     log::info!("gateway: era={era} before={before} dropped offsets={ends:?}");
     sharing.news.notify_waiters();
     state.store_back.notify_waiters();
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -160,6 +160,7 @@
     sharing.heard.set(Some(now));
     state.store_answers();
     let (mut news, list) = (false, page.view);
+    let restored = sharing.renewed.get().is_some_and(|at| now < at + RESTORED);
     for (tail, part) in sharing.tails.borrow_mut().iter_mut().zip(page.parts) {
         match part.age() {
             Some(age) => {
@@ -168,6 +169,8 @@
             }
             // More may have been read since the question was asked.
             None if tail.end().is_some_and(|end| end != part.from) => {}
+            // The source is about to read all again.
+            None if restored => {}
             None => tail.clear(),
         }
     }
--- a/crates/gateway/src/shared_read/rumour.rs
+++ b/crates/gateway/src/shared_read/rumour.rs
@@ -77,6 +77,11 @@
         true
     }
 
+    /// Number of the next notice.
+    pub fn next(&self) -> Number {
+        self.next
+    }
+
     /// Notices from a number on that are still kept, and the number of the next one.
     pub fn since(&self, from: Number) -> (Vec<Bytes>, Number) {
         (self.kept_from(from).map(|rumour| rumour.notice.clone()).collect(), self.next)
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -92,7 +92,7 @@
     }
     let incarnation = state.sharing.incarnation();
     // Notices of before it knew this process are not news.
-    let next = state.sharing.rumours.borrow().since(0).1;
+    let next = state.sharing.rumours.borrow().next();
     let heard = number("heard").filter(|_| number("incarnation") == Some(incarnation));
     let heard = heard.unwrap_or(next).min(next);
     // The other router knows that the store is there: this one looks again before it says that it is away.
@@ -102,12 +102,9 @@
         state.store_back.notify_waiters();
     }
     let away = || !look_again && is_away(state);
-    let rumours = || state.sharing.rumours.borrow().since(heard);
+    let silent = || state.sharing.rumours.borrow().next() == heard;
     let news = async {
-        while !away()
-            && state.store.era() == era
-            && !has_news(state, from, generation)
-            && rumours().1 == heard
+        while !away() && state.store.era() == era && !has_news(state, from, generation) && silent()
         {
             state.sharing.news.notified().await;
         }
@@ -128,7 +125,7 @@
     let parts = parts.collect();
     let roster = state.sharing.roster.borrow();
     let roster = (roster.generation > generation).then(|| roster.clone());
-    let (notices, next_notice) = rumours();
+    let (notices, next_notice) = state.sharing.rumours.borrow().since(heard);
     let notices = notices.iter().map(|notice| notice.to_vec()).collect();
     let mut page = Page::new(is_away(state), roster, parts);
     (page.notices, page.incarnation, page.next_notice) = (notices, incarnation, next_notice);
--- a/crates/gateway/src/shared_read/spread.rs
+++ b/crates/gateway/src/shared_read/spread.rs
@@ -21,26 +21,31 @@
 pub(super) fn hear(state: &Rc<State>, notices: Vec<Vec<u8>>, from: Origin) {
     for notice in notices {
         let notice = Bytes::from(notice);
-        if state.sharing.rumours.borrow_mut().hear(notice.clone(), from, state.now()) {
+        if keep(state, notice.clone(), from) {
             match Notice::decode(&notice) {
                 Some(notice) => notice::receive(state, &notice),
                 None => log::debug!("gateway: a notice of another version is passed on unread"),
             }
-            state.sharing.news.notify_waiters();
-            state.sharing.tell.notify_one();
         }
     }
 }
 
+/// Keeps a notice and wakes those that pass it on; whether it is news.
+fn keep(state: &State, notice: Bytes, from: Origin) -> bool {
+    let news = state.sharing.rumours.borrow_mut().hear(notice, from, state.now());
+    if news {
+        state.sharing.news.notify_waiters();
+        state.sharing.tell.notify_one();
+    }
+    news
+}
+
 /// Tells the other routers by way of those that read for others; false if there are none.
 pub fn say(state: &State, notice: &Notice) -> bool {
     if state.sharing.members() < FROM || state.setup.inner.is_none() {
         return false;
     }
-    if state.sharing.rumours.borrow_mut().hear(notice.encode(), Origin::Below, state.now()) {
-        state.sharing.news.notify_waiters();
-        state.sharing.tell.notify_one();
-    }
+    keep(state, notice.encode(), Origin::Below);
     true
 }
 
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -183,14 +183,8 @@
         );
     }
 
-    /// Why there is no path. Memory that is full is free again sooner than lost layers are loaded.
     fn no_path(&self) -> Reason {
-        match route::whole(self.state, self.service, self.model, &self.but) {
-            true if route::over_limit(self.state, self.service, &self.but) => Reason::Limited,
-            true => Reason::Full,
-            false if self.state.store_away() => Reason::NoPathAway,
-            false => Reason::NoPath,
-        }
+        route::no_path(self.state, self.service, self.model, &self.but)
     }
 
     /// A path; a new request waits for one until then if the servers are only full.
