--- a/crates/gateway/src/limited.rs
+++ b/crates/gateway/src/limited.rs
@@ -109,6 +109,11 @@
         limit.as_mut().map(|limit| limit.permits.come_back(limit.per_s, routers, now))
     }
 
+    /// Forgets the limit.
+    pub fn end(&self) {
+        self.limit.take();
+    }
+
     fn is_asking(&self) -> bool {
         self.limit.borrow().as_ref().is_some_and(|limit| limit.asking)
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -127,6 +127,7 @@
             self.suspicion.borrow_mut().clear();
             self.slow.set(1.0);
             self.filled.set(None);
+            self.limited.end();
         }
         *self.server.borrow_mut() = Rc::new(server);
     }
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -87,7 +87,9 @@
     let era = number("era").unwrap_or_default();
     state.store.learn(era);
     renew(state);
-    if let (Some(end), Some(digest)) = (number("list_end"), number("list")) {
+    if let (Some(end), Some(digest)) = (number("list_end"), number("list"))
+        && state.store.era() == era
+    {
         view::hear_asker(state, View { end, digest });
     }
     let incarnation = state.sharing.incarnation();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -30,6 +30,9 @@
 /// Time for which answers of an older era only are dropped. Then the store has taken a lower number.
 const FALLEN: Duration = Duration::from_secs(2);
 
+/// Time after a fall in which an era is taken from the store only.
+const FALLEN_FOR: Duration = Duration::from_secs(30);
+
 /// The logs that the gateway uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Log {
@@ -218,6 +221,8 @@
     /// Answers whose era was of no use, and whether the last one that told anything was such.
     odd: Cell<u64>,
     is_odd: Cell<bool>,
+    /// When the era last fell.
+    fell: Cell<Option<Instant>>,
     /// Since when all answers are of an older era.
     older: Cell<Option<Instant>>,
     /// Woken when another era begins.
@@ -237,6 +242,7 @@
             restores: Cell::default(),
             odd: Cell::default(),
             is_odd: Cell::default(),
+            fell: Cell::default(),
             older: Cell::default(),
             renewed: Notify::new(),
         }
@@ -287,9 +293,10 @@
         self.odd.get()
     }
 
-    /// Takes an era over that another router has heard of.
+    /// Takes an era over that another router has heard of. After a fall, other routers may still know the higher one.
     pub fn learn(&self, era: Era) {
-        if era > self.era.get() {
+        let fell = self.fell.get().is_some_and(|at| at.elapsed() < FALLEN_FOR);
+        if era > self.era.get() && !fell {
             self.begin(era);
         }
     }
@@ -305,6 +312,7 @@
                 return Err(Fault::Past);
             }
             log::warn!("gateway: the store's era has fallen from {known} to {era}");
+            self.fell.set(Some(Instant::now()));
         }
         self.older.set(None);
         self.is_odd.set(false);
