Limits are compared as notices tell them

A limit of 4.12345 was told to the others as 4.123; each then took the other form for a change and told it again, with a line, at each answer. Found by reading. Both are rounded to thousandths.

--- a/crates/gateway/src/limited.rs
+++ b/crates/gateway/src/limited.rs
@@ -141,18 +141,19 @@
     }
 }
 
-/// Requests a second that a field names; none if it is no such number.
+/// Requests a second that a field names, in whole thousandths as notices tell them; none if it is no such number.
 ///
 /// ```
 /// use hyper::header::HeaderValue;
 /// let named = |text| gateway::limited::parse(&HeaderValue::from_static(text));
 /// assert_eq!(named("2.9"), Some(2.9));
+/// assert_eq!(named("4.12345"), Some(4.123));
 /// assert_eq!(named("-1"), None);
 /// assert_eq!(named("inf"), None);
 /// ```
 pub fn parse(value: &HeaderValue) -> Option<f64> {
     let limit = value.to_str().ok()?.trim().parse::<f64>().ok()?;
-    (limit.is_finite() && limit >= 0.0).then_some(limit)
+    (limit.is_finite() && limit >= 0.0).then(|| (limit * 1e3).round() / 1e3)
 }
 
 /// Takes what a server's answer says of its limit, to a request that was sent `took` ago. `own` says that the
@@ -177,7 +178,7 @@
     let ended = own && since.is_some_and(|since| since < now.saturating_sub(took));
     if (named.is_some() || ended) && peer.limited.set(named, now) {
         say(state, peer, "its answer");
-        let per_s_milli = named.map(|limit| (limit * 1e3) as u64);
+        let per_s_milli = named.map(|limit| (limit * 1e3).round() as u64);
         state.announce(Notice::Limit { server: peer.server().id.clone(), per_s_milli });
         report(state, peer, since.is_none());
     }
