Routers lend each other repeats

Cause: each router used an even part, some ten to thirty repeats, and the streams of a server that dies hang on few routers.

Weighed: a keeper that lends from a pool (a keeper that moves, dies or is there twice must stand still for a whole window, or the sum may be twice the budget); a smaller margin of the even division (0.9 for one router can't be had). Chosen: each router has its even part, which it needs nobody for, and lends what it does not need. A loan is counted by the lender as its own repeat when it is given, so the sum is safe whoever sends, and questions and answers that are late, lost or doubled cost at most a loan that nobody uses. Nothing has to be agreed on.

`policy::loan` says whom to ask (groups of the square root beyond 32 routers, one of each group asks the rest), `policy::window` what may be lent: a quarter of each part is for streams that have begun. A router that starts uses 0.03 of its part while the process before it may have used all (0.2 growing to all before, which is too much where all restart after heavy use), half of it where no router told of heavy use: that is said to the others and written to the store.

A router that is asked in the name of new requests and has nothing for them may have something for streams: the two are asked for apart.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,11 +8,13 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use policy::window::Need;
 use tokio::time::{Instant, timeout_at};
 
 use crate::limited;
 use crate::peer::Peer;
 use crate::pool::Link;
+use crate::repeats;
 use crate::request::Call;
 use crate::shared_read;
 use crate::state::State;
@@ -108,7 +110,7 @@
             if used
                 && call.route.class.repeatable()
                 && Instant::now() < until
-                && state.may_repeat(&peer.server().service)
+                && repeats::take(state, &peer.server().service, Need::New)
                 && peer.limited.take(state.now()) =>
         {
             log::debug!("gateway: request={} sent anew: {why}", call.id);
--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -7,6 +7,7 @@
 
 use super::{DOUBLINGS, PAUSE, longest, rest};
 use crate::notice::{self, Notice};
+use crate::repeats;
 use crate::roster;
 use crate::shared_read;
 use crate::state::State;
@@ -63,6 +64,7 @@
         let _ = tokio::time::timeout(PAUSE, state.changed.notified()).await;
     }
     notice::catch_up(state, &said);
+    repeats::note_read(state);
 }
 
 /// Hears what other routers say.
@@ -139,7 +141,7 @@
         }
         let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
         notices.retain(|notice| !notice::was_announced(&state, notice));
-        notices.retain(|notice| !shared_read::say(&state, notice));
+        notices.retain(|notice| !shared_read::say(&state, notice) || notice.lasts());
         // What is told after the store is back is out of date.
         if notices.is_empty() || state.store_away() {
             continue;
--- a/crates/gateway/src/limited.rs
+++ b/crates/gateway/src/limited.rs
@@ -16,12 +16,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{self, Body, Reason};
 use crate::notice::Notice;
 use crate::peer::Peer;
-use crate::pool::Pool;
 use crate::server::Id;
 use crate::shared_read;
 use crate::state::State;
@@ -66,10 +65,6 @@
 #[derive(Debug, Default)]
 pub struct Keeper {
     ledgers: RefCell<Vec<(Id, Ledger)>>,
-    /// Connections to other keepers.
-    pools: RefCell<Vec<(SocketAddr, Rc<Pool>)>>,
-    /// Keepers that are passed over, and until when.
-    avoided: RefCell<Vec<(SocketAddr, Duration)>>,
 }
 
 /// A question for permits as it is sent.
@@ -264,10 +259,7 @@
     let (free, last) = peer.sent.borrow_mut().before(limit.1, now);
     let free_age = last.map_or(Duration::ZERO, |last| now.saturating_sub(last));
     let ask = Ask { limit: limit.0, free, free_age, want: peer.limited.waiting.get() };
-    let avoid = |address| {
-        let avoided = state.keeper.avoided.borrow();
-        avoided.iter().any(|(a, until)| *a == address && now < *until)
-    };
+    let avoid = |address| state.neighbours.avoids(address, now);
     match shared_read::keeper(state, &id, avoid) {
         // Nobody is known: each takes an equal part.
         None => {
@@ -279,9 +271,7 @@
             Ok(grant) => grant,
             Err(why) => {
                 log::info!("gateway: server={id} keeper lost address={} why={why}", member.address);
-                let mut avoided = state.keeper.avoided.borrow_mut();
-                avoided.retain(|(_, until)| now < *until);
-                avoided.push((member.address, now + AVOIDED));
+                state.neighbours.avoid(member.address, now, now + AVOIDED);
                 none
             }
         },
@@ -304,27 +294,11 @@
         free_age_ms: free_age.as_millis() as u64,
         want,
     };
-    let body = Bytes::from(postcard::to_allocvec(&question).expect("plain fields"));
-    let pool = pool(state, address);
-    let answer = timeout(ANSWER, shared_read::get(&pool, "/permits", body)).await;
-    let answer = answer.map_err(|_| format!("no answer within {ANSWER:?}"))??;
     let (permits, again_ms): Reply =
-        postcard::from_bytes(&answer).map_err(|e| format!("unreadable answer: {e}"))?;
+        state.neighbours.ask(address, "/permits", &question, ANSWER).await?;
     Ok(Grant { permits: permits.min(want), again: Duration::from_millis(again_ms) })
 }
 
-fn pool(state: &State, address: SocketAddr) -> Rc<Pool> {
-    let mut pools = state.keeper.pools.borrow_mut();
-    match pools.iter().find(|(known, _)| *known == address) {
-        Some((_, pool)) => pool.clone(),
-        None => {
-            let pool = Rc::new(Pool::new(address));
-            pools.push((address, pool.clone()));
-            pool
-        }
-    }
-}
-
 /// Answers another router's question for permits; none if it can't be read.
 pub fn answer(state: &State, body: &[u8]) -> Option<Bytes> {
     let question: Question = match postcard::from_bytes(body) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 
 use crate::answer::Reason;
 use crate::limited;
+use crate::repeats;
 use crate::shared_read;
 use crate::state::State;
 
@@ -166,6 +167,7 @@
         let reads = u8::from(shared_read::reads(state));
         text.push_str(&format!("hyssop_reads_for_others {reads}\n"));
         text.push_str(&limited::page(state));
+        text.push_str(&repeats::page(state));
         let restores = state.store.restores();
         let odd = state.store.odd_eras();
         text.push_str(&format!(
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -9,6 +9,7 @@
 
 use crate::limited;
 use crate::peer::Peer;
+use crate::repeats;
 use crate::state::State;
 
 /// A notice to the other routers.
@@ -47,6 +48,11 @@
         /// Thousandths of a request a second.
         per_s_milli: Option<u64>,
     },
+    /// A router uses much of its part of the retry budget.
+    Heavy {
+        /// When, by its wall clock, in milliseconds of Unix time.
+        at_ms: u64,
+    },
     /// A server holds layers now.
     Holds {
         /// The server.
@@ -64,6 +70,11 @@
         Bytes::from(serde_json::to_vec(self).expect("plain fields"))
     }
 
+    /// Whether it is written to the store as well, for routers that start when no other one is left.
+    pub fn lasts(&self) -> bool {
+        matches!(self, Notice::Heavy { .. })
+    }
+
     /// Reads a record; none if it is of another kind or version.
     pub fn decode(record: &[u8]) -> Option<Notice> {
         serde_json::from_slice(record).ok()
@@ -94,6 +105,7 @@
                 receive(state, notice);
             }
             Notice::Limit { .. } => receive(state, notice),
+            Notice::Heavy { at_ms } => repeats::catch_up(state, *at_ms),
             _ => {}
         }
     }
@@ -143,6 +155,7 @@
             }
             return;
         }
+        Notice::Heavy { .. } => return repeats::hear(state),
         Notice::Holds { server, from, to } => {
             if let Some(peer) = state.peer(server) {
                 peer.learn(Span::new(*from, *to), now);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -9,12 +9,14 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 use policy::pick::{Choice, pick};
+use policy::window::Need;
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer::{self, Body, Reason};
 use crate::exchange::{self, Outcome};
 use crate::limited;
 use crate::peer::{Load, Peer};
+use crate::repeats;
 use crate::request::Call;
 use crate::state::State;
 
@@ -86,7 +88,7 @@
         let (peer, tried) = tokio::select! {
             Some(tried) = pending.next() => tried,
             () = sleep_until(slow_at.unwrap_or(call.until)), if slow_at.is_some() => {
-                next = progress.repeat();
+                next = progress.repeat().await;
                 if let (true, Some((_, slow))) = (next.is_some(), patience.take()) {
                     note_slow(call, &slow);
                 }
@@ -101,7 +103,7 @@
             if call.left().is_zero() || !progress.may_ask(0) {
                 return progress.fallback;
             }
-            next = progress.repeat();
+            next = progress.repeat().await;
         }
     }
 }
@@ -115,9 +117,10 @@
     }
 
     /// Another server, if there is one and a repeat is left for it.
-    fn repeat(&self) -> Option<Rc<Peer>> {
-        let other = choose(self.state, self.service, &self.asked);
-        other.filter(|_| self.state.may_repeat(self.service))
+    async fn repeat(&self) -> Option<Rc<Peer>> {
+        let other = choose(self.state, self.service, &self.asked)?;
+        repeats::borrow(self.state, self.service, Need::New).await;
+        repeats::take(self.state, self.service, Need::New).then_some(other)
     }
 
     /// Takes over what came of asking a server; the caller's answer if it is that.
--- /dev/null
+++ b/crates/gateway/src/repeats/heavy.rs
@@ -0,0 +1,73 @@
+//! Heavy use of the retry budget, of which routers that start have to know.
+//!
+//! Load pattern: a quarter of the servers dies, the routers use most of the budget, and then all of them lose power. What
+//! the processes before used counts in the same window, and nobody is left who remembers it. So heavy use is also written
+//! to the store; a router that finds no word of it uses part of its budget at once.
+
+use std::cell::Cell;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use policy::window::Before;
+
+use crate::notice::Notice;
+use crate::state::State;
+
+/// Time after which heavy use that goes on is told again.
+const AGAIN: Duration = Duration::from_secs(4);
+
+/// Most by which the clocks of two VMs differ.
+const CLOCKS: Duration = Duration::from_secs(10);
+
+/// What is known of heavy use.
+#[derive(Debug, Default)]
+pub(super) struct Heavy {
+    /// When some router last told of it, by this process's time.
+    told: Cell<Option<Duration>>,
+    before: Cell<Before>,
+}
+
+/// The wall clock, in milliseconds of Unix time.
+fn clock_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Tells the others if this router uses its part heavily and nobody has just said so.
+pub(super) fn note_use(state: &State, service: &str) {
+    let (now, routers) = (state.now(), state.routers());
+    let fresh = |told: Duration| now < told + AGAIN;
+    if state.repeats.heavy.told.get().is_some_and(fresh)
+        || !state.budget(service, |budget| budget.is_heavy(now, routers))
+    {
+        return;
+    }
+    state.repeats.heavy.told.set(Some(now));
+    log::info!("gateway: repeats service={service} heavy use is told");
+    state.announce(Notice::Heavy { at_ms: clock_ms() });
+}
+
+/// Hears of heavy use.
+pub fn hear(state: &State) {
+    state.repeats.heavy.told.set(Some(state.now()));
+}
+
+/// Takes over what was said of heavy use before this process started.
+pub fn catch_up(state: &State, at_ms: u64) {
+    let age = Duration::from_millis(clock_ms().saturating_sub(at_ms));
+    if age < AGAIN + state.setup.retry_window + CLOCKS {
+        hear(state);
+    }
+}
+
+/// Notes that all that was said before this process started was taken over.
+pub fn note_read(state: &State) {
+    let heavy = &state.repeats.heavy;
+    let before = if heavy.told.get().is_some() { Before::Unknown } else { Before::Light };
+    heavy.before.set(before);
+    log::info!("gateway: repeats before={before:?}");
+}
+
+/// What is known of the process before this one.
+pub fn before(state: &State) -> Before {
+    if state.setup.first_start { Before::First } else { state.repeats.heavy.before.get() }
+}
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -16,7 +16,7 @@
 use crate::settings::Model;
 use crate::state::State;
 use crate::wire::Hop;
-pub use explain::explain;
+pub use explain::{believed, explain};
 use load::{Charge, Crowd, FILLED, LINK, LINK_FULL, READING_FULL, TOLD, crowds, link, millis};
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -1,11 +1,14 @@
 //! What stood in the way of a request for which there is no path, for the log.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use layers::Span;
 use layers::server::Zone;
 
 use super::load::{Crowd, LINK, LINK_FULL, READING_FULL, crowds};
 use super::{begin_ms, holder, zone};
+use crate::peer::Peer;
 use crate::request::Tokens;
 use crate::settings::Model;
 use crate::state::State;
@@ -62,6 +65,21 @@
     )
 }
 
+/// What is believed of a server that declined a request, for the log.
+pub fn believed(peer: &Peer, now: Duration) -> String {
+    let (told, age) = match peer.filled.get() {
+        Some((part, at)) => (Some(part), Some(now.saturating_sub(at))),
+        None => (None, None),
+    };
+    format!(
+        "[layers={} filled={told:?} age={age:?} running={} declines={} slots={:?}]",
+        peer.span(now),
+        peer.running.get(),
+        peer.declines.borrow().holds(now),
+        peer.told.get().map(|(running, _)| running)
+    )
+}
+
 /// What is left of one data centre's servers for a request.
 #[derive(Display)]
 #[display("{name}:lacks={},begins={begins}", lacks(held))]
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -48,6 +48,8 @@
     pub processor: Option<f64>,
     /// Rate of the VM's link in Mbit/s; none if that is not known.
     pub link_mbps: Option<f64>,
+    /// Whether all routers start for the first time, so that no process was here before this one.
+    pub first_start: bool,
 }
 
 /// Processor time that a router takes for each other one that it reads for, as a part of a core.
@@ -86,6 +88,12 @@
         (!text.is_empty()).then(|| self.get::<f64>(section, key, "a number")).map(|n| n.max(0.0))
     }
 
+    /// A flag that may be left out.
+    fn flag(&mut self, section: &str, key: &str) -> bool {
+        let text = self.file.get_from(Some(section), key).map_or("", str::trim);
+        !text.is_empty() && self.get(section, key, "true or false")
+    }
+
     fn address(&mut self, section: &str, key: &str) -> SocketAddr {
         let text: String = self.get(section, key, "an address such as 127.0.0.1:8080");
         text.parse().unwrap_or_else(|_| {
@@ -153,6 +161,7 @@
             descriptors: r.get("process", "descriptors", "a whole number"),
             processor: r.maybe("process", "processor"),
             link_mbps: r.maybe("process", "link-mbps"),
+            first_start: r.flag("process", "first-start"),
         };
         match r.faults.is_empty() {
             true => Ok(setup),
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -77,6 +77,10 @@
 pub struct Sharing {
     /// The members of the group.
     roster: RefCell<Roster>,
+    /// Position of this router among them, and their number.
+    rank: Cell<Option<(u32, u32)>>,
+    /// Addresses of the others, sorted.
+    others: RefCell<Rc<[SocketAddr]>>,
     /// Generation of the group that this router last heard as a member.
     joined: Cell<Generation>,
     /// When a source last gave a useful answer.
@@ -148,7 +152,7 @@
     }
 
     /// A number of this process that no earlier one had.
-    fn incarnation(&self) -> u64 {
+    pub(crate) fn incarnation(&self) -> u64 {
         *self.incarnation.get_or_init(rand::random)
     }
 
@@ -156,6 +160,16 @@
     pub fn members(&self) -> usize {
         self.roster.borrow().members().len()
     }
+
+    /// Position of this router among the members, and their number, once it is one of them.
+    pub fn rank(&self) -> Option<(u32, u32)> {
+        self.rank.get()
+    }
+
+    /// Addresses of the other members, sorted.
+    pub fn others(&self) -> Rc<[SocketAddr]> {
+        self.others.borrow().clone()
+    }
 }
 
 /// Drops what was read or heard before the store was restored: its offsets are given out again.
--- a/crates/gateway/src/shared_read/members.rs
+++ b/crates/gateway/src/shared_read/members.rs
@@ -1,5 +1,6 @@
 //! Who the members of the group are.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::{reads, source};
@@ -45,6 +46,7 @@
         return;
     }
     let before = source(state);
+    note_members(state, &roster);
     *state.sharing.roster.borrow_mut() = roster;
     let after = source(state);
     if before != after {
@@ -56,3 +58,14 @@
     }
     state.sharing.news.notify_waiters();
 }
+
+fn note_members(state: &State, roster: &Roster) {
+    let members = roster.members();
+    let rank = members.iter().position(|member| member.vm == state.setup.vm);
+    state.sharing.rank.set(rank.map(|rank| (rank as u32, members.len() as u32)));
+    let others = members.iter().filter(|member| member.vm != state.setup.vm);
+    let mut others: Vec<SocketAddr> = others.map(|member| member.address).collect();
+    others.sort_unstable();
+    state.neighbours.keep(&others);
+    *state.sharing.others.borrow_mut() = others.into();
+}
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -37,7 +37,7 @@
         "/tail" => page(state, query).await,
         "/all" => all(state, query).await,
         "/told" => listen(state, body).await,
-        "/permits" => permits(state, body).await,
+        "/permits" => read(body).await.and_then(|body| limited::answer(state, &body)),
         _ => None,
     };
     let mut response = Response::new(Full::new(body.clone().unwrap_or_default()));
@@ -63,13 +63,12 @@
     }
 }
 
-/// Gives another router permits for a server that names a limit.
-async fn permits(state: &State, body: Incoming) -> Option<Bytes> {
-    let body = Limited::new(body, QUESTION).collect().await;
-    match body {
-        Ok(body) => limited::answer(state, &body.to_bytes()),
+/// Body of a question; none if it is too long or breaks off.
+async fn read(body: Incoming) -> Option<Bytes> {
+    match Limited::new(body, QUESTION).collect().await {
+        Ok(body) => Some(body.to_bytes()),
         Err(e) => {
-            log::warn!("gateway: a question for permits is not read: {e}");
+            log::warn!("gateway: a question of another router is not read: {e}");
             None
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,7 +16,9 @@
 use crate::limited::Keeper;
 use crate::logging::Quota;
 use crate::metrics::Metrics;
+use crate::neighbours::Neighbours;
 use crate::peer::Peer;
+use crate::repeats::{self, Repeats};
 use crate::roster::Member;
 use crate::server::{Id, Server};
 use crate::settings::Settings;
@@ -94,6 +96,10 @@
     pub sharing: Sharing,
     /// What it keeps for servers that name limits.
     pub keeper: Keeper,
+    /// Repeats that it borrowed from others.
+    pub repeats: Repeats,
+    /// Connections to other routers.
+    pub neighbours: Neighbours,
     /// Lines about refused requests.
     pub refusals: RefCell<Quota>,
     /// Notices for the other routers that are still to be written.
@@ -135,6 +141,8 @@
             gives: Cell::new(false),
             sharing: Sharing::default(),
             keeper: Keeper::default(),
+            repeats: Repeats::default(),
+            neighbours: Neighbours::default(),
             refusals: RefCell::default(),
             broken_since: Cell::new(None),
             notices: RefCell::default(),
@@ -268,7 +276,12 @@
                 at
             }
         };
-        work(&mut budgets[at].1)
+        let budget = &mut budgets[at].1;
+        budget.follow(repeats::before(self));
+        if let Some((rank, routers)) = self.sharing.rank().filter(|(_, routers)| *routers > 1) {
+            budget.rank(rank, routers);
+        }
+        work(budget)
     }
 
     /// Notes how many routers the group has now.
@@ -278,7 +291,8 @@
 
     /// Routers that share the retry budget.
     pub fn routers(&self) -> u32 {
-        self.routers.borrow().most(self.now())
+        let members = self.sharing.rank().map_or(0, |(_, routers)| routers);
+        self.routers.borrow().most(self.now()).max(members)
     }
 
     /// Repeats of a service that this router may still send now.
@@ -287,16 +301,6 @@
         self.budget(service, |budget| budget.left(now, routers))
     }
 
-    /// Takes one repeat of a service's retry budget, if one is left.
-    pub fn may_repeat(&self, service: &str) -> bool {
-        let (now, routers) = (self.now(), self.routers());
-        let may = self.budget(service, |budget| budget.take(now, routers));
-        if !may {
-            self.metrics.budget_empty();
-        }
-        may
-    }
-
     /// Passes a notice on to the other routers.
     pub fn announce(&self, word: crate::notice::Notice) {
         let mut notices = self.notices.borrow_mut();
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -5,6 +5,7 @@
 use futures_util::future::LocalBoxFuture;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
+use policy::window::Need;
 use tokio::time::Instant;
 
 use super::{LOOK, Next, Obstacle, PAUSE, Progress, SHORTEST, STUCK, Source, note_declined};
@@ -15,6 +16,7 @@
 use crate::limited;
 use crate::plain;
 use crate::probe;
+use crate::repeats;
 use crate::route::{self, Path};
 
 /// Paths tried for one request at most, counting those whose servers decline it.
@@ -140,10 +142,10 @@
             };
             let again = self.tries > 0;
             // A repeat that meets a dead server is lost, and the next one may be one too many.
-            if again && self.state.repeats_left(self.service) > 0 && self.look_into(&path).await {
+            if again && self.may_find_repeat() && self.look_and_borrow(&path).await {
                 continue;
             }
-            if again && !self.state.may_repeat(self.service) {
+            if again && !repeats::take(self.state, self.service, self.need()) {
                 self.obstacle = Some(Obstacle::Budget);
                 // A stream that waits for another path looks for it many times a second.
                 if self.last.is_none() && !self.kept {
@@ -172,6 +174,24 @@
         })
     }
 
+    /// What a repeat is for.
+    fn need(&self) -> Need {
+        if self.last.is_some() { Need::Begun } else { Need::New }
+    }
+
+    /// Whether there may be a repeat, here or at another router.
+    fn may_find_repeat(&self) -> bool {
+        repeats::has(self.state, self.service, self.need())
+            || repeats::may_borrow(self.state, self.service, self.need())
+    }
+
+    /// Asks the servers of a path whether they live, and other routers for a repeat meanwhile if there is none here;
+    /// true if some server is found to be at fault.
+    async fn look_and_borrow(&mut self, path: &Path) -> bool {
+        let borrowed = repeats::borrow(self.state, self.service, self.need());
+        tokio::join!(self.look_into(path), borrowed).0
+    }
+
     /// Says once what stood in the way.
     fn say_no_path(&self, reason: Reason) {
         log::info!(
@@ -356,9 +376,11 @@
     fn declined(&mut self, first: &str, status: StatusCode, culprit: Option<std::net::SocketAddr>) {
         let culprit = culprit.and_then(|address| self.state.at(address));
         log::info!(
-            "gateway: request={} first={first} declined status={status} culprit={:?}",
+            "gateway: request={} first={first} declined status={status} culprit={:?} new={} believed={}",
             self.call.id,
-            culprit.as_ref().map(|p| p.server().id.clone())
+            culprit.as_ref().map(|p| p.server().id.clone()),
+            self.last.is_none(),
+            culprit.as_ref().map_or_else(String::new, |p| route::believed(p, self.state.now()))
         );
         match culprit {
             Some(peer) => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod limit;
 pub mod link;
+pub mod loan;
 pub mod meter;
 pub mod pick;
 pub mod quarantine;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -1,30 +1,82 @@
-//! How often work is sent again, with a budget that all routers share and none of them talks about.
+//! How often work is sent again, with a budget that all routers share.
 //!
 //! Load pattern: a backend server that carries a quarter of the running work dies, or a service
 //! answers slowly, and every router sends all of it again at once. The repeats are load
 //! themselves, so a slow service stays slow (a retry storm).
 //!
 //! A service may get, in any window, repeats for a share of its requests and a fixed number beside.
-//! Each router uses that share of its own requests and an equal part of the fixed number.
+//! Each router's part is that share of its own requests and an equal part of the fixed number. What it
+//! does not need it lends to others ([`crate::loan`]): a loan counts as its own repeat, so the sum stays within
+//! the common budget whoever sends them and whatever is lost on the way.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Part of the budget that is used. The rest covers routers that have just joined and count
-/// themselves in late, and windows that slide between two of ours.
-pub const MARGIN: f64 = 0.85;
+use crate::loan::Loan;
 
-/// Part of the fixed number that a router uses right after its start.
-pub const YOUNG: f64 = 0.2;
+/// Part of the budget that is used. The rest is for routers that have just started.
+pub const MARGIN: f64 = 0.94;
 
-/// Repeats sent to one service by one router.
+/// Part of its own part that a router uses while the process before it may have used all of it.
+pub const YOUNG: f64 = 0.03;
+
+/// Part of its own part that a router uses at most without telling the others, so that those that start know of what
+/// was used before.
+pub const HEAVY: f64 = 0.4;
+
+/// Part of its own part that a router uses where the process before it did not use more than [`HEAVY`].
+const LIGHT: f64 = 0.5;
+
+/// Longest time from when a repeat is counted until it arrives, also one that was lent. Windows
+/// are counted where repeats arrive.
+pub const ARRIVES: Duration = Duration::from_secs(1);
+
+/// Part of a router's part that only streams that have begun may use. A request that has not begun can be refused and
+/// come back; a caller that has half a text can't.
+pub const RESERVED: f64 = 0.25;
+
+/// Part of a standard deviation by which requests are taken for fewer than were counted in a single window.
+const CHANCE: f64 = 0.5;
+
+/// Shortest time after which a router that has nothing left to lend is asked again, for each of all routers: if all are
+/// short, each is asked some thirty times a second.
+const ASKED: Duration = Duration::from_millis(30);
+
+/// What a repeat is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Need {
+    /// An answer of which the caller has a part.
+    Begun,
+    /// A request that can still be refused.
+    New,
+}
+
+/// What is known of the process before this one, which used repeats in the same window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Before {
+    /// There was none: all routers have started for the first time.
+    First,
+    /// No router has told of heavy use.
+    Light,
+    /// It may have used all of its part.
+    #[default]
+    Unknown,
+}
+
+/// Repeats of one service that one router may send or lend.
 #[derive(Debug, Clone)]
 pub struct Budget {
     ratio: f64,
     slack: f64,
     window: Duration,
+    before: Before,
+    /// Part of a repeat from which on this router's part is rounded up, once it knows the others.
+    phase: Option<f64>,
+    /// Requests of two windows, and when the first one ever came.
     requests: VecDeque<Duration>,
-    repeats: VecDeque<Duration>,
+    since: Option<Duration>,
+    /// When repeats were sent or lent.
+    used: VecDeque<Duration>,
 }
 
 impl Budget {
@@ -41,40 +93,103 @@
     /// assert!(budget.take(now, 5));
     /// ```
     pub fn new(ratio: f64, slack: f64, window: Duration) -> Budget {
-        Budget { ratio, slack, window, requests: VecDeque::new(), repeats: VecDeque::new() }
+        let (requests, used) = (VecDeque::new(), VecDeque::new());
+        let before = Before::default();
+        Budget { ratio, slack, window, before, phase: None, requests, since: None, used }
+    }
+
+    /// Notes what is known of the process before this one.
+    pub fn follow(&mut self, before: Before) {
+        self.before = before;
+    }
+
+    /// Notes that the others are known. Parts of a repeat are rounded up where this router is the `rank`th of `routers`, so that what all routers round up
+    /// and down is even.
+    pub fn rank(&mut self, rank: u32, routers: u32) {
+        self.phase = Some(1.0 - f64::from(rank) / f64::from(routers.max(1)));
     }
 
     /// Notes a request of a caller.
     pub fn request(&mut self, now: Duration) {
-        forget(&mut self.requests, now, self.window);
+        forget(&mut self.requests, now, self.window * 2);
         self.requests.push_back(now);
+        self.since.get_or_insert(now);
+    }
+
+    /// Requests in a window. By chance each router has more of them at some moment than on average, but not all routers
+    /// at the same one, so what a single window shows counts as far as the one before it agrees.
+    fn usual(&mut self, now: Duration) -> f64 {
+        forget(&mut self.requests, now, self.window * 2);
+        let before = self.requests.partition_point(|at| *at + self.window < now);
+        let newest = (self.requests.len() - before) as f64;
+        match self.since.is_some_and(|since| since + self.window * 2 <= now) {
+            true => newest.min(self.requests.len() as f64 / 2.0),
+            false => newest - CHANCE * newest.sqrt(),
+        }
+    }
+
+    /// Repeats in a window that are the part of one of `routers` routers.
+    pub fn part(&mut self, now: Duration, routers: u32) -> u32 {
+        let even = self.slack / f64::from(routers.max(1));
+        let part = MARGIN * (self.ratio * self.usual(now) + even) * self.known(now);
+        match self.phase {
+            Some(phase) => part as u32 + u32::from(part.fract() >= phase),
+            // A router that knows of no others may still repeat one thing.
+            None => (part as u32).max(1),
+        }
     }
 
     /// Repeats that may still be sent now by one of `routers` routers.
     pub fn left(&mut self, now: Duration, routers: u32) -> u32 {
-        forget(&mut self.requests, now, self.window);
-        // Repeats are remembered a little longer, as they arrive later than they are sent.
-        forget(&mut self.repeats, now, self.window + self.window / 10);
-        let share = self.slack / f64::from(routers.max(1)) * self.grown(now);
-        let allowed = MARGIN * (self.ratio * self.requests.len() as f64 + share);
-        // A router alone with little to send may still repeat one thing.
-        (allowed.max(1.0) as u32).saturating_sub(self.repeats.len() as u32)
+        let part = self.part(now, routers);
+        forget(&mut self.used, now, self.window + ARRIVES);
+        part.saturating_sub(self.used.len() as u32)
+    }
+
+    /// The same for one kind of need.
+    pub fn left_for(&mut self, need: Need, now: Duration, routers: u32) -> u32 {
+        let reserved = match need {
+            Need::Begun => 0,
+            Need::New => (RESERVED * f64::from(self.part(now, routers))) as u32,
+        };
+        self.left(now, routers).saturating_sub(reserved)
     }
 
-    /// Part of the fixed number that a router uses whose process started `now` ago. What the process
-    /// before it used in the same window is not known, and when routers are restarted in turn
-    /// each would use its part twice.
-    fn grown(&self, now: Duration) -> f64 {
-        (now.as_secs_f64() / self.window.as_secs_f64()).clamp(YOUNG, 1.0)
+    /// Part of its part that a router uses whose process started `now` ago. If it used all of it while the process before
+    /// did so in the same window, routers that are restarted in turn would use their parts twice.
+    fn known(&self, now: Duration) -> f64 {
+        match self.before {
+            _ if now >= self.window + ARRIVES => 1.0,
+            Before::First => 1.0,
+            Before::Light => LIGHT,
+            Before::Unknown => YOUNG,
+        }
+    }
+
+    /// Whether so much of the part of one of `routers` routers is used that the others have to know.
+    pub fn is_heavy(&mut self, now: Duration, routers: u32) -> bool {
+        let used = f64::from(self.part(now, routers)) - f64::from(self.left(now, routers));
+        used > 0.0 && used >= HEAVY * f64::from(self.part(now, routers))
     }
 
     /// Takes one repeat, if one is left.
     pub fn take(&mut self, now: Duration, routers: u32) -> bool {
-        let some = self.left(now, routers) > 0;
-        if some {
-            self.repeats.push_back(now);
-        }
-        some
+        self.take_for(Need::Begun, now, routers)
+    }
+
+    /// Takes one repeat for a need, if one is left for it.
+    pub fn take_for(&mut self, need: Need, now: Duration, routers: u32) -> bool {
+        self.lend(need, 1, now, routers).lent == 1
+    }
+
+    /// Takes up to `want` repeats at once, for another router.
+    pub fn lend(&mut self, need: Need, want: u32, now: Duration, routers: u32) -> Loan {
+        let lent = want.min(self.left_for(need, now, routers));
+        self.used.extend((0..lent).map(|_| now));
+        let oldest = self.used.front().map(|at| *at + self.window + ARRIVES);
+        let again = oldest.map_or(Duration::ZERO, |at| at.saturating_sub(now));
+        let again = again.max(ASKED * routers);
+        Loan { lent, again: if lent < want { again } else { Duration::ZERO } }
     }
 }
 
