What was sent since a server told of its room counts

Ruled out: memory that is set aside for answers not yet made (reports reach 1.00 while requests are declined).

Cause: a router took what a server told at its word for three seconds, and counted neither its own requests since nor those of the others.

Now `policy::fill` counts what a router has sent since, times what all routers send for one request of its own, and what has ended meanwhile. Where a router has no request in a data centre it goes by what was told.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use layers::Span;
+use policy::fill;
 use policy::meter::Meter;
 use policy::pick::Pace;
 use policy::quota::Sent;
@@ -54,6 +55,8 @@
     pub running: Cell<u32>,
     /// Bytes of context that requests of this router take there.
     pub context: Cell<f64>,
+    /// Bytes of context of requests that this router lately began there.
+    pub begun: RefCell<fill::Sent>,
     /// Prompts that this router sent there and that are not read yet.
     pub reading: Cell<Meter>,
     /// Factor on the time of its steps, as it reports.
@@ -89,6 +92,7 @@
             sent: RefCell::default(),
             running: Cell::new(0),
             context: Cell::new(0.0),
+            begun: RefCell::default(),
             reading: Cell::default(),
             slow: Cell::new(1.0),
             filled: Cell::new(None),
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -9,6 +9,7 @@
 use layers::path::{self, Ask, Holder};
 use layers::server::Zone;
 use layers::{Shape, Span, slots};
+use policy::fill::Told;
 
 use crate::answer::Reason;
 use crate::peer::{Load, Peer};
@@ -62,6 +63,8 @@
     pub hops: Vec<Hop>,
     loads: Vec<Load>,
     charges: Vec<Charge>,
+    /// Bytes of context that the request brings to servers which have none of it.
+    brings: Vec<(Rc<Peer>, f64)>,
 }
 
 impl Path {
@@ -74,6 +77,8 @@
     /// that a request is sent along: streams that wait for a repeat look for one many times a second.
     pub fn charge(&mut self, state: &State) {
         self.charges.drain(..).for_each(|charge| charge.apply(state));
+        let now = state.now();
+        self.brings.drain(..).for_each(|(peer, bytes)| peer.begun.borrow_mut().note(now, bytes));
     }
 
     /// Whether a new request may take it, of which a fixed random number is `luck`: of those that want a link between
@@ -220,7 +225,8 @@
         .filter_map(|(i, p)| {
             let kept = want.kept.iter().any(|k| Rc::ptr_eq(k, p));
             let crowd = crowd_of(zone(&p.server().zone));
-            let mut holder = holder(p, i, model, tokens, kept, now, crowd)?;
+            let known = Known { now, crowd, lasting: state.lasting.get() };
+            let mut holder = holder(p, i, model, tokens, kept, known)?;
             holder.layer_ms *= if kept { KEPT } else { 1.0 };
             Some(holder)
         })
@@ -251,7 +257,7 @@
     };
     let (parts, _) = path::find(&holders, &ask)?;
     let of = |part: &path::Part| peers[part.server].clone();
-    let mut charges = Vec::new();
+    let (mut charges, mut brings) = (Vec::new(), Vec::new());
     let mut before = (want.from > 0).then_some(want.zone);
     for part in &parts {
         let peer = of(part);
@@ -261,6 +267,7 @@
         }
         if !want.kept.iter().any(|k| Rc::ptr_eq(k, &peer)) {
             charges.extend(Charge::reading(&peer, model, tokens, part.span, crowd_of(here)));
+            brings.push((peer, bytes * f64::from(part.span.len())));
         }
     }
     Some(Path {
@@ -268,6 +275,7 @@
         loads: parts.iter().map(|p| Load::new(of(p), bytes * f64::from(p.span.len()))).collect(),
         peers: parts.iter().map(of).collect(),
         charges,
+        brings,
     })
 }
 
@@ -282,9 +290,9 @@
     model: &Model,
     tokens: Tokens,
     kept: bool,
-    now: Duration,
-    crowd: Crowd,
+    known: Known,
 ) -> Option<Holder> {
+    let Known { now, crowd, .. } = known;
     let entry = peer.server();
     let card = model.card(entry.card.as_deref()?)?;
     let span = peer.span(now);
@@ -295,7 +303,7 @@
     let layers = f64::from(span.len());
     let bytes = if kept { 0.0 } else { size(model, tokens) };
     let memory = card.bytes - layers * shape.layer_bytes;
-    let others = taken_by_all(peer, model, memory, now, crowd);
+    let others = taken_by_all(peer, model, memory, known);
     let taken = peer.context.get().max(others) + bytes * layers;
     let full = taken / memory.max(1.0);
     let reading = peer.reading.get();
@@ -328,11 +336,29 @@
     })
 }
 
-/// Bytes of a server's memory for requests that those of all routers take, as it told or else as far as this
-/// router's own say: at most all that run in the data centre.
-fn taken_by_all(peer: &Peer, model: &Model, memory: f64, now: Duration, crowd: Crowd) -> f64 {
-    match told_filled(peer, now) {
-        Some(part) => part * memory,
+/// What is known of the load at one moment.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    now: Duration,
+    crowd: Crowd,
+    /// How long requests last.
+    lasting: Duration,
+}
+
+/// Bytes of a server's memory for requests that those of all routers take, by what it told and what was sent since, or
+/// else as far as this router's own say: at most all that run in the data centre.
+fn taken_by_all(peer: &Peer, model: &Model, memory: f64, known: Known) -> f64 {
+    let Known { now, crowd, lasting } = known;
+    match peer.filled.get().filter(|(_, at)| now < *at + FILLED) {
+        Some((part, heard)) => {
+            let at = heard.saturating_sub(model.told_after);
+            let told = Told { work: part * memory, at, lasting };
+            match crowd.own > 0.0 {
+                true => told.now(now, &peer.begun.borrow(), crowd.ratio),
+                // What others send can't be told from what this router does.
+                false => told.work,
+            }
+        }
         None => {
             let own = f64::from(peer.running.get());
             let running = ((own + own.sqrt() + 1.0) * crowd.ratio).min(crowd.running);
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -7,7 +7,7 @@
 use layers::server::Zone;
 
 use super::load::{Crowd, LINK, LINK_FULL, READING_FULL, crowds};
-use super::{begin_ms, holder, zone};
+use super::{Known, begin_ms, holder, zone};
 use crate::peer::Peer;
 use crate::request::Tokens;
 use crate::settings::Model;
@@ -27,6 +27,7 @@
     let crowds = crowds(&peers, now, state.routers());
     let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
     let mut zones: Vec<DataCentre> = Vec::new();
+    let known = |crowd| Known { now, crowd, lasting: state.lasting.get() };
     for (i, peer) in peers.iter().enumerate() {
         let zone = zone(&peer.server().zone);
         let crowd = crowds.iter().find(|c| c.zone == zone).copied();
@@ -40,7 +41,7 @@
             () if !peer.usable(now) => silent += 1,
             () if !peer.willing(now) || but.contains(&peer.server().id) => declined += 1,
             () if !peer.reading.get().takes(now, 1.0, crowd.others, READING_FULL) => reading += 1,
-            () if holder(peer, i, model, tokens, false, now, crowd).is_none() => scarce += 1,
+            () if holder(peer, i, model, tokens, false, known(crowd)).is_none() => scarce += 1,
             () => {
                 let span = peer.span(now);
                 let begins = begin_ms(peer, now, 1.0).is_finite();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -75,6 +75,8 @@
     pub cards: Vec<(String, Card)>,
     /// Mean tokens of a request's context while it runs.
     pub usual: f64,
+    /// Age of what a server tells of its load when it tells that.
+    pub told_after: Duration,
     /// Time to load all layers.
     pub load: Duration,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,6 +39,12 @@
 /// has just started does not use a larger part of the common retry budget than is its own.
 pub const ROUTERS: u32 = 16;
 
+/// How long a stream is taken to last until one has ended.
+const LASTING: Duration = Duration::from_millis(1500);
+
+/// Weight of the newest stream in the mean time that they last.
+const NEWEST: f64 = 0.05;
+
 /// The beliefs of one router.
 #[derive(Debug)]
 pub struct State {
@@ -78,6 +84,8 @@
     pub links: RefCell<Vec<((Zone, Zone), Meter)>>,
     /// Requests that wanted to cross a link between data centres, by the pair of them.
     pub crossings: RefCell<Vec<((Zone, Zone), Demand)>>,
+    /// How long streams last.
+    pub lasting: Cell<Duration>,
     /// By how much timers are late in this process.
     pub lag: Cell<Duration>,
     /// The log whose reader asks again whether the store answers, while it does not.
@@ -133,6 +141,7 @@
             lost: Notify::new(),
             links: RefCell::default(),
             crossings: RefCell::default(),
+            lasting: Cell::new(LASTING),
             lag: Cell::default(),
             asker: Cell::new(None),
             regained: Cell::default(),
@@ -301,6 +310,11 @@
         self.budget(service, |budget| budget.left(now, routers))
     }
 
+    /// Notes how long a stream took that was delivered to its end.
+    pub fn note_lasting(&self, took: Duration) {
+        self.lasting.set(self.lasting.get().mul_f64(1.0 - NEWEST) + took.mul_f64(NEWEST));
+    }
+
     /// Passes a notice on to the other routers.
     pub fn announce(&self, word: crate::notice::Notice) {
         let mut notices = self.notices.borrow_mut();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -252,6 +252,7 @@
             }
             Next::End => {
                 progress.state.metrics.streamed(progress.call.came.elapsed());
+                progress.state.note_lasting(progress.call.came.elapsed());
                 return source.answer.done();
             }
             Next::Silent(why) => {
--- /dev/null
+++ b/crates/policy/src/fill.rs
@@ -0,0 +1,65 @@
+//! How full a server is by now that told of it a while ago.
+//!
+//! Load pattern: a server runs some hundred requests and takes a hundred more in each second. What it told is up to a second
+//! old, so that all routers take it for half empty, send it all they have until it declines, and then pass over it
+//! together until it is half empty again. Most of what is declined is sent again, out of the common retry budget.
+//!
+//! A router knows what it has sent since, and how much all of them send for each request of its own; what ran when
+//! the server told of it has ended in part.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time for which is kept what was sent.
+const KEPT: Duration = Duration::from_secs(4);
+
+/// Work that one router sent to one server lately.
+#[derive(Debug, Clone, Default)]
+pub struct Sent(VecDeque<(Duration, f64)>);
+
+impl Sent {
+    /// Notes work that is sent.
+    pub fn note(&mut self, now: Duration, work: f64) {
+        while self.0.front().is_some_and(|(at, _)| *at + KEPT < now) {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, work));
+    }
+
+    /// Work that was sent after `time`.
+    pub fn since(&self, time: Duration) -> f64 {
+        self.0.iter().rev().take_while(|(at, _)| *at > time).map(|(_, work)| work).sum()
+    }
+}
+
+/// Work that a server had some time ago.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Told {
+    /// The work, of all routers.
+    pub work: f64,
+    /// When it had that.
+    pub at: Duration,
+    /// How long a request lasts.
+    pub lasting: Duration,
+}
+
+impl Told {
+    /// The work it has at `now`, if all routers together send `ratio` times what this one has sent.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use policy::fill::{Sent, Told};
+    /// let ms = Duration::from_millis;
+    /// let told = Told { work: 100.0, at: ms(1000), lasting: ms(1000) };
+    /// let mut sent = Sent::default();
+    /// sent.note(ms(900), 1.0);
+    /// sent.note(ms(1200), 1.0);
+    /// // Half of what ran has ended, and each of ten routers has sent as much as this one.
+    /// assert_eq!(told.now(ms(1500), &sent, 10.0), 60.0);
+    /// ```
+    pub fn now(&self, now: Duration, sent: &Sent, ratio: f64) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        let left = 1.0 - age / self.lasting.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.work * left.max(0.0) + sent.since(self.at) * ratio
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod demand;
 pub mod entry;
 pub mod estimate;
+pub mod fill;
 pub mod health;
 pub mod limit;
 pub mod link;
