--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -243,11 +243,13 @@
             let new = self.last.is_none() && self.tries == 0;
             (!new || path.may_cross(self.state, self.luck, wants)).then_some(path)
         };
-        // Servers that declined may take it after all, if there is no way without them.
-        find(true, false)
-            .or_else(|| crossing(true))
-            .or_else(|| find(false, false))
-            .or_else(|| crossing(false))
+        let willing = find(true, false).or_else(|| crossing(true));
+        // Servers that declined may take it after all, if there is no way without them. A new request is refused: most
+        // are declined again, and then sent elsewhere out of the retry budget.
+        match self.last {
+            Some(_) => willing.or_else(|| find(false, false)).or_else(|| crossing(false)),
+            None => willing,
+        }
     }
 
     /// Sends the request along a path and waits for the first event.
