Tests: a planned restart of all routers leaves most of the retry budget idle

What callers saw: streams that broke off found no repeat left while a third or more of the common budget was free, at routers that had been restarted one after the other shortly before.

Cause: a process that starts knows nothing of the one before it.

The plays get routers that are told to stop in turn (three seconds in which streams are still served, then a new process), a loss at one router after that, and what the old process hands over. The handover is behind `close` and `take_over` of the test, which do nothing on this code; `Handover`, `close` and `take_over` of `policy::window` go there.

--- a/crates/policy/tests/loan.rs
+++ b/crates/policy/tests/loan.rs
@@ -31,9 +31,57 @@
 const TOLD: Duration = Duration::from_millis(50);
 const COUNTS: Duration = Duration::from_secs(24);
 
+/// Time for which a process that was told to stop still serves its streams.
+const STOPPING: Duration = Duration::from_secs(3);
+
+/// Time for which one router has all the loss.
+const LOSS: Duration = Duration::from_secs(2);
+
 /// Time that a router waits for an answer.
 const ANSWER: Duration = Duration::from_millis(30);
 
+/// What the process before handed over. This is the only place that names it.
+type Handover = ();
+
+/// Ends a process's use of its budget.
+fn close(_: &mut Budget, _: Duration) -> Option<Handover> {
+    None
+}
+
+/// Has the next process count what the one before it used, which ended `gap` before this one started.
+fn take_over(_: &mut Budget, _: &Handover, _: Option<Duration>) {}
+
+/// How what a process hands over comes to the next one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Word {
+    /// It is there at the start.
+    Ready,
+    /// It comes some time after the start.
+    Late(Duration),
+    /// It does not come.
+    Lost,
+    /// The time between the two processes is not known.
+    Undated,
+    /// The process after the next one is given it as well.
+    Twice,
+}
+
+/// Processes that are told to stop, one router after the other, and are followed by new ones.
+#[derive(Debug, Clone, Copy)]
+struct Rolling {
+    /// Time between two routers.
+    every: Duration,
+    /// Time from the end of a process until the next one starts.
+    gap: Duration,
+    /// Whether callers go to other routers meanwhile.
+    moves: bool,
+    /// Whether processes end at all, or their callers go elsewhere only.
+    ends: bool,
+    word: Word,
+    /// Time after which the new process is killed and followed by another one.
+    killed: Option<Duration>,
+}
+
 /// A group of routers with callers.
 #[derive(Clone)]
 struct Play {
@@ -54,6 +102,12 @@
     flight: Duration,
     /// Time between two restarts of routers, one after the other.
     restarts: Option<Duration>,
+    /// Routers that are told to stop, one after the other.
+    rolling: Option<Rolling>,
+    /// A router that has all the loss, and when.
+    loss: Option<(usize, Duration)>,
+    /// When the play ends.
+    end: Duration,
     /// Part of their streams that break off before the first restart.
     calm: f64,
     /// When requests fall to a tenth.
@@ -76,6 +130,9 @@
     lost: 0.0,
     flight: Duration::from_millis(10),
     restarts: None,
+    rolling: None,
+    loss: None,
+    end: END,
     calm: 1.0,
     falls: None,
     dead: 0,
@@ -102,13 +159,17 @@
     waiting: VecDeque<Duration>,
     /// The round under way, and its questions that are open.
     round: Option<(Round<usize>, usize)>,
+    /// Whether its callers go elsewhere, and whether its process has ended.
+    left: bool,
+    down: bool,
 }
 
 impl Router {
     fn new(born: Duration) -> Router {
         let budget = Budget::new(RATIO, SLACK, WINDOW);
         let (waiting, borrower) = (VecDeque::new(), Borrower::default());
-        Router { born, budget, borrower, waiting, round: None }
+        let round = None;
+        Router { born, budget, borrower, waiting, round, left: false, down: false }
     }
 }
 
@@ -124,6 +185,14 @@
     Asked(usize),
     Answered(usize),
     Silent(usize),
+    /// A process is told to stop.
+    Stop(usize),
+    End(usize),
+    /// The next process starts.
+    Start(usize),
+    /// The word of the process before comes.
+    Told(usize),
+    Kill(usize),
 }
 
 /// A question on its way, for a router's own needs or in the name of another one.
@@ -157,6 +226,8 @@
     relays: Vec<Relay>,
     /// When routers told of heavy use.
     heavy: Vec<Duration>,
+    /// What the last process of each router handed over, and when it ended.
+    words: Vec<Option<(Handover, Duration)>>,
     out: Outcome,
 }
 
@@ -169,7 +240,8 @@
         let id = self.messages.len();
         let to = ask.lenders[0];
         let way = self.play.late.mul_f64(self.rng.random());
-        let heard = to >= self.play.dead && self.rng.random::<f64>() >= self.play.lost;
+        let up = to >= self.play.dead && !self.routers[to].down;
+        let heard = up && self.rng.random::<f64>() >= self.play.lost;
         let patience = if relay.is_some() { ANSWER / 2 } else { ANSWER };
         self.messages.push(Message { from, to, ask, asked: now, loan: None, relay, done: false });
         self.push(now + patience, Event::Silent(id));
@@ -206,6 +278,34 @@
         if self.heavy.iter().rev().any(|at| counts(&at)) { Before::Unknown } else { Before::Light }
     }
 
+    /// Starts a new process, which may find the word of the one before it.
+    fn start(&mut self, n: usize, word: Option<Word>, now: Duration) {
+        self.routers[n] = Router::new(now);
+        let before = self.before(now);
+        self.routers[n].budget.follow(before);
+        self.push(now + JOIN, Event::Join(n));
+        match word {
+            Some(Word::Late(late)) => self.push(now + late, Event::Told(n)),
+            Some(Word::Lost) | None => {}
+            Some(_) => self.hear(n, word),
+        }
+    }
+
+    fn hear(&mut self, n: usize, word: Option<Word>) {
+        let router = &mut self.routers[n];
+        if let Some((handover, ended)) = &self.words[n] {
+            let gap = (word != Some(Word::Undated)).then(|| router.born - *ended);
+            take_over(&mut router.budget, handover, gap);
+        }
+    }
+
+    /// A router that a caller of another one goes to.
+    fn elsewhere(&mut self, n: usize) -> usize {
+        let open = |m: &usize| !self.routers[*m].left && !self.routers[*m].down;
+        let open: Vec<usize> = (0..self.play.routers).filter(open).collect();
+        if open.is_empty() { n } else { open[self.rng.random_range(0..open.len())] }
+    }
+
     /// Gives repeats to streams that wait, and asks others for more.
     fn serve(&mut self, n: usize, now: Duration) {
         while let Some(since) = self.routers[n].waiting.front().copied() {
@@ -260,6 +360,9 @@
     }
 
     fn asked(&mut self, id: usize, now: Duration) {
+        if self.routers[self.messages[id].to].down {
+            return;
+        }
         let (to, ask) = (self.messages[id].to, self.messages[id].ask.clone());
         self.out.questions[to] += 1;
         let count = self.play.routers as u32;
@@ -347,6 +450,7 @@
         messages: Vec::new(),
         relays: Vec::new(),
         heavy: Vec::new(),
+        words: vec![None; routers],
         out: Outcome { questions: vec![0; routers], ..Outcome::default() },
     };
     for n in 0..routers {
@@ -358,7 +462,7 @@
                 _ => play.requests,
             };
             at += Duration::from_secs_f64(-world.rng.random::<f64>().max(1e-9).ln() / rate);
-            if at > END {
+            if at > play.end {
                 break;
             }
             world.push(at, Event::Request(n));
@@ -380,18 +484,37 @@
             world.push(RESTART + every * n as u32, Event::Restart(n));
         }
     }
+    for (n, rolling) in (0..routers).flat_map(|n| play.rolling.map(|rolling| (n, rolling))) {
+        let at = RESTART + rolling.every * n as u32;
+        world.push(at, Event::Stop(n));
+        if rolling.ends {
+            world.push(at + STOPPING, Event::End(n));
+        }
+        world.push(at + STOPPING + rolling.gap, Event::Start(n));
+    }
+    let (moves, ends) = play.rolling.map_or((false, false), |r| (r.moves, r.ends));
+    if let Some((n, from)) = play.loss {
+        let times = LOSS.as_millis() / play.needs.1.as_millis();
+        for i in 0..times as u32 {
+            world.push(from + play.needs.1 * i, Event::Break(n, play.needs.0));
+        }
+    }
     while let Some(std::cmp::Reverse((now, event))) = world.events.pop() {
-        if now > END {
+        if now > play.end {
             break;
         }
         match event {
+            Event::Request(n) if world.routers[n].down && !moves => {}
             Event::Request(n) => {
                 world.out.requests.push(now);
+                let gone = world.routers[n].left || world.routers[n].down;
+                let n = if gone { world.elsewhere(n) } else { n };
                 let born = world.routers[n].born;
                 world.routers[n].budget.request(now - born);
             }
             // A router that has just started has no streams.
             Event::Break(n, _) if now < world.routers[n].born + JOIN => {}
+            Event::Break(n, _) if world.routers[n].down => {}
             Event::Break(n, count) => {
                 world.routers[n].waiting.extend((0..count).map(|_| now));
                 world.serve(n, now);
@@ -402,6 +525,27 @@
                 world.routers[n].budget.follow(before);
                 world.push(now + JOIN, Event::Join(n));
             }
+            Event::Stop(n) => world.routers[n].left = moves,
+            Event::End(n) => {
+                let router = &mut world.routers[n];
+                let handover = close(&mut router.budget, now - router.born);
+                world.words[n] = handover.map(|handover| (handover, now));
+                router.down = true;
+                router.waiting.clear();
+                router.round = None;
+            }
+            Event::Start(n) if !ends => world.routers[n].left = false,
+            Event::Start(n) => {
+                world.start(n, play.rolling.map(|rolling| rolling.word), now);
+                if let Some(killed) = play.rolling.and_then(|rolling| rolling.killed) {
+                    world.push(now + killed, Event::Kill(n));
+                }
+            }
+            Event::Told(n) => world.hear(n, play.rolling.map(|rolling| rolling.word)),
+            Event::Kill(n) => {
+                let twice = play.rolling.is_some_and(|rolling| rolling.word == Word::Twice);
+                world.start(n, twice.then_some(Word::Twice), now);
+            }
             Event::Join(n) => world.routers[n].budget.rank(n as u32, routers as u32),
             Event::Asked(id) => world.asked(id, now),
             Event::Answered(id) => world.answered(id, false, now),
@@ -416,18 +560,33 @@
     times.partition_point(|at| *at <= to) - times.partition_point(|at| *at <= from)
 }
 
-/// The most of the common budget that was used in any window.
-fn most(out: &Outcome) -> f64 {
-    let used = out.arrivals.iter().map(|end| {
-        let window = |back: Duration| {
-            let end = end.saturating_sub(back);
+/// The part of the common budget that was used in the window that ends with each repeat, where the budget is the largest of
+/// the windows that end some time before.
+fn parts<'a>(
+    out: &'a Outcome,
+    before: &'a [Duration],
+) -> impl Iterator<Item = (Duration, f64)> + 'a {
+    out.arrivals.iter().map(move |end| {
+        let window = |back: &Duration| {
+            let end = end.saturating_sub(*back);
             count(&out.requests, end.saturating_sub(WINDOW), end)
         };
-        let requests = [Duration::ZERO, WINDOW / 2, WINDOW].map(window).into_iter().max();
+        let requests = before.iter().map(window).max();
         let bound = RATIO * requests.unwrap_or(0) as f64 + SLACK;
-        count(&out.arrivals, end.saturating_sub(WINDOW), *end) as f64 / bound
-    });
-    used.fold(0.0, f64::max)
+        (*end, count(&out.arrivals, end.saturating_sub(WINDOW), *end) as f64 / bound)
+    })
+}
+
+/// The most of the common budget that was used in any window.
+fn most(out: &Outcome) -> f64 {
+    let before = [Duration::ZERO, WINDOW / 2, WINDOW];
+    parts(out, &before).map(|(_, used)| used).fold(0.0, f64::max)
+}
+
+/// The most of it that was used in windows that end at some moment or later, of the budget of that window itself.
+fn most_from(out: &Outcome, from: Duration) -> f64 {
+    let late = parts(out, &[Duration::ZERO]).filter(|(end, _)| *end >= from);
+    late.map(|(_, used)| used).fold(0.0, f64::max)
 }
 
 /// One router's streams break off, or those of a few, and they are given up while the other routers' parts lie idle.
@@ -523,3 +682,137 @@
     let used = most(&play(&Play { lend: false, ..PLAY }, 1));
     assert!(used < 0.1, "{used:.3} used");
 }
+
+const ROLLING: Rolling = Rolling {
+    every: Duration::from_millis(600),
+    gap: Duration::ZERO,
+    moves: false,
+    ends: true,
+    word: Word::Ready,
+    killed: None,
+};
+
+const SLOW: Rolling = Rolling { every: Duration::from_secs(1), ..ROLLING };
+
+/// Callers go elsewhere from when a process is told to stop until the next one starts.
+const MOVING: Rolling = Rolling { gap: Duration::from_secs(1), moves: true, ..ROLLING };
+
+/// All routers have heavy use, and are then restarted in turn.
+const USED: Play = Play {
+    needy: 26,
+    until: RESTART,
+    rolling: Some(ROLLING),
+    end: Duration::from_secs(70),
+    ..PLAY
+};
+
+/// All routers are restarted in turn while no stream breaks off.
+const QUIET: Play = Play { needy: 0, ..USED };
+
+/// When the last router has just learnt who the others are after its restart.
+fn restarted(case: &Play) -> Duration {
+    let rolling = case.rolling.expect("a rolling restart");
+    RESTART + rolling.every * (case.routers as u32 - 1) + STOPPING + rolling.gap + JOIN
+}
+
+/// The most that was used in windows that end at some moment or later, by seed, within the bound in all windows.
+fn used_from(case: &Play, from: Duration) -> Vec<f64> {
+    let outs: Vec<Outcome> = (0..5).map(|seed| play(case, seed)).collect();
+    let all: Vec<f64> = outs.iter().map(most).collect();
+    assert!(all.iter().all(|used| *used <= 1.0), "used at most: {all:.3?}");
+    outs.iter().map(|out| most_from(out, from)).collect()
+}
+
+/// Routers are restarted in turn and then one has all the loss, while the parts of those that have started lie idle.
+#[rstest]
+#[case::used_twenty_six(USED, 0)]
+#[case::used_twenty_six_slowly(Play { rolling: Some(SLOW), ..USED }, 0)]
+#[case::used_twenty_two(Play { routers: 22, needy: 22, ..USED }, 0)]
+#[case::used_twenty_two_slowly(Play { routers: 22, needy: 22, rolling: Some(SLOW), ..USED }, 0)]
+#[case::used_loss_at_the_last(USED, 25)]
+#[case::quiet_loss_at_the_first(QUIET, 0)]
+#[case::quiet_loss_at_the_last(QUIET, 25)]
+#[case::quiet_twenty_two(Play { routers: 22, ..QUIET }, 0)]
+#[case::quiet_twenty_two_slowly(Play { routers: 22, rolling: Some(SLOW), ..QUIET }, 21)]
+fn planned_restarts_leave_the_budget_usable(#[case] case: Play, #[case] loser: usize) {
+    let at = restarted(&case) + 50 * MS;
+    let used = used_from(&Play { loss: Some((loser, at)), ..case }, at);
+    assert!(used.iter().all(|used| *used >= 0.9), "used after the restarts: {used:.3?}");
+}
+
+/// The use that the plays above begin with is heavy.
+#[test]
+fn the_budget_is_used_before_the_restarts() {
+    for seed in 0..5 {
+        let used = most(&play(&Play { rolling: None, end: RESTART, ..USED }, seed));
+        assert!((0.9..=1.0).contains(&used), "seed {seed}: {used:.3} used");
+    }
+}
+
+/// A process that learns late what the one before it used goes on with a small part of its own.
+#[rstest]
+#[case::used(USED, 0)]
+#[case::quiet(QUIET, 25)]
+fn a_late_word_makes_the_budget_usable(#[case] case: Play, #[case] loser: usize) {
+    let late = Duration::from_secs(2);
+    let rolling = Some(Rolling { word: Word::Late(late), ..ROLLING });
+    let case = Play { rolling, ..case };
+    let at = restarted(&case) + late;
+    let used = used_from(&Play { loss: Some((loser, at)), ..case }, at);
+    assert!(used.iter().all(|used| *used >= 0.9), "used after the word: {used:.3?}");
+}
+
+/// The plays above without restarts: the loss is one that can use the budget.
+#[rstest]
+#[case::used(Play { rolling: None, ..USED })]
+#[case::quiet(Play { rolling: None, ..QUIET })]
+fn without_restarts_the_budget_is_usable(#[case] case: Play) {
+    let at = restarted(&USED) + 50 * MS;
+    let used = used_from(&Play { loss: Some((0, at)), ..case }, at);
+    assert!(used.iter().all(|used| *used >= 0.9), "used: {used:.3?}");
+}
+
+/// More repeats than allowed arrive, as what a process handed over comes late or not at all, or its successor is killed.
+#[rstest]
+#[case::ready(ROLLING)]
+#[case::ready_slowly(SLOW)]
+#[case::at_once(Rolling { every: Duration::ZERO, ..ROLLING })]
+#[case::late(Rolling { word: Word::Late(Duration::from_secs(2)), ..ROLLING })]
+#[case::very_late(Rolling { word: Word::Late(Duration::from_secs(9)), ..ROLLING })]
+#[case::lost(Rolling { word: Word::Lost, ..ROLLING })]
+#[case::undated(Rolling { word: Word::Undated, ..ROLLING })]
+#[case::undated_at_once(Rolling { word: Word::Undated, every: Duration::ZERO, ..ROLLING })]
+#[case::killed(Rolling { killed: Some(Duration::from_secs(2)), ..ROLLING })]
+#[case::killed_at_once(Rolling { every: Duration::ZERO, killed: Some(Duration::from_secs(2)), ..ROLLING })]
+#[case::moving(MOVING)]
+#[case::moving_at_once(Rolling { every: Duration::ZERO, ..MOVING })]
+#[case::moving_late(Rolling { word: Word::Late(Duration::from_secs(2)), ..MOVING })]
+#[case::moving_lost(Rolling { word: Word::Lost, ..MOVING })]
+#[case::moving_undated(Rolling { word: Word::Undated, ..MOVING })]
+#[case::moving_killed(Rolling { killed: Some(Duration::from_secs(2)), ..MOVING })]
+#[case::killed_before_the_word(Rolling {
+    word: Word::Late(Duration::from_secs(2)), killed: Some(Duration::from_secs(1)), ..ROLLING
+})]
+fn the_budget_is_kept_over_planned_restarts(#[case] rolling: Rolling) {
+    let case = Play { until: USED.end, rolling: Some(rolling), ..USED };
+    for seed in 0..10 {
+        let used = most(&play(&case, seed));
+        assert!(used <= 1.0, "seed {seed}: {used:.3} used");
+        assert!(used >= case.least, "seed {seed}: {used:.3} used");
+    }
+}
+
+/// Two processes use one word, and what the first of them used is used again.
+#[rstest]
+#[case::once(Word::Ready, 0.9, 1.0)]
+#[case::twice(Word::Twice, 1.5, 2.0)]
+fn a_word_is_for_one_process(#[case] word: Word, #[case] least: f64, #[case] highest: f64) {
+    let killed = Some(Duration::from_millis(1200));
+    let rolling = Rolling { every: Duration::ZERO, word, killed, ..ROLLING };
+    let case = Play { rolling: Some(rolling), needs: (60, 50 * MS), ..QUIET };
+    let case = Play { loss: Some((0, restarted(&case) + 50 * MS)), ..case };
+    for seed in 0..5 {
+        let used = most(&play(&case, seed));
+        assert!(used >= least && used <= highest, "seed {seed}: {used:.3} used");
+    }
+}
