Tests: callers that go to other routers for some seconds take budget away

What callers saw: less of the retry budget than a tenth short of it can be used after a rolling restart, also where processes know what was used.

Cause: a router counts the fewer of the requests of the last window and of the mean of two. Callers of a router that is restarted go to others and come back, so that both count too few, each for two windows.

--- a/crates/policy/tests/loan.rs
+++ b/crates/policy/tests/loan.rs
@@ -740,6 +740,19 @@
     assert!(used.iter().all(|used| *used >= 0.9), "used after the restarts: {used:.3?}");
 }
 
+/// The callers of routers that are restarted go to others for some seconds, and a part of the budget lies idle for two
+/// windows.
+#[rstest]
+#[case::used(Play { rolling: Some(MOVING), ..USED })]
+#[case::used_slowly(Play { rolling: Some(Rolling { every: Duration::from_secs(1), ..MOVING }), ..USED })]
+#[case::quiet(Play { rolling: Some(MOVING), ..QUIET })]
+#[case::no_process_ends(Play { rolling: Some(Rolling { ends: false, ..MOVING }), ..QUIET })]
+fn callers_that_move_leave_the_budget_usable(#[case] case: Play) {
+    let at = restarted(&case) + 50 * MS;
+    let used = used_from(&Play { loss: Some((0, at)), ..case }, at);
+    assert!(used.iter().all(|used| *used >= 0.9), "used after the restarts: {used:.3?}");
+}
+
 /// The use that the plays above begin with is heavy.
 #[test]
 fn the_budget_is_used_before_the_restarts() {
