Tests: a lender that had too little is not asked again though its part has grown

What callers saw: new requests and streams refused a repeat while others have some.

Cause: a lender that has too little says when the oldest repeat it used is past, up to 11 s later, and is not asked before. Its requests raise its part meanwhile.

--- a/crates/policy/tests/loan.rs
+++ b/crates/policy/tests/loan.rs
@@ -112,6 +112,8 @@
     calm: f64,
     /// When requests fall to a tenth.
     falls: Option<Duration>,
+    /// When they become five times as many.
+    rises: Option<Duration>,
     /// Routers that do not answer.
     dead: usize,
     /// Whether routers lend at all.
@@ -135,6 +137,7 @@
     end: END,
     calm: 1.0,
     falls: None,
+    rises: None,
     dead: 0,
     lend: true,
     least: 0.5,
@@ -213,6 +216,8 @@
     /// Time from when a stream broke off until it got a repeat or was told that there is none.
     decided: Vec<Duration>,
     refused: usize,
+    /// Part of all parts that nobody had used, when streams were refused.
+    free: Vec<f64>,
     /// Questions that came to each router.
     questions: Vec<usize>,
 }
@@ -332,8 +337,21 @@
         self.ask_next(n, now);
     }
 
+    /// Part of the parts of all routers that is left.
+    fn free(&mut self, now: Duration) -> f64 {
+        let (count, dead) = (self.play.routers as u32, self.play.dead);
+        let (mut left, mut all) = (0, 0);
+        for router in self.routers.iter_mut().skip(dead).filter(|router| !router.down) {
+            left += router.budget.left(now - router.born, count);
+            all += router.budget.part(now - router.born, count);
+        }
+        f64::from(left) / f64::from(all.max(1))
+    }
+
     fn refuse(&mut self, n: usize, now: Duration) {
+        let free = self.free(now);
         for since in std::mem::take(&mut self.routers[n].waiting) {
+            self.out.free.push(free);
             self.out.decided.push(now - since);
             self.out.refused += 1;
         }
@@ -459,6 +477,7 @@
         loop {
             let rate = match play.falls {
                 Some(falls) if at > falls => play.requests / 10.0,
+                _ if play.rises.is_some_and(|rises| at > rises) => play.requests * 5.0,
                 _ => play.requests,
             };
             at += Duration::from_secs_f64(-world.rng.random::<f64>().max(1e-9).ln() / rate);
@@ -829,3 +848,18 @@
         assert!(used >= least && used <= highest, "seed {seed}: {used:.3} used");
     }
 }
+
+/// Streams are refused repeats while other routers have some, as these are not asked again for some time.
+#[rstest]
+#[case::requests_rise(Play { rises: Some(Duration::from_secs(27)), ..PLAY })]
+fn nobody_is_refused_while_others_have_some(#[case] case: Play) {
+    let outs: Vec<Outcome> = (0..5).map(|seed| play(&case, seed)).collect();
+    let free: Vec<f64> =
+        outs.iter().map(|out| out.free.iter().copied().fold(0.0, f64::max)).collect();
+    let wrongly = outs.iter().map(|out| out.free.iter().filter(|free| **free > 0.1).count());
+    let counts: Vec<(usize, usize)> = wrongly.zip(outs.iter().map(|out| out.refused)).collect();
+    assert!(
+        free.iter().all(|free| *free <= 0.1),
+        "free at most: {free:.3?}; wrongly, of all refused: {counts:?}"
+    );
+}
