Tests: a single stream asks routers that do not answer one after the other

Cause: a wave of questions is never wider than what is wanted, so a round for one repeat asks one router at a time and waits 30 ms for each.

The gateway waits 100 ms and then refuses.

--- a/crates/policy/tests/loan.rs
+++ b/crates/policy/tests/loan.rs
@@ -864,3 +864,15 @@
         "free at most: {free:.3?}; wrongly, of all refused: {counts:?}"
     );
 }
+
+/// One stream asks the routers that do not answer one after the other.
+#[test]
+fn dead_lenders_cost_a_single_stream_one_wait() {
+    let needs = (1, Duration::from_millis(200));
+    let until = FROM + Duration::from_secs(5);
+    let case = Play { dead: 8, requests: 0.1, needs, until, ..PLAY };
+    let longest: Vec<Duration> = (0..10)
+        .map(|seed| play(&case, seed).decided.into_iter().max().unwrap_or_default())
+        .collect();
+    assert!(longest.iter().all(|longest| *longest <= 2 * ANSWER + 50 * MS), "{longest:?}");
+}
