Routers that leave the group lend and borrow until they end

What callers saw: streams at a router that was told to stop, which it still serves for up to the grace period, found no repeat when they broke off; and what such a router had left was of no use to the others.

Cause: a router that stops gives its seats up at once, so that another one gives orders, and the others then leave out its datagrams and ask it for nothing, as it is no member any more.

Routers that left the group lately, for as long as the grace period, are still asked and answered.

--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -86,7 +86,8 @@
 
 /// Whether others may have some.
 pub fn may_borrow(state: &State, service: &str, need: Need) -> bool {
-    let (now, others) = (state.now(), state.sharing.others());
+    let now = state.now();
+    let others = state.sharing.others(now);
     state.repeats.of(service, need).borrower.borrow_mut().may_ask(&others, now)
 }
 
@@ -128,7 +129,7 @@
 async fn ask_others(state: Rc<State>, service: String, need: Need, purse: Rc<Purse>) {
     let (began, routers) = (state.now(), state.routers());
     let part = state.budget(&service, |budget| budget.part(began, routers));
-    let (others, wanted) = (state.sharing.others(), purse.waiting.get());
+    let (others, wanted) = (state.sharing.others(began), purse.waiting.get());
     let mut round =
         purse.borrower.borrow_mut().round(&others, wanted, part, began, &mut rand::rng());
     let (sender, mut answers) = mpsc::unbounded_channel();
--- a/crates/gateway/src/repeats/datagram.rs
+++ b/crates/gateway/src/repeats/datagram.rs
@@ -90,7 +90,7 @@
             }
         };
         // Others than members have no part in the budget.
-        if state.sharing.others().binary_search(&from).is_err() {
+        if state.sharing.others(state.now()).binary_search(&from).is_err() {
             log::debug!("gateway: a datagram of {from}, which is no member, is left out");
             continue;
         }
--- a/crates/gateway/src/repeats/lender.rs
+++ b/crates/gateway/src/repeats/lender.rs
@@ -30,7 +30,7 @@
 
 /// Asks members of the group in the name of another router, for what this one can't lend itself.
 pub(super) async fn ask_for(state: &State, question: &Question, want: u32) -> Loan {
-    let members = state.sharing.others();
+    let members = state.sharing.others(state.now());
     let known = question.others.iter().copied();
     let known: Vec<SocketAddr> =
         known.filter(|other| members.binary_search(other).is_ok()).collect();
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -81,6 +81,8 @@
     rank: Cell<Option<(u32, u32)>>,
     /// Addresses of the others, sorted.
     others: RefCell<Rc<[SocketAddr]>>,
+    /// Routers that left the group, sorted, and until when they may still serve.
+    leaving: RefCell<Vec<(SocketAddr, Duration)>>,
     /// Generation of the group that this router last heard as a member.
     joined: Cell<Generation>,
     /// When a source last gave a useful answer.
@@ -166,9 +168,19 @@
         self.rank.get()
     }
 
-    /// Addresses of the other members, sorted.
-    pub fn others(&self) -> Rc<[SocketAddr]> {
-        self.others.borrow().clone()
+    /// Addresses of the other routers that may serve callers, sorted: members of the group, and those that left it a
+    /// moment ago, as they still answer the callers that they have.
+    pub fn others(&self, now: Duration) -> Rc<[SocketAddr]> {
+        let members = self.others.borrow().clone();
+        let mut leaving = self.leaving.borrow_mut();
+        leaving.retain(|(_, until)| now < *until);
+        if leaving.is_empty() {
+            return members;
+        }
+        let mut others: Vec<SocketAddr> = members.to_vec();
+        others.extend(leaving.iter().map(|(address, _)| *address));
+        others.sort_unstable();
+        others.into()
     }
 }
 
--- a/crates/gateway/src/shared_read/members.rs
+++ b/crates/gateway/src/shared_read/members.rs
@@ -67,5 +67,11 @@
     let mut others: Vec<SocketAddr> = others.map(|member| member.address).collect();
     others.sort_unstable();
     state.neighbours.keep(&others);
-    *state.sharing.others.borrow_mut() = others.into();
+    let before = state.sharing.others.replace(others.clone().into());
+    let until = state.now() + state.setup.grace;
+    let mut leaving = state.sharing.leaving.borrow_mut();
+    leaving.extend(before.iter().map(|address| (*address, until)));
+    leaving.sort_unstable();
+    leaving.dedup_by_key(|(address, _)| *address);
+    leaving.retain(|(address, _)| others.binary_search(address).is_err());
 }
