A router that starts asks for repeats once it is a member

What callers saw: streams at a router that had just started found no repeat for four seconds although others had some.

It asks nobody until it is on the list of members that it hears itself. Others may hear of it some tenths of a second later, so a few questions can still go unanswered; a router that follows one which stopped or was lost is known to them by that one's address.

--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -84,8 +84,11 @@
         || state.budget(service, |budget| budget.left_for(need, now, routers)) > 0
 }
 
-/// Whether others may have some.
+/// Whether others may have some. They leave out what a router asks that is no member of the group yet.
 pub fn may_borrow(state: &State, service: &str, need: Need) -> bool {
+    if state.sharing.rank().is_none() && state.stopping.get().is_none() {
+        return false;
+    }
     let now = state.now();
     let others = state.sharing.others(now);
     state.repeats.of(service, need).borrower.borrow_mut().may_ask(&others, now)
