A process that stops hands over what it used of its repeats

What callers saw: streams that broke off within ten seconds after a rolling restart of the routers found no repeat and got half a text, while about half of the common budget was free.

A process that starts does not know what the one before it used in the same window. If some router told of heavy use it takes 0.03 of its part for eleven seconds, else half of it, and it knows nothing of its requests of before, which make the other half of a part.

Weighed: the process that stops lends its rest away (loans last 0.3 s, and the next one still starts with nothing); another router keeps its word (nobody knows whom to ask, and two keepers may answer two processes). Chosen: a log in the store, which each process opens with the record of its start and closes with what it used, as its last act. An end counts only if it is the last record of that VM before the start that reads it, and is written only where the log has not grown since: so it is used once, and an end that comes late, or that of a process before the last one, is not used at all. A process that is killed, or that does not know itself what counts, writes no end, and its successor does as before. Ages are counted by the time between the two processes, on which wall clock and boot clock have to agree to a second; if they don't, or the store was restored meanwhile, nothing is taken over.

A start costs one append and one read of the store, a stop one append, spread over the partitions by VM. The end is held up by at most 250 ms, after all callers were answered.

--- a/crates/gateway/src/leader/term.rs
+++ b/crates/gateway/src/leader/term.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use nix::time::{ClockId, clock_gettime};
-
+use crate::clock;
 use crate::state::State;
 use crate::store::{Call, Era, Fault, Generation, Log, Offset, Reply, Seat};
 
@@ -17,17 +16,6 @@
 /// Part of the seat's time in which orders are given. The rest is for the order to arrive.
 const SURE: f64 = 0.7;
 
-/// The time that goes on while the VM is suspended.
-fn boot_time() -> Duration {
-    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
-        Ok(time) => Duration::from(time),
-        Err(e) => {
-            log::error!("gateway: no clock that counts suspended time: {e}");
-            Duration::MAX
-        }
-    }
-}
-
 /// The right to give orders.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Term {
@@ -43,7 +31,7 @@
 
 impl Term {
     pub(super) fn lasts(&self) -> bool {
-        boot_time() < self.until
+        clock::boot() < self.until
     }
 }
 
@@ -54,7 +42,7 @@
 ) -> Result<(Seat, Duration), Fault> {
     // The seat's time runs from the call's arrival, so counting from its sending is safe. The shorter time counts also
     // for a call that asked for more: the next one shortens it.
-    let until = boot_time() + TTL.mul_f64(SURE);
+    let until = clock::boot() + TTL.mul_f64(SURE);
     let member = state.member();
     let ttl = if calm { CALM_TTL } else { TTL };
     match state.store.call(Call::Join { member, ttl, generation }).await? {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`store::Client`].
 
 pub mod answer;
+pub mod clock;
 pub mod count;
 pub mod edge;
 pub mod event;
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -5,6 +5,7 @@
 //! moment, and a router that is short asks many others of which it knows none yet.
 
 mod datagram;
+mod handover;
 mod heavy;
 mod lender;
 
@@ -24,6 +25,8 @@
 use crate::state::State;
 use datagram::Post;
 pub use datagram::run;
+use handover::Succession;
+pub use handover::{hand_over, take_over};
 use heavy::Heavy;
 pub use heavy::{before, catch_up, hear, note_read};
 
@@ -43,6 +46,7 @@
     purses: RefCell<Vec<(Key, Rc<Purse>)>>,
     post: Post,
     heavy: Heavy,
+    succession: Succession,
     lines: RefCell<Quota>,
     lent: Cell<u64>,
     borrowed: Cell<u64>,
@@ -65,6 +69,11 @@
 }
 
 impl Repeats {
+    /// Whether this process sends and lends nothing more.
+    pub fn has_ended(&self) -> bool {
+        self.succession.has_ended()
+    }
+
     fn of(&self, service: &str, need: Need) -> Rc<Purse> {
         let mut purses = self.purses.borrow_mut();
         let key = (service, need);
--- a/crates/gateway/src/repeats/heavy.rs
+++ b/crates/gateway/src/repeats/heavy.rs
@@ -5,10 +5,11 @@
 //! to the store; a router that finds no word of it uses part of its budget at once.
 
 use std::cell::Cell;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use policy::window::Before;
 
+use crate::clock;
 use crate::notice::Notice;
 use crate::state::State;
 
@@ -26,12 +27,6 @@
     before: Cell<Before>,
 }
 
-/// The wall clock, in milliseconds of Unix time.
-fn clock_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Tells the others if this router uses its part heavily and nobody has just said so.
 pub(super) fn note_use(state: &State, service: &str) {
     let (now, routers) = (state.now(), state.routers());
@@ -43,7 +38,7 @@
     }
     state.repeats.heavy.told.set(Some(now));
     log::info!("gateway: repeats service={service} heavy use is told");
-    state.announce(Notice::Heavy { at_ms: clock_ms() });
+    state.announce(Notice::Heavy { at_ms: clock::wall().as_millis() as u64 });
 }
 
 /// Hears of heavy use.
@@ -53,7 +48,7 @@
 
 /// Takes over what was said of heavy use before this process started.
 pub fn catch_up(state: &State, at_ms: u64) {
-    let age = Duration::from_millis(clock_ms().saturating_sub(at_ms));
+    let age = clock::wall().saturating_sub(Duration::from_millis(at_ms));
     if age < AGAIN + state.setup.retry_window + CLOCKS {
         hear(state);
     }
@@ -69,5 +64,9 @@
 
 /// What is known of the process before this one.
 pub fn before(state: &State) -> Before {
-    if state.setup.first_start { Before::First } else { state.repeats.heavy.before.get() }
+    match () {
+        () if state.setup.first_start => Before::First,
+        () if state.repeats.succession.has_taken_over() => Before::Told,
+        () => state.repeats.heavy.before.get(),
+    }
 }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::{Instant, sleep};
 
+use crate::repeats;
 use crate::request::Call;
 use crate::state::State;
 use crate::store;
@@ -44,5 +45,6 @@
     while Instant::now() < end && state.callers.get() > 0 {
         sleep(Duration::from_millis(20)).await;
     }
+    repeats::hand_over(state).await;
     log::info!("gateway: stopped serving={} callers={}", state.serving.get(), state.callers.get());
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
 use policy::demand::Demand;
 use policy::meter::Meter;
 use policy::shortage::Shortage;
-use policy::window::{Budget, Crowd};
+use policy::window::{Budget, Crowd, Handover};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -280,7 +280,11 @@
             Ok(at) => at,
             Err(at) => {
                 let setup = &self.setup;
-                let fresh = Budget::new(setup.retry_ratio, setup.retry_slack, setup.retry_window);
+                let mut fresh =
+                    Budget::new(setup.retry_ratio, setup.retry_slack, setup.retry_window);
+                if self.repeats.has_ended() {
+                    fresh.close(self.now());
+                }
                 budgets.insert(at, (service.to_owned(), fresh));
                 at
             }
@@ -293,6 +297,17 @@
         work(budget)
     }
 
+    /// Ends the use of all retry budgets; what counts of each for the next process, if that is known.
+    pub fn close_budgets(&self) -> Option<Vec<(String, Handover)>> {
+        let (now, before) = (self.now(), repeats::before(self));
+        let mut closed = Vec::new();
+        for (name, budget) in self.budgets.borrow_mut().iter_mut() {
+            budget.follow(before);
+            closed.extend(budget.close(now).map(|handover| (name.clone(), handover)));
+        }
+        before.is_known(now, self.setup.retry_window).then_some(closed)
+    }
+
     /// Notes how many routers the group has now.
     pub fn count_routers(&self, routers: u32) {
         self.routers.borrow_mut().note(self.now(), routers);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -80,6 +80,22 @@
         /// Fencing number and number of the call under it.
         epoch: Option<(Generation, u64)>,
     },
+    /// Adds a record to what a router's processes tell each other. Several routers may share such a log.
+    AppendOwn {
+        /// The router's VM.
+        vm: String,
+        /// The record.
+        record: Bytes,
+        /// Offset at which the log has to end, if any.
+        at: Option<Offset>,
+    },
+    /// Records of that log from an offset on.
+    ReadOwn {
+        /// The router's VM.
+        vm: String,
+        /// First offset wanted.
+        from: Offset,
+    },
     /// Joins the group of routers, or stays in it.
     Join {
         /// This router.
@@ -109,6 +125,8 @@
             Call::Newest { .. } => "read_newest",
             Call::Append { log: Log::Orders, .. } => "append_orders",
             Call::Append { .. } => "append_notices",
+            Call::AppendOwn { .. } => "append_own",
+            Call::ReadOwn { .. } => "read_own",
             Call::Join { .. } => "join",
             Call::Members => "members",
             Call::Leave { .. } => "leave",
@@ -177,6 +195,9 @@
     /// The records asked for are gone.
     #[display("the records asked for were deleted")]
     Gone,
+    /// The log does not end where it was said to.
+    #[display("the log has grown meanwhile")]
+    Moved,
     /// It came from before the store was restored.
     #[display("the answer is of an older era of the store")]
     Past,
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -12,6 +12,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::loan::Loan;
 
 /// Part of the budget that is used. The rest is for routers that have just started.
@@ -58,11 +60,32 @@
     First,
     /// No router has told of heavy use.
     Light,
+    /// It handed over what it used.
+    Told,
     /// It may have used all of its part.
     #[default]
     Unknown,
 }
 
+impl Before {
+    /// Whether all is known that counts of it in a process which started `now` ago, in windows of that length.
+    pub fn is_known(self, now: Duration, window: Duration) -> bool {
+        matches!(self, Before::First | Before::Told) || now >= window + ARRIVES
+    }
+}
+
+/// What counts of a process that ends in the windows of the next one. Ages are in milliseconds before its end, the
+/// oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Requests of callers.
+    pub requests: Vec<u32>,
+    /// Repeats that were sent or lent.
+    pub used: Vec<u32>,
+    /// Whether requests of two whole windows are known.
+    pub settled: bool,
+}
+
 /// Repeats of one service that one router may send or lend.
 #[derive(Debug, Clone)]
 pub struct Budget {
@@ -72,11 +95,13 @@
     before: Before,
     /// Part of a repeat from which on this router's part is rounded up, once it knows the others.
     phase: Option<f64>,
-    /// Requests of two windows, and when the first one ever came.
+    /// Until when each request counts, which is for two windows, and when those of two windows are known.
     requests: VecDeque<Duration>,
-    since: Option<Duration>,
-    /// When repeats were sent or lent.
+    settled: Option<Duration>,
+    /// Until when each repeat counts that was sent or lent.
     used: VecDeque<Duration>,
+    /// Whether the rest was handed over.
+    closed: bool,
 }
 
 impl Budget {
@@ -95,7 +120,17 @@
     pub fn new(ratio: f64, slack: f64, window: Duration) -> Budget {
         let (requests, used) = (VecDeque::new(), VecDeque::new());
         let before = Before::default();
-        Budget { ratio, slack, window, before, phase: None, requests, since: None, used }
+        Budget {
+            ratio,
+            slack,
+            window,
+            before,
+            phase: None,
+            requests,
+            settled: None,
+            used,
+            closed: false,
+        }
     }
 
     /// Notes what is known of the process before this one.
@@ -111,18 +146,19 @@
 
     /// Notes a request of a caller.
     pub fn request(&mut self, now: Duration) {
-        forget(&mut self.requests, now, self.window * 2);
-        self.requests.push_back(now);
-        self.since.get_or_insert(now);
+        forget(&mut self.requests, now);
+        let until = now + self.window * 2;
+        self.requests.push_back(until);
+        self.settled.get_or_insert(until);
     }
 
     /// Requests in a window. By chance each router has more of them at some moment than on average, but not all routers
     /// at the same one, so what a single window shows counts as far as the one before it agrees.
     fn usual(&mut self, now: Duration) -> f64 {
-        forget(&mut self.requests, now, self.window * 2);
-        let before = self.requests.partition_point(|at| *at + self.window < now);
+        forget(&mut self.requests, now);
+        let before = self.requests.partition_point(|until| *until < now + self.window);
         let newest = (self.requests.len() - before) as f64;
-        match self.since.is_some_and(|since| since + self.window * 2 <= now) {
+        match self.settled.is_some_and(|settled| settled <= now) {
             true => newest.min(self.requests.len() as f64 / 2.0),
             false => newest - CHANCE * newest.sqrt(),
         }
@@ -142,8 +178,8 @@
     /// Repeats that may still be sent now by one of `routers` routers.
     pub fn left(&mut self, now: Duration, routers: u32) -> u32 {
         let part = self.part(now, routers);
-        forget(&mut self.used, now, self.window + ARRIVES);
-        part.saturating_sub(self.used.len() as u32)
+        forget(&mut self.used, now);
+        if self.closed { 0 } else { part.saturating_sub(self.used.len() as u32) }
     }
 
     /// The same for one kind of need.
@@ -159,17 +195,18 @@
     /// did so in the same window, routers that are restarted in turn would use their parts twice.
     fn known(&self, now: Duration) -> f64 {
         match self.before {
-            _ if now >= self.window + ARRIVES => 1.0,
-            Before::First => 1.0,
+            before if before.is_known(now, self.window) => 1.0,
             Before::Light => LIGHT,
-            Before::Unknown => YOUNG,
+            Before::First | Before::Told | Before::Unknown => YOUNG,
         }
     }
 
     /// Whether so much of the part of one of `routers` routers is used that the others have to know.
     pub fn is_heavy(&mut self, now: Duration, routers: u32) -> bool {
-        let used = f64::from(self.part(now, routers)) - f64::from(self.left(now, routers));
-        used > 0.0 && used >= HEAVY * f64::from(self.part(now, routers))
+        let part = self.part(now, routers);
+        forget(&mut self.used, now);
+        let used = part.min(self.used.len() as u32);
+        used > 0 && f64::from(used) >= HEAVY * f64::from(part)
     }
 
     /// Takes one repeat, if one is left.
@@ -185,12 +222,56 @@
     /// Takes up to `want` repeats at once, for another router.
     pub fn lend(&mut self, need: Need, want: u32, now: Duration, routers: u32) -> Loan {
         let lent = want.min(self.left_for(need, now, routers));
-        self.used.extend((0..lent).map(|_| now));
-        let oldest = self.used.front().map(|at| *at + self.window + ARRIVES);
-        let again = oldest.map_or(Duration::ZERO, |at| at.saturating_sub(now));
+        let until = now + self.window + ARRIVES;
+        self.used.extend((0..lent).map(|_| until));
+        let again = self.used.front().map_or(Duration::ZERO, |until| until.saturating_sub(now));
         let again = again.max(ASKED * routers);
         Loan { lent, again: if lent < want { again } else { Duration::ZERO } }
     }
+
+    /// Sends and lends nothing more, and says what counts for the next process; none if what the process before this
+    /// one used is not known and still counts.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use policy::window::{Before, Budget};
+    /// let fresh = || Budget::new(0.2, 100.0, Duration::from_secs(10));
+    /// let (mut old, now) = (fresh(), Duration::from_secs(100));
+    /// assert!(old.take(now, 5));
+    /// let handover = old.close(now).unwrap();
+    /// assert!(!old.take(now, 5));
+    /// let (mut next, start) = (fresh(), Duration::from_millis(200));
+    /// next.follow(Before::Told);
+    /// next.take_over(&handover, Duration::from_secs(1));
+    /// assert_eq!(next.left(start, 5) + 1, fresh().left(now, 5));
+    /// ```
+    pub fn close(&mut self, now: Duration) -> Option<Handover> {
+        self.closed = true;
+        forget(&mut self.requests, now);
+        forget(&mut self.used, now);
+        let ages = |untils: &VecDeque<Duration>, counts: Duration| {
+            let age = |until: &Duration| (counts + now).saturating_sub(*until).as_millis() as u32;
+            untils.iter().map(age).collect()
+        };
+        self.before.is_known(now, self.window).then(|| Handover {
+            requests: ages(&self.requests, self.window * 2),
+            used: ages(&self.used, self.window + ARRIVES),
+            settled: self.settled.is_some_and(|settled| settled <= now),
+        })
+    }
+
+    /// Counts what the process before this one handed over, which ended `gap` before this one started.
+    pub fn take_over(&mut self, handover: &Handover, gap: Duration) {
+        let untils = |ages: &[u32], counts: Duration| -> Vec<Duration> {
+            let until = |age: &u32| counts.checked_sub(gap + Duration::from_millis((*age).into()));
+            ages.iter().filter_map(until).collect()
+        };
+        insert(&mut self.used, untils(&handover.used, self.window + ARRIVES));
+        insert(&mut self.requests, untils(&handover.requests, self.window * 2));
+        if handover.settled {
+            self.settled = Some(Duration::ZERO);
+        }
+    }
 }
 
 /// How many routers share a budget: the most that were counted for some time.
@@ -240,8 +321,13 @@
     }
 }
 
-fn forget(times: &mut VecDeque<Duration>, now: Duration, window: Duration) {
-    while times.front().is_some_and(|at| *at + window < now) {
-        times.pop_front();
+fn forget(untils: &mut VecDeque<Duration>, now: Duration) {
+    while untils.front().is_some_and(|until| *until < now) {
+        untils.pop_front();
     }
 }
+
+fn insert(untils: &mut VecDeque<Duration>, more: Vec<Duration>) {
+    untils.extend(more);
+    untils.make_contiguous().sort_unstable();
+}
--- a/crates/policy/tests/loan.rs
+++ b/crates/policy/tests/loan.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use policy::loan::{AVOIDED, Ask, Borrower, Loan, Round};
-use policy::window::{Before, Budget, Need};
+use policy::window::{Before, Budget, Handover, Need};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -40,17 +40,6 @@
 /// Time that a router waits for an answer.
 const ANSWER: Duration = Duration::from_millis(30);
 
-/// What the process before handed over. This is the only place that names it.
-type Handover = ();
-
-/// Ends a process's use of its budget.
-fn close(_: &mut Budget, _: Duration) -> Option<Handover> {
-    None
-}
-
-/// Has the next process count what the one before it used, which ended `gap` before this one started.
-fn take_over(_: &mut Budget, _: &Handover, _: Option<Duration>) {}
-
 /// How what a process hands over comes to the next one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Word {
@@ -60,7 +49,7 @@
     Late(Duration),
     /// It does not come.
     Lost,
-    /// The time between the two processes is not known.
+    /// The time between the two processes is not known, and it is left out.
     Undated,
     /// The process after the next one is given it as well.
     Twice,
@@ -298,9 +287,12 @@
 
     fn hear(&mut self, n: usize, word: Option<Word>) {
         let router = &mut self.routers[n];
-        if let Some((handover, ended)) = &self.words[n] {
-            let gap = (word != Some(Word::Undated)).then(|| router.born - *ended);
-            take_over(&mut router.budget, handover, gap);
+        match &self.words[n] {
+            Some((handover, ended)) if word != Some(Word::Undated) => {
+                router.budget.follow(Before::Told);
+                router.budget.take_over(handover, router.born - *ended);
+            }
+            _ => {}
         }
     }
 
@@ -547,7 +539,7 @@
             Event::Stop(n) => world.routers[n].left = moves,
             Event::End(n) => {
                 let router = &mut world.routers[n];
-                let handover = close(&mut router.budget, now - router.born);
+                let handover = router.budget.close(now - router.born);
                 world.words[n] = handover.map(|handover| (handover, now));
                 router.down = true;
                 router.waiting.clear();
