A lender that had too little is asked again within a second

What callers saw: streams and new requests were refused a repeat while others had some again.

Cause: a lender that has too little says when the oldest repeat that it used is past, up to eleven seconds later, and is not asked before. Requests raise its part meanwhile.

It is asked again after 0.8 s at the latest, or after 30 ms for each router where that is longer, so 400 routers that are all short ask as rarely as before (a_lasting_shortage_makes_few_questions passes: under 40 a second).

--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -44,6 +44,9 @@
 /// short, each is asked some thirty times a second.
 const ASKED: Duration = Duration::from_millis(30);
 
+/// Longest time after which a router that had nothing left is asked again, however long its repeats still count.
+const GROWS: Duration = Duration::from_millis(800);
+
 /// What a repeat is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Need {
@@ -224,8 +227,9 @@
         let lent = want.min(self.left_for(need, now, routers));
         let until = now + self.window + ARRIVES;
         self.used.extend((0..lent).map(|_| until));
+        // Requests may raise this part before the oldest use is past.
         let again = self.used.front().map_or(Duration::ZERO, |until| until.saturating_sub(now));
-        let again = again.max(ASKED * routers);
+        let again = again.min(GROWS).max(ASKED * routers);
         Loan { lent, again: if lent < want { again } else { Duration::ZERO } }
     }
 
