A question without an answer widens the next wave of questions

What callers saw: a single stream that broke off beside dead routers was refused a repeat although others had some.

Cause: no more routers are asked at once than repeats are wanted, so a round for one repeat asks one router after the other and waits 30 ms for each that is dead.

So many more are asked as did not answer before. What two of them lend at once is one repeat too many, which another stream may use within 0.3 s.

--- a/crates/policy/src/loan.rs
+++ b/crates/policy/src/loan.rs
@@ -141,7 +141,7 @@
         let groups: Vec<Vec<M>> = lenders.chunks(size).map(<[M]>::to_vec).collect();
         let left = (f64::from(part) * LEFT).max(1.0) * size as f64;
         let width = (f64::from(want) / left).ceil() as usize;
-        Round { groups: groups.into(), want, width }
+        Round { groups: groups.into(), want, width, lost: 0 }
     }
 }
 
@@ -154,24 +154,27 @@
     want: u32,
     /// Groups that are asked next.
     width: usize,
+    /// Questions without an answer. So many more are asked at once, as those who are asked next may be dead as well.
+    lost: usize,
 }
 
 impl<M: Copy + Ord> Round<M> {
     /// Asks each of `lenders` by itself, all at once, as the first of a group does.
     pub fn each(lenders: &[M], want: u32) -> Round<M> {
         let groups = lenders.iter().map(|lender| vec![*lender]).collect();
-        Round { groups, want, width: lenders.len() }
+        Round { groups, want, width: lenders.len(), lost: 0 }
     }
 
     /// Questions to ask at once now; none if enough was lent, or if nobody is left to ask.
     pub fn wave(&mut self) -> Vec<Ask<M>> {
-        let count = self.groups.len().min(self.width).min(self.want as usize);
+        let most = if self.want > 0 { self.want as usize + self.lost } else { 0 };
+        let count = self.groups.len().min(self.width).min(most);
         self.width *= WIDER;
         let mut left = self.want;
         let groups = self.groups.drain(..count).enumerate();
         let asks = groups.map(|(at, lenders)| {
-            let want = left.div_ceil((count - at) as u32);
-            left -= want;
+            let want = left.div_ceil((count - at) as u32).max(1);
+            left = left.saturating_sub(want);
             Ask { lenders, want }
         });
         asks.collect()
@@ -187,6 +190,7 @@
 
     /// Notes that the first router of a question did not answer. Another one is asked for the rest.
     pub fn lost(&mut self, ask: Ask<M>) {
+        self.lost += 1;
         let rest = ask.lenders[1..].to_vec();
         if !rest.is_empty() {
             self.groups.push_front(rest);
