What is sent anew on a fresh connection takes a repeat of its own need

What callers saw: half a text, "it ran as often as its route allows", though the router had repeats for streams that have begun.

Cause: where a kept connection ends before any byte of an answer, the request is sent again at once. That took a repeat as for a new request, of which a quarter of the budget is kept away, also for a stream that has begun; it borrowed none; and it took the repeat before it looked whether the limit that the server names lets it send, so a repeat was lost where it does not.

The need is given by the caller of exchange::send, the limit is looked at first, and a repeat is borrowed where there is none. Nothing else runs between the look at the limit and the use of the permit.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -82,11 +82,12 @@
 
 /// Sends a request and waits for the head of the answer until `until`.
 ///
-/// `extra` are the fields that this router sets for this server.
+/// `extra` are the fields that this router sets for this server, `need` is what a repeat would be for.
 pub async fn send(
     state: &Rc<State>,
     peer: &Rc<Peer>,
     call: &Call,
+    need: Need,
     extra: HeaderMap,
     until: Instant,
 ) -> Outcome {
@@ -104,23 +105,28 @@
     };
     say_sent(state, peer, call);
     let used = link.used;
-    match exchange(state, peer, call, &extra, link, until).await {
-        // A used connection that ends before any byte of the answer was most likely idle too long.
-        Outcome::Unknown(why)
-            if used
-                && call.route.class.repeatable()
-                && Instant::now() < until
-                && repeats::take(state, &peer.server().service, Need::New)
-                && peer.limited.take(state.now()) =>
-        {
-            log::debug!("gateway: request={} sent anew: {why}", call.id);
-            match peer.pool.connect().await {
-                Ok(link) => exchange(state, peer, call, &extra, link, until).await,
-                Err(e) => Outcome::Unknown(e.to_string()),
-            }
-        }
-        outcome => outcome,
+    let outcome = exchange(state, peer, call, &extra, link, until).await;
+    // A used connection that ends before any byte of the answer was most likely idle too long.
+    let idle = used && call.route.class.repeatable() && matches!(outcome, Outcome::Unknown(_));
+    if !idle || Instant::now() >= until || !may_send_anew(state, peer, need).await {
+        return outcome;
+    }
+    log::debug!("gateway: request={} sent anew: {outcome:?}", call.id);
+    match peer.pool.connect().await {
+        Ok(link) => exchange(state, peer, call, &extra, link, until).await,
+        Err(e) => Outcome::Unknown(e.to_string()),
+    }
+}
+
+/// Takes a repeat and the server's permit for a request that is sent there anew.
+async fn may_send_anew(state: &Rc<State>, peer: &Peer, need: Need) -> bool {
+    let service = peer.server().service.clone();
+    if !peer.limited.allows(state.now()) {
+        return false;
     }
+    repeats::borrow(state, &service, need).await;
+    let now = state.now();
+    peer.limited.allows(now) && repeats::take(state, &service, need) && peer.limited.take(now)
 }
 
 /// Logs what is believed of the server that a request is sent to.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -174,7 +174,7 @@
 async fn ask(state: &Rc<State>, call: &Call, peer: Rc<Peer>) -> (Rc<Peer>, Tried) {
     let _load = Load::new(peer.clone(), 0.0);
     let fields = fields(state, call, &peer.server().id);
-    let tried = match exchange::send(state, &peer, call, fields, call.until).await {
+    let tried = match exchange::send(state, &peer, call, Need::New, fields, call.until).await {
         Outcome::Answer(answer) => match answer.collect(call.until).await {
             Some((head, body)) => Tried::Answered(head, body),
             None if Instant::now() >= call.until => Tried::Late,
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -264,7 +264,8 @@
         (self.ran, self.sent) = (self.ran + 1, self.sent + 1);
         let outcome = {
             let (state, call) = (self.state, self.call);
-            let sending = exchange::send(state, &peer, call, self.fields(&path, &id), call.until);
+            let (need, fields) = (self.need(), self.fields(&path, &id));
+            let sending = exchange::send(state, &peer, call, need, fields, call.until);
             tokio::pin!(sending);
             let mut wait = self.call.route.goal.mul_f64(SILENT_START).max(SHORTEST);
             let mut silent = false;
