Streams that break off during a round for repeats are asked for in it

What callers saw: streams refused a repeat beside routers that do not answer, with one router that has enough. Rounds for one repeat took up to 658 ms while others waited 100 ms for the next one.

Cause: a round asked for what waited when it began, and what came during it waited for the next.

Each wave of questions asks for what waits by then and for which no repeat is held.

--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -68,6 +68,13 @@
     answered: Notify,
 }
 
+impl Purse {
+    /// Answers that wait for a repeat and for which none is held.
+    fn short(&self, now: Duration) -> u32 {
+        self.waiting.get().saturating_sub(self.borrower.borrow_mut().held(now) as u32)
+    }
+}
+
 impl Repeats {
     /// Whether this process sends and lends nothing more.
     pub fn has_ended(&self) -> bool {
@@ -141,12 +148,14 @@
 async fn ask_others(state: Rc<State>, service: String, need: Need, purse: Rc<Purse>) {
     let (began, routers) = (state.now(), state.routers());
     let part = state.budget(&service, |budget| budget.part(began, routers));
-    let (others, wanted) = (state.sharing.others(began), purse.waiting.get());
-    let mut round =
-        purse.borrower.borrow_mut().round(&others, wanted, part, began, &mut rand::rng());
+    let others = state.sharing.others(began);
+    let mut round = purse.borrower.borrow_mut().round(&others, 0, part, began, &mut rand::rng());
     let (sender, mut answers) = mpsc::unbounded_channel();
-    let mut asked = 0;
+    let (mut asked, mut wanted) = (0, 0);
     loop {
+        let short = purse.short(state.now());
+        wanted += short.saturating_sub(round.want());
+        round.raise(short);
         let mut open = round.wave();
         if open.is_empty() {
             break;
--- a/crates/policy/src/loan.rs
+++ b/crates/policy/src/loan.rs
@@ -140,8 +140,9 @@
         };
         let groups: Vec<Vec<M>> = lenders.chunks(size).map(<[M]>::to_vec).collect();
         let left = (f64::from(part) * LEFT).max(1.0) * size as f64;
-        let width = (f64::from(want) / left).ceil() as usize;
-        Round { groups: groups.into(), want, width, lost: 0 }
+        let mut round = Round { groups: groups.into(), want: 0, left, width: 0, lost: 0 };
+        round.raise(want);
+        round
     }
 }
 
@@ -152,6 +153,8 @@
     groups: VecDeque<Vec<M>>,
     /// Repeats that are still wanted.
     want: u32,
+    /// Repeats that a group is guessed to have.
+    left: f64,
     /// Groups that are asked next.
     width: usize,
     /// Questions without an answer. So many more are asked at once, as those who are asked next may be dead as well.
@@ -162,7 +165,13 @@
     /// Asks each of `lenders` by itself, all at once, as the first of a group does.
     pub fn each(lenders: &[M], want: u32) -> Round<M> {
         let groups = lenders.iter().map(|lender| vec![*lender]).collect();
-        Round { groups, want, width: lenders.len(), lost: 0 }
+        Round { groups, want, left: 1.0, width: lenders.len(), lost: 0 }
+    }
+
+    /// Asks for so many, if that is more than is still wanted: more came to need one meanwhile.
+    pub fn raise(&mut self, want: u32) {
+        self.want = self.want.max(want);
+        self.width = self.width.max((f64::from(want) / self.left).ceil() as usize);
     }
 
     /// Questions to ask at once now; none if enough was lent, or if nobody is left to ask.
