A run whose server has ended does not count against the route's attempts

Cause: a run was forgotten only before its first event, and there because its first server was suspected, on the word of another router too. A stream that had begun and then lost its first server kept the count, so a route of two attempts allowed no third run though one of the two servers, or both, had ended.

Now the router keeps the first servers whose connection broke under a run. When the attempts are used up it asks them over a new connection, with 200 ms to answer, and a run does not count if there is no answer, or if another start of that server answers. Only answers from after the break are taken.

A broken connection alone, silence alone and the word of other routers leave the count as it is. A router that is cut off itself reaches no first server for a further run. Five paths are tried for one request at most, as before. What remains: a live server whose connection breaks and that does not answer within 200 ms is taken for ended.

It does not help those that leave in silence with the same obstacle.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -31,6 +31,17 @@
     pub heard: Duration,
 }
 
+/// What came of a question whether a server lives.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked {
+    /// When it was answered or given up.
+    pub at: Duration,
+    /// Time that the server got to answer.
+    pub limit: Duration,
+    /// When the start of the server that answered began, nought if it does not say; none if nothing answered.
+    pub start: Option<u64>,
+}
+
 /// A backend server: its entry, its connections, and what this router runs there.
 #[derive(Debug)]
 pub struct Peer {
@@ -63,9 +74,9 @@
     pub slow: Cell<f64>,
     /// Part of its memory for requests that was taken when it was last asked, and when that was heard.
     pub filled: Cell<Option<(f64, Duration)>>,
-    /// When it was last asked whether it lives, and whether it did. Held while it is asked, so that
-    /// all who want to know wait for one answer.
-    pub asked: Mutex<(Duration, bool)>,
+    /// What came when it was last asked whether it lives. Held while it is asked, so that all who want to know wait for
+    /// one answer.
+    pub asked: Mutex<Asked>,
     /// When an event last came along a path through it.
     pub seen: Cell<Duration>,
     /// When another router last said that it does not answer.
@@ -96,7 +107,7 @@
             reading: Cell::default(),
             slow: Cell::new(1.0),
             filled: Cell::new(None),
-            asked: Mutex::new((Duration::ZERO, true)),
+            asked: Mutex::new(Asked { at: Duration::ZERO, limit: Duration::ZERO, start: Some(0) }),
             seen: Cell::default(),
             said: Cell::new(None),
             stalled: RefCell::default(),
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::notice::Notice;
-use crate::peer::Peer;
+use crate::peer::{Asked, Peer};
 use crate::server::Report;
 use crate::state::State;
 use crate::wire::Ask;
@@ -137,27 +137,42 @@
 }
 
 async fn alive(state: &State, peer: &Peer) -> bool {
-    if peer.suspicion.borrow().holds(state.now()) {
-        return false;
+    !peer.suspicion.borrow().holds(state.now())
+        && answering(state, peer, Duration::ZERO, PROBE).await.is_some()
+}
+
+/// Whether a server that started at `born` does not answer this router any more after `since`, whatever others say of
+/// it. One that started again under its name has ended as well. A live one may be too slow for a probe, so it gets longer.
+pub async fn has_ended(state: &State, peer: &Peer, born: u64, since: Duration) -> bool {
+    match answering(state, peer, since, SOON).await {
+        None => true,
+        // Not every server says when it started.
+        Some(start) => start != born && start != 0 && born != 0,
     }
+}
+
+/// Asks a server whether it lives, unless that was just done, after `since` and with as much time to answer; when the
+/// start of it that answers began.
+async fn answering(state: &State, peer: &Peer, since: Duration, limit: Duration) -> Option<u64> {
     let mut asked = peer.asked.lock().await;
-    if state.now() < asked.0 + FRESH {
-        return asked.1;
+    let fresh = since <= asked.at && state.now() < asked.at + FRESH;
+    if fresh && (asked.start.is_some() || limit <= asked.limit) {
+        return asked.start;
     }
-    let alive = match report(state, peer, PROBE + state.lag.get() * LAGS).await {
+    let start = match report(state, peer, limit + state.lag.get() * LAGS).await {
         Ok(report) => {
             peer.slow.set(report.pace.max(1.0));
             peer.learn(report.span, state.now());
             *peer.stalled.borrow_mut() = report.stalled;
-            true
+            Some(report.born)
         }
         Err(why) => {
             log::debug!("gateway: probe failed: {why}");
-            false
+            None
         }
     };
-    *asked = (state.now(), alive);
-    alive
+    *asked = Asked { at: state.now(), limit, start };
+    start
 }
 
 /// Passes over a server and tells the other routers.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
@@ -23,6 +24,7 @@
 use crate::limited;
 use crate::notice::Notice;
 use crate::peer::Peer;
+use crate::probe;
 use crate::request::Call;
 use crate::route::{self, Path};
 use crate::settings::Model;
@@ -70,8 +72,10 @@
     but: Vec<String>,
     /// Paths asked.
     tries: u32,
-    /// Paths that count as having run it.
+    /// Paths that may have run it.
     ran: u32,
+    /// Those of them whose connection broke.
+    broken: Vec<Broken>,
     /// Paths that it was sent along and whose servers did not say that they won't run it.
     sent: u32,
     /// What stood in the way when another path was last looked for.
@@ -90,6 +94,15 @@
     wants_link: Cell<bool>,
 }
 
+/// A path along which a request may have run until the connection to its first server broke.
+struct Broken {
+    first: Rc<Peer>,
+    /// When that server had started.
+    born: u64,
+    /// When the connection broke.
+    at: Duration,
+}
+
 /// Why a request can't go on along another path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 enum Obstacle {
@@ -111,6 +124,8 @@
     pause: Duration,
     /// When bytes last came along it, or since when they are waited for.
     since: Instant,
+    /// Whether the connection to its first server broke.
+    broken: bool,
 }
 
 impl Source {
@@ -131,7 +146,10 @@
                         self.measure();
                     }
                 }
-                Ok(Some(Err(_))) => return Next::Broken("the server broke off"),
+                Ok(Some(Err(_))) => {
+                    self.broken = true;
+                    return Next::Broken("the server broke off");
+                }
                 Ok(None) if self.splitter.is_empty() => return Next::End,
                 Ok(None) => return Next::Broken("the stream ends in the middle of an event"),
                 Err(_) => return Next::Late,
@@ -174,6 +192,7 @@
         but: Vec::new(),
         tries: 0,
         ran: 0,
+        broken: Vec::new(),
         sent: 0,
         obstacle: None,
         kept: false,
@@ -201,7 +220,8 @@
     source.answer.head.headers_mut().clone_from(head.headers());
     answer::strip(head.headers_mut());
     let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, Cut>>(AHEAD);
-    let (ran, sent, but, tries) = (progress.ran, progress.sent, progress.but, progress.tries);
+    let (ran, broken, sent) = (progress.ran, progress.broken, progress.sent);
+    let (but, tries) = (progress.but, progress.tries);
     let (state, service, model) = (state.clone(), service.to_owned(), model.clone());
     let call = call.clone();
     tokio::task::spawn_local(async move {
@@ -213,6 +233,7 @@
             but,
             tries,
             ran,
+            broken,
             sent,
             obstacle: None,
             kept: false,
@@ -273,7 +294,7 @@
             progress.call.came.elapsed()
         );
         progress.held_up = "resumed";
-        progress.avoid(source.path.first());
+        progress.leave(&source);
         drop(source);
         let opened = tokio::select! {
             opened = progress.resume() => opened,
@@ -305,20 +326,48 @@
     /// How far a stream has come that ends early, and what it waited for, for the log.
     fn ending(&self) -> String {
         format!(
-            "last_event={:?} pause={:?} held_up={} tries={} ran={} obstacle={} age={:?}",
+            "last_event={:?} pause={:?} held_up={} tries={} ran={} broken={} obstacle={} age={:?}",
             self.last,
             self.passed.elapsed(),
             self.held_up,
             self.tries,
             self.ran,
+            self.broken.len(),
             self.obstacle.map_or_else(|| "none".to_owned(), |o| o.to_string()),
             self.call.came.elapsed()
         )
     }
 
-    /// Whether something that may have run may run on another path.
-    fn may_run_again(&self) -> bool {
-        self.call.route.class.repeatable() && self.ran < self.call.route.attempts
+    /// Whether something that may have run may run on another path. Runs on servers that have ended do not count; a
+    /// server that only broke its connection, or that answers again, may still be at work.
+    async fn may_run_again(&self) -> bool {
+        let attempts = self.call.route.attempts;
+        match self.call.route.class.repeatable() {
+            true if self.ran >= attempts => self.ran - self.ended().await < attempts,
+            repeatable => repeatable,
+        }
+    }
+
+    /// Runs whose first server has ended.
+    async fn ended(&self) -> u32 {
+        let asked = self.broken.iter();
+        let asked = asked.map(|b| probe::has_ended(self.state, &b.first, b.born, b.at));
+        join_all(asked).await.into_iter().filter(|ended| *ended).count() as u32
+    }
+
+    /// Begins no other path at the first server of this one, which is given up.
+    fn leave(&mut self, source: &Source) {
+        let first = source.path.first();
+        self.avoid(first);
+        if source.broken {
+            self.note_broken(first);
+        }
+    }
+
+    /// Notes that a connection broke over which the request may have run.
+    fn note_broken(&mut self, first: &Rc<Peer>) {
+        let (born, at) = (first.server().born, self.state.now());
+        self.broken.push(Broken { first: first.clone(), born, at });
     }
 
     /// Begins no other path at this server.
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -67,7 +67,7 @@
 impl Progress<'_> {
     /// Goes on after the last event on another path, for as long as the caller may still be there.
     pub(super) async fn resume(&mut self) -> Option<(Source, Event)> {
-        while self.may_run_again() && self.last.is_some() {
+        while self.last.is_some() && self.may_run_again().await {
             match self.open().await {
                 Ok(Opened::Stream(source, event)) => return Some((source, event)),
                 Ok(Opened::Whole(_)) => return None,
@@ -114,7 +114,7 @@
     /// Another path and its first event; none, after a short wait, if there is no other way now.
     fn another(&mut self) -> LocalBoxFuture<'_, Option<(Source, Event)>> {
         Box::pin(async {
-            match self.may_run_again() {
+            match self.may_run_again().await {
                 true => match self.open().await {
                     Ok(Opened::Stream(source, event)) => return Some((source, event)),
                     Ok(Opened::Whole(_)) | Err(_) => {}
@@ -162,7 +162,7 @@
                 Ok(opened) => return Ok(opened),
                 Err(Failed::NotRun) if self.sent == 0 => Reason::Full,
                 Err(Failed::NotRun) => Reason::Lost,
-                Err(Failed::Unknown) if self.may_run_again() => Reason::Lost,
+                Err(Failed::Unknown) if self.may_run_again().await => Reason::Lost,
                 Err(Failed::Unknown) => return Err(Reason::Lost),
                 Err(Failed::Late) => return Err(Reason::Late),
             });
@@ -288,7 +288,7 @@
                     silent = false;
                     continue;
                 }
-                silent = self.may_run_again() && (lost || wait > STUCK);
+                silent = (lost || wait > STUCK) && self.may_run_again().await;
                 if !silent {
                     continue;
                 }
@@ -314,10 +314,8 @@
                 Err(Failed::NotRun)
             }
             Outcome::Unknown(why) => {
-                // The first server may have begun it, whatever happened to those after it. Only one that
-                // is gone itself does not count.
-                let gone = peer.suspicion.borrow().holds(self.state.now());
-                self.ran -= u32::from(gone);
+                // The first server may have begun it, whatever happened to those after it.
+                self.note_broken(&peer);
                 log::info!(
                     "gateway: request={} first={id} outcome=unknown why={why} path={}",
                     self.call.id,
@@ -340,7 +338,7 @@
         let status = answer.head.status();
         let first = path.first().clone();
         if status != StatusCode::OK {
-            let again = status.is_server_error() && self.may_run_again();
+            let again = status.is_server_error() && self.may_run_again().await;
             let whole = answer.collect(self.call.until).await;
             log::info!(
                 "gateway: request={} first={} status={status} again={again}",
@@ -356,7 +354,8 @@
             };
         }
         let splitter = Splitter::default();
-        let mut source = Source { path, answer, splitter, began, pause: PAUSE, since: began };
+        let (pause, since) = (PAUSE, began);
+        let mut source = Source { path, answer, splitter, began, pause, since, broken: false };
         let mut next = self.next(&mut source).await;
         while let Next::Silent(why) = next {
             next = self.outlast(&mut source, why).await;
@@ -368,7 +367,7 @@
             }
             Next::Late => Err(Failed::Late),
             Next::End | Next::Silent(_) | Next::Broken(_) => {
-                self.avoid(source.path.first());
+                self.leave(&source);
                 Err(Failed::Unknown)
             }
         }
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -87,6 +87,7 @@
                 Beside::Kept(next) => return next,
                 Beside::Other(fresh, event) => {
                     self.held_up = "resumed";
+                    self.leave(source);
                     *source = *fresh;
                     return Next::Event(event);
                 }
