A server that has just started is kept for the layers of the one it replaces

Cause: a release starts each new server up to a second before the old one leaves. The router that gives orders had the new one load a second copy at once, so it was busy when layers went missing half a second later, and a server that held another second copy had to give that up first.

Ruled out: that no empty server was there (four were, 0.5 and 1.0 s old); that the leader prefers servers which hold something.

Change: placement::keep_started leaves out orders for second copies to servers younger than 1.5 s. What is missing is loaded at once, also by them.

--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use layers::placement::{self, Place};
+use layers::server::Index;
 use layers::{Card, Server, Shape, Span};
 
 use super::order::{Given, Planned};
@@ -68,6 +69,8 @@
     say(state, &gaps);
     let lasting = lasting(state, &gaps) > RETURN;
     let places = placement::plan(&servers, &model.shape, lasting);
+    let age = |server: Index| now.saturating_sub(peers[server].since());
+    let places = placement::keep_started(places, &servers, &model.shape, age);
     let planned = |place: &Place| Planned {
         server: peers[place.server].server().id.clone(),
         span: place.span,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -49,6 +49,8 @@
     server: RefCell<Rc<Server>>,
     entry: Cell<Entry>,
     digest: Cell<Digest>,
+    /// When this router first heard of this start of it.
+    since: Cell<Duration>,
     /// Connections to it.
     pub pool: Pool,
     /// Whether it answers.
@@ -97,6 +99,7 @@
             pool: Pool::new(server.address),
             entry: Cell::new(entry),
             digest: Cell::new(shared_read::digest(&server)),
+            since: Cell::new(entry.heard),
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
             declines: RefCell::default(),
@@ -130,6 +133,11 @@
         self.entry.get()
     }
 
+    /// When this router first heard of this start of it.
+    pub fn since(&self) -> Duration {
+        self.since.get()
+    }
+
     /// Digest of its entry.
     pub fn digest(&self) -> Digest {
         self.digest.get()
@@ -142,6 +150,7 @@
         self.digest.set(shared_read::digest(&server));
         if self.server.borrow().born != server.born {
             // A new start holds nothing of before.
+            self.since.set(entry.heard);
             self.fresh.set(None);
             self.suspicion.borrow_mut().clear();
             self.slow.set(1.0);
--- a/crates/layers/src/placement/reserve.rs
+++ b/crates/layers/src/placement/reserve.rs
@@ -1,7 +1,9 @@
 //! Second copies: those that cover the loss of a server, and those that stand in for a slow one.
 
-use super::Work;
-use crate::server::{Index, Zone};
+use std::time::Duration;
+
+use super::{Place, Work, missing};
+use crate::server::{Index, Server, Shape, Zone};
 use crate::span::Span;
 
 /// Tokens of context beside a second copy.
@@ -10,6 +12,47 @@
 /// Factor on the times of a server that counts as slow.
 const SLOW: f64 = 6.0;
 
+/// Time after its start for which a server is kept empty if nothing is missing.
+const STARTED: Duration = Duration::from_millis(1500);
+
+/// Leaves out the orders by which servers that have just started would hold second copies.
+///
+/// Load pattern: a release replaces servers one after the other; each new one starts up to a second before the old one leaves. An
+/// empty server loads what the old one held in a second or two. If it is busy with a second copy, a server that holds another one
+/// has to give that up first, which takes until all that passes through it has ended; meanwhile the data centre begins nothing,
+/// and the copies that are left carry all requests when the next server dies.
+///
+/// ```
+/// use std::time::Duration;
+/// use layers::placement::{Place, keep_started};
+/// use layers::{Card, Server, Shape, Span};
+/// let shape = Shape { layers: 8, layer_bytes: 1e9, token_bytes: 1e3, step_ms: 1.0,
+///     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01,
+///     pause_ms: 200.0, pass: None };
+/// let card = Card { bytes: 9e9, pace: 1.0, read: 1.0 };
+/// let server = |to| Server { zone: 0, card, span: Span::new(0, to), usable: true, busy: false, slow: false };
+/// let order = vec![Place { server: 1, span: Span::new(4, 8) }];
+/// let ages = [Duration::from_secs(60), Duration::from_secs(1)];
+/// let kept = |held| keep_started(order.clone(), &[server(held), server(0)], &shape, |i| ages[i]);
+/// assert!(kept(8).is_empty());
+/// assert_eq!(kept(4), order);
+/// ```
+pub fn keep_started(
+    places: Vec<Place>,
+    servers: &[Server],
+    shape: &Shape,
+    age: impl Fn(Index) -> Duration,
+) -> Vec<Place> {
+    let fills = |place: &Place| {
+        let missing = missing(servers, shape, servers[place.server].zone);
+        missing.iter().any(|gap| gap.from < place.span.to && place.span.from < gap.to)
+    };
+    let waits = |place: &Place| {
+        servers[place.server].span.is_empty() && age(place.server) < STARTED && !fills(place)
+    };
+    places.into_iter().filter(|place| !waits(place)).collect()
+}
+
 impl Work<'_> {
     /// Has servers that hold nothing needed take the layers that only slow servers hold.
     ///
