The word of one router has no layers loaded elsewhere

Cause: at 11.8 s front-ayat-4 took that server for dead, as it missed one probe, and said so. The router that gives orders has no requests of its own to tell by; it believed it and had layers 0-14 loaded elsewhere. The server answered again, counted as spare and was ordered to hold 38-46 in their place (12.62 and 12.72 s). A server that gives layers up takes no other path for what runs there.

Change: the router that gives orders asks a server itself that another one says does not answer. Until that is known, or after an answer, it does not count as dead where layers are placed.

--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -48,7 +48,7 @@
     let planned = planned.iter().map(|p| (p.server.as_str(), p.span));
     let mut ordered: Vec<(&str, Span)> = given.chain(planned).collect();
     ordered.sort_unstable();
-    let silent = peers.iter().filter(|p| p.suspicion.borrow().open()).count() as f64;
+    let silent = peers.iter().filter(|p| p.counts_as_dead()).count() as f64;
     let reached = silent <= peers.len() as f64 * (1.0 - REACHED);
     let server = |peer: &Rc<Peer>| {
         let entry = peer.server();
@@ -59,7 +59,7 @@
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.unwrap_or(peer.span(now)),
-            usable: card.is_some() && peer.ready() && (!reached || !peer.suspicion.borrow().open()),
+            usable: card.is_some() && peer.ready() && (!reached || !peer.counts_as_dead()),
             busy: order.is_some(),
             slow: peer.slow.get() > STAND_IN,
         }
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -11,6 +11,7 @@
 use crate::crash;
 use crate::limited;
 use crate::peer::Peer;
+use crate::probe;
 use crate::repeats;
 use crate::state::State;
 
@@ -155,6 +156,9 @@
             }
             if let Some(peer) = state.peer(server).filter(|p| silent(p, now)) {
                 peer.fail(now);
+                if state.gives.get() {
+                    probe::verify(state, &peer);
+                }
                 state.lost.notify_waiters();
                 log::info!("gateway: server={server} suspect=true why=another router says so");
             }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -86,6 +86,8 @@
     pub seen: Cell<Duration>,
     /// When another router last said that it does not answer.
     pub said: Cell<Option<Duration>>,
+    /// Whether it is being asked if that is so.
+    pub in_doubt: Cell<bool>,
     /// Requests that it last reported to wait for a server further on.
     pub stalled: RefCell<Vec<Stall>>,
     fresh: Cell<Option<(Span, Duration)>>,
@@ -117,6 +119,7 @@
             asked: Mutex::new(Asked { at: Duration::ZERO, limit: Duration::ZERO, start: Some(0) }),
             seen: Cell::default(),
             said: Cell::new(None),
+            in_doubt: Cell::new(false),
             stalled: RefCell::default(),
             fresh: Cell::new(None),
             lapsed: Cell::new(None),
@@ -201,6 +204,12 @@
         self.ready() && !self.suspicion.borrow().holds(now)
     }
 
+    /// Whether it counts as dead where layers are placed: it did not answer, and has not answered since. The word of another
+    /// router counts once the server was asked here as well.
+    pub fn counts_as_dead(&self) -> bool {
+        self.suspicion.borrow().open() && !self.in_doubt.get()
+    }
+
     /// Whether it is usable and has not just declined a request.
     pub fn willing(&self, now: Duration) -> bool {
         self.usable(now) && !self.declines.borrow().holds(now)
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
 use crate::crash;
@@ -182,6 +183,24 @@
     start
 }
 
+/// Asks a server itself that another router says does not answer. An answer ends the suspicion.
+///
+/// Load pattern: a slow router takes a live server for dead and tells all others. If the router that gives orders has its layers
+/// loaded elsewhere, the live server counts as spare and is told to give them up; it then refuses other paths to all streams that
+/// began there.
+pub fn verify(state: &Rc<State>, peer: &Rc<Peer>) {
+    let (state, peer) = (state.clone(), peer.clone());
+    peer.in_doubt.set(true);
+    spawn_local(async move {
+        let answer = report(&state, &peer, soon(&state)).await;
+        peer.in_doubt.set(false);
+        if answer.is_ok() {
+            log::info!("gateway: server={} suspect=false why=it answers", peer.server().id);
+        }
+        state.changed.notify_waiters();
+    });
+}
+
 /// Passes over a server and tells the other routers.
 pub fn suspect(state: &Rc<State>, peer: &Rc<Peer>, why: &str) {
     if peer.fail(state.now()) {
