A run on a server that is gone from the network does not count

Cause: their first runs were lost to a server that lives and resets connections; the first server of the second run went silent at 20.5 s without a reset. The router suspected it, so it did not mend the path, and counted its run as one on a living server, so there was no third run: two beliefs that exclude each other.

Change: when the attempts are used up, a suspected first server is looked for once more, over a new connection. A server whose VM takes connections may be at work, and where no other server answers it is the router that is cut off: both still count.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -43,6 +43,15 @@
     pub start: Option<u64>,
 }
 
+/// What came of looking whether a silent server is gone.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Reached {
+    /// When that was known.
+    pub at: Duration,
+    /// Whether it has ended or is cut off.
+    pub gone: bool,
+}
+
 /// A backend server: its entry, its connections, and what this router runs there.
 #[derive(Debug)]
 pub struct Peer {
@@ -82,6 +91,8 @@
     /// What came when it was last asked whether it lives. Held while it is asked, so that all who want to know wait for
     /// one answer.
     pub asked: Mutex<Asked>,
+    /// Whether it was gone when that was last looked into. Held meanwhile.
+    pub reached: Mutex<Reached>,
     /// When an event last came along a path through it.
     pub seen: Cell<Duration>,
     /// When another router last said that it does not answer.
@@ -117,6 +128,7 @@
             slow: Cell::new(1.0),
             filled: Cell::new(None),
             asked: Mutex::new(Asked { at: Duration::ZERO, limit: Duration::ZERO, start: Some(0) }),
+            reached: Mutex::default(),
             seen: Cell::default(),
             said: Cell::new(None),
             in_doubt: Cell::new(false),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -45,8 +45,19 @@
     pub peer: SocketAddr,
     /// What went wrong.
     pub why: String,
-    /// Whether nothing listens there.
-    pub refused: bool,
+    /// What kept it from being made.
+    pub cause: Cause,
+}
+
+/// What keeps a connection from being made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// Nothing listens at the address.
+    Refused,
+    /// Nothing answers there in time.
+    Silent,
+    /// Anything else.
+    Other,
 }
 
 /// A connection that is in use by one request.
@@ -109,19 +120,23 @@
 
     /// A new connection.
     pub async fn connect(&self) -> Result<Link, Fault> {
-        let fault = |why: String, refused| Fault { peer: self.address, why, refused };
+        let fault = |why: String, cause| Fault { peer: self.address, why, cause };
         let stream = match timeout(CONNECT, open(self.address)).await {
             Ok(stream) => {
-                let refused = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
-                stream.map_err(|e| fault(e.to_string(), refused(&e)))?
+                let cause = |e: &io::Error| match e.kind() {
+                    io::ErrorKind::ConnectionRefused => Cause::Refused,
+                    io::ErrorKind::TimedOut => Cause::Silent,
+                    _ => Cause::Other,
+                };
+                stream.map_err(|e| fault(e.to_string(), cause(&e)))?
             }
-            Err(_) => return Err(fault("no answer in time".to_owned(), false)),
+            Err(_) => return Err(fault("no answer in time".to_owned(), Cause::Silent)),
         };
         let (sender, connection) = Builder::new()
             .max_headers(64)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| fault(e.to_string(), false))?;
+            .map_err(|e| fault(e.to_string(), Cause::Other))?;
         let peer = self.address;
         let task = tokio::task::spawn_local(async move {
             if let Err(e) = connection.await {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -12,7 +12,8 @@
 
 use crate::crash;
 use crate::notice::Notice;
-use crate::peer::{Asked, Peer};
+use crate::peer::{Asked, Peer, Reached};
+use crate::pool::Cause;
 use crate::server::Report;
 use crate::state::State;
 use crate::wire::Ask;
@@ -156,7 +157,43 @@
 /// Whether nothing listens any more at a server's address, so that it has ended. One that only resets connections, or that
 /// this router can't reach, does not refuse them.
 pub async fn refuses(peer: &Peer) -> bool {
-    peer.pool.connect().await.is_err_and(|fault| fault.refused)
+    peer.pool.connect().await.is_err_and(|fault| fault.cause == Cause::Refused)
+}
+
+/// Servers of a data centre that are asked at most to see whether this router reaches it.
+const NEARBY: usize = 2;
+
+/// Whether a server that fell silent without closing its connections has ended or is cut off: nothing listens at its address,
+/// or its VM takes no connection while another server of its data centre answers. One that takes connections may be at work,
+/// and where no other server answers, it is this router that is cut off.
+pub async fn is_gone(state: &State, peer: &Peer) -> bool {
+    let mut reached = peer.reached.lock().await;
+    if state.now() < reached.at + FRESH {
+        return reached.gone;
+    }
+    let (made, nearby) = tokio::join!(peer.pool.connect(), reaches_nearby(state, peer));
+    let gone = match made.map_err(|fault| fault.cause) {
+        Err(Cause::Refused) => true,
+        Err(Cause::Silent) => nearby,
+        Ok(_) | Err(Cause::Other) => false,
+    };
+    log::info!("gateway: server={} gone={gone} others_answer={nearby}", peer.server().id);
+    *reached = Reached { at: state.now(), gone };
+    gone
+}
+
+/// Whether another server of the same data centre answers now. Those are asked through which events came last.
+async fn reaches_nearby(state: &State, peer: &Peer) -> bool {
+    let (since, server) = (state.now(), peer.server());
+    let mut nearby = state.peers();
+    nearby.retain(|p| {
+        let other = p.server();
+        other.zone == server.zone && other.id != server.id && !p.suspicion.borrow().holds(since)
+    });
+    nearby.sort_by_key(|p| std::cmp::Reverse(p.seen.get()));
+    nearby.truncate(NEARBY);
+    let asked = nearby.iter().map(|p| answering(state, p, since, SOON));
+    join_all(asked).await.iter().any(Option::is_some)
 }
 
 /// Asks a server whether it lives, unless that was just done, after `since` and with as much time to answer; when the
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -74,10 +74,8 @@
     but: Vec<String>,
     /// Paths asked.
     tries: u32,
-    /// Paths that may have run it.
-    ran: u32,
-    /// Those of them whose connection broke.
-    broken: Vec<Broken>,
+    /// Runs of it that may have begun.
+    runs: Vec<Run>,
     /// Ends when it is known whether the last server that broke off has ended.
     looked: Option<JoinHandle<()>>,
     /// Paths that it was sent along and whose servers did not say that they won't run it.
@@ -98,13 +96,30 @@
     wants_link: Cell<bool>,
 }
 
-/// A path along which a request may have run until the connection to its first server broke.
-struct Broken {
+/// A run of a request, which may have begun.
+struct Run {
     first: Rc<Peer>,
     /// When that server had started.
     born: u64,
-    /// When the connection broke.
-    at: Duration,
+    /// When the connection to it broke.
+    broken: Option<Duration>,
+}
+
+impl Run {
+    /// Whether the server has ended. One that only broke its connection, or that answers again, may still be at work.
+    async fn has_ended(&self, state: &State) -> bool {
+        let born = self.first.server().born;
+        // Not every server says when it started.
+        let started_again = born != self.born && born != 0 && self.born != 0;
+        match self.broken {
+            _ if started_again => true,
+            Some(at) => probe::has_ended(state, &self.first, self.born, at).await,
+            None if self.first.suspicion.borrow().holds(state.now()) => {
+                probe::is_gone(state, &self.first).await
+            }
+            None => false,
+        }
+    }
 }
 
 /// Why a request can't go on along another path.
@@ -197,8 +212,7 @@
         model,
         but: Vec::new(),
         tries: 0,
-        ran: 0,
-        broken: Vec::new(),
+        runs: Vec::new(),
         looked: None,
         sent: 0,
         obstacle: None,
@@ -231,7 +245,7 @@
     source.answer.head.headers_mut().clone_from(head.headers());
     answer::strip(head.headers_mut());
     let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, Cut>>(AHEAD);
-    let (ran, broken, sent) = (progress.ran, progress.broken, progress.sent);
+    let (runs, sent) = (progress.runs, progress.sent);
     let (but, tries) = (progress.but, progress.tries);
     let (state, service, model) = (state.clone(), service.to_owned(), model.clone());
     let call = call.clone();
@@ -243,8 +257,7 @@
             model: &model,
             but,
             tries,
-            ran,
-            broken,
+            runs,
             looked: None,
             sent,
             obstacle: None,
@@ -344,28 +357,38 @@
             self.passed.elapsed(),
             self.held_up,
             self.tries,
-            self.ran,
-            self.broken.len(),
+            self.runs.len(),
+            self.runs.iter().filter(|run| run.broken.is_some()).count(),
             self.obstacle.map_or_else(|| "none".to_owned(), |o| o.to_string()),
             self.call.came.elapsed()
         )
     }
 
-    /// Whether something that may have run may run on another path. Runs on servers that have ended do not count; a
-    /// server that only broke its connection, or that answers again, may still be at work.
+    /// Whether something that may have run may run on another path. Runs on servers that have ended do not count.
     async fn may_run_again(&self) -> bool {
-        let attempts = self.call.route.attempts;
+        let attempts = self.call.route.attempts as usize;
         match self.call.route.class.repeatable() {
-            true if self.ran >= attempts => self.ran - self.ended().await < attempts,
+            true if self.runs.len() >= attempts => self.runs.len() - self.ended().await < attempts,
             repeatable => repeatable,
         }
     }
 
-    /// Runs whose first server has ended.
-    async fn ended(&self) -> u32 {
-        let asked = self.broken.iter();
-        let asked = asked.map(|b| probe::has_ended(self.state, &b.first, b.born, b.at));
-        join_all(asked).await.into_iter().filter(|ended| *ended).count() as u32
+    /// How many runs were on servers that have ended.
+    async fn ended(&self) -> usize {
+        let asked = self.runs.iter().map(|run| run.has_ended(self.state));
+        join_all(asked).await.into_iter().filter(|ended| *ended).count()
+    }
+
+    /// Counts a run, before it is sent: what sends it may be dropped at any moment, and it may have begun by then.
+    fn note_run(&mut self, first: &Rc<Peer>) {
+        let (first, born) = (first.clone(), first.server().born);
+        self.runs.push(Run { first, born, broken: None });
+    }
+
+    /// Forgets a run that never began.
+    fn forget_run(&mut self, first: &Rc<Peer>) {
+        let at = self.runs.iter().rposition(|run| Rc::ptr_eq(&run.first, first));
+        at.map(|at| self.runs.remove(at));
     }
 
     /// Begins no other path at the first server of this one, which is given up.
@@ -379,10 +402,10 @@
 
     /// Notes that a connection broke over which the request may have run.
     fn note_broken(&mut self, first: &Rc<Peer>) {
-        let (born, at) = (first.server().born, self.state.now());
         let events = self.last.map_or(0, |last| last + 1);
         self.looked = Some(crash::note_broken(self.state, self.call, first, events));
-        self.broken.push(Broken { first: first.clone(), born, at });
+        let run = self.runs.iter_mut().rfind(|run| Rc::ptr_eq(&run.first, first));
+        run.into_iter().for_each(|run| run.broken = Some(self.state.now()));
     }
 
     /// Begins no other path at this server.
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -285,9 +285,8 @@
         let peer = path.first().clone();
         let hops = path.hops.clone();
         let id = peer.server().id.clone();
-        // Counted before it is sent: this may end at any moment, when another path is faster, and what was
-        // sent until then may have run.
-        (self.ran, self.sent) = (self.ran + 1, self.sent + 1);
+        self.note_run(&peer);
+        self.sent += 1;
         let outcome = {
             let (state, call) = (self.state, self.call);
             let (need, fields) = (self.need(), self.fields(&path, &id));
@@ -331,12 +330,14 @@
         match outcome {
             Outcome::Answer(answer) => self.first(path, answer, began).await,
             Outcome::NotSent(why) => {
-                (self.ran, self.sent) = (self.ran - 1, self.sent - 1);
+                self.forget_run(&peer);
+                self.sent -= 1;
                 self.suspect(&peer, &why);
                 Err(Failed::NotRun)
             }
             Outcome::NotRun(status, culprit) => {
-                (self.ran, self.sent) = (self.ran - 1, self.sent - 1);
+                self.forget_run(&peer);
+                self.sent -= 1;
                 self.declined(&id, status, culprit);
                 Err(Failed::NotRun)
             }
