A request's last run is not spent on a server that has just broken one off

Cause: policy::breaks counts for each router alone and tells the others after three runs; 92 runs broke off at that server, few at any one router.

Change: a router tells the others of a broken run on a live server (notice `broke`, once in 0.4 s for a server). For a second, requests that have used a run go there only if no other path exists without crossing a link. New requests are sent as before.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -115,6 +115,7 @@
     let (content, description) = (call.content, content::description(&state.codec.names, call));
     let (id, bytes, workspace) = (call.id.clone(), call.size(), call.workspace.clone());
     let (server, at) = (peer.server(), state.now());
+    let news = peer.note_broke(at);
     let (state, peer) = (state.clone(), peer.clone());
     spawn_local(async move {
         let ended = probe::refuses(&peer).await;
@@ -131,8 +132,12 @@
         }
         if ended {
             let start = Start { id: server.id.clone(), born: server.born };
-            lose(&state, content, Loss { start, at, events }, false);
-        } else if peer.broke_off(state.now()) {
+            return lose(&state, content, Loss { start, at, events }, false);
+        }
+        if news {
+            state.announce(Notice::Broke { server: server.id.clone() });
+        }
+        if peer.broke_off(state.now()) {
             log::warn!(
                 "gateway: server={} passed_over=true why=it breaks off what it runs",
                 server.id
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -29,6 +29,11 @@
         /// The server.
         server: String,
     },
+    /// A server broke a run off and lives.
+    Broke {
+        /// The server.
+        server: String,
+    },
     /// A server works so many times slower than its kind.
     Slow {
         /// The server.
@@ -169,6 +174,12 @@
             }
             return;
         }
+        Notice::Broke { server } => {
+            if let Some(peer) = state.peer(server) {
+                peer.note_broke(now);
+            }
+            return;
+        }
         Notice::Slow { server, percent } => {
             if let Some(peer) = state.peer(server) {
                 peer.slow.set(f64::from(*percent) / 100.0);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use layers::Span;
-use policy::breaks::Tally;
+use policy::breaks::{self, Tally};
 use policy::fill;
 use policy::meter::Meter;
 use policy::pick::Pace;
@@ -93,6 +93,8 @@
     pub asked: Mutex<Asked>,
     /// Whether it was gone when that was last looked into. Held meanwhile.
     pub reached: Mutex<Reached>,
+    /// When it last broke a run off though it lived, at any router.
+    pub broke: Cell<Option<Duration>>,
     /// When an event last came along a path through it.
     pub seen: Cell<Duration>,
     /// When another router last said that it does not answer.
@@ -129,6 +131,7 @@
             filled: Cell::new(None),
             asked: Mutex::new(Asked { at: Duration::ZERO, limit: Duration::ZERO, start: Some(0) }),
             reached: Mutex::default(),
+            broke: Cell::new(None),
             seen: Cell::default(),
             said: Cell::new(None),
             in_doubt: Cell::new(false),
@@ -172,6 +175,7 @@
             self.filled.set(None);
             self.limited.end();
             self.breaks.take();
+            self.broke.set(None);
         }
         *self.server.borrow_mut() = Rc::new(server);
     }
@@ -245,6 +249,17 @@
         passed_over
     }
 
+    /// Notes that it broke a run off at some router; whether that is news.
+    pub fn note_broke(&self, now: Duration) -> bool {
+        let known = self.broke.replace(Some(now));
+        known.is_none_or(|at| now >= at + breaks::TOLD)
+    }
+
+    /// Whether it broke a run off a moment ago.
+    pub fn has_broken(&self, now: Duration) -> bool {
+        self.broke.get().is_some_and(|at| now < at + breaks::AVOIDED)
+    }
+
     /// Notes that a run went on there.
     pub fn went_on(&self) {
         let mut breaks = self.breaks.get();
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -259,9 +259,15 @@
     /// A path; one across links between data centres only where there is no other, and for a new request only as far as
     /// the links carry what all routers send.
     fn path(&self) -> Option<Path> {
-        let find = |willing, crosses| {
+        let avoiding = |but: &[String], willing, crosses| {
             let tokens = self.call.tokens;
-            route::find(self.state, self.service, self.model, tokens, &self.but, willing, crosses)
+            route::find(self.state, self.service, self.model, tokens, but, willing, crosses)
+        };
+        let find = |willing, crosses| avoiding(&self.but, willing, crosses);
+        // Few runs are allowed: none is spent on a server that has just broken one off, if there is another way.
+        let wary = match self.runs.is_empty() {
+            true => None,
+            false => avoiding(&self.but_breaking(), true, false),
         };
         let crossing = |willing| {
             let path = find(willing, true)?;
@@ -269,7 +275,7 @@
             let new = self.last.is_none() && self.tries == 0;
             (!new || path.may_cross(self.state, self.luck, wants)).then_some(path)
         };
-        let willing = find(true, false).or_else(|| crossing(true));
+        let willing = wary.or_else(|| find(true, false)).or_else(|| crossing(true));
         // Servers that declined may take it after all, if there is no way without them. A new request is refused: most
         // are declined again, and then sent elsewhere out of the retry budget.
         match self.last {
@@ -278,6 +284,14 @@
         }
     }
 
+    /// Servers that are not asked again, and those that have just broken off a run of any request.
+    fn but_breaking(&self) -> Vec<String> {
+        let now = self.state.now();
+        let peers = self.state.of(self.service);
+        let broke = peers.iter().filter(|p| p.has_broken(now)).map(|p| p.server().id.clone());
+        self.but.iter().cloned().chain(broke).collect()
+    }
+
     /// Sends the request along a path and waits for the first event.
     async fn begin(&mut self, mut path: Path) -> Result<Opened, Failed> {
         let began = Instant::now();
--- a/crates/policy/src/breaks.rs
+++ b/crates/policy/src/breaks.rs
@@ -12,6 +12,13 @@
 /// Time without a broken run after which those of before no longer count.
 const WINDOW: Duration = Duration::from_secs(5);
 
+/// Time for which a server that broke off one run, at any router, is avoided by requests that have used a run already and may have
+/// few more. New requests still go there: most servers that break off one run serve the next ones.
+pub const AVOIDED: Duration = Duration::from_secs(1);
+
+/// Time for which other routers need not be told of a further broken run.
+pub const TOLD: Duration = Duration::from_millis(400);
+
 /// Runs that a server broke off lately, less those that went on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Tally {
