Streams without a run left cross links by what routers run, and ask a suspected first server

Cause, three parts of one fault, the last way of a stream that may not run again: - Each router had 1/21 of a link's time: one transfer of 60 ms, then none for 1.8 s, whether or not the others use the link.

Change: a router's share of a link follows what it runs in the data centre before it, as its share of servers that read prompts does (policy::meter is the same). Where a stream has no run left, transfers may wait for a second and a suspected first server is asked. The cost of a link for a mended path has a random part, so that streams of all routers spread over the links. What an early end waited for names why its path was not mended (unmended=), and orders for another path are logged with it.

--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -38,13 +38,34 @@
 /// the loss of a server in either data centre.
 const CROSS: f64 = 0.5;
 
-/// Longest transfer for a stream whose path is mended at once, in milliseconds. All streams that passed through a
-/// dead server are mended at the same moment; some sixty of them would wait a second for
-/// a link on which each takes longer.
-pub const MEND_TRANSFER: f64 = 20.0;
+/// What a path may ask of the links between data centres.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Crossing {
+    /// Longest transfer, in milliseconds.
+    pub transfer: f64,
+    /// How long this router's transfers may wait for a link.
+    pub wait: Duration,
+}
+
+impl Crossing {
+    /// None at all.
+    pub const NONE: Crossing = Crossing { transfer: 0.0, wait: Duration::ZERO };
 
-/// The same for one that found no other way since. Few are left then, and the link's meter bounds what waits.
-pub const LAST_TRANSFER: f64 = f64::INFINITY;
+    /// Any transfer, while few wait.
+    pub const USUAL: Crossing = Crossing { transfer: f64::INFINITY, wait: LINK_FULL };
+
+    /// For a stream whose path is mended at once. All streams that passed through a dead server are mended at the same
+    /// moment; some sixty of them would wait a second for a link on which each takes longer.
+    pub const AT_ONCE: Crossing = Crossing { transfer: 20.0, wait: LINK_FULL };
+
+    /// For a stream that has no other way. Its caller leaves after two seconds without an event, and some of them have
+    /// passed.
+    pub const LAST: Crossing = Crossing { transfer: f64::INFINITY, wait: Duration::from_secs(1) };
+}
+
+/// Largest random part of the cost of a link for a path that is mended, as a part of the whole time of a request. All routers
+/// mend paths at the same moment; all of them would take the link to the fastest copy, which may be slower than they know.
+const SPREAD: f64 = 0.35;
 
 /// Cost of a server that has all of this router's requests over one that has none. More than two servers of
 /// the same card differ, and less than what another card or a further hop takes; at 0.4, requests
@@ -110,34 +131,30 @@
     crosses: bool,
 ) -> Option<Path> {
     let zone = zone(&state.setup.zone);
-    let transfer = if crosses { f64::INFINITY } else { 0.0 };
-    let want = Want { from: 0, zone, kept: &[], willing, transfer };
+    let crossing = if crosses { Crossing::USUAL } else { Crossing::NONE };
+    let want = Want { from: 0, zone, kept: &[], willing, crossing };
     search(state, service, model, tokens, but, &want)
 }
 
 /// A path that begins like `path` and avoids servers that are suspected. What its servers have
-/// read of a request stays useful, so they are kept where they can be. `transfer` is the longest time on a link
-/// between data centres, in milliseconds.
+/// read of a request stays useful, so they are kept where they can be.
 pub fn mend(
     state: &State,
     service: &str,
     model: &Model,
     tokens: Tokens,
     path: &Path,
-    transfer: f64,
+    crossing: Crossing,
 ) -> Option<Path> {
     let first = path.first();
     let hop = path.hops[0];
-    if first.suspicion.borrow().holds(state.now()) {
-        return None;
-    }
     let but = [first.server().id.clone()];
     let want = Want {
         from: hop.span.to,
         zone: zone(&first.server().zone),
         kept: &path.peers,
         willing: true,
-        transfer,
+        crossing,
     };
     let mut rest = search(state, service, model, tokens, &but, &want)?;
     let bytes = size(model, tokens) * f64::from(hop.span.len());
@@ -191,8 +208,7 @@
     /// Servers that have read the request already.
     kept: &'a [Rc<Peer>],
     willing: bool,
-    /// Longest transfer over a link between data centres, in milliseconds.
-    transfer: f64,
+    crossing: Crossing,
 }
 
 /// Bytes of context in one layer.
@@ -232,21 +248,18 @@
         })
         .collect();
     let whole = whole_ms(shape, tokens, 10.0);
-    let others = f64::from(state.routers());
-    let share = LINK / others;
     let transfer = (tokens.prompt + tokens.answer) * shape.cross_token_ms;
+    let luck = rand::random();
     let cross_ms = |from: Zone, to: Zone| {
-        let link = link(state, from, to);
-        if transfer > want.transfer {
+        let (link, others) = (link(state, from, to), crowd_of(from).others);
+        let Crossing { transfer: longest, wait } = want.crossing;
+        if transfer > longest || !link.takes(now, LINK, others, wait) {
             return f64::INFINITY;
         }
-        match link.takes(now, LINK, others, LINK_FULL) {
-            false => f64::INFINITY,
-            true => {
-                let waiting = link.waiting(now, share).min(LINK_FULL);
-                CROSS * whole + tokens.answer * shape.cross_ms + millis(waiting)
-            }
-        }
+        let waiting = link.waiting(now, LINK / others).min(wait);
+        // New requests take the cheapest link, of which the share that is let through is bounded.
+        let spread = if want.from > 0 { SPREAD * part(luck, (from, to)) } else { 0.0 };
+        (CROSS + spread) * whole + tokens.answer * shape.cross_ms + millis(waiting)
     };
     let ask = Ask {
         from: want.from,
@@ -263,6 +276,7 @@
         let peer = of(part);
         let here = zone(&peer.server().zone);
         if let Some(before) = before.replace(here).filter(|before| *before != here) {
+            let share = LINK / crowd_of(before).others;
             charges.push(Charge::link((before, here), transfer, share));
         }
         if !want.kept.iter().any(|k| Rc::ptr_eq(k, &peer)) {
@@ -279,6 +293,12 @@
     })
 }
 
+/// A random number below one for a link, the same as long as `luck` is.
+fn part(luck: u64, (from, to): (Zone, Zone)) -> f64 {
+    let ends = [from.to_le_bytes(), to.to_le_bytes()].concat();
+    (xxhash_rust::xxh3::xxh3_64_with_seed(&ends, luck) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// Time of a request on cards of that pace.
 fn whole_ms(shape: &Shape, tokens: Tokens, pace: f64) -> f64 {
     tokens.prompt / shape.read_per_ms * pace + tokens.answer * shape.step_ms * pace
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use layers::Span;
 use layers::server::Zone;
+use policy::meter::Meter;
 
 use super::load::{Crowd, LINK, LINK_FULL, READING_FULL, crowds};
 use super::{Known, begin_ms, holder, zone};
@@ -53,8 +54,14 @@
     }
     let views = zones.iter().map(DataCentre::to_string).collect::<Vec<_>>().join(" ");
     let links = state.links.borrow();
-    let others = f64::from(state.routers());
-    let full = links.iter().filter(|(_, l)| !l.takes(now, LINK, others, LINK_FULL)).count();
+    let others = |from: Zone| {
+        let found = crowds.binary_search_by_key(&from, |c| c.zone);
+        found.map_or(Crowd::unknown(from, state.routers()), |at| crowds[at]).others
+    };
+    let full = |((from, _), link): &&((Zone, Zone), Meter)| {
+        !link.takes(now, LINK, others(*from), LINK_FULL)
+    };
+    let full = links.iter().filter(full).count();
     format!(
         "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
         peers.len(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -82,6 +82,8 @@
     sent: u32,
     /// What stood in the way when another path was last looked for.
     obstacle: Option<Obstacle>,
+    /// Why its path could not be mended when that was last tried.
+    unmended: Option<Unmended>,
     /// Whether a path is kept that may still send events, so that another one is only looked for beside it.
     kept: bool,
     /// Last event that was handed on.
@@ -135,6 +137,17 @@
     Crashes,
 }
 
+/// Why the path of a silent stream was not mended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+enum Unmended {
+    #[display("its first server is silent")]
+    FirstSilent,
+    #[display("no path behind its first server")]
+    NoPath,
+    #[display("its first server declined")]
+    Declined,
+}
+
 /// A path that is sending events.
 struct Source {
     path: Path,
@@ -216,6 +229,7 @@
         looked: None,
         sent: 0,
         obstacle: None,
+        unmended: None,
         kept: false,
         last: None,
         passed: Instant::now(),
@@ -261,6 +275,7 @@
             looked: None,
             sent,
             obstacle: None,
+            unmended: None,
             kept: false,
             last: None,
             passed: Instant::now(),
@@ -352,7 +367,7 @@
     /// How far a stream has come that ends early, and what it waited for, for the log.
     fn ending(&self) -> String {
         format!(
-            "last_event={:?} pause={:?} held_up={} tries={} ran={} broken={} obstacle={} age={:?}",
+            "last_event={:?} pause={:?} held_up={} tries={} ran={} broken={} obstacle={} unmended={} age={:?}",
             self.last,
             self.passed.elapsed(),
             self.held_up,
@@ -360,6 +375,7 @@
             self.runs.len(),
             self.runs.iter().filter(|run| run.broken.is_some()).count(),
             self.obstacle.map_or_else(|| "none".to_owned(), |o| o.to_string()),
+            self.unmended.map_or_else(|| "none".to_owned(), |u| u.to_string()),
             self.call.came.elapsed()
         )
     }
@@ -433,7 +449,8 @@
         if late {
             self.state.metrics.late_event(self.held_up);
         }
-        (self.passed, self.held_up, self.obstacle) = (Instant::now(), STEPS, None);
+        (self.passed, self.held_up) = (Instant::now(), STEPS);
+        (self.obstacle, self.unmended) = (None, None);
     }
 }
 
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -19,7 +19,7 @@
 use crate::plain;
 use crate::probe;
 use crate::repeats;
-use crate::route::{self, Path};
+use crate::route::{self, Crossing, Path};
 
 /// Paths tried for one request at most, counting those whose servers decline it.
 const TRIES: u32 = 5;
@@ -324,7 +324,7 @@
                 }
                 let lost = path.is_lost(self.state.now());
                 // Servers that stay on the path need not read the prompt again, and it is no repeat.
-                if lost && (due || !silent) && self.mend(&mut path, route::MEND_TRANSFER).await {
+                if lost && (due || !silent) && self.mend(&mut path, Crossing::AT_ONCE).await {
                     silent = false;
                     continue;
                 }
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -6,9 +6,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::open::Beside;
-use super::{LOOK, Next, Progress, SHORTEST, SILENCE, STUCK, Source};
+use super::{LOOK, Next, Obstacle, Progress, SHORTEST, SILENCE, STUCK, Source, Unmended};
 use crate::probe;
-use crate::route::{self, Path};
+use crate::route::{self, Crossing, Path};
 
 /// Time the first server of a path gets to take an order for another path.
 const MEND: Duration = Duration::from_millis(150);
@@ -71,16 +71,16 @@
         self.held_up = "silent path";
         self.avoid(source.path.first());
         let mut look = Instant::now();
-        let mut transfer = route::MEND_TRANSFER;
+        let mut crossing = Crossing::AT_ONCE;
         loop {
             if Instant::now() >= look {
                 look = Instant::now() + LOOK;
                 let lost = source.path.is_lost(self.state.now());
                 let lost = lost || self.look_into(&source.path).await;
-                if lost && self.mend(&mut source.path, transfer).await {
+                if lost && self.mend(&mut source.path, crossing).await {
                     return self.next(source).await;
                 }
-                transfer = route::LAST_TRANSFER;
+                crossing = Crossing::USUAL;
             }
             let event = source.event(self.last, self.call.until);
             match self.beside(event, |next| matches!(next, Next::Broken(_))).await {
@@ -124,25 +124,37 @@
     /// Has the request go on along another path from the same first server, which keeps the stream.
     /// Cheaper than a new run: only the new servers read the tokens so far, and the caller's pause
     /// is shorter by that.
-    /// `transfer` is the longest time on a link between data centres, in milliseconds.
-    pub(super) async fn mend(&mut self, path: &mut Path, transfer: f64) -> bool {
+    ///
+    /// A stream that has no run left has this way only. It then waits longer for a link between data centres, and asks a
+    /// first server that is suspected as well: as far as it is not known to have ended, it may be at work.
+    pub(super) async fn mend(&mut self, path: &mut Path, crossing: Crossing) -> bool {
+        let last = self.obstacle == Some(Obstacle::Attempts);
+        if !last && path.first().suspicion.borrow().holds(self.state.now()) {
+            self.unmended = Some(Unmended::FirstSilent);
+            return false;
+        }
+        let crossing = if last { Crossing::LAST } else { crossing };
         let size = self.call.tokens;
-        let found = route::mend(self.state, self.service, self.model, size, path, transfer);
-        let Some(mut mended) = found else { return false };
+        let found = route::mend(self.state, self.service, self.model, size, path, crossing);
+        let Some(mut mended) = found else {
+            self.unmended = Some(Unmended::NoPath);
+            return false;
+        };
         mended.charge(self.state);
         let ask = (self.state.codec.repath)(&self.call.id, &mended.hops);
         let answer = probe::ask(mended.first(), ask, MEND).await;
         let done = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
         log::info!(
-            "gateway: request={} repath={done} first={} answer={:?} last_event={:?}",
+            "gateway: request={} repath={done} first={} answer={:?} last_event={:?} path={}",
             self.call.id,
             mended.first().server().id,
             answer.map(|(status, _)| status),
-            self.last
+            self.last,
+            (self.state.codec.path)(&mended.hops)
         );
-        if done {
-            *path = mended;
-            self.held_up = "repath";
+        match done {
+            true => (*path, self.held_up) = (mended, "repath"),
+            false => self.unmended = Some(Unmended::Declined),
         }
         done
     }
