--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -1,5 +1,6 @@
 //! The path of a request through the model servers, from what is believed now.
 
+mod crossing;
 mod explain;
 mod load;
 
@@ -17,8 +18,10 @@
 use crate::settings::Model;
 use crate::state::State;
 use crate::wire::Hop;
+pub use crossing::Crossing;
+use crossing::spread;
 pub use explain::{believed, explain};
-use load::{Charge, Crowd, FILLED, LINK, LINK_FULL, READING_FULL, TOLD, crowds, link, millis};
+use load::{Charge, Crowd, FILLED, LINK, READING_FULL, TOLD, crowds, link, millis};
 
 /// Cost of beginning in another data centre, as a part of the whole time of a request. More than
 /// the copies differ in speed, so that each data centre's requests stay there while its copy is
@@ -38,35 +41,6 @@
 /// the loss of a server in either data centre.
 const CROSS: f64 = 0.5;
 
-/// What a path may ask of the links between data centres.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Crossing {
-    /// Longest transfer, in milliseconds.
-    pub transfer: f64,
-    /// How long this router's transfers may wait for a link.
-    pub wait: Duration,
-}
-
-impl Crossing {
-    /// None at all.
-    pub const NONE: Crossing = Crossing { transfer: 0.0, wait: Duration::ZERO };
-
-    /// Any transfer, while few wait.
-    pub const USUAL: Crossing = Crossing { transfer: f64::INFINITY, wait: LINK_FULL };
-
-    /// For a stream whose path is mended at once. All streams that passed through a dead server are mended at the same
-    /// moment; some sixty of them would wait a second for a link on which each takes longer.
-    pub const AT_ONCE: Crossing = Crossing { transfer: 20.0, wait: LINK_FULL };
-
-    /// For a stream that has no other way. Its caller leaves after two seconds without an event, and some of them have
-    /// passed.
-    pub const LAST: Crossing = Crossing { transfer: f64::INFINITY, wait: Duration::from_secs(1) };
-}
-
-/// Largest random part of the cost of a link for a path that is mended, as a part of the whole time of a request. All routers
-/// mend paths at the same moment; all of them would take the link to the fastest copy, which may be slower than they know.
-const SPREAD: f64 = 0.35;
-
 /// Cost of a server that has all of this router's requests over one that has none. More than two servers of
 /// the same card differ, and less than what another card or a further hop takes; at 0.4, requests
 /// take slow ways round and the grown deployments lose 0.01 to 0.02 of their worth.
@@ -257,8 +231,8 @@
             return f64::INFINITY;
         }
         let waiting = link.waiting(now, LINK / others).min(wait);
-        // New requests take the cheapest link, of which the share that is let through is bounded.
-        let spread = if want.from > 0 { SPREAD * part(luck, (from, to)) } else { 0.0 };
+        // Of new requests, only as many are let through as the links carry.
+        let spread = if want.from > 0 { spread(luck, (from, to)) } else { 0.0 };
         (CROSS + spread) * whole + tokens.answer * shape.cross_ms + millis(waiting)
     };
     let ask = Ask {
@@ -293,12 +267,6 @@
     })
 }
 
-/// A random number below one for a link, the same as long as `luck` is.
-fn part(luck: u64, (from, to): (Zone, Zone)) -> f64 {
-    let ends = [from.to_le_bytes(), to.to_le_bytes()].concat();
-    (xxhash_rust::xxh3::xxh3_64_with_seed(&ends, luck) >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// Time of a request on cards of that pace.
 fn whole_ms(shape: &Shape, tokens: Tokens, pace: f64) -> f64 {
     tokens.prompt / shape.read_per_ms * pace + tokens.answer * shape.step_ms * pace
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,6 +2,7 @@
 //! when a server of the first one dies.
 
 mod open;
+mod run;
 mod watch;
 
 use std::cell::Cell;
@@ -10,7 +11,6 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use futures_util::future::join_all;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
@@ -26,12 +26,12 @@
 use crate::limited;
 use crate::notice::Notice;
 use crate::peer::Peer;
-use crate::probe;
 use crate::request::Call;
 use crate::route::{self, Path};
 use crate::settings::Model;
 use crate::state::State;
 use open::Opened;
+use run::Run;
 
 /// Multiple of a stream's usual pause after which the servers of its path are asked whether they
 /// live. With the time to ask and to read the prompt elsewhere, the next event then still comes on
@@ -98,32 +98,6 @@
     wants_link: Cell<bool>,
 }
 
-/// A run of a request, which may have begun.
-struct Run {
-    first: Rc<Peer>,
-    /// When that server had started.
-    born: u64,
-    /// When the connection to it broke.
-    broken: Option<Duration>,
-}
-
-impl Run {
-    /// Whether the server has ended. One that only broke its connection, or that answers again, may still be at work.
-    async fn has_ended(&self, state: &State) -> bool {
-        let born = self.first.server().born;
-        // Not every server says when it started.
-        let started_again = born != self.born && born != 0 && self.born != 0;
-        match self.broken {
-            _ if started_again => true,
-            Some(at) => probe::has_ended(state, &self.first, self.born, at).await,
-            None if self.first.suspicion.borrow().holds(state.now()) => {
-                probe::is_gone(state, &self.first).await
-            }
-            None => false,
-        }
-    }
-}
-
 /// Why a request can't go on along another path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 enum Obstacle {
@@ -380,33 +354,6 @@
         )
     }
 
-    /// Whether something that may have run may run on another path. Runs on servers that have ended do not count.
-    async fn may_run_again(&self) -> bool {
-        let attempts = self.call.route.attempts as usize;
-        match self.call.route.class.repeatable() {
-            true if self.runs.len() >= attempts => self.runs.len() - self.ended().await < attempts,
-            repeatable => repeatable,
-        }
-    }
-
-    /// How many runs were on servers that have ended.
-    async fn ended(&self) -> usize {
-        let asked = self.runs.iter().map(|run| run.has_ended(self.state));
-        join_all(asked).await.into_iter().filter(|ended| *ended).count()
-    }
-
-    /// Counts a run, before it is sent: what sends it may be dropped at any moment, and it may have begun by then.
-    fn note_run(&mut self, first: &Rc<Peer>) {
-        let (first, born) = (first.clone(), first.server().born);
-        self.runs.push(Run { first, born, broken: None });
-    }
-
-    /// Forgets a run that never began.
-    fn forget_run(&mut self, first: &Rc<Peer>) {
-        let at = self.runs.iter().rposition(|run| Rc::ptr_eq(&run.first, first));
-        at.map(|at| self.runs.remove(at));
-    }
-
     /// Begins no other path at the first server of this one, which is given up.
     fn leave(&mut self, source: &Source) {
         let first = source.path.first();
@@ -416,14 +363,6 @@
         }
     }
 
-    /// Notes that a connection broke over which the request may have run.
-    fn note_broken(&mut self, first: &Rc<Peer>) {
-        let events = self.last.map_or(0, |last| last + 1);
-        self.looked = Some(crash::note_broken(self.state, self.call, first, events));
-        let run = self.runs.iter_mut().rfind(|run| Rc::ptr_eq(&run.first, first));
-        run.into_iter().for_each(|run| run.broken = Some(self.state.now()));
-    }
-
     /// Begins no other path at this server.
     fn avoid(&mut self, first: &Peer) {
         let id = first.server().id.clone();
--- a/crates/policy/src/meter.rs
+++ b/crates/policy/src/meter.rs
@@ -37,9 +37,9 @@
     /// Whether this router may send more: what it sent and is not yet done stays below its part of
     /// what may wait there in all.
     ///
-    /// Each of `others` routers gets an equal part of the worker's time, but more than an equal part of
-    /// what may wait: few of them have a burst at the same moment, and with 26 routers an
-    /// equal part would be less than a single prompt.
+    /// A router gets one part in `others` of the worker's time, which is what all routers run for one request of its own, but a
+    /// larger part of what may wait there: few of them have a burst at the same moment, and with 26 equal routers
+    /// such a part would be less than a single prompt.
     pub fn takes(&self, now: Duration, share: f64, others: f64, full: Duration) -> bool {
         self.left(now, share / others) <= full.mul_f64(share / others.sqrt())
     }
