A server that comes back after a loss gets its second copy at once

Change: of the servers that start, as many as their data centre lost within ten seconds before get a second copy at once. Those that replace servers which are still to leave are kept empty as before.

--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -3,13 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use layers::placement::{self, Place};
-use layers::server::Index;
-use layers::{Card, Server, Shape, Span};
+use layers::placement::{self, Place, RETURNS, STARTED};
+use layers::server::{Index, Zone};
+use layers::{Card, Shape, Span};
 
 use super::order::{Given, Planned};
 use crate::peer::Peer;
 use crate::route;
+use crate::server::{self, Server};
 use crate::settings::Model;
 use crate::state::State;
 
@@ -55,7 +56,7 @@
         let found = ordered.binary_search_by_key(&entry.id.as_str(), |(server, _)| server);
         let order = found.ok().map(|at| ordered[at].1);
         let card = entry.card.as_deref().and_then(|name| model.card(name));
-        Server {
+        layers::Server {
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.unwrap_or(peer.span(now)),
@@ -64,13 +65,14 @@
             slow: peer.slow.get() > STAND_IN,
         }
     };
-    let servers: Vec<Server> = peers.iter().map(server).collect();
+    let servers: Vec<layers::Server> = peers.iter().map(server).collect();
     let gaps = gaps(peers, &servers, &model.shape);
     say(state, &gaps);
     let lasting = lasting(state, &gaps) > RETURN;
     let places = placement::plan(&servers, &model.shape, lasting);
     let age = |server: Index| now.saturating_sub(peers[server].since());
-    let places = placement::keep_started(places, &servers, &model.shape, age);
+    let lost = |zone: Zone| lost(state, peers, zone);
+    let places = placement::keep_started(places, &servers, &model.shape, age, lost);
     let planned = |place: &Place| Planned {
         server: peers[place.server].server().id.clone(),
         span: place.span,
@@ -78,8 +80,18 @@
     places.iter().map(planned).collect()
 }
 
+/// How long ago a data centre lost servers of a model without word that they leave. One that is silent and still listed may have been
+/// lost at any time; it counts for those that have just started.
+fn lost(state: &State, peers: &[Rc<Peer>], zone: Zone) -> Vec<Duration> {
+    let was_here = |server: &Server| server.card.is_some() && route::zone(&server.zone) == zone;
+    let gone = state.gone_within(RETURNS).into_iter();
+    let gone = gone.filter(|(s, _)| was_here(s) && s.state == server::State::Ready);
+    let silent = peers.iter().filter(|p| p.counts_as_dead() && was_here(&p.server()));
+    gone.map(|(_, ago)| ago).chain(silent.map(|_| STARTED)).collect()
+}
+
 /// What each data centre lacks, by name.
-fn gaps(peers: &[Rc<Peer>], servers: &[Server], shape: &Shape) -> Vec<Gap> {
+fn gaps(peers: &[Rc<Peer>], servers: &[layers::Server], shape: &Shape) -> Vec<Gap> {
     let mut names: Vec<String> = peers.iter().map(|p| p.server().zone.clone()).collect();
     names.sort();
     names.dedup();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -280,6 +280,13 @@
         gone.iter().map(|(gone, _)| gone).find(|gone| same(gone)).cloned()
     }
 
+    /// Last entries of the servers that were removed within a time, and how long ago.
+    pub fn gone_within(&self, time: Duration) -> Vec<(Rc<Server>, Duration)> {
+        let (now, gone) = (self.now(), self.gone.borrow());
+        let ago = gone.iter().map(|(server, at)| (server.clone(), now.saturating_sub(*at)));
+        ago.filter(|(_, ago)| *ago < time).collect()
+    }
+
     /// Works on the retry budget of a service.
     pub fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -15,7 +15,7 @@
 
 use crate::server::{Card, Index, Server, Shape, Zone};
 use crate::span::Span;
-pub use reserve::keep_started;
+pub use reserve::{RETURNS, STARTED, keep_started};
 
 /// Tokens of context a data centre's copy is planned for, if its memory allows: half as much again
 /// as the hundred requests of nine hundred tokens that run when one copy carries three
--- a/crates/layers/src/placement/reserve.rs
+++ b/crates/layers/src/placement/reserve.rs
@@ -13,7 +13,10 @@
 const SLOW: f64 = 6.0;
 
 /// Time after its start for which a server is kept empty if nothing is missing.
-const STARTED: Duration = Duration::from_millis(1500);
+pub const STARTED: Duration = Duration::from_millis(1500);
+
+/// Time in which a server that starts takes the place of one that was lost.
+pub const RETURNS: Duration = Duration::from_secs(10);
 
 /// Leaves out the orders by which servers that have just started would hold second copies.
 ///
@@ -22,6 +25,10 @@
 /// has to give that up first, which takes until all that passes through it has ended; meanwhile the data centre begins nothing,
 /// and the copies that are left carry all requests when the next server dies.
 ///
+/// A server that comes back after a crash replaces none that is still to leave, and its data centre lacks the second copies that went
+/// with it. `lost` tells how long ago a data centre lost servers, within [`RETURNS`]: of those that have started since, as many are
+/// not kept.
+///
 /// ```
 /// use std::time::Duration;
 /// use layers::placement::{Place, keep_started};
@@ -33,22 +40,38 @@
 /// let server = |to| Server { zone: 0, card, span: Span::new(0, to), usable: true, busy: false, slow: false };
 /// let order = vec![Place { server: 1, span: Span::new(4, 8) }];
 /// let ages = [Duration::from_secs(60), Duration::from_secs(1)];
-/// let kept = |held| keep_started(order.clone(), &[server(held), server(0)], &shape, |i| ages[i]);
-/// assert!(kept(8).is_empty());
-/// assert_eq!(kept(4), order);
+/// let kept = |held, lost: &[Duration]| {
+///     let lost = |_| lost.to_vec();
+///     keep_started(order.clone(), &[server(held), server(0)], &shape, |i| ages[i], lost)
+/// };
+/// assert!(kept(8, &[]).is_empty());
+/// assert_eq!(kept(8, &[Duration::from_secs(4)]), order);
+/// assert_eq!(kept(4, &[]), order);
 /// ```
 pub fn keep_started(
     places: Vec<Place>,
     servers: &[Server],
     shape: &Shape,
     age: impl Fn(Index) -> Duration,
+    lost: impl Fn(Zone) -> Vec<Duration>,
 ) -> Vec<Place> {
     let fills = |place: &Place| {
         let missing = missing(servers, shape, servers[place.server].zone);
         missing.iter().any(|gap| gap.from < place.span.to && place.span.from < gap.to)
     };
+    let returns = |server: Index| {
+        let zone = servers[server].zone;
+        let mut lost = lost(zone);
+        lost.retain(|ago| *ago >= age(server));
+        let first = lost.iter().max().copied().unwrap_or_default();
+        let came_before = |i: &Index| {
+            servers[*i].zone == zone && age(*i) < first && (age(*i), server) > (age(server), *i)
+        };
+        (0..servers.len()).filter(came_before).count() < lost.len()
+    };
     let waits = |place: &Place| {
-        servers[place.server].span.is_empty() && age(place.server) < STARTED && !fills(place)
+        let started = servers[place.server].span.is_empty() && age(place.server) < STARTED;
+        started && !fills(place) && !returns(place.server)
     };
     places.into_iter().filter(|place| !waits(place)).collect()
 }
