Refusals of the log of orders name their reason, and a seat whose holder gives no orders shows

Fault::Sequence stands beside Fault::Fenced; each append of orders is logged with its epoch, number and end; hyssop_store_calls_failed_total counts calls by kind and cause, hyssop_seat_idle_seconds and hyssop_gives_orders show a seat whose holder gives no orders. The logic is unchanged.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -136,6 +136,9 @@
             self.kept = Some((now + HAND_OVER).saturating_sub(pause));
         }
         self.state.sharing.joined(seat);
+        if !seat.first {
+            self.state.idle_since.set(None);
+        }
         // While seats change hands, a router may hold few of its own, or none.
         if self.steady >= STEADY && seat.held > 0 {
             let before = self.state.routers();
@@ -151,6 +154,9 @@
         }
         let (term, began) = term::renew(&self.state, self.term, seat, until).await;
         self.term = term;
+        if seat.first && self.term.is_none() {
+            self.note_idle();
+        }
         if let Some(end) = began {
             self.given = order::inherit(&self.state, end).await;
             self.planned.clear();
@@ -173,14 +179,28 @@
             spawn_local(async move { survey::visit(&state, from).await });
         }
         self.term = match self.give(&mut term).await {
-            Ok(()) => Some(term),
+            Ok(()) => {
+                self.state.idle_since.set(None);
+                Some(term)
+            }
             Err(e) => {
-                log::warn!("gateway: gives_orders=false epoch={} why={e}", term.epoch);
+                let idle = self.state.seat_idle();
+                log::warn!(
+                    "gateway: gives_orders=false epoch={} idle={idle:?} why={e}",
+                    term.epoch
+                );
+                self.note_idle();
                 None
             }
         };
     }
 
+    /// Notes that this router holds the first seat and could not give orders.
+    fn note_idle(&self) {
+        let idle = &self.state.idle_since;
+        idle.set(idle.get().or(Some(self.state.now())));
+    }
+
     /// Looks at what is missing and orders it.
     async fn give(&mut self, term: &mut Term) -> Result<(), Fault> {
         let state = &self.state;
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -169,7 +169,13 @@
     let records = ready.iter().map(record).collect();
     let epoch = Some((term.epoch, term.next));
     // A lost answer ends the term: the next one begins with what the log then says.
-    state.store.call(Call::Append { log: Log::Orders, records, epoch }).await?;
+    let reply = state.store.call(Call::Append { log: Log::Orders, records, epoch }).await?;
+    log::info!(
+        "gateway: orders_written={} epoch={} sequence={} reply={reply:?}",
+        ready.len(),
+        term.epoch,
+        term.next
+    );
     term.next += 1;
     Ok(())
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -183,6 +183,16 @@
         for (kind, calls) in state.store.made() {
             text.push_str(&format!("hyssop_store_calls_total{{kind=\"{kind}\"}} {calls}\n"));
         }
+        for ((kind, why), calls) in state.store.failed() {
+            text.push_str(&format!(
+                "hyssop_store_calls_failed_total{{kind=\"{kind}\",why=\"{why}\"}} {calls}\n"
+            ));
+        }
+        let gives = u8::from(state.gives.get());
+        let waiting = state.seat_idle().as_secs_f64();
+        text.push_str(&format!(
+            "hyssop_gives_orders {gives}\nhyssop_seat_idle_seconds {waiting:.1}\n"
+        ));
         text
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -101,6 +101,8 @@
     pub broken_since: Cell<Option<Duration>>,
     /// Whether this router gives orders.
     pub gives: Cell<bool>,
+    /// Since when this router holds the first seat and may not give orders.
+    pub idle_since: Cell<Option<Duration>>,
     /// What it knows of the routers that read the store for others.
     pub sharing: Sharing,
     /// What it knows of requests that end servers.
@@ -153,6 +155,7 @@
             store_back: Notify::new(),
             placement: RefCell::default(),
             gives: Cell::new(false),
+            idle_since: Cell::new(None),
             sharing: Sharing::default(),
             crashes: Crashes::default(),
             keeper: Keeper::default(),
@@ -188,6 +191,11 @@
         newer
     }
 
+    /// For how long this router has held the first seat and not been able to give orders.
+    pub fn seat_idle(&self) -> Duration {
+        self.idle_since.get().map_or(Duration::ZERO, |since| self.now().saturating_sub(since))
+    }
+
     /// Whether the store did not answer the last read.
     pub fn store_away(&self) -> bool {
         self.asker.get().is_some()
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -204,11 +204,37 @@
     /// A higher epoch was seen.
     #[display("another router gives orders now")]
     Fenced,
+    /// The number of the call does not follow the last one under its epoch.
+    #[display("the call's number does not follow, expected={expected:?}")]
+    Sequence {
+        /// The number that does, if the store names it.
+        expected: Option<u64>,
+    },
     /// The answer can't be read.
     #[display("unreadable answer of the store: {_0}")]
     Unreadable(#[error(not(source))] String),
 }
 
+impl Fault {
+    /// What kind of fault it is, for the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Fault::Silent { .. } => "silent",
+            Fault::Told => "told",
+            Fault::Refused(429) => "too_many_calls",
+            Fault::Refused(503) => "unavailable",
+            Fault::Refused(507) => "out_of_space",
+            Fault::Refused(_) => "refused",
+            Fault::Gone => "gone",
+            Fault::Moved => "moved",
+            Fault::Past => "past",
+            Fault::Fenced => "fenced",
+            Fault::Sequence { .. } => "sequence",
+            Fault::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
 /// What an answer says of the store's era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
@@ -236,6 +262,8 @@
     carry: Box<dyn Fn(Call) -> Pending>,
     /// Calls made, by kind.
     made: RefCell<Vec<(&'static str, u64)>>,
+    /// Calls without a useful answer, by their kind and the fault's.
+    failed: RefCell<Vec<((&'static str, &'static str), u64)>>,
     era: Cell<Era>,
     /// Restores of the store that were noticed.
     restores: Cell<u64>,
@@ -259,6 +287,7 @@
         Client {
             carry: Box::new(move |call| Box::pin(carry(call))),
             made: RefCell::default(),
+            failed: RefCell::default(),
             era: Cell::default(),
             restores: Cell::default(),
             odd: Cell::default(),
@@ -271,10 +300,19 @@
 
     /// Carries out one call. Generations in calls and replies rise across eras.
     pub async fn call(&self, call: Call) -> Result<Reply, Fault> {
+        let kind = call.kind();
+        let reply = self.carry_out(call).await;
+        if let Err(fault) = &reply {
+            count(&self.failed, (kind, fault.kind()));
+        }
+        reply
+    }
+
+    async fn carry_out(&self, call: Call) -> Result<Reply, Fault> {
         if matches!(call, Call::Read { era, .. } if era != self.era.get()) {
             return Err(Fault::Gone);
         }
-        self.count(call.kind());
+        count(&self.made, call.kind());
         let (cursor, call) = self.outgoing(call);
         let answer = tokio::select! {
             answer = (self.carry)(call) => answer,
@@ -379,12 +417,18 @@
         self.made.borrow().clone()
     }
 
-    fn count(&self, kind: &'static str) {
-        let mut made = self.made.borrow_mut();
-        match made.binary_search_by_key(&kind, |(kind, _)| kind) {
-            Ok(at) => made[at].1 += 1,
-            Err(at) => made.insert(at, (kind, 1)),
-        }
+    /// Calls so far that had no useful answer, by their kind and the fault's.
+    pub fn failed(&self) -> Vec<((&'static str, &'static str), u64)> {
+        self.failed.borrow().clone()
+    }
+}
+
+/// Adds one to a counter of a sorted list.
+fn count<K: Ord>(counters: &RefCell<Vec<(K, u64)>>, key: K) {
+    let mut counters = counters.borrow_mut();
+    match counters.binary_search_by(|(known, _)| known.cmp(&key)) {
+        Ok(at) => counters[at].1 += 1,
+        Err(at) => counters.insert(at, (key, 1)),
     }
 }
 
