A term begins with a record where the log of orders ends, and fences all before it

Cause: orders were fenced by the group's generation as epoch, with appends numbered from nought in each term. A term that begins again in the same generation, after an append without an answer or in the next process of the VM, uses numbers that the log has seen. Up to five back it takes them for repeats and answers as it did then: nothing is written, and the orders are given all the same. Beyond that it refuses each of them (409 seq), which was read as another router that gives orders. A new term changed nothing, and the seat stayed where it was. The class: a number whose owner ends sooner than the number's scope, and one status for several reasons.

Ruled out: another holder of the seat (no line of one, the log's end did not move), slow loading (no order was written at all).

Change: a term begins with a record that is added on condition that the log ends where it was last heard to end; so is each batch of orders after it. A router that is refused hears the end, asks for its seat again and begins there. Appends carry no epoch and no number any more. A holder whose term ended in a fault asks again at once, and not each 1.5 s.

Why it holds: the end of the log only grows, and every term adds to it, so what was appended under any earlier term, also by the same router, and arrives late finds another end. An accepted append was written by this call: the log would not end there otherwise. An end is compared in its era only; the client refuses an append that was taken in another one. What fences begins and ends with the term, so neither the group nor the process matters. The seat only chooses who tries.

--- a/crates/gateway/src/follow/news.rs
+++ b/crates/gateway/src/follow/news.rs
@@ -32,7 +32,7 @@
         catch_up(state, snapshot.items.iter().map(|(_, record)| &record[..])).await;
         return Some((snapshot.end, snapshot.era));
     }
-    let call = Call::Append { log: Log::Notices, records: Vec::new(), epoch: None };
+    let call = Call::Append { log: Log::Notices, records: Vec::new(), at: None };
     let end = match state.store.call(call).await {
         Ok(Reply::Appended(end)) => end,
         other => {
@@ -77,7 +77,7 @@
         }
         // After a gap, what was said meanwhile is out of date.
         let call = match at {
-            None => Call::Append { log: Log::Notices, records: Vec::new(), epoch: None },
+            None => Call::Append { log: Log::Notices, records: Vec::new(), at: None },
             Some((from, era)) => {
                 let heard = shared_read::read(&state, Log::Notices, from).await;
                 if let Some((records, end)) = heard.filter(|_| state.store.era() == era) {
@@ -148,7 +148,7 @@
         }
         let records = notices.iter().map(Notice::encode).collect();
         if let Err(e) =
-            state.store.call(Call::Append { log: Log::Notices, records, epoch: None }).await
+            state.store.call(Call::Append { log: Log::Notices, records, at: None }).await
         {
             log::info!("gateway: {} notices to other routers lost: {e}", notices.len());
         }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -1,10 +1,9 @@
 //! One router at a time orders the model servers to hold layers.
 //!
-//! The router that holds the first seat of the group gives orders. Before it does, it writes them
-//! down in a log that accepts only the newest holder: one that was paused or cut off, and does not
-//! know that another took over, is refused there and gives none. Each order names the number of
-//! orders that the server has accepted before, so an order of the past that is carried out late
-//! changes nothing.
+//! The router that holds the first seat of the group gives orders, under a term that begins with a record in a log. It
+//! writes orders down there before it gives them, each time on condition that nobody else has added anything since: one that
+//! was paused or cut off, and does not know that another term has begun, is refused and gives none. Each order names the
+//! number of orders that the server has accepted before, so an order of the past that is carried out late changes nothing.
 
 mod gap;
 mod order;
@@ -19,7 +18,7 @@
 
 use crate::shared_read;
 use crate::state::State;
-use crate::store::{Fault, Generation};
+use crate::store::{Fault, Generation, Offset, Seat};
 use order::{Given, Planned};
 use term::Term;
 
@@ -47,6 +46,9 @@
 /// is as dear as a heartbeat of each.
 const VISIT: Duration = Duration::from_millis(1000);
 
+/// Joins in a row for one term. The first one may find that the log of orders has grown, and then has to ask again.
+const TRIES: usize = 3;
+
 /// What a router knows of its right to give orders, and of those it gave.
 struct Leader {
     state: Rc<State>,
@@ -58,8 +60,12 @@
     kept: Option<Duration>,
     /// Whether the last call had no answer.
     failed: bool,
+    /// Whether this router held the first seat in the last answer.
+    first: bool,
     /// The right to give orders, while this router has it.
     term: Option<Term>,
+    /// Where the log of orders ended when that was last heard.
+    end: Offset,
     given: Vec<Given>,
     /// Orders that are still to be given.
     planned: Vec<Planned>,
@@ -79,7 +85,9 @@
         steady: 0,
         kept: None,
         failed: false,
+        first: false,
         term: None,
+        end: 0,
         given: Vec::new(),
         planned: Vec::new(),
         grown: (0, now),
@@ -100,45 +108,69 @@
     }
 }
 
+/// Time between two calls that keep a seat.
+fn pause(calm: bool) -> Duration {
+    if calm { CALM_KEEP } else { KEEP }
+}
+
 impl Leader {
-    /// Asks for the seat again when it is time.
+    /// Asks for the seat again when it is time, and begins or ends a term by the answer.
     async fn keep_seat(&mut self) {
-        let now = self.state.now();
-        let state = &self.state;
-        let calm = self.term.is_none() && (shared_read::hears(state) || state.store_away());
-        let pause = match calm {
-            true => CALM_KEEP,
-            false => KEEP,
-        };
+        if !self.is_due() {
+            return;
+        }
+        for _ in 0..TRIES {
+            let Some((seat, until)) = self.join().await else { return };
+            match self.renew(seat, until).await {
+                // The seat is asked for again, as another router may have got it and begun a term. After an answer that
+                // comes behind that record, this router holds the seat since.
+                Err(Fault::Moved { end: Some(end) }) => self.end = end,
+                Ok(()) | Err(_) => return,
+            }
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        let (now, state) = (self.state.now(), &self.state);
+        let pause = pause(self.is_calm());
         let heard = state.sharing.generation() > self.generation
             || self.kept.is_some_and(|kept| kept < state.regained());
-        let due = shared_read::is_check_due(state);
         let wait = if heard && !self.failed { HAND_OVER } else { pause };
-        if !due && self.kept.is_some_and(|kept| now < kept + wait) {
-            return;
-        }
+        shared_read::is_check_due(state) || self.kept.is_none_or(|kept| now >= kept + wait)
+    }
+
+    /// Whether nothing waits for the next answer: this router has no part in giving orders and hears of changes from
+    /// another one, or the store is away.
+    fn is_calm(&self) -> bool {
+        let state = &self.state;
+        let idle = !self.first && shared_read::hears(state);
+        self.term.is_none() && (idle || state.store_away())
+    }
+
+    /// Asks for the seat; the answer, and until when a term under it lasts.
+    async fn join(&mut self) -> Option<(Seat, Duration)> {
+        let (now, calm) = (self.state.now(), self.is_calm());
         self.kept = Some(now);
         let (seat, until) = match term::keep(&self.state, self.generation, calm).await {
             Ok(kept) => kept,
             Err(e) => {
                 shared_read::note_silence(&self.state);
                 self.failed = true;
-                return log::debug!("gateway: seat not kept: {e}");
+                log::debug!("gateway: seat not kept: {e}");
+                return None;
             }
         };
         self.failed = false;
         shared_read::note_answer(&self.state, now);
         self.steady = if seat.generation == self.generation { self.steady + 1 } else { 0 };
         self.generation = seat.generation;
+        self.first = seat.first;
         if self.steady == 0 {
             // A seat that moves is free once its holder has joined with the new generation.
             // Until then nobody gives orders, and what is lost stays lost.
-            self.kept = Some((now + HAND_OVER).saturating_sub(pause));
+            self.kept = Some((now + HAND_OVER).saturating_sub(pause(calm)));
         }
         self.state.sharing.joined(seat);
-        if !seat.first {
-            self.state.idle_since.set(None);
-        }
         // While seats change hands, a router may hold few of its own, or none.
         if self.steady >= STEADY && seat.held > 0 {
             let before = self.state.routers();
@@ -152,15 +184,37 @@
                 );
             }
         }
-        let (term, began) = term::renew(&self.state, self.term, seat, until).await;
-        self.term = term;
-        if seat.first && self.term.is_none() {
-            self.note_idle();
-        }
-        if let Some(end) = began {
-            self.given = order::inherit(&self.state, end).await;
-            self.planned.clear();
+        Some((seat, until))
+    }
+
+    /// Goes on with a term, begins one, or ends it; why none was begun.
+    async fn renew(&mut self, seat: Seat, until: Duration) -> Result<(), Fault> {
+        let (generation, era) = (seat.generation, self.state.store.era());
+        match self.term.filter(|term| term.end.era == era) {
+            _ if !seat.first => {
+                if self.term.take().is_some() {
+                    log::info!("gateway: gives_orders=false generation={generation}");
+                }
+                self.state.idle_since.set(None);
+            }
+            Some(term) => self.term = Some(Term { until, ..term }),
+            None => {
+                self.term = None;
+                let term = match term::begin(&self.state, seat, until, self.end).await {
+                    Ok(term) => term,
+                    Err(fault) => {
+                        log::info!("gateway: gives_orders=false epoch={generation} why={fault}");
+                        self.note_idle();
+                        return Err(fault);
+                    }
+                };
+                log::info!("gateway: gives_orders=true epoch={generation} end={}", term.end.offset);
+                (self.term, self.end) = (Some(term), term.end.offset);
+                self.given = order::inherit(&self.state, term.end).await;
+                self.planned.clear();
+            }
         }
+        Ok(())
     }
 
     /// Looks after the model servers while this router has the right to.
@@ -190,6 +244,12 @@
                     term.epoch
                 );
                 self.note_idle();
+                // The next term begins at once: it tells what became of the append.
+                self.kept = None;
+                self.end = match e {
+                    Fault::Moved { end: Some(end) } => end,
+                    _ => term.end.offset,
+                };
                 None
             }
         };
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -14,7 +14,7 @@
 use crate::server::{Id, Report};
 use crate::settings::Model;
 use crate::state::State;
-use crate::store::{Call, Fault, Log, Reply};
+use crate::store::{Call, End, Fault, Log, Offset, Reply};
 use crate::wire::Order;
 
 /// Longest time an order may take before it counts as failed, as a multiple of the time to load its
@@ -34,6 +34,9 @@
 /// then, or it is just the order that is given again.
 const SHOWN: Duration = Duration::from_millis(700);
 
+/// Records of terms before that a router reads which takes over: those of a whole batch, and of some terms that came to nothing.
+const INHERITED: Offset = 64;
+
 /// An order that was given and is not known to be done.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Given {
@@ -61,8 +64,8 @@
 
 /// Orders of the router before that may still be under way. They count as given, so that no
 /// server gets the same order twice.
-pub(super) async fn inherit(state: &State, end: u64) -> Vec<Given> {
-    let (from, era) = (end.saturating_sub(48), state.store.era());
+pub(super) async fn inherit(state: &State, end: End) -> Vec<Given> {
+    let (from, era) = (end.offset.saturating_sub(INHERITED), end.era);
     let call = Call::Read { log: Log::Orders, from, era, wait: Duration::ZERO };
     let records = match state.store.call(call).await {
         Ok(Reply::Records(records, _)) => records,
@@ -167,16 +170,14 @@
         Bytes::from(serde_json::to_vec(&record).expect("plain fields"))
     };
     let records = ready.iter().map(record).collect();
-    let epoch = Some((term.epoch, term.next));
     // A lost answer ends the term: the next one begins with what the log then says.
-    let reply = state.store.call(Call::Append { log: Log::Orders, records, epoch }).await?;
-    log::info!(
-        "gateway: orders_written={} epoch={} sequence={} reply={reply:?}",
-        ready.len(),
-        term.epoch,
-        term.next
-    );
-    term.next += 1;
+    let call = Call::Append { log: Log::Orders, records, at: Some(term.end) };
+    let end = match state.store.call(call).await? {
+        Reply::Appended(end) => end,
+        other => return Err(Fault::Unreadable(format!("{other:?}"))),
+    };
+    log::info!("gateway: orders_written={} epoch={} end={end}", ready.len(), term.epoch);
+    term.end.offset = end;
     Ok(())
 }
 
--- a/crates/gateway/src/leader/term.rs
+++ b/crates/gateway/src/leader/term.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
+
 use crate::clock;
 use crate::state::State;
-use crate::store::{Call, Era, Fault, Generation, Log, Offset, Reply, Seat};
+use crate::store::{Call, End, Fault, Generation, Log, Offset, Reply, Seat};
 
 /// How long a seat lasts. A dead holder is replaced after this time; layers that it would have
 /// ordered meanwhile are missing.
@@ -16,17 +18,25 @@
 /// Part of the seat's time in which orders are given. The rest is for the order to arrive.
 const SURE: f64 = 0.7;
 
-/// The right to give orders.
+/// The right to give orders, from a record of its own in the log of orders on.
+///
+/// Under a term, records are added only where the log ends as far as it is known: once another term has begun, also one of
+/// the same router, nothing more is taken under this one, whenever it arrives.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Term {
-    /// Generation in which it was gained: the fencing number.
+    /// Generation of the group in which it was gained, for log lines.
     pub(super) epoch: Generation,
-    /// Era of the store in which it was gained.
-    era: Era,
-    /// Number of the next call under it.
-    pub(super) next: u64,
+    /// Where the log of orders ends.
+    pub(super) end: End,
     /// When it ends, by the clock that counts suspended time.
-    until: Duration,
+    pub(super) until: Duration,
+}
+
+/// The first record of a term.
+#[derive(Debug, Serialize)]
+struct Began<'a> {
+    epoch: Generation,
+    vm: &'a str,
 }
 
 impl Term {
@@ -35,6 +45,7 @@
     }
 }
 
+/// Asks for the seat; until when a term under it lasts.
 pub(super) async fn keep(
     state: &State,
     generation: Generation,
@@ -51,38 +62,19 @@
     }
 }
 
-/// Goes on with a term, begins one, or ends it; where the log of orders ended when it began.
-pub(super) async fn renew(
+/// Begins a term, if the log of orders ends at `end`.
+pub(super) async fn begin(
     state: &State,
-    term: Option<Term>,
     seat: Seat,
     until: Duration,
-) -> (Option<Term>, Option<Offset>) {
-    // What another router was given in the same era is fenced by its generation, which holds the era.
-    let term = term.filter(|term| state.store.era() == term.era);
-    match term {
-        _ if !seat.first => {
-            if term.is_some() {
-                log::info!("gateway: gives_orders=false generation={}", seat.generation);
-            }
-            (None, None)
-        }
-        Some(term) => (Some(Term { until, ..term }), None),
-        None => {
-            let epoch = seat.generation;
-            let call =
-                Call::Append { log: Log::Orders, records: Vec::new(), epoch: Some((epoch, 0)) };
-            match state.store.call(call).await {
-                Ok(Reply::Appended(end)) => {
-                    log::info!("gateway: gives_orders=true epoch={epoch} orders_end={end}");
-                    let era = state.store.era();
-                    (Some(Term { epoch, era, next: 0, until }), Some(end))
-                }
-                other => {
-                    log::info!("gateway: gives_orders=false epoch={epoch} why={other:?}");
-                    (None, None)
-                }
-            }
-        }
+    end: Offset,
+) -> Result<Term, Fault> {
+    let (epoch, era) = (seat.generation, state.store.era());
+    let record = serde_json::to_vec(&Began { epoch, vm: &state.setup.vm }).expect("plain fields");
+    let at = Some(End { offset: end, era });
+    let call = Call::Append { log: Log::Orders, records: vec![record.into()], at };
+    match state.store.call(call).await? {
+        Reply::Appended(offset) => Ok(Term { epoch, end: End { offset, era }, until }),
+        other => Err(Fault::Unreadable(format!("{other:?}"))),
     }
 }
--- a/crates/gateway/src/repeats/handover.rs
+++ b/crates/gateway/src/repeats/handover.rs
@@ -218,7 +218,7 @@
     loop {
         match append(state, &record, Some(at)).await {
             Ok(_) => return Ok(()),
-            Err(Fault::Moved) => {}
+            Err(Fault::Moved { .. }) => {}
             Err(fault) => return Err(fault),
         }
         at = match after_others(state, at).await {
@@ -234,9 +234,9 @@
     let started = state.repeats.succession.started.get();
     match (before.last(), started) {
         // Another process has started since; it does not know that this one still runs.
-        (Some(last), _) if last.process() != own => Err(Fault::Moved),
+        (Some(last), _) if last.process() != own => Err(Fault::Moved { end: None }),
         (_, Some((end, _))) => Ok(end),
-        (_, None) => Err(Fault::Moved),
+        (_, None) => Err(Fault::Moved { end: None }),
     }
 }
 
@@ -245,7 +245,7 @@
     let vm = state.setup.vm.clone();
     match state.store.call(Call::ReadOwn { vm: vm.clone(), from }).await? {
         Reply::Records(records, _) if records.iter().any(|r| Record::decode(r, &vm).is_some()) => {
-            Err(Fault::Moved)
+            Err(Fault::Moved { end: None })
         }
         Reply::Records(records, _) => Ok(from + records.len() as Offset),
         other => Err(Fault::Unreadable(format!("{other:?}"))),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -24,6 +24,15 @@
 /// written since the copy is gone, and offsets and generations are given out again. Nought where it is not known.
 pub type Era = u64;
 
+/// Where a log ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct End {
+    /// The offset after the last record.
+    pub offset: Offset,
+    /// The era that the offset belongs to.
+    pub era: Era,
+}
+
 /// Bits of a generation that the store gives; those above hold the era.
 const GENERATION_BITS: u32 = 32;
 
@@ -71,14 +80,14 @@
         /// Last key of the page before.
         after: Option<String>,
     },
-    /// Adds records; with `epoch`, only if no higher epoch was seen.
+    /// Adds records.
     Append {
         /// The log.
         log: Log,
         /// The records.
         records: Vec<Bytes>,
-        /// Fencing number and number of the call under it.
-        epoch: Option<(Generation, u64)>,
+        /// Where the log has to end, if anywhere.
+        at: Option<End>,
     },
     /// Adds a record to what a router's processes tell each other. Several routers may share such a log.
     AppendOwn {
@@ -195,21 +204,15 @@
     /// The records asked for are gone.
     #[display("the records asked for were deleted")]
     Gone,
-    /// The log does not end where it was said to.
-    #[display("the log has grown meanwhile")]
-    Moved,
-    /// It came from before the store was restored.
-    #[display("the answer is of an older era of the store")]
-    Past,
-    /// A higher epoch was seen.
-    #[display("another router gives orders now")]
-    Fenced,
-    /// The number of the call does not follow the last one under its epoch.
-    #[display("the call's number does not follow, expected={expected:?}")]
-    Sequence {
-        /// The number that does, if the store names it.
-        expected: Option<u64>,
+    /// The log does not end where it was said to; nothing was done.
+    #[display("the log has grown meanwhile, end={end:?}")]
+    Moved {
+        /// Where it ends, if the store says so.
+        end: Option<Offset>,
     },
+    /// The call or its answer is of before the store was restored.
+    #[display("the store was restored meanwhile, or the answer is of an older era")]
+    Past,
     /// The answer can't be read.
     #[display("unreadable answer of the store: {_0}")]
     Unreadable(#[error(not(source))] String),
@@ -226,10 +229,8 @@
             Fault::Refused(507) => "out_of_space",
             Fault::Refused(_) => "refused",
             Fault::Gone => "gone",
-            Fault::Moved => "moved",
+            Fault::Moved { .. } => "moved",
             Fault::Past => "past",
-            Fault::Fenced => "fenced",
-            Fault::Sequence { .. } => "sequence",
             Fault::Unreadable(_) => "unreadable",
         }
     }
@@ -309,10 +310,16 @@
     }
 
     async fn carry_out(&self, call: Call) -> Result<Reply, Fault> {
-        if matches!(call, Call::Read { era, .. } if era != self.era.get()) {
-            return Err(Fault::Gone);
+        let known = self.era.get();
+        match call {
+            Call::Read { era, .. } if era != known => return Err(Fault::Gone),
+            Call::Append { at: Some(End { era, .. }), .. } if era != known => {
+                return Err(Fault::Past);
+            }
+            _ => {}
         }
         count(&self.made, call.kind());
+        let conditional = matches!(call, Call::Append { at: Some(_), .. });
         let (cursor, call) = self.outgoing(call);
         let answer = tokio::select! {
             answer = (self.carry)(call) => answer,
@@ -329,6 +336,8 @@
             Reply::Records(..) if cursor.is_some_and(|era| era != self.era.get()) => {
                 Err(Fault::Gone)
             }
+            // The log of the copy happens to end there as well.
+            Reply::Appended(_) if conditional && known != self.era.get() => Err(Fault::Past),
             Reply::Joined(seat) => {
                 let generation = self.era.get() << GENERATION_BITS | seat.generation;
                 Ok(Reply::Joined(Seat { generation, ..seat }))
--- /dev/null
+++ b/crates/gateway/tests/store.rs
@@ -0,0 +1,36 @@
+//! What the store answers, and what the client makes of it.
+
+use gateway::store::{Answer, Call, Client, End, Era, Fault, Log, Reply, Told};
+use rstest::rstest;
+
+/// A store that takes each append and names one era after the other.
+fn client(eras: &'static [Era]) -> Client {
+    let answers = std::cell::Cell::new(0);
+    Client::new(move |_| {
+        let era = eras[answers.replace(answers.get() + 1)];
+        async move { Answer { reply: Ok(Reply::Appended(8)), era: Told::Era(era) } }
+    })
+}
+
+fn append(at: Option<End>) -> Call {
+    Call::Append { log: Log::Orders, records: vec!["record".into()], at }
+}
+
+/// The log of a restored store happens to end where a call says, and the call counts as if nothing had been lost.
+#[rstest]
+#[case::same_era(&[1, 1], 1, Ok(Reply::Appended(8)))]
+#[case::restored_meanwhile(&[1, 2], 1, Err(Fault::Past))]
+#[case::restored_before(&[2], 1, Err(Fault::Past))]
+fn an_append_counts_in_the_era_of_its_offset_only(
+    #[case] eras: &'static [Era],
+    #[case] era: Era,
+    #[case] expected: Result<Reply, Fault>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    let client = client(eras);
+    runtime.block_on(async {
+        client.call(append(None)).await.unwrap();
+        let at = Some(End { offset: 7, era });
+        assert_eq!(client.call(append(at)).await, expected);
+    });
+}
