A router that can't use the first seat gives it up after two seconds

A holder whose calls to stay in the group are answered and whose appends are not taken keeps the seat, and nobody orders lost layers to be loaded.

Cause: the seat moves when its holder falls silent, not when it makes no progress.

Change: policy::tenure decides without a network. After two seconds without success a holder leaves the group, if it has other members, stays out for two, and is twice as patient the next time, as the others may fare no better. hyssop_seat_idle_seconds comes from it.

Test: a_seat_that_its_holder_cannot_use_is_given_up. Not known: whether any fault of the platform stops only one router's appends.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -13,12 +13,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::tenure::Tenure;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::shared_read;
 use crate::state::State;
-use crate::store::{Fault, Generation, Offset, Seat};
+use crate::store::{Call, Fault, Generation, Offset, Seat};
 use order::{Given, Planned};
 use term::Term;
 
@@ -97,7 +98,7 @@
     };
     loop {
         // A router that stops gives its seat up, see `shutdown`.
-        if leader.state.stopping.get().is_none() {
+        if leader.state.stopping.get().is_none() && !leader.is_out() {
             leader.keep_seat().await;
             leader.act().await;
         }
@@ -124,12 +125,17 @@
             match self.renew(seat, until).await {
                 // The seat is asked for again, as another router may have got it and begun a term. After an answer that
                 // comes behind that record, this router holds the seat since.
-                Err(Fault::Moved { end: Some(end) }) => self.end = end,
+                Err(Fault::Moved { end: Some(end) }) if !self.is_out() => self.end = end,
                 Ok(()) | Err(_) => return,
             }
         }
     }
 
+    /// Whether it has given the seat up a moment ago.
+    fn is_out(&self) -> bool {
+        self.state.tenure.get().is_out(self.state.now())
+    }
+
     fn is_due(&self) -> bool {
         let (now, state) = (self.state.now(), &self.state);
         let pause = pause(self.is_calm());
@@ -195,7 +201,7 @@
                 if self.term.take().is_some() {
                     log::info!("gateway: gives_orders=false generation={generation}");
                 }
-                self.state.idle_since.set(None);
+                self.state.note_tenure(Tenure::ends);
             }
             Some(term) => self.term = Some(Term { until, ..term }),
             None => {
@@ -204,7 +210,7 @@
                     Ok(term) => term,
                     Err(fault) => {
                         log::info!("gateway: gives_orders=false epoch={generation} why={fault}");
-                        self.note_idle();
+                        self.note_failure().await;
                         return Err(fault);
                     }
                 };
@@ -234,31 +240,40 @@
         }
         self.term = match self.give(&mut term).await {
             Ok(()) => {
-                self.state.idle_since.set(None);
+                self.state.note_tenure(Tenure::works);
                 Some(term)
             }
             Err(e) => {
-                let idle = self.state.seat_idle();
+                let idle = self.state.tenure.get().idle(self.state.now());
                 log::warn!(
                     "gateway: gives_orders=false epoch={} idle={idle:?} why={e}",
                     term.epoch
                 );
-                self.note_idle();
                 // The next term begins at once: it tells what became of the append.
                 self.kept = None;
                 self.end = match e {
                     Fault::Moved { end: Some(end) } => end,
                     _ => term.end.offset,
                 };
+                self.note_failure().await;
                 None
             }
         };
     }
 
-    /// Notes that this router holds the first seat and could not give orders.
-    fn note_idle(&self) {
-        let idle = &self.state.idle_since;
-        idle.set(idle.get().or(Some(self.state.now())));
+    /// Notes that this router holds the first seat and could not give orders, and leaves the group if others may fare better.
+    async fn note_failure(&mut self) {
+        let (state, now) = (&self.state, self.state.now());
+        let others = state.sharing.members() > 1;
+        if !state.note_tenure(|tenure| tenure.fails(now, others)) {
+            return;
+        }
+        log::warn!("gateway: first seat given up generation={}", self.generation);
+        (self.first, self.steady) = (false, 0);
+        let call = Call::Leave { member: state.member() };
+        if let Err(e) = state.store.call(call).await {
+            log::info!("gateway: the group was not left: {e}");
+        }
     }
 
     /// Looks at what is missing and orders it.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use policy::demand::Demand;
 use policy::meter::Meter;
 use policy::shortage::Shortage;
+use policy::tenure::Tenure;
 use policy::window::{Budget, Crowd, Handover};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -101,8 +102,8 @@
     pub broken_since: Cell<Option<Duration>>,
     /// Whether this router gives orders.
     pub gives: Cell<bool>,
-    /// Since when this router holds the first seat and may not give orders.
-    pub idle_since: Cell<Option<Duration>>,
+    /// How it gets on with the first seat, while it holds it.
+    pub tenure: Cell<Tenure>,
     /// What it knows of the routers that read the store for others.
     pub sharing: Sharing,
     /// What it knows of requests that end servers.
@@ -155,7 +156,7 @@
             store_back: Notify::new(),
             placement: RefCell::default(),
             gives: Cell::new(false),
-            idle_since: Cell::new(None),
+            tenure: Cell::default(),
             sharing: Sharing::default(),
             crashes: Crashes::default(),
             keeper: Keeper::default(),
@@ -191,9 +192,12 @@
         newer
     }
 
-    /// For how long this router has held the first seat and not been able to give orders.
-    pub fn seat_idle(&self) -> Duration {
-        self.idle_since.get().map_or(Duration::ZERO, |since| self.now().saturating_sub(since))
+    /// Notes how this router gets on with the first seat.
+    pub fn note_tenure<T>(&self, note: impl FnOnce(&mut Tenure) -> T) -> T {
+        let mut tenure = self.tenure.get();
+        let noted = note(&mut tenure);
+        self.tenure.set(tenure);
+        noted
     }
 
     /// Whether the store did not answer the last read.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod share;
 pub mod shortage;
 pub mod suspicion;
+pub mod tenure;
 pub mod tuning;
 pub mod window;
 pub mod work;
