Callers are told a later time to come back the longer a part of the model has been missing

Cause: the router that refuses knows that layers are held nowhere, not that anybody loads them; the words and the time stood for the usual case.

The words say what is known: no backend server holds part of the model.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -11,6 +11,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Response, StatusCode};
+use policy::missing;
 
 /// Error that ends a caller's connection in the middle of an answer.
 pub type Cut = Box<dyn std::error::Error + Send + Sync>;
@@ -49,7 +50,7 @@
     #[display("no backend server can take it now")]
     NoServer,
     /// Some layers of the model are held nowhere.
-    #[display("part of the model is being loaded")]
+    #[display("no backend server holds part of the model")]
     NoPath,
     /// Some layers are held nowhere, and the store is away.
     #[display("part of the model is lost, and the platform's store is away")]
@@ -112,8 +113,7 @@
             Reason::Unsettled => Some(Duration::from_millis(1500)),
             // Without the store no router may order another server to load the lost part.
             Reason::NoPathAway => Some(Duration::from_millis(4500)),
-            // A lost part is noticed in half a second and loaded in one to one and a half.
-            Reason::NoPath => Some(Duration::from_millis(1800)),
+            Reason::NoPath => Some(missing::SHORTEST),
             // Another router takes it at once.
             Reason::Stopping => Some(Duration::from_millis(100)),
             Reason::NoServer | Reason::Limited => Some(Duration::from_millis(1000)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use layers::server::Zone;
 use policy::demand::Demand;
 use policy::meter::Meter;
+use policy::missing::Missing;
 use policy::shortage::Shortage;
 use policy::tenure::Tenure;
 use policy::window::{Budget, Crowd, Handover};
@@ -74,6 +75,8 @@
     pub serving: Cell<u32>,
     /// How many requests to models found no place lately.
     pub shortage: RefCell<Shortage>,
+    /// For how long some part of a model has been missing.
+    pub missing: RefCell<Missing>,
     /// New requests that wait until a server has a place for them.
     pub placeless: Cell<u32>,
     /// Bytes of request bodies held.
@@ -143,6 +146,7 @@
             callers: Cell::new(0),
             serving: Cell::new(0),
             shortage: RefCell::default(),
+            missing: RefCell::default(),
             placeless: Cell::new(0),
             bodies: Cell::new(0),
             changed: Notify::new(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -218,6 +218,10 @@
             let again = state.shortage.borrow_mut().refused(state.now());
             return answer::own_after(Reason::Full, Some(again));
         }
+        Err(Reason::NoPath) => {
+            let again = state.missing.borrow_mut().refused(state.now());
+            return answer::own_after(Reason::NoPath, Some(again));
+        }
         Err(Reason::Limited) => {
             return limited::refuse(state, service);
         }
@@ -228,6 +232,7 @@
         Err(reason) => return answer::own(reason),
     };
     state.shortage.borrow_mut().placed(state.now());
+    state.missing.borrow_mut().ends();
     let mut head = std::mem::replace(&mut source.answer.head, Response::new(()));
     // The connection's own fields decide later whether it is kept.
     source.answer.head.headers_mut().clone_from(head.headers());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod link;
 pub mod loan;
 pub mod meter;
+pub mod missing;
 pub mod pick;
 pub mod quarantine;
 pub mod queue;
