Soak: appends of orders without an answer; time without the group does not count against a seat

At its end each order that a server got has to be written down, and a server that joins has to get layers.

A holder whose calls to stay in the group are not answered is not one that can't use the seat: the group takes it away by itself.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -123,8 +123,7 @@
         for _ in 0..TRIES {
             let Some((seat, until)) = self.join().await else { return };
             match self.renew(seat, until).await {
-                // The seat is asked for again, as another router may have got it and begun a term. After an answer that
-                // comes behind that record, this router holds the seat since.
+                // Whoever added to the log may hold the seat by now: it is asked for again before the next try.
                 Err(Fault::Moved { end: Some(end) }) if !self.is_out() => self.end = end,
                 Ok(()) | Err(_) => return,
             }
@@ -161,6 +160,7 @@
             Ok(kept) => kept,
             Err(e) => {
                 shared_read::note_silence(&self.state);
+                self.state.note_tenure(Tenure::ends);
                 self.failed = true;
                 log::debug!("gateway: seat not kept: {e}");
                 return None;
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -34,8 +34,8 @@
 /// then, or it is just the order that is given again.
 const SHOWN: Duration = Duration::from_millis(700);
 
-/// Records of terms before that a router reads which takes over: those of a whole batch, and of some terms that came to nothing.
-const INHERITED: Offset = 64;
+/// Records of terms before that a router reads which takes over: a whole batch, and first records of some terms.
+const INHERITED: Offset = 48;
 
 /// An order that was given and is not known to be done.
 #[derive(Debug, Clone, PartialEq)]
