An append counts only if its answer names the end that it has to have

With ends as conditions the store tells none; the client compares all the same, as the end that an accepted append has to have is known.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -319,7 +319,10 @@
             _ => {}
         }
         count(&self.made, call.kind());
-        let conditional = matches!(call, Call::Append { at: Some(_), .. });
+        let expected = match &call {
+            Call::Append { records, at: Some(at), .. } => Some(at.offset + records.len() as Offset),
+            _ => None,
+        };
         let (cursor, call) = self.outgoing(call);
         let answer = tokio::select! {
             answer = (self.carry)(call) => answer,
@@ -337,7 +340,11 @@
                 Err(Fault::Gone)
             }
             // The log of the copy happens to end there as well.
-            Reply::Appended(_) if conditional && known != self.era.get() => Err(Fault::Past),
+            Reply::Appended(_) if expected.is_some() && known != self.era.get() => Err(Fault::Past),
+            // The answer to another call.
+            Reply::Appended(end) if expected.is_some_and(|expected| expected != end) => {
+                Err(Fault::Unreadable(format!("the log ends at {end}, expected={expected:?}")))
+            }
             Reply::Joined(seat) => {
                 let generation = self.era.get() << GENERATION_BITS | seat.generation;
                 Ok(Reply::Joined(Seat { generation, ..seat }))
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -16,6 +16,19 @@
     Call::Append { log: Log::Orders, records: vec!["record".into()], at }
 }
 
+/// An answer to an earlier append is taken for that to the last one, and what is written nowhere counts as written.
+#[test]
+fn an_append_with_the_answer_of_another_one_does_not_count() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    let client = client(&[1, 1]);
+    runtime.block_on(async {
+        client.call(append(None)).await.unwrap();
+        let at = Some(End { offset: 41, era: 1 });
+        let answer = client.call(append(at)).await;
+        assert!(matches!(answer, Err(Fault::Unreadable(_))), "{answer:?}");
+    });
+}
+
 /// The log of a restored store happens to end where a call says, and the call counts as if nothing had been lost.
 #[rstest]
 #[case::same_era(&[1, 1], 1, Ok(Reply::Appended(8)))]
