One check of the era for all calls that name an offset

Reads and appends on condition had each a check before and one behind the call, with different state kept for it. A call now names the era of its offset and the end that it must lead to; the client compares both in one place. Behaviour is the same.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -141,6 +141,23 @@
             Call::Leave { .. } => "leave",
         }
     }
+
+    /// The era of the offset that it names, if any; in another one the call is of no use.
+    fn offset_era(&self) -> Option<Era> {
+        match self {
+            Call::Read { era, .. } => Some(*era),
+            Call::Append { at, .. } => at.map(|at| at.era),
+            _ => None,
+        }
+    }
+
+    /// Where the log ends after it, if that follows from the call.
+    fn expected_end(&self) -> Option<Offset> {
+        match self {
+            Call::Append { records, at, .. } => at.map(|at| at.offset + records.len() as Offset),
+            _ => None,
+        }
+    }
 }
 
 /// A record of a log with one newest record for each key.
@@ -310,24 +327,18 @@
     }
 
     async fn carry_out(&self, call: Call) -> Result<Reply, Fault> {
-        let known = self.era.get();
-        match call {
-            Call::Read { era, .. } if era != known => return Err(Fault::Gone),
-            Call::Append { at: Some(End { era, .. }), .. } if era != known => {
-                return Err(Fault::Past);
-            }
-            _ => {}
+        let offset_era = call.offset_era();
+        let outdated = || offset_era.is_some_and(|era| era != self.era.get());
+        let (is_read, expected) = (matches!(call, Call::Read { .. }), call.expected_end());
+        let too_late = if is_read { Fault::Gone } else { Fault::Past };
+        if outdated() {
+            return Err(too_late);
         }
         count(&self.made, call.kind());
-        let expected = match &call {
-            Call::Append { records, at: Some(at), .. } => Some(at.offset + records.len() as Offset),
-            _ => None,
-        };
-        let (cursor, call) = self.outgoing(call);
         let answer = tokio::select! {
-            answer = (self.carry)(call) => answer,
+            answer = (self.carry)(self.outgoing(call)) => answer,
             // The store may hold an answer back for seconds, to an offset that is of no use any more.
-            () = self.renewed.notified(), if cursor.is_some() => return Err(Fault::Gone),
+            () = self.renewed.notified(), if is_read => return Err(too_late),
         };
         match answer.era {
             Told::Nothing => {}
@@ -335,12 +346,8 @@
             Told::Unreadable => self.note_odd("can't be read"),
         }
         match answer.reply? {
-            // The offset was that of an era that has ended meanwhile.
-            Reply::Records(..) if cursor.is_some_and(|era| era != self.era.get()) => {
-                Err(Fault::Gone)
-            }
-            // The log of the copy happens to end there as well.
-            Reply::Appended(_) if expected.is_some() && known != self.era.get() => Err(Fault::Past),
+            // The offset was that of an era that has ended meanwhile. The log of a copy may happen to end there as well.
+            _ if outdated() => Err(too_late),
             // The answer to another call.
             Reply::Appended(end) if expected.is_some_and(|expected| expected != end) => {
                 Err(Fault::Unreadable(format!("the log ends at {end}, expected={expected:?}")))
@@ -414,17 +421,16 @@
         }
     }
 
-    /// The call as the store takes it, and the era of its offset.
-    fn outgoing(&self, call: Call) -> (Option<Era>, Call) {
+    /// The call as the store takes it.
+    fn outgoing(&self, call: Call) -> Call {
         match call {
-            Call::Read { era, .. } => (Some(era), call),
             Call::Join { member, ttl, generation } => {
                 let of_era = generation >> GENERATION_BITS == self.era.get();
                 let generation = generation & ((1 << GENERATION_BITS) - 1);
                 let generation = if of_era { generation } else { 0 };
-                (None, Call::Join { member, ttl, generation })
+                Call::Join { member, ttl, generation }
             }
-            call => (None, call),
+            call => call,
         }
     }
 
