One append under a term, one type for an offset and its era, tenure kept as other policies are

Beginning a term and writing orders down had the same append and the same look at its reply: Term::write serves both. A reader's place in a log was a pair of its own beside store::End. State::note_tenure was a second way to do what a RefCell does for the other policies.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::settings::Settings;
 use crate::shared_read;
 use crate::state::State;
-use crate::store::{Call, Era, Fault, Item, Log, Offset, Reply};
+use crate::store::{Call, End, Fault, Item, Log, Offset, Reply};
 
 pub use news::{announce, notices};
 
@@ -158,7 +158,7 @@
         }
         let read = match at {
             None => newest(state, log, restored).await,
-            Some(from) => changes(state, log, reader, Cursor { from, era }, wait).await,
+            Some(from) => changes(state, log, reader, End { offset: from, era }, wait).await,
         };
         match read {
             Ok(Batch { items, end, source }) => {
@@ -270,19 +270,11 @@
     }
 }
 
-/// Where a reader stands in a log.
-#[derive(Debug, Clone, Copy)]
-struct Cursor {
-    from: Offset,
-    /// The era that the offset belongs to.
-    era: Era,
-}
-
 async fn changes(
     state: &State,
     log: Log,
     reader: Reader,
-    Cursor { from, era }: Cursor,
+    End { offset: from, era }: End,
     wait: Duration,
 ) -> Result<Batch, Fault> {
     let heard = shared_read::read(state, log, from).await.filter(|_| state.store.era() == era);
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use policy::tenure::Tenure;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -132,7 +131,7 @@
 
     /// Whether it has given the seat up a moment ago.
     fn is_out(&self) -> bool {
-        self.state.tenure.get().is_out(self.state.now())
+        self.state.tenure.borrow().is_out(self.state.now())
     }
 
     fn is_due(&self) -> bool {
@@ -160,7 +159,7 @@
             Ok(kept) => kept,
             Err(e) => {
                 shared_read::note_silence(&self.state);
-                self.state.note_tenure(Tenure::ends);
+                self.state.tenure.borrow_mut().ends();
                 self.failed = true;
                 log::debug!("gateway: seat not kept: {e}");
                 return None;
@@ -201,7 +200,7 @@
                 if self.term.take().is_some() {
                     log::info!("gateway: gives_orders=false generation={generation}");
                 }
-                self.state.note_tenure(Tenure::ends);
+                self.state.tenure.borrow_mut().ends();
             }
             Some(term) => self.term = Some(Term { until, ..term }),
             None => {
@@ -240,11 +239,11 @@
         }
         self.term = match self.give(&mut term).await {
             Ok(()) => {
-                self.state.note_tenure(Tenure::works);
+                self.state.tenure.borrow_mut().works();
                 Some(term)
             }
             Err(e) => {
-                let idle = self.state.tenure.get().idle(self.state.now());
+                let idle = self.state.tenure.borrow().idle(self.state.now());
                 log::warn!(
                     "gateway: gives_orders=false epoch={} idle={idle:?} why={e}",
                     term.epoch
@@ -265,7 +264,7 @@
     async fn note_failure(&mut self) {
         let (state, now) = (&self.state, self.state.now());
         let others = state.sharing.members() > 1;
-        if !state.note_tenure(|tenure| tenure.fails(now, others)) {
+        if !state.tenure.borrow_mut().fails(now, others) {
             return;
         }
         log::warn!("gateway: first seat given up generation={}", self.generation);
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -170,14 +170,13 @@
         Bytes::from(serde_json::to_vec(&record).expect("plain fields"))
     };
     let records = ready.iter().map(record).collect();
-    // A lost answer ends the term: the next one begins with what the log then says.
-    let call = Call::Append { log: Log::Orders, records, at: Some(term.end) };
-    let end = match state.store.call(call).await? {
-        Reply::Appended(end) => end,
-        other => return Err(Fault::Unreadable(format!("{other:?}"))),
-    };
-    log::info!("gateway: orders_written={} epoch={} end={end}", ready.len(), term.epoch);
-    term.end.offset = end;
+    term.write(state, records).await?;
+    log::info!(
+        "gateway: orders_written={} epoch={} end={}",
+        ready.len(),
+        term.epoch,
+        term.end.offset
+    );
     Ok(())
 }
 
--- a/crates/gateway/src/leader/term.rs
+++ b/crates/gateway/src/leader/term.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Serialize;
 
 use crate::clock;
@@ -43,6 +44,17 @@
     pub(super) fn lasts(&self) -> bool {
         clock::boot() < self.until
     }
+
+    /// Adds records to the log of orders, if it ends where this term left it. A lost answer ends the term: the next one begins with
+    /// what the log then says.
+    pub(super) async fn write(&mut self, state: &State, records: Vec<Bytes>) -> Result<(), Fault> {
+        let call = Call::Append { log: Log::Orders, records, at: Some(self.end) };
+        match state.store.call(call).await? {
+            Reply::Appended(end) => self.end.offset = end,
+            other => return Err(Fault::Unreadable(format!("{other:?}"))),
+        }
+        Ok(())
+    }
 }
 
 /// Asks for the seat; until when a term under it lasts.
@@ -71,10 +83,7 @@
 ) -> Result<Term, Fault> {
     let (epoch, era) = (seat.generation, state.store.era());
     let record = serde_json::to_vec(&Began { epoch, vm: &state.setup.vm }).expect("plain fields");
-    let at = Some(End { offset: end, era });
-    let call = Call::Append { log: Log::Orders, records: vec![record.into()], at };
-    match state.store.call(call).await? {
-        Reply::Appended(offset) => Ok(Term { epoch, end: End { offset, era }, until }),
-        other => Err(Fault::Unreadable(format!("{other:?}"))),
-    }
+    let mut term = Term { epoch, end: End { offset: end, era }, until };
+    term.write(state, vec![record.into()]).await?;
+    Ok(term)
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -189,7 +189,7 @@
             ));
         }
         let gives = u8::from(state.gives.get());
-        let waiting = state.tenure.get().idle(state.now()).as_secs_f64();
+        let waiting = state.tenure.borrow().idle(state.now()).as_secs_f64();
         text.push_str(&format!(
             "hyssop_gives_orders {gives}\nhyssop_seat_idle_seconds {waiting:.1}\n"
         ));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -106,7 +106,7 @@
     /// Whether this router gives orders.
     pub gives: Cell<bool>,
     /// How it gets on with the first seat, while it holds it.
-    pub tenure: Cell<Tenure>,
+    pub tenure: RefCell<Tenure>,
     /// What it knows of the routers that read the store for others.
     pub sharing: Sharing,
     /// What it knows of requests that end servers.
@@ -160,7 +160,7 @@
             store_back: Notify::new(),
             placement: RefCell::default(),
             gives: Cell::new(false),
-            tenure: Cell::default(),
+            tenure: RefCell::default(),
             sharing: Sharing::default(),
             crashes: Crashes::default(),
             keeper: Keeper::default(),
@@ -196,14 +196,6 @@
         newer
     }
 
-    /// Notes how this router gets on with the first seat.
-    pub fn note_tenure<T>(&self, note: impl FnOnce(&mut Tenure) -> T) -> T {
-        let mut tenure = self.tenure.get();
-        let noted = note(&mut tenure);
-        self.tenure.set(tenure);
-        noted
-    }
-
     /// Whether the store did not answer the last read.
     pub fn store_away(&self) -> bool {
         self.asker.get().is_some()
--- a/crates/policy/src/tenure.rs
+++ b/crates/policy/src/tenure.rs
@@ -19,7 +19,7 @@
 const LONGEST: Duration = Duration::from_secs(32);
 
 /// How a router gets on with the seat that it holds.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct Tenure {
     /// Since when it has had no success.
     since: Option<Duration>,
