--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,6 +3,9 @@
 //! The store keeps logs and membership of groups. How a call looks on the wire is the adapter's
 //! matter: it gives a [`Client`] a closure that carries one call out.
 
+mod call;
+mod fault;
+
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Debug, Formatter};
 use std::future::Future;
@@ -10,10 +13,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
+use derive_more::Display;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+pub use call::Call;
+pub use fault::Fault;
+
 /// Position of a record in a log.
 pub type Offset = u64;
 
@@ -59,107 +65,6 @@
     Notices,
 }
 
-/// One call.
-#[derive(Debug, Clone)]
-pub enum Call {
-    /// Records from an offset on; waits so long for the first one.
-    Read {
-        /// The log.
-        log: Log,
-        /// First offset wanted.
-        from: Offset,
-        /// The era that the offset belongs to.
-        era: Era,
-        /// How long the store may wait for a record.
-        wait: Duration,
-    },
-    /// The newest record of each key, in pages.
-    Newest {
-        /// The log.
-        log: Log,
-        /// Last key of the page before.
-        after: Option<String>,
-    },
-    /// Adds records.
-    Append {
-        /// The log.
-        log: Log,
-        /// The records.
-        records: Vec<Bytes>,
-        /// Where the log has to end, if anywhere.
-        at: Option<End>,
-    },
-    /// Adds a record to what a router's processes tell each other. Several routers may share such a log.
-    AppendOwn {
-        /// The router's VM.
-        vm: String,
-        /// The record.
-        record: Bytes,
-        /// Offset at which the log has to end, if any.
-        at: Option<Offset>,
-    },
-    /// Records of that log from an offset on.
-    ReadOwn {
-        /// The router's VM.
-        vm: String,
-        /// First offset wanted.
-        from: Offset,
-    },
-    /// Joins the group of routers, or stays in it.
-    Join {
-        /// This router.
-        member: String,
-        /// How long the membership lasts from this call on.
-        ttl: Duration,
-        /// The generation of the last answer.
-        generation: Generation,
-    },
-    /// Asks for the members of the group of routers.
-    Members,
-    /// Leaves the group of routers.
-    Leave {
-        /// This router.
-        member: String,
-    },
-}
-
-impl Call {
-    /// What kind of call it is, for the metrics.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Call::Read { log: Log::Settings, .. } => "read_settings",
-            Call::Read { log: Log::Servers, .. } => "read_servers",
-            Call::Read { log: Log::Notices, .. } => "read_notices",
-            Call::Read { log: Log::Orders, .. } => "read_orders",
-            Call::Newest { .. } => "read_newest",
-            Call::Append { log: Log::Orders, .. } => "append_orders",
-            Call::Append { .. } => "append_notices",
-            Call::AppendOwn { .. } => "append_own",
-            Call::ReadOwn { .. } => "read_own",
-            Call::Join { .. } => "join",
-            Call::Members => "members",
-            Call::Leave { .. } => "leave",
-        }
-    }
-
-    /// The era of the offset that it names, if any; in another one the call is of no use.
-    fn offset_era(&self) -> Option<Era> {
-        match self {
-            Call::Read { era, .. } => Some(*era),
-            Call::Append { at, .. } => at.map(|at| at.era),
-            _ => None,
-        }
-    }
-
-    /// Where the log ends after it, if that follows from the call.
-    fn expected_end(&self) -> Option<Offset> {
-        match self {
-            Call::Append { records, at, .. } => at.map(|at| at.offset + records.len() as Offset),
-            _ => None,
-        }
-    }
-}
-
 /// A record of a log with one newest record for each key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -201,58 +106,6 @@
     Left,
 }
 
-/// Why a call has no useful answer.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-pub enum Fault {
-    /// No answer: the call may have been carried out, or may be yet.
-    #[display("no answer from the store while {step}: {why}")]
-    Silent {
-        /// What was tried.
-        step: &'static str,
-        /// What went wrong.
-        why: String,
-    },
-    /// Another router says that the store does not answer it; nothing was asked.
-    #[display("the router that reads the store has no answer")]
-    Told,
-    /// Turned away; nothing was done.
-    #[display("the store turned the call away with status {_0}")]
-    Refused(#[error(not(source))] u16),
-    /// The records asked for are gone.
-    #[display("the records asked for were deleted")]
-    Gone,
-    /// The log does not end where it was said to; nothing was done.
-    #[display("the log has grown meanwhile, end={end:?}")]
-    Moved {
-        /// Where it ends, if the store says so.
-        end: Option<Offset>,
-    },
-    /// The call or its answer is of before the store was restored.
-    #[display("the store was restored meanwhile, or the answer is of an older era")]
-    Past,
-    /// The answer can't be read.
-    #[display("unreadable answer of the store: {_0}")]
-    Unreadable(#[error(not(source))] String),
-}
-
-impl Fault {
-    /// What kind of fault it is, for the metrics.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Fault::Silent { .. } => "silent",
-            Fault::Told => "told",
-            Fault::Refused(429) => "too_many_calls",
-            Fault::Refused(503) => "unavailable",
-            Fault::Refused(507) => "out_of_space",
-            Fault::Refused(_) => "refused",
-            Fault::Gone => "gone",
-            Fault::Moved { .. } => "moved",
-            Fault::Past => "past",
-            Fault::Unreadable(_) => "unreadable",
-        }
-    }
-}
-
 /// What an answer says of the store's era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
