Gateway: lines of sent requests and of broken runs name the parts of the prompt

Cause: the three hypotheses on BUDGET (one part of the prompt, one caller, load) could not be told apart: run=broken gave one hash of all parts, the last of which is the request's own, and no line said which parts a request carried that got further.

Change: sent_to= and run=broken lines have parts=ID=FINGERPRINT,... of all parts but the last; the fingerprint is that of the workspace and the id. The adapter decodes the field, at most 64 parts and 20 characters of an id are logged.

--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -1,12 +1,13 @@
 //! Fingerprints that identify requests of the same content, whatever their ids.
 
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Uri};
 use policy::crash::Fingerprint;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::crash::format_fingerprint;
 use crate::request::Call;
-use crate::wire::Names;
+use crate::wire::{Codec, Names};
 
 /// Returns the hash of a request's workspace, host, method, path, query and body. Since the workspace is included, no
 /// caller can send a request with the fingerprint of another workspace's request.
@@ -36,6 +37,52 @@
     ])
 }
 
+/// Parts of a prompt that are told apart. Longer prompts are known by their first ones.
+const MAX_PARTS: usize = 64;
+
+/// Characters of a part's id that are logged.
+const MAX_LOGGED_ID: usize = 20;
+
+/// A part of a prompt that requests of one workspace may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part<'a> {
+    /// Id, as the caller gives it.
+    pub id: &'a str,
+    /// Hash of the workspace and the id.
+    pub fingerprint: Fingerprint,
+}
+
+/// Returns the parts of a prompt that other requests may share, in order. Since callers choose the ids, a part belongs
+/// to its workspace.
+pub fn shared_parts<'a>(
+    codec: &Codec,
+    workspace: Option<&str>,
+    headers: &'a HeaderMap,
+) -> Vec<Part<'a>> {
+    let field = headers.get(&codec.names.parts).and_then(|value| value.to_str().ok());
+    let workspace = workspace.unwrap_or_default().as_bytes();
+    let part = |id: &'a str| Part { id, fingerprint: hash(&[b"part", workspace, id.as_bytes()]) };
+    field
+        .map_or(Vec::new(), |f| (codec.shared_parts)(f))
+        .into_iter()
+        .take(MAX_PARTS)
+        .map(part)
+        .collect()
+}
+
+/// Formats the parts of a request's prompt that others may share as `ID=FINGERPRINT`, separated by commas.
+pub fn describe_parts(codec: &Codec, call: &Call) -> String {
+    let parts = shared_parts(codec, call.workspace.as_deref(), &call.headers);
+    let text = |part: &Part| {
+        let id: String = part.id.chars().take(MAX_LOGGED_ID).collect();
+        format!("{id}={}", format_fingerprint(part.fingerprint))
+    };
+    match parts.is_empty() {
+        true => "none".to_owned(),
+        false => parts.iter().map(text).collect::<Vec<_>>().join(","),
+    }
+}
+
 /// Returns the hash of the header fields that describe a request to a model.
 pub fn description(names: &Names, call: &Call) -> Fingerprint {
     let fields = names.protected.iter().chain([&names.tokens]);
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -120,6 +120,7 @@
 ) -> JoinHandle<()> {
     let (content, description) = (call.content, content::description(&state.codec.names, call));
     let (id, bytes, workspace) = (call.id.clone(), call.size(), call.workspace.clone());
+    let parts = content::describe_parts(&state.codec, call);
     let (server, at) = (peer.server(), state.now());
     let announce = peer.record_break(at);
     let (state, peer) = (state.clone(), peer.clone());
@@ -131,7 +132,7 @@
         {
             log::info!(
                 "gateway: request={id} run=broken server={} server_ended={ended} events={events} content={} \
-                 description={} bytes={bytes} workspace={} lines_left_out={left_out}",
+                 description={} parts={parts} bytes={bytes} workspace={} lines_left_out={left_out}",
                 server.id,
                 format_fingerprint(content),
                 format_fingerprint(description),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use policy::window::Need;
 use tokio::time::{Instant, timeout_at};
 
+use crate::content;
 use crate::limited;
 use crate::peer::Peer;
 use crate::pool::Connection;
@@ -134,13 +135,14 @@
 fn log_sent(state: &State, peer: &Peer, call: &Call) {
     let (server, entry, now) = (peer.server(), peer.entry(), state.now());
     log::info!(
-        "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={}",
+        "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={} parts={}",
         call.id,
         server.id,
         server.sequence,
         entry.offset,
         now.saturating_sub(entry.received),
-        shared_read::read_position(state, Log::Servers)
+        shared_read::read_position(state, Log::Servers),
+        content::describe_parts(&state.codec, call)
     );
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -59,6 +59,8 @@
     pub tokens: Tokens,
     /// Fingerprint of its content.
     pub content: Fingerprint,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
     reservation: Reservation,
 }
 
@@ -124,6 +126,8 @@
             .await?;
     let uri = head.uri.path_and_query().map_or(head.uri.clone(), |p| Uri::from(p.clone()));
     let content = content::fingerprint(workspace.as_deref(), &host, &head.method, &uri, &body);
+    let parts = content::shared_parts(&state.codec, workspace.as_deref(), &headers);
+    let parts = parts.into_iter().map(|part| part.fingerprint).collect();
     Ok(Call {
         id,
         method: head.method,
@@ -138,6 +142,7 @@
         deadline,
         tokens,
         content,
+        parts,
         reservation,
     })
 }
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -43,6 +43,8 @@
     pub limit: HeaderName,
     /// Expected version of the weights.
     pub weights: HeaderName,
+    /// Parts of the prompt, in order.
+    pub parts: HeaderName,
     /// Further fields that are forwarded even if the caller lists them as hop-by-hop fields.
     pub protected: Vec<HeaderName>,
 }
@@ -94,4 +96,6 @@
     pub repath: fn(&str, &[Hop]) -> Command,
     /// Encodes a path.
     pub path: fn(&[Hop]) -> String,
+    /// Decodes the ids of the parts of a prompt that other requests may share, in order.
+    pub shared_parts: fn(&str) -> Vec<&str>,
 }
