--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -2,7 +2,7 @@
 
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Uri};
-use policy::crash::Fingerprint;
+use policy::crash::{Fingerprint, Part};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::crash::format_fingerprint;
@@ -43,25 +43,19 @@
 /// Characters of a part's id that are logged.
 const MAX_LOGGED_ID: usize = 20;
 
-/// A part of a prompt that requests of one workspace may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Part<'a> {
-    /// Id, as the caller gives it.
-    pub id: &'a str,
-    /// Hash of the workspace and the id.
-    pub fingerprint: Fingerprint,
-}
-
-/// Returns the parts of a prompt that other requests may share, in order. Since callers choose the ids, a part belongs
-/// to its workspace.
+/// Returns the parts of a prompt that other requests may share, in order, with the ids that the caller gives them. Since
+/// callers choose the ids, a part belongs to its workspace.
 pub fn shared_parts<'a>(
     codec: &Codec,
     workspace: Option<&str>,
     headers: &'a HeaderMap,
-) -> Vec<Part<'a>> {
+) -> Vec<(&'a str, Part)> {
     let field = headers.get(&codec.names.parts).and_then(|value| value.to_str().ok());
     let workspace = workspace.unwrap_or_default().as_bytes();
-    let part = |id: &'a str| Part { id, fingerprint: hash(&[b"part", workspace, id.as_bytes()]) };
+    let part = |id: &'a str| {
+        let fingerprint = hash(&[b"part", workspace, id.as_bytes()]);
+        (id, Part { fingerprint, id: hash(&[b"id", id.as_bytes()]) })
+    };
     field
         .map_or(Vec::new(), |f| (codec.shared_parts)(f))
         .into_iter()
@@ -73,8 +67,8 @@
 /// Formats the parts of a request's prompt that others may share as `ID=FINGERPRINT`, separated by commas.
 pub fn describe_parts(codec: &Codec, call: &Call) -> String {
     let parts = shared_parts(codec, call.workspace.as_deref(), &call.headers);
-    let text = |part: &Part| {
-        let id: String = part.id.chars().take(MAX_LOGGED_ID).collect();
+    let text = |(id, part): &(&str, Part)| {
+        let id: String = id.chars().take(MAX_LOGGED_ID).collect();
         format!("{id}={}", format_fingerprint(part.fingerprint))
     };
     match parts.is_empty() {
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,15 +1,18 @@
-//! Requests whose content crashes the servers that run them: records the losses, exchanges them with other routers, and
-//! refuses requests that are at fault.
+//! Requests that crash the servers that run them, by their content or a part of their prompt: records the losses,
+//! exchanges them with other routers, and refuses requests that are at fault.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::Response;
-use policy::crash::{FIRST_LOSS_DELAY, Fingerprint, List, Loss, Start, Update, Verdict};
+use hyper::{Response, StatusCode};
+use policy::crash::{
+    Entry, FIRST_LOSS_DELAY, Fingerprint, Kind, List, Loss, Lost, Part, Refusal, Request, Start,
+    Update, Verdict,
+};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::answer::{self, Body, Reason};
 use crate::clock;
@@ -21,9 +24,9 @@
 use crate::request::Call;
 use crate::state::State;
 
-/// Longest time that a suspect request waits for others that run alone. After a much longer wait, its caller would have
-/// left.
-const MAX_ALONE_WAIT: Duration = Duration::from_millis(400);
+/// Longest time that a suspect request waits for other suspects, at this router or at others. After a much longer wait,
+/// its caller would have left.
+const MAX_SUSPECT_WAIT: Duration = Duration::from_millis(500);
 
 /// Time in which losses are gathered before other routers are notified.
 const GATHER_DELAY: Duration = Duration::from_millis(20);
@@ -45,17 +48,38 @@
     alone: Semaphore,
     /// Notified when there may be something to send to other routers.
     changed: Notify,
-    refused: Cell<u64>,
+    /// Notified when requests that are held back may go on: this router or another one has found something of suspects.
+    reported: Notify,
+    /// Requests refused for their content, and for a part of their prompt.
+    refused: [Cell<u64>; 2],
     lost: Cell<u64>,
 }
 
 impl Default for Crashes {
     fn default() -> Crashes {
-        let (list, alone, changed) = (RefCell::default(), Semaphore::new(1), Notify::new());
-        Crashes { list, alone, changed, refused: Cell::default(), lost: Cell::default() }
+        Crashes {
+            list: RefCell::new(List::new(rand::random())),
+            alone: Semaphore::new(1),
+            changed: Notify::new(),
+            reported: Notify::new(),
+            refused: Default::default(),
+            lost: Cell::default(),
+        }
     }
 }
 
+/// Names of the kinds of suspects in metrics, on pages and in the log.
+const KINDS: [&str; 2] = ["content", "part"];
+
+fn kind_name(kind: Kind) -> &'static str {
+    KINDS[usize::from(kind.is_part())]
+}
+
+/// Returns what a request can be suspected of.
+fn request(call: &Call) -> Request<'_> {
+    Request { content: call.content, parts: &call.parts }
+}
+
 /// Formats a fingerprint as 16 hexadecimal digits.
 pub fn format_fingerprint(fingerprint: Fingerprint) -> String {
     format!("{fingerprint:016x}")
@@ -67,8 +91,8 @@
 }
 
 /// Returns the current verdict on a request.
-pub fn verdict(state: &State, call: &Call) -> Verdict {
-    let verdict = state.crashes.list.borrow_mut().verdict(call.content, state.now());
+fn verdict(state: &State, request: Request<'_>) -> Verdict {
+    let verdict = state.crashes.list.borrow_mut().verdict(request, state.now());
     if matches!(verdict, Verdict::Refused { .. }) {
         state.crashes.changed.notify_one();
     }
@@ -77,33 +101,46 @@
 
 /// Whether a request may not be sent now.
 pub fn is_blocked(state: &State, call: &Call) -> bool {
-    matches!(verdict(state, call), Verdict::Refused { .. } | Verdict::Later { .. })
+    matches!(verdict(state, request(call)), Verdict::Refused { .. } | Verdict::Later { .. })
 }
 
 /// Returns the response to a request that may not be sent. None if it may be.
 pub fn refuse(state: &State, call: &Call) -> Option<Response<Body>> {
-    let left = match verdict(state, call) {
+    let left = match verdict(state, request(call)) {
         Verdict::Refused { left } | Verdict::Later { left } => left,
-        Verdict::Clear | Verdict::Alone => return None,
+        Verdict::Clear | Verdict::Alone | Verdict::Held { .. } => return None,
     };
-    state.crashes.refused.set(state.crashes.refused.get() + 1);
+    let of_content = verdict(state, Request { parts: &[], ..request(call) });
+    let count = &state.crashes.refused[usize::from(of_content <= Verdict::Alone)];
+    count.set(count.get() + 1);
     Some(answer::error_after(Reason::Crashes, Some(left)))
 }
 
-/// Waits until a request may be sent: a suspect waits up to `MAX_ALONE_WAIT` for others that run alone, and then holds
-/// the permit. Fails if the request is refused. One whose answer has `begun` continues unless it is in quarantine.
+/// Waits until a request may be sent, up to `MAX_SUSPECT_WAIT`: one that another router is trying until it has reported
+/// the result, a suspect for others that run alone, and then holds the permit. Fails if the request is refused. One
+/// whose answer has `begun` continues unless its content is refused; it is past what its parts could do.
 pub async fn admit<'a>(
     state: &'a State,
     call: &Call,
     begun: bool,
 ) -> Result<Option<SemaphorePermit<'a>>, Reason> {
-    let permit = match verdict(state, call) {
-        Verdict::Alone if !begun => {
-            timeout(MAX_ALONE_WAIT, state.crashes.alone.acquire()).await.ok().and_then(Result::ok)
+    let request = Request { parts: if begun { &[] } else { &call.parts }, ..request(call) };
+    let until = Instant::now() + MAX_SUSPECT_WAIT;
+    let permit = loop {
+        let verdict = verdict(state, request);
+        match verdict {
+            Verdict::Held { left } if !begun && Instant::now() < until => {
+                let until = until.min(Instant::now() + left);
+                let _ = timeout_at(until, state.crashes.reported.notified()).await;
+            }
+            Verdict::Alone | Verdict::Held { .. } if !begun => {
+                let permit = timeout_at(until, state.crashes.alone.acquire()).await;
+                break permit.ok().and_then(Result::ok);
+            }
+            _ => break None,
         }
-        _ => None,
     };
-    match verdict(state, call) {
+    match verdict(state, request) {
         Verdict::Refused { .. } => Err(Reason::Crashes),
         Verdict::Later { .. } if !begun => Err(Reason::Crashes),
         _ => Ok(permit),
@@ -119,6 +156,7 @@
     events: u64,
 ) -> JoinHandle<()> {
     let (content, description) = (call.content, content::description(&state.codec.names, call));
+    let shared_parts = call.parts.clone();
     let (id, bytes, workspace) = (call.id.clone(), call.size(), call.workspace.clone());
     let parts = content::describe_parts(&state.codec, call);
     let (server, at) = (peer.server(), state.now());
@@ -141,7 +179,8 @@
         }
         if ended {
             let start = Start { id: server.id.clone(), born: server.born };
-            return record_loss(&state, content, Loss { start, at, events }, false);
+            let request = Request { content, parts: &shared_parts };
+            return record_loss(&state, request, Loss { start, at, events }, false);
         }
         if announce {
             state.announce(Notice::Broke { server: server.id.clone() });
@@ -156,11 +195,15 @@
     })
 }
 
-fn record_loss(state: &State, content: Fingerprint, loss: Loss, remote: bool) {
+fn record_loss(state: &State, request: Request<'_>, loss: Loss, remote: bool) {
     let crashes = &state.crashes;
     crashes.lost.set(crashes.lost.get() + u64::from(!remote));
-    crashes.list.borrow_mut().record_loss(content, loss, remote);
-    if !remote {
+    crashes.list.borrow_mut().record_loss(request, loss, remote);
+    if remote {
+        crashes.reported.notify_waiters();
+    }
+    // There may also be an answer to a loss of another router.
+    if !remote || !crashes.list.borrow().is_idle() {
         crashes.changed.notify_one();
     }
 }
@@ -178,49 +221,88 @@
 
 /// Records that a run of a request has produced that many events.
 pub fn record_progress(state: &State, call: &Call, events: u64) {
-    state.crashes.list.borrow_mut().reached(call.content, events);
+    let mut list = state.crashes.list.borrow_mut();
+    if !list.is_idle() {
+        state.crashes.reported.notify_waiters();
+    }
+    list.reached(request(call), events, state.now());
+}
+
+/// Records that a request has completed. An answer that is an error has not begun on the parts of the prompt.
+pub fn record_completion(state: &State, call: &Call, status: StatusCode) {
+    let parts: &[Part] = if status.is_success() { &call.parts } else { &[] };
+    let request = Request { parts, ..request(call) };
+    state.crashes.list.borrow_mut().completed(request, state.now());
+}
+
+/// Formats a part as its fingerprint and the hash of its id, separated by a dot.
+fn format_part(part: &Part) -> String {
+    format!("{}.{}", format_fingerprint(part.fingerprint), format_fingerprint(part.id))
+}
+
+fn parse_part(text: &str) -> Option<Part> {
+    let (fingerprint, id) = text.split_once('.')?;
+    Some(Part { fingerprint: parse_fingerprint(fingerprint)?, id: parse_fingerprint(id)? })
 }
 
-/// Records that a request has completed.
-pub fn record_completion(state: &State, call: &Call) {
-    state.crashes.list.borrow_mut().completed(call.content, state.now());
+fn parse_fingerprints(texts: &[String]) -> Vec<Fingerprint> {
+    texts.iter().filter_map(|text| parse_fingerprint(text)).collect()
 }
 
-/// Records runs that another router lost when their server ended, `ago` before now.
-pub fn receive_losses(state: &State, start: &Start, ago: Duration, runs: &[(String, u64)]) {
+/// Records runs that another router lost when their server ended, `ago` before now. `parts` are the suspected parts of
+/// the prompts, if there are any.
+pub fn receive_losses(
+    state: &State,
+    start: &Start,
+    ago: Duration,
+    runs: &[(String, u64)],
+    parts: &[Vec<String>],
+) {
     let at = state.now().saturating_sub(ago);
-    for (content, events) in runs {
+    for (n, (content, events)) in runs.iter().enumerate() {
         let loss = Loss { start: start.clone(), at, events: *events };
-        parse_fingerprint(content)
-            .into_iter()
-            .for_each(|content| record_loss(state, content, loss.clone(), true));
+        let parts = parts.get(n).map_or(&[][..], Vec::as_slice);
+        let parts: Vec<Part> = parts.iter().filter_map(|text| parse_part(text)).collect();
+        if let Some(content) = parse_fingerprint(content) {
+            record_loss(state, Request { content, parts: &parts }, loss, true);
+        }
     }
 }
 
-/// Records that another router found requests not to be at fault.
-pub fn receive_cleared(state: &State, contents: &[String]) {
+/// Records that another router found suspects not to be at fault.
+pub fn receive_cleared(state: &State, suspects: &[String]) {
     let mut list = state.crashes.list.borrow_mut();
-    contents
-        .iter()
-        .filter_map(|c| parse_fingerprint(c))
-        .for_each(|content| list.clear(content, state.now()));
+    parse_fingerprints(suspects).into_iter().for_each(|suspect| list.clear(suspect, state.now()));
+    state.crashes.reported.notify_waiters();
 }
 
-/// Records that another router refuses a request until `until_ms`, in milliseconds of Unix time.
-pub fn receive_refusal(state: &State, content: &str, until_ms: u64, servers: u32) {
+/// Records that another router refuses a suspect until `until_ms`, in milliseconds of Unix time. A part comes with the
+/// hash of its id.
+pub fn receive_refusal(
+    state: &State,
+    (suspect, part): (&str, Option<&str>),
+    companions: &[String],
+    until_ms: u64,
+    servers: u32,
+) {
+    let Some(fingerprint) = parse_fingerprint(suspect) else { return };
+    let kind = match part {
+        None => Kind::Content,
+        Some(id) => Kind::Part { id: parse_fingerprint(id).unwrap_or_default() },
+    };
     let left = Duration::from_millis(until_ms).saturating_sub(clock::wall());
-    let mut list = state.crashes.list.borrow_mut();
-    parse_fingerprint(content)
-        .into_iter()
-        .for_each(|content| list.refuse(content, left, servers, state.now(), rand::random()));
+    let companions = parse_fingerprints(companions);
+    let refusal = Refusal { fingerprint, kind, companions, left, servers };
+    state.crashes.list.borrow_mut().refuse(&refusal, state.now(), rand::random());
     state.crashes.changed.notify_one();
+    state.crashes.reported.notify_waiters();
 }
 
-/// Lifts the quarantine of a request. Returns whether it was known.
-pub fn lift(state: &State, content: &str) -> bool {
-    let known = parse_fingerprint(content)
-        .is_some_and(|content| state.crashes.list.borrow_mut().lift(content, state.now()));
-    log::warn!("gateway: quarantine content={content} lifted={known} why=lifted by an operator");
+/// Lifts the quarantine of a content or part. Returns whether it was known.
+pub fn lift(state: &State, suspect: &str) -> bool {
+    let known = parse_fingerprint(suspect)
+        .is_some_and(|suspect| state.crashes.list.borrow_mut().lift(suspect, state.now()));
+    log::warn!("gateway: quarantine suspect={suspect} lifted={known} why=lifted by an operator");
     state.crashes.changed.notify_one();
     known
 }
@@ -233,50 +315,72 @@
         sleep(GATHER_DELAY).await;
         let now = state.now();
         let update = state.crashes.list.borrow_mut().take_update(now, rand::random());
-        wait = match state.crashes.list.borrow().counts(now) {
+        wait = match state.crashes.list.borrow().is_idle() {
             // Pending notifications are due after this time.
             _ if woken => FIRST_LOSS_DELAY,
-            (0, _) => IDLE_INTERVAL,
-            _ => NOTIFY_INTERVAL,
+            true => IDLE_INTERVAL,
+            false => NOTIFY_INTERVAL,
         };
-        to_notices(update, now).into_iter().for_each(|notice| {
-            if let Notice::Refused { content, servers, until_ms } = &notice {
-                log::warn!(
-                    "gateway: quarantine content={content} servers_ended={servers} until_ms={until_ms}"
-                );
-            }
-            state.announce(notice);
-        });
+        for refusal in &update.refused {
+            log::warn!(
+                "gateway: quarantine {}={} companions={} servers_ended={} left={:?}",
+                kind_name(refusal.kind),
+                format_fingerprint(refusal.fingerprint),
+                format_fingerprints(&refusal.companions),
+                refusal.servers,
+                refusal.left
+            );
+        }
+        to_notices(update, now).into_iter().for_each(|notice| state.announce(notice));
     }
 }
 
+/// Formats fingerprints, separated by commas.
+fn format_fingerprints(fingerprints: &[Fingerprint]) -> String {
+    match fingerprints.is_empty() {
+        true => "none".to_owned(),
+        false => texts(fingerprints).join(","),
+    }
+}
+
+fn texts(fingerprints: &[Fingerprint]) -> Vec<String> {
+    fingerprints.iter().copied().map(format_fingerprint).collect()
+}
+
 fn to_notices(update: Update, now: Duration) -> Vec<Notice> {
     let mut all: Vec<Notice> = Vec::new();
     let mut lost = update.lost;
-    lost.sort_by(|(_, a), (_, b)| a.start.cmp(&b.start));
-    for runs in lost.chunk_by(|(_, a), (_, b)| a.start == b.start) {
-        let loss = &runs[0].1;
+    lost.sort_by(|a, b| a.loss.start.cmp(&b.loss.start));
+    for runs in lost.chunk_by(|a, b| a.loss.start == b.loss.start) {
+        let loss = &runs[0].loss;
+        let run = |lost: &Lost| (format_fingerprint(lost.content), lost.loss.events);
         all.push(Notice::Ended {
             server: loss.start.id.clone(),
             born: loss.start.born,
             ago_ms: now.saturating_sub(loss.at).as_millis() as u64,
-            runs: runs
-                .iter()
-                .map(|(content, loss)| (format_fingerprint(*content), loss.events))
-                .collect(),
+            runs: runs.iter().map(run).collect(),
+            parts: runs.iter().map(|l| l.parts.iter().map(format_part).collect()).collect(),
         });
     }
     for refused in [false, true] {
-        let cleared = update.cleared.iter().filter(|(_, was_refused)| *was_refused == refused);
+        let cleared = update.cleared.iter().filter(|cleared| cleared.refused == refused);
         let contents: Vec<String> =
-            cleared.map(|(content, _)| format_fingerprint(*content)).collect();
+            cleared.map(|cleared| format_fingerprint(cleared.fingerprint)).collect();
         if !contents.is_empty() {
             all.push(Notice::Cleared { contents, refused });
         }
     }
-    for (content, left, servers) in update.refused {
-        let until_ms = (clock::wall() + left).as_millis() as u64;
-        all.push(Notice::Refused { content: format_fingerprint(content), until_ms, servers });
+    for refusal in update.refused {
+        all.push(Notice::Refused {
+            content: format_fingerprint(refusal.fingerprint),
+            part: match refusal.kind {
+                Kind::Content => None,
+                Kind::Part { id } => Some(format_fingerprint(id)),
+            },
+            companions: texts(&refusal.companions),
+            until_ms: (clock::wall() + refusal.left).as_millis() as u64,
+            servers: refusal.servers,
+        });
     }
     all
 }
@@ -284,20 +388,25 @@
 /// Returns the metrics text.
 pub fn page(state: &State) -> String {
     let crashes = &state.crashes;
-    let (suspects, refused) = crashes.list.borrow().counts(state.now());
-    format!(
-        "hyssop_crash_suspects {suspects}\nhyssop_quarantined {refused}\n\
-         hyssop_quarantine_refusals_total {}\nhyssop_runs_lost_total {}\n",
-        crashes.refused.get(),
-        crashes.lost.get()
-    )
+    let mut text = String::new();
+    for (parts, refusals) in [false, true].into_iter().zip(&crashes.refused) {
+        let (name, now) = (KINDS[usize::from(parts)], state.now());
+        let (suspects, refused) = crashes.list.borrow().counts(parts, now);
+        text.push_str(&format!(
+            "hyssop_crash_suspects{{kind=\"{name}\"}} {suspects}\n\
+             hyssop_quarantined{{kind=\"{name}\"}} {refused}\n\
+             hyssop_quarantine_refusals_total{{kind=\"{name}\"}} {}\n",
+            refusals.get()
+        ));
+    }
+    text + &format!("hyssop_runs_lost_total {}\n", crashes.lost.get())
 }
 
-/// Returns the requests that are refused or suspected and the reasons, one line each.
+/// Returns the contents and parts that are refused or suspected and the reasons, one line each.
 pub fn quarantine(state: &State) -> String {
     let now = state.now();
     let entries = state.crashes.list.borrow_mut().entries(now);
-    let line = |entry: &policy::crash::Entry| {
+    let line = |entry: &Entry| {
         let last = entry.last.as_ref().map_or_else(
             || "last=unknown".to_owned(),
             |loss| {
@@ -306,9 +415,11 @@
             },
         );
         format!(
-            "content={} verdict={:?} servers_ended={} {last}\n",
+            "{}={} verdict={:?} companions={} servers_ended={} {last}\n",
+            kind_name(entry.kind),
             format_fingerprint(entry.fingerprint),
             entry.verdict,
+            format_fingerprints(&entry.companions),
             entry.servers
         )
     };
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -71,18 +71,27 @@
         ago_ms: u64,
         /// Contents of requests that ran there, and the number of events received of each.
         runs: Vec<(String, u64)>,
+        /// Suspected parts of the prompts of these requests, and hashes of their ids.
+        #[serde(default)]
+        parts: Vec<Vec<String>>,
     },
     /// Requests whose former servers ended made progress on others.
     Cleared {
-        /// Contents of the requests.
+        /// Contents of the requests, and parts of their prompts.
         contents: Vec<String>,
         /// Whether the requests were refused.
         refused: bool,
     },
-    /// A request is refused because servers ended while they ran it.
+    /// Requests are refused because servers ended while they ran them.
     Refused {
-        /// Content of the request.
+        /// Content of the requests, or a part of their prompts.
         content: String,
+        /// Hash of the part's id, if it is a part.
+        #[serde(default)]
+        part: Option<String>,
+        /// Other contents and parts that all lost requests had. Requests that lack one of them are not refused.
+        #[serde(default)]
+        companions: Vec<String>,
         /// Until when, by the wall clock in milliseconds of Unix time.
         until_ms: u64,
         /// Number of servers that ended.
@@ -206,13 +215,15 @@
             return;
         }
         Notice::Heavy { .. } => return retries::receive_heavy_use(state),
-        Notice::Ended { server, born, ago_ms, runs } => {
+        Notice::Ended { server, born, ago_ms, runs, parts } => {
             let start = Start { id: server.clone(), born: *born };
-            return crash::receive_losses(state, &start, Duration::from_millis(*ago_ms), runs);
+            let ago = Duration::from_millis(*ago_ms);
+            return crash::receive_losses(state, &start, ago, runs, parts);
         }
         Notice::Cleared { contents, .. } => return crash::receive_cleared(state, contents),
-        Notice::Refused { content, until_ms, servers } => {
-            return crash::receive_refusal(state, content, *until_ms, *servers);
+        Notice::Refused { content, part, companions, until_ms, servers } => {
+            let suspect = (content.as_str(), part.as_deref());
+            return crash::receive_refusal(state, suspect, companions, *until_ms, *servers);
         }
         Notice::Holds { server, from, to } => {
             if let Some(peer) = state.peer(server) {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -149,7 +149,7 @@
         match attempt {
             Attempt::Answered(head, body) => {
                 self.ran += 1;
-                crash::record_completion(state, call);
+                crash::record_completion(state, call, head.status());
                 peer.count_continued();
                 let answer = answer::from_server(head, body);
                 let better = call.route.class.is_retryable() && (running > 0 || self.may_try(0));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,7 +11,7 @@
 };
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
-use policy::crash::Fingerprint;
+use policy::crash::{Fingerprint, Part};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{self, Reason};
@@ -59,8 +59,8 @@
     pub tokens: Tokens,
     /// Fingerprint of its content.
     pub content: Fingerprint,
-    /// Fingerprints of the parts of its prompt that other requests may share.
-    pub parts: Vec<Fingerprint>,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Vec<Part>,
     reservation: Reservation,
 }
 
@@ -127,7 +127,7 @@
     let uri = head.uri.path_and_query().map_or(head.uri.clone(), |p| Uri::from(p.clone()));
     let content = content::fingerprint(workspace.as_deref(), &host, &head.method, &uri, &body);
     let parts = content::shared_parts(&state.codec, workspace.as_deref(), &headers);
-    let parts = parts.into_iter().map(|part| part.fingerprint).collect();
+    let parts = parts.into_iter().map(|(_, part)| part).collect();
     Ok(Call {
         id,
         method: head.method,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::Response;
 use hyper::body::Frame;
+use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
@@ -292,7 +292,7 @@
             }
             Next::End => {
                 progress.state.metrics.stream_complete(progress.call.arrived.elapsed());
-                crash::record_completion(progress.state, progress.call);
+                crash::record_completion(progress.state, progress.call, StatusCode::OK);
                 progress.state.record_stream_duration(progress.call.arrived.elapsed());
                 return upstream.answer.finish();
             }
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -406,7 +406,7 @@
             let again = status.is_server_error() && self.may_run_again().await;
             let collected = answer.collect(self.call.deadline).await;
             if collected.is_some() {
-                crash::record_completion(self.state, self.call);
+                crash::record_completion(self.state, self.call, status);
             }
             log::info!(
                 "gateway: request={} first={} status={status} again={again}",
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -1,40 +1,63 @@
-//! Requests whose content ends the backend servers that run them.
+//! Requests that end the backend servers that run them, because of their content or of a part of their prompt.
 //!
-//! Load pattern: one request ends each server that runs it. Its caller sends it again and again, each time under
-//! another id and to any router, and each router sends it on to the next server as it does with every request whose
-//! connection broke. Each server ends with tens of other requests, which go to the next servers together with the one
-//! at fault.
+//! Load pattern: each server that begins an answer to some requests ends. Either one request is sent again and again,
+//! or requests that have nothing in common but one part of their prompts come from many callers, no two alike and each
+//! with other parts that sound requests have as well. They arrive at any router, which sends them on to the next server
+//! as it does with every request whose connection broke. Each server ends with tens of other requests, which go to the
+//! next servers together with the one at fault.
 //!
-//! A request that ran on a server that has ended is a suspect until it gets past the event at which it was lost, on
-//! any server. A suspect of two losses runs with no other suspect beside it, so that a third loss identifies one
-//! request; after [`MIN_LOSSES_TO_REFUSE`] losses it is refused. Where servers end in bulk, a loss has less weight,
-//! as has one that several requests share: then it takes more of them, and until they can be told apart none of the
-//! suspects is sent for a short time. All routers notify each other of losses and of what is refused. A verdict ends
-//! after a time, and as soon as the request gets further anywhere.
+//! A suspect is the content of a request, or a part of its prompt that others may share; both kinds are judged by the
+//! same rules. What ran on a server that has ended is a suspect until it gets past the loss: a content as soon as a run
+//! of it gets past the event at which it was lost, a part as soon as any answer begins on it, for all requests that
+//! have it. An answer that has begun on a part also speaks for it for the next [`PROOF_LIFETIME`], so parts that most
+//! requests have are no suspects at all.
+//!
+//! After a loss, other routers hold the suspect back for a short time in which the router that lost it tries it again.
+//! A suspect of two losses runs with no other suspect beside it, so that a third loss identifies one; after
+//! [`MIN_LOSSES_TO_REFUSE`] losses it is refused. Where servers end in bulk, a loss has less weight, as has one that
+//! several suspects share: then it takes more of them, and until they can be told apart none of the suspects is sent for
+//! a short time. Suspects that were only lost together are refused together: a request that lacks one of them runs
+//! alone, which tells them apart. All routers notify each other of losses and of what is refused. A verdict ends after
+//! a time, and as soon as the suspect gets further anywhere.
+
+mod outbox;
+mod recent;
+mod record;
+mod weight;
 
 use std::time::Duration;
 
 pub use crate::quarantine::Fingerprint;
+pub use outbox::{Cleared, Lost, Refusal, Update};
+use outbox::{FAST_RESENDS, Outbox};
+use recent::Recent;
+use record::Record;
+use weight::{Ended, Weight, weigh};
 
-/// Losses after which a request is refused.
+/// Losses after which a suspect is refused.
 pub const MIN_LOSSES_TO_REFUSE: usize = 3;
 
-/// Losses after which a request is a suspect and runs alone.
+/// Losses after which a suspect runs alone.
 const MIN_LOSSES_TO_SUSPECT: usize = 2;
 
-/// Losses kept of a request, the latest ones. A server whose loss was dropped counts as one that ended by itself.
+/// Losses kept of a suspect, the latest ones. A server whose loss was dropped counts as one that ended by itself.
 const MAX_LOSSES_KEPT: usize = 16;
 
-/// Weight of losses from which on a request is refused: three losses, one of which may have another explanation.
+/// Weight of losses from which on a suspect is refused: three losses, one of which may have another explanation.
 const MIN_WEIGHT_TO_REFUSE: f64 = 2.5;
 
-/// Weight of losses from which on a request runs alone.
+/// Weight of losses from which on a suspect runs alone.
 const MIN_WEIGHT_TO_ISOLATE: f64 = 1.5;
 
-/// Time within which servers that end count as ending together.
-const BULK_WINDOW: Duration = Duration::from_secs(1);
+/// Weight of losses from which on a suspect is held back while another router tries it: one loss, at a time at which no
+/// other server ended.
+const MIN_WEIGHT_TO_HOLD: f64 = 0.75;
+
+/// Time after a loss for which other routers than the one that had it hold the suspect back. In this time a run begins
+/// on another server, ends with it, and the others are notified.
+const HOLD_TIME: Duration = Duration::from_millis(400);
 
-/// Time for which a request is refused.
+/// Time for which a suspect is refused.
 pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
 
 /// Time for which a loss counts. It is longer than a verdict, so that one more loss after its end is enough.
@@ -44,33 +67,72 @@
 /// losses meanwhile.
 const UNDECIDED_PAUSE: Duration = Duration::from_secs(1);
 
-/// Shortest time for which a completed request is remembered: losses that are reported later are not its own.
+/// Shortest time for which a completed request and a cleared suspect are remembered: losses that are reported later are
+/// not their own.
 const COMPLETION_LIFETIME: Duration = Duration::from_secs(5);
 
+/// Shortest time for which an answer that has begun on a part speaks for it. A part that begins to end servers although
+/// answers began on it before is found out after at most twice this time.
+pub const PROOF_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Largest number of parts for which the last answers speak, in half of that time.
+const MAX_PROOFS: usize = 4096;
+
 /// Largest number of suspects kept.
 pub const MAX_SUSPECTS: usize = 1024;
 
 /// Largest number of ended servers kept.
 const MAX_ENDED_SERVERS: usize = 512;
 
-/// Number of requests with many losses up to which each of them explains the end of its servers. With more of them
-/// servers end in bulk.
-const MAX_EXPLAINING_REQUESTS: usize = 8;
-
-/// Largest number of losses in one update, those of the suspects with most losses first. When a server ends with
-/// hundreds of runs, most of these are past their loss by the time it would be sent.
-const MAX_LOSSES_PER_UPDATE: usize = 32;
-
-/// Time for which a first loss is held back, as most requests get past it. A loss of a suspect is sent at once.
+/// Time for which a first loss of a content is held back, as most requests get past it. A loss of a suspect is sent at
+/// once.
 pub const FIRST_LOSS_DELAY: Duration = Duration::from_millis(100);
 
-/// Time after which a refusal is sent again, for routers that could not receive it. The first resends come sooner, as
-/// a notice may be lost.
+/// Time after which a refusal is sent again, for routers that could not receive it.
 const RESEND_INTERVAL: Duration = Duration::from_secs(4);
-const FIRST_RESEND_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Number of resends after the shorter interval.
-const FAST_RESENDS: u32 = 2;
+/// What a suspect identifies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Requests of one content.
+    Content,
+    /// Requests of one workspace that have a part in their prompts.
+    Part {
+        /// Hash of its id.
+        id: Fingerprint,
+    },
+}
+
+impl Kind {
+    /// Whether it is a part.
+    pub fn is_part(self) -> bool {
+        matches!(self, Kind::Part { .. })
+    }
+}
+
+/// A part of a prompt that other requests of the same workspace may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Part {
+    /// Identifies the part in its workspace.
+    pub fingerprint: Fingerprint,
+    /// Hash of its id, by which other workspaces may name the same part.
+    pub id: Fingerprint,
+}
+
+/// What a request can be suspected of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Request<'a> {
+    /// Its content.
+    pub content: Fingerprint,
+    /// The parts of its prompt that others may share.
+    pub parts: &'a [Part],
+}
+
+impl Request<'_> {
+    fn has(&self, fingerprint: Fingerprint) -> bool {
+        self.content == fingerprint || self.parts.iter().any(|p| p.fingerprint == fingerprint)
+    }
+}
 
 /// One start of a server.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -81,7 +143,7 @@
     pub born: u64,
 }
 
-/// A run that ended with its server.
+/// The end of a run with its server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Loss {
     /// The start of the server.
@@ -92,14 +154,19 @@
     pub events: u64,
 }
 
-/// What may be done with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What may be done with a request, from the mildest to the strictest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// Send it as any other.
     Clear,
     /// Send it with no other suspect beside it.
     Alone,
-    /// Send it later: it is one of several requests that may be at fault.
+    /// Hold it back, as another router is trying a suspect that it has.
+    Held {
+        /// Time until it may be sent.
+        left: Duration,
+    },
+    /// Send it later: it has one of several suspects that may be at fault.
     Later {
         /// Time until it may be sent again.
         left: Duration,
@@ -111,23 +178,16 @@
     },
 }
 
-/// What other routers have to be notified of.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Update {
-    /// Runs that ended with their servers.
-    pub lost: Vec<(Fingerprint, Loss)>,
-    /// Requests that got past their losses, and whether they were refused.
-    pub cleared: Vec<(Fingerprint, bool)>,
-    /// Requests that are refused, the time left, and the servers that ended.
-    pub refused: Vec<(Fingerprint, Duration, u32)>,
-}
-
 /// A suspect as operators see it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
-    /// The request.
+    /// The suspect.
     pub fingerprint: Fingerprint,
-    /// What may be done with it.
+    /// What it identifies.
+    pub kind: Kind,
+    /// Suspects that all lost requests had as well.
+    pub companions: Vec<Fingerprint>,
+    /// What may be done with requests that have it and its companions.
     pub verdict: Verdict,
     /// Servers that have ended while they ran it, as far as this router knows.
     pub servers: u32,
@@ -135,229 +195,290 @@
     pub last: Option<Loss>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
-struct Record {
-    fingerprint: Fingerprint,
-    /// The latest losses, and whether other routers know of each: it was sent to them or received from one.
-    losses: Vec<(Loss, bool)>,
-    /// Servers that have ended while they ran it.
-    servers: u32,
-    /// End of the time in which it is refused.
-    refused_until: Option<Duration>,
-    /// When the refusal is sent again, and how often it was sent.
-    resend_at: Duration,
-    resends: u32,
+/// Suspects, and what is refused.
+#[derive(Debug)]
+pub struct List {
+    /// Sorted by fingerprint.
+    records: Vec<Record>,
+    ended: Ended,
+    /// Contents that completed, and suspects that were cleared.
+    cleared: Recent,
+    /// Parts on which answers began.
+    proven: Recent,
+    outbox: Outbox,
+    hold_time: Duration,
 }
 
-impl Record {
-    fn lost_at(&self, start: &Start) -> bool {
-        self.losses.iter().any(|(loss, _)| loss.start == *start)
+impl Default for List {
+    fn default() -> List {
+        List::new(0.5)
     }
-
-    fn last(&self) -> Duration {
-        self.losses.iter().map(|(loss, _)| loss.at).max().unwrap_or_default()
-    }
-
-    fn is_refused(&self, now: Duration) -> bool {
-        self.refused_until.is_some_and(|until| now < until)
-    }
-}
-
-/// Requests that completed recently, in two generations: the older one is dropped as a whole.
-#[derive(Debug, Default)]
-struct Completed {
-    /// Sorted.
-    newer: Vec<Fingerprint>,
-    older: Vec<Fingerprint>,
-    since: Duration,
 }
 
-impl Completed {
-    fn record(&mut self, fingerprint: Fingerprint, now: Duration) {
-        if now >= self.since + COMPLETION_LIFETIME || self.newer.len() >= MAX_SUSPECTS {
-            self.older = std::mem::take(&mut self.newer);
-            self.since = now;
-        }
-        if let Err(at) = self.newer.binary_search(&fingerprint) {
-            self.newer.insert(at, fingerprint);
+impl List {
+    /// Creates an empty list. `jitter` is a random number below one, which keeps routers from trying the same suspect at
+    /// the same time.
+    pub fn new(jitter: f64) -> List {
+        List {
+            records: Vec::new(),
+            ended: Ended::default(),
+            cleared: Recent::new(COMPLETION_LIFETIME, MAX_SUSPECTS),
+            proven: Recent::new(PROOF_LIFETIME, MAX_PROOFS),
+            outbox: Outbox::default(),
+            hold_time: HOLD_TIME.mul_f64(0.75 + 0.5 * jitter),
         }
     }
 
-    fn holds(&self, fingerprint: Fingerprint, now: Duration) -> bool {
-        now < self.since + COMPLETION_LIFETIME * 2
-            && [&self.newer, &self.older].iter().any(|all| all.binary_search(&fingerprint).is_ok())
-    }
-}
-
-/// Suspects and refused requests.
-#[derive(Debug, Default)]
-pub struct List {
-    /// Sorted by fingerprint.
-    records: Vec<Record>,
-    /// Servers that have ended lately, the oldest first.
-    ended: Vec<(Start, Duration)>,
-    completed: Completed,
-    /// Requests whose losses others know and that got past them, and whether they were refused.
-    cleared: Vec<(Fingerprint, bool)>,
-}
-
-impl List {
     /// Returns what may be done with a request.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use policy::crash::{List, Loss, Start, Verdict};
+    /// use policy::crash::{List, Loss, Part, Request, Start, Verdict};
     /// let (mut list, at) = (List::default(), Duration::from_secs);
     /// let loss = |n| Loss { start: Start { id: format!("vm-{n}"), born: 1 }, at: at(n), events: 0 };
-    /// list.record_loss(7, loss(1), false);
-    /// assert_eq!(list.verdict(7, at(1)), Verdict::Clear);
-    /// list.record_loss(7, loss(2), false);
-    /// assert_eq!(list.verdict(7, at(2)), Verdict::Alone);
-    /// list.record_loss(7, loss(3), false);
-    /// assert!(matches!(list.verdict(7, at(3)), Verdict::Refused { .. }));
+    /// let request = |content| Request { content, parts: &[Part { fingerprint: 1, id: 2 }] };
+    /// list.record_loss(request(7), loss(1), false);
+    /// assert_eq!(list.verdict(request(7), at(1)), Verdict::Clear);
+    /// list.record_loss(request(8), loss(2), false);
+    /// assert_eq!(list.verdict(request(9), at(2)), Verdict::Alone);
+    /// list.record_loss(request(9), loss(3), false);
+    /// // Another request with the part that all of them had.
+    /// assert!(matches!(list.verdict(request(10), at(3)), Verdict::Refused { .. }));
     /// ```
-    pub fn verdict(&mut self, fingerprint: Fingerprint, now: Duration) -> Verdict {
-        let Ok(at) = self.find(fingerprint) else { return Verdict::Clear };
+    pub fn verdict(&mut self, request: Request<'_>, now: Duration) -> Verdict {
+        let mut strictest = self.judge(request, request.content, now);
+        for part in request.parts {
+            strictest = strictest.max(self.judge(request, part.fingerprint, now));
+        }
+        strictest
+    }
+
+    /// Returns what may be done with a request because of one suspect that it has.
+    fn judge(&mut self, request: Request<'_>, suspect: Fingerprint, now: Duration) -> Verdict {
+        match self.verdict_on(suspect, now) {
+            Verdict::Refused { .. } | Verdict::Later { .. } if !self.has_all(request, suspect) => {
+                Verdict::Alone
+            }
+            verdict => verdict,
+        }
+    }
+
+    /// Whether a request has all other suspects that were lost each time that this one was. A part that was lost in other
+    /// workspaces as well was lost with more than one content.
+    fn has_all(&self, request: Request<'_>, suspect: Fingerprint) -> bool {
+        let Ok(at) = self.find(suspect) else { return true };
+        let record = &self.records[at];
+        let is_elsewhere = |r: &Record| {
+            r.kind == record.kind
+                && r.fingerprint != suspect
+                && r.losses.len() >= MIN_LOSSES_TO_SUSPECT
+        };
+        let several_contents = record.kind.is_part() && self.records.iter().any(is_elsewhere);
+        record.companions().iter().all(|companion| match self.find(*companion) {
+            _ if request.has(*companion) => true,
+            Ok(at) => several_contents && !self.records[at].kind.is_part(),
+            Err(_) => true,
+        })
+    }
+
+    fn verdict_on(&mut self, suspect: Fingerprint, now: Duration) -> Verdict {
+        let Ok(at) = self.find(suspect) else { return Verdict::Clear };
         if let Some(until) = self.records[at].refused_until {
-            if now < until {
-                return Verdict::Refused { left: until - now };
+            match now < until {
+                true if self.is_explained(at) => {
+                    self.remove_cleared(suspect);
+                    return Verdict::Clear;
+                }
+                true => return Verdict::Refused { left: until - now },
+                false => self.end_verdict(at),
             }
-            self.end_verdict(at);
         }
         let record = &mut self.records[at];
-        record.losses.retain(|(loss, _)| now < loss.at + LOSS_LIFETIME);
+        record.losses.retain(|loss| now < loss.at + LOSS_LIFETIME);
         let (losses, last) = (record.losses.len(), record.last());
-        if losses < MIN_LOSSES_TO_SUSPECT {
+        if losses == 0 {
             return Verdict::Clear;
         }
-        let (isolate_weight, refuse_weight) = self.weigh(at);
+        let held_until = last + self.hold_time;
+        let is_held = record.lost_elsewhere && now < held_until;
+        let weight = weigh(&self.records[at], &self.records, &self.ended);
+        let (enough, enough_weight) = match self.is_refused_elsewhere(at, now) {
+            true => (MIN_LOSSES_TO_SUSPECT, MIN_WEIGHT_TO_ISOLATE),
+            false => (MIN_LOSSES_TO_REFUSE, MIN_WEIGHT_TO_REFUSE),
+        };
         match () {
-            () if isolate_weight < MIN_WEIGHT_TO_ISOLATE => Verdict::Clear,
-            () if losses < MIN_LOSSES_TO_REFUSE => Verdict::Alone,
-            () if refuse_weight >= MIN_WEIGHT_TO_REFUSE => {
+            () if losses >= enough && weight.refuse >= enough_weight => {
                 let record = &mut self.records[at];
                 (record.refused_until, record.resend_at, record.resends) =
                     (Some(now + REFUSAL_TIME), now, 0);
                 Verdict::Refused { left: REFUSAL_TIME }
             }
-            () if now < last + UNDECIDED_PAUSE => {
+            () if losses >= MIN_LOSSES_TO_REFUSE
+                && weight.isolate >= MIN_WEIGHT_TO_ISOLATE
+                && now < last + UNDECIDED_PAUSE =>
+            {
                 Verdict::Later { left: last + UNDECIDED_PAUSE - now }
             }
-            () => Verdict::Alone,
+            () if is_held && weight.isolate >= MIN_WEIGHT_TO_HOLD => {
+                Verdict::Held { left: held_until - now }
+            }
+            () if losses >= MIN_LOSSES_TO_SUSPECT && weight.isolate >= MIN_WEIGHT_TO_ISOLATE => {
+                Verdict::Alone
+            }
+            () => Verdict::Clear,
         }
     }
 
-    /// Records a run that ended with its server; `remote` if another router reported it.
-    pub fn record_loss(&mut self, fingerprint: Fingerprint, loss: Loss, remote: bool) {
+    /// Whether a part is refused in another workspace. One loss less is then enough here: a workspace can't have the
+    /// parts of another one refused, but it can warn of them.
+    fn is_refused_elsewhere(&self, at: usize, now: Duration) -> bool {
+        let kind = self.records[at].kind;
+        kind.is_part() && self.records.iter().any(|r| r.kind == kind && r.is_refused(now))
+    }
+
+    /// Whether a part that was found to be at fault later explains all losses of a refused content.
+    fn is_explained(&self, at: usize) -> bool {
+        let record = &self.records[at];
+        let weight = || weigh(record, &self.records, &self.ended);
+        record.kind == Kind::Content && !record.losses.is_empty() && weight() == Weight::default()
+    }
+
+    /// Records a run that ended with its server; `remote` if another router reported it. Parts count only if no event
+    /// had been received.
+    pub fn record_loss(&mut self, request: Request<'_>, loss: Loss, remote: bool) {
         let now = loss.at;
-        self.record_end(loss.start.clone(), now);
-        if self.completed.holds(fingerprint, now) {
-            return;
+        self.ended.record(loss.start.clone(), now);
+        let mut parts = Vec::new();
+        for part in request.parts.iter().copied().filter(|_| loss.events == 0) {
+            let fingerprint = part.fingerprint;
+            match self.proven.holds(fingerprint, now) {
+                false if !self.cleared.holds(fingerprint, now) => parts.push(part),
+                true if remote => self.outbox.add_answer(Cleared { fingerprint, refused: false }),
+                _ => {}
+            }
         }
-        let at = self.record_index(fingerprint, now);
-        let record = &mut self.records[at];
-        if record.lost_at(&loss.start) {
-            return;
+        let content = (!self.cleared.holds(request.content, now)).then_some(request.content);
+        let content = content.map(|content| (content, Kind::Content));
+        let of_part = |part: &Part| (part.fingerprint, Kind::Part { id: part.id });
+        let suspects: Vec<(Fingerprint, Kind)> =
+            content.into_iter().chain(parts.iter().map(of_part)).collect();
+        for (suspect, kind) in &suspects {
+            let others: Vec<Fingerprint> =
+                suspects.iter().map(|(other, _)| *other).filter(|other| other != suspect).collect();
+            let at = self.record_index(*suspect, *kind, now);
+            self.records[at].add(&loss, remote);
+            self.records[at].restrict_companions(&others);
         }
-        record.servers += 1;
-        record.losses.push((loss, remote));
-        if record.losses.len() > MAX_LOSSES_KEPT {
-            record.losses.remove(0);
+        if !remote && !suspects.is_empty() {
+            self.outbox.add_lost(Lost { content: request.content, parts, loss });
         }
     }
 
     /// Records the end of a server, whatever ran there.
     pub fn record_end(&mut self, start: Start, now: Duration) {
-        if self.ended.iter().any(|(known, _)| *known == start) {
-            return;
-        }
-        if self.ended.len() >= MAX_ENDED_SERVERS {
-            self.ended.remove(0);
-        }
-        self.ended.push((start, now));
+        self.ended.record(start, now);
     }
 
-    /// Records that a run of a request got `events` events. Losses at earlier events were not its fault.
+    /// Records that a run of a request got `events` events. Losses at earlier events were not its fault, nor that of
+    /// the parts of its prompt.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use policy::crash::{List, Loss, Start, Verdict};
+    /// use policy::crash::{List, Loss, Request, Start, Verdict};
     /// let (mut list, at) = (List::default(), Duration::from_secs);
+    /// let request = Request { content: 7, parts: &[] };
     /// let loss = |n| Loss { start: Start { id: format!("vm-{n}"), born: 1 }, at: at(n), events: 4 };
-    /// (1..4).for_each(|n| list.record_loss(7, loss(n), false));
-    /// list.reached(7, 4);
-    /// assert!(matches!(list.verdict(7, at(4)), Verdict::Refused { .. }));
-    /// list.reached(7, 5);
-    /// assert_eq!(list.verdict(7, at(4)), Verdict::Clear);
+    /// (1..4).for_each(|n| list.record_loss(request, loss(n), false));
+    /// list.reached(request, 4, at(4));
+    /// assert!(matches!(list.verdict(request, at(4)), Verdict::Refused { .. }));
+    /// list.reached(request, 5, at(4));
+    /// assert_eq!(list.verdict(request, at(4)), Verdict::Clear);
     /// ```
-    pub fn reached(&mut self, fingerprint: Fingerprint, events: u64) {
-        let Ok(at) = self.find(fingerprint) else { return };
-        let record = &mut self.records[at];
-        let (before, refused) = (record.losses.len(), record.refused_until.is_some());
-        let past = |loss: &Loss| loss.events < events;
-        let known_elsewhere =
-            refused || record.losses.iter().any(|(loss, sent)| *sent && past(loss));
-        record.losses.retain(|(loss, _)| !past(loss));
-        let left = record.losses.len();
-        if left > 0 || (before == 0 && events < u64::MAX) {
-            return;
+    pub fn reached(&mut self, request: Request<'_>, events: u64, now: Duration) {
+        for part in request.parts.iter().filter(|_| events > 0) {
+            self.proven.record(part.fingerprint, now);
+            self.remove_cleared(part.fingerprint);
         }
-        self.records.remove(at);
-        if known_elsewhere && self.cleared.len() < MAX_SUSPECTS {
-            self.cleared.push((fingerprint, refused));
+        let Ok(at) = self.find(request.content) else { return };
+        let record = &mut self.records[at];
+        let before = record.losses.len();
+        record.losses.retain(|loss| loss.events >= events);
+        // Losses of a refused content may be known only to other routers.
+        let is_past_all = before > 0 || events == u64::MAX;
+        if record.losses.is_empty() && is_past_all {
+            self.remove_cleared(request.content);
         }
     }
 
     /// Records that a request completed.
-    pub fn completed(&mut self, fingerprint: Fingerprint, now: Duration) {
-        self.completed.record(fingerprint, now);
-        self.reached(fingerprint, u64::MAX);
+    pub fn completed(&mut self, request: Request<'_>, now: Duration) {
+        self.cleared.record(request.content, now);
+        self.reached(request, u64::MAX, now);
     }
 
-    /// Clears a request that is not at fault, as another router or an operator reports.
+    /// Removes a suspect that is not at fault, and notifies the routers that suspect it.
+    fn remove_cleared(&mut self, fingerprint: Fingerprint) {
+        let Ok(at) = self.find(fingerprint) else { return };
+        let record = self.records.remove(at);
+        let refused = record.refused_until.is_some();
+        if refused || record.known_elsewhere {
+            self.outbox.add_cleared(Cleared { fingerprint, refused });
+        }
+    }
+
+    /// Clears a suspect that is not at fault, as another router or an operator reports.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use policy::crash::{REFUSAL_TIME, List, Verdict};
+    /// use policy::crash::{Kind, List, REFUSAL_TIME, Refusal, Request, Verdict};
     /// let (mut list, at) = (List::default(), Duration::from_secs);
-    /// list.refuse(7, REFUSAL_TIME, 3, at(1), 0.0);
+    /// let refusal = Refusal {
+    ///     fingerprint: 7,
+    ///     kind: Kind::Content,
+    ///     companions: Vec::new(),
+    ///     left: REFUSAL_TIME,
+    ///     servers: 3,
+    /// };
+    /// list.refuse(&refusal, at(1), 0.0);
     /// list.clear(7, at(2));
     /// // A refusal from before that arrives late changes nothing.
-    /// list.refuse(7, REFUSAL_TIME, 3, at(3), 0.0);
-    /// assert_eq!(list.verdict(7, at(3)), Verdict::Clear);
+    /// list.refuse(&refusal, at(3), 0.0);
+    /// assert_eq!(list.verdict(Request { content: 7, parts: &[] }, at(3)), Verdict::Clear);
     /// ```
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Duration) {
-        self.completed.record(fingerprint, now);
+        self.cleared.record(fingerprint, now);
+        self.outbox.drop_answer(fingerprint);
         if let Ok(at) = self.find(fingerprint) {
             self.records.remove(at);
         }
     }
 
-    /// Allows a request to run again by order of an operator; returns whether it was known.
+    /// Allows a suspect to run again by order of an operator; returns whether it was known.
     pub fn lift(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
         let known = self.find(fingerprint).is_ok();
         self.clear(fingerprint, now);
-        self.cleared.extend(known.then_some((fingerprint, true)));
+        if known {
+            self.outbox.add_cleared(Cleared { fingerprint, refused: true });
+        }
         known
     }
 
-    /// Refuses a request for `left`, as another router does, after `servers` servers ended while they ran it. The
-    /// other routers receive that refusal too, so this one need not send it for a while.
-    pub fn refuse(
-        &mut self,
-        fingerprint: Fingerprint,
-        left: Duration,
-        servers: u32,
-        now: Duration,
-        jitter: f64,
-    ) {
-        if left.is_zero() || self.completed.holds(fingerprint, now) {
+    /// Refuses a suspect as another router does. The other routers receive that refusal too, so this one need not send
+    /// it for a while.
+    pub fn refuse(&mut self, refusal: &Refusal, now: Duration, jitter: f64) {
+        let fingerprint = refusal.fingerprint;
+        if refusal.left.is_zero() || self.cleared.holds(fingerprint, now) {
             return;
         }
-        let at = self.record_index(fingerprint, now);
+        if self.proven.holds(fingerprint, now) {
+            return self.outbox.add_answer(Cleared { fingerprint, refused: true });
+        }
+        let at = self.record_index(fingerprint, refusal.kind, now);
         let record = &mut self.records[at];
-        let until = (now + left.min(REFUSAL_TIME)).max(record.refused_until.unwrap_or_default());
-        (record.refused_until, record.servers) = (Some(until), record.servers.max(servers));
+        let left = refusal.left.min(REFUSAL_TIME);
+        let until = (now + left).max(record.refused_until.unwrap_or_default());
+        record.restrict_companions(&refusal.companions);
+        (record.refused_until, record.servers) = (Some(until), record.servers.max(refusal.servers));
         (record.resend_at, record.resends) =
             (now + RESEND_INTERVAL.mul_f64(1.0 + jitter), FAST_RESENDS);
     }
@@ -367,54 +488,36 @@
     pub fn take_update(&mut self, now: Duration, jitter: f64) -> Update {
         let counts = |r: &Record| !r.losses.is_empty() && now < r.last() + LOSS_LIFETIME;
         self.records.retain(|r| r.is_refused(now) || counts(r));
-        let mut update = Update { cleared: std::mem::take(&mut self.cleared), ..Update::default() };
-        let mut lost = Vec::new();
-        for record in &mut self.records {
-            let known = record.losses.len();
-            let due =
-                |loss: &Loss| known >= MIN_LOSSES_TO_SUSPECT || loss.at + FIRST_LOSS_DELAY <= now;
-            for (loss, sent) in record.losses.iter_mut().filter(|(l, sent)| !sent && due(l)) {
-                *sent = true;
-                lost.push((known, record.fingerprint, loss.clone()));
-            }
-            if record.is_refused(now) && record.resend_at <= now {
-                let interval = if record.resends < FAST_RESENDS {
-                    FIRST_RESEND_INTERVAL
-                } else {
-                    RESEND_INTERVAL
-                };
-                (record.resend_at, record.resends) =
-                    (now + interval.mul_f64(1.0 + jitter), record.resends + 1);
-                let left = record.refused_until.unwrap_or_default() - now;
-                update.refused.push((record.fingerprint, left, record.servers));
-            }
-        }
-        lost.sort_by_key(|(known, _, loss)| (std::cmp::Reverse(*known), loss.events));
-        update.lost =
-            lost.into_iter().take(MAX_LOSSES_PER_UPDATE).map(|(_, of, loss)| (of, loss)).collect();
-        update
+        self.outbox.take(&mut self.records, now, jitter)
     }
 
-    /// Returns all suspects of more than one loss and all requests that are refused.
+    /// Returns all suspects of more than one loss and all that are refused.
     pub fn entries(&mut self, now: Duration) -> Vec<Entry> {
         let known = self
             .records
             .iter()
             .filter(|r| r.is_refused(now) || r.losses.len() >= MIN_LOSSES_TO_SUSPECT);
-        let known: Vec<Fingerprint> = known.map(|r| r.fingerprint).collect();
-        let entry = |fingerprint| {
-            let verdict = self.verdict(fingerprint, now);
-            let record = self.find(fingerprint).map(|at| &self.records[at]);
-            let last = record.map_or(None, |r| r.losses.last().map(|(loss, _)| loss.clone()));
-            let servers = record.map_or(0, |r| r.servers);
-            Entry { fingerprint, verdict, servers, last }
+        let known: Vec<Record> = known.cloned().collect();
+        let entry = |record: Record| Entry {
+            fingerprint: record.fingerprint,
+            kind: record.kind,
+            companions: record.companions().to_vec(),
+            verdict: self.verdict_on(record.fingerprint, now),
+            servers: record.servers,
+            last: record.losses.last().cloned(),
         };
         known.into_iter().map(entry).collect()
     }
 
-    /// Returns the number of suspects, and how many of them are refused.
-    pub fn counts(&self, now: Duration) -> (usize, usize) {
-        (self.records.len(), self.records.iter().filter(|r| r.is_refused(now)).count())
+    /// Returns the number of contents or parts that are suspects, and how many of them are refused.
+    pub fn counts(&self, parts: bool, now: Duration) -> (usize, usize) {
+        let all = || self.records.iter().filter(|r| r.kind.is_part() == parts);
+        (all().count(), all().filter(|r| r.is_refused(now)).count())
+    }
+
+    /// Whether nothing is suspected and no other router waits for a notice.
+    pub fn is_idle(&self) -> bool {
+        self.records.is_empty() && self.outbox.is_empty()
     }
 
     /// Ends a verdict whose time is over: one more loss renews it.
@@ -425,55 +528,24 @@
         record.losses.drain(..more);
     }
 
-    /// Returns two weights of a request's losses: the one by which it runs alone, which is smaller the more other
-    /// servers ended at the same time for no known reason, and the one by which it is refused, which is also smaller
-    /// the more suspects share the losses.
-    fn weigh(&self, at: usize) -> (f64, f64) {
-        let record = &self.records[at];
-        let many_losses: Vec<&Record> =
-            self.records.iter().filter(|r| r.losses.len() >= MIN_LOSSES_TO_REFUSE).collect();
-        let is_explained = |start: &Start| {
-            many_losses.len() <= MAX_EXPLAINING_REQUESTS
-                && many_losses.iter().any(|r| r.lost_at(start))
-        };
-        let (mut isolate_weight, mut refuse_weight) = (0.0, 0.0);
-        for (loss, _) in &record.losses {
-            let others = self.ended.iter().filter(|(start, when)| {
-                loss.at.abs_diff(*when) <= BULK_WINDOW
-                    && !record.lost_at(start)
-                    && !is_explained(start)
-            });
-            let others = others.count() as f64;
-            let sharers = many_losses.iter().filter(|r| r.lost_at(&loss.start)).count().max(1);
-            isolate_weight += 1.0 / (1.0 + others);
-            refuse_weight += 1.0 / (sharers as f64 + others);
-        }
-        (isolate_weight, refuse_weight)
-    }
-
     fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.records.binary_search_by_key(&fingerprint, |r| r.fingerprint)
     }
 
-    /// Returns the index of a request's record, which is added if there is none.
-    fn record_index(&mut self, fingerprint: Fingerprint, now: Duration) -> usize {
+    /// Returns the index of a suspect's record, which is added if there is none.
+    fn record_index(&mut self, fingerprint: Fingerprint, kind: Kind, now: Duration) -> usize {
         if let Ok(at) = self.find(fingerprint) {
             return at;
         }
         if self.records.len() >= MAX_SUSPECTS {
-            // A flood of suspects must not evict refused requests.
+            // A flood of suspects must not evict refused ones.
             let place =
                 |i: &usize| (self.records[*i].is_refused(now), self.records[*i].losses.len());
             let least = (0..self.records.len()).min_by_key(|i| (place(i), self.records[*i].last()));
             least.map(|i| self.records.remove(i));
         }
         let at = self.find(fingerprint).unwrap_or_else(|at| at);
-        let (losses, refused_until) = (Vec::new(), None);
-        let (resend_at, resends) = (Duration::ZERO, 0);
-        self.records.insert(
-            at,
-            Record { fingerprint, losses, servers: 0, refused_until, resend_at, resends },
-        );
+        self.records.insert(at, Record::new(fingerprint, kind));
         at
     }
 }
