Answers that end with their connection: the end of their server is no end of the answer

What callers saw: half an answer as a complete one, with status 200 and a length for plain requests; a stream of 20 of 40 events that looked complete. Routers saw nothing at all: no broken run, so requests that crash servers after the head of such an answer were sent on and on.

Cause: an answer with neither a length nor chunks was taken for complete when its connection closed without an error, which is also what the end of its process looks like. The version of the server's answer was passed on as well, so that a cut stream in HTTP/1.0 reached the caller without chunks.

Change: when only the connection marks the end, the server is probed; if it refuses connections, the run is broken like any other. A stream of this kind that ends before its first event or inside an event is a broken run too. Streams go to the caller in HTTP/1.1, and such connections are not kept.

Why it works: a live server still accepts connections after a complete answer, a crashed one does not.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use policy::window::Need;
 use tokio::time::{Instant, timeout_at};
@@ -15,6 +15,7 @@
 use crate::limited;
 use crate::peer::Peer;
 use crate::pool::Connection;
+use crate::probe;
 use crate::request::Call;
 use crate::retries;
 use crate::shared_read;
@@ -52,12 +53,27 @@
 }
 
 impl Answer {
+    /// Whether the body has neither a length nor chunks, so that the end of the connection is its end.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = self.head.headers();
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
+    /// Whether the body may have ended early although no error was seen: nothing but the connection marks its end, and
+    /// the server no longer accepts connections.
+    pub async fn may_be_cut(&self) -> bool {
+        self.ends_with_connection() && probe::refuses_connections(&self.peer).await
+    }
+
     /// Returns the connection to the pool after the body was read to its end.
     pub fn finish(self) {
-        self.peer.pool.keep(self.connection, self.head.headers());
+        if !self.ends_with_connection() {
+            self.peer.pool.keep(self.connection, self.head.headers());
+        }
     }
 
-    /// Reads the complete body. `None` if the connection breaks, the body is too long, or `until` passes.
+    /// Reads the complete body. `None` if the connection breaks, the server ends, the body is too long, or `until`
+    /// passes.
     pub async fn collect(mut self, until: Instant) -> Option<(Response<()>, Bytes)> {
         let mut collected = Vec::new();
         loop {
@@ -74,6 +90,9 @@
                 Ok(Some(Err(_))) | Err(_) => return None,
             }
         }
+        if self.may_be_cut().await {
+            return None;
+        }
         let mut head = Response::new(());
         *head.status_mut() = self.head.status();
         *head.headers_mut() = self.head.headers().clone();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
@@ -158,12 +158,26 @@
                     return Next::Broken("the connection to the first server broke");
                 }
                 Ok(None) if self.splitter.is_empty() => return Next::End,
-                Ok(None) => return Next::Broken("the stream ended in the middle of an event"),
+                Ok(None) => {
+                    self.disconnected |= self.answer.ends_with_connection();
+                    return Next::Broken("the stream ended in the middle of an event");
+                }
                 Err(_) => return Next::Late,
             }
         }
     }
 
+    /// Returns the item that follows the last event: the end of the stream, unless its server may have ended early.
+    async fn end(&mut self) -> Next {
+        match self.answer.may_be_cut().await {
+            true => {
+                self.disconnected = true;
+                Next::Broken("the first server ended with the connection")
+            }
+            false => Next::End,
+        }
+    }
+
     fn record_pause(&mut self) {
         let pause = self.since.elapsed();
         self.pause =
@@ -237,6 +251,8 @@
     // The original header fields are needed later to decide whether the connection can be reused.
     upstream.answer.head.headers_mut().clone_from(head.headers());
     answer::strip(head.headers_mut());
+    // A server's answer in HTTP/1.0 would be passed on without chunks, and a cut one would look complete.
+    *head.version_mut() = Version::HTTP_11;
     let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, BodyError>>(MAX_QUEUED_EVENTS);
     let (runs, unrefused) = (progress.runs, progress.unrefused);
     let (excluded, tries) = (progress.excluded, progress.tries);
@@ -276,6 +292,9 @@
 ) {
     let mut next = Next::Event(first);
     loop {
+        if matches!(next, Next::End) {
+            next = upstream.end().await;
+        }
         let why = match next {
             Next::Event(event) => {
                 progress.last_event = event.id.or(progress.last_event);
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -440,6 +440,8 @@
             }
             Next::Late => Err(Failure::Late),
             Next::End | Next::Silent(_) | Next::Broken(_) => {
+                // Without an event, an end that only the connection marks is no complete stream.
+                upstream.disconnected |= upstream.answer.ends_with_connection();
                 self.abandon(&upstream);
                 Err(Failure::Unknown)
             }
