Streams that are resumed after their last event are complete

What callers saw: a stream with all its events that was cut, when its server ended after the last event and before the end of the stream.

Cause: the stream is resumed after its last event, and the next server answers with a stream that has none. That was no stream to go on with: it counted as a failed run, each further server gave the same, and the caller's stream was cut when the attempts were used up.

Change: the first item of a resumed stream is an event or its end.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -287,10 +287,10 @@
 async fn relay(
     mut progress: Progress<'_>,
     mut upstream: Upstream,
-    first: Event,
+    first: Next,
     sender: mpsc::Sender<Result<Frame<Bytes>, BodyError>>,
 ) {
-    let mut next = Next::Event(first);
+    let mut next = first;
     loop {
         if matches!(next, Next::End) {
             next = upstream.end().await;
@@ -340,7 +340,7 @@
             () = sender.closed() => return progress.log_caller_left(),
         };
         match opened {
-            Some((fresh, event)) => (upstream, next) = (fresh, Next::Event(event)),
+            Some((fresh, first)) => (upstream, next) = (fresh, first),
             None => {
                 progress.state.metrics.stream_cut();
                 log::warn!(
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -16,7 +16,7 @@
 use crate::answer::{self, Body, Reason};
 use crate::count::Counted;
 use crate::crash;
-use crate::event::{Event, Splitter};
+use crate::event::Splitter;
 use crate::exchange::{self, Answer, Outcome};
 use crate::limited;
 use crate::plain;
@@ -41,7 +41,8 @@
 
 /// Answer that came along a path.
 pub(super) enum Opened {
-    Stream(Upstream, Event),
+    /// A stream and its first item: an event, or the end if the caller has all events.
+    Stream(Upstream, Next),
     /// A complete answer that is not a stream, such as an error.
     Complete(Response<Body>),
 }
@@ -50,8 +51,8 @@
 pub(super) enum Race<T> {
     /// The silent path produced this first.
     Kept(T),
-    /// Another path sent an event first.
-    Other(Box<Upstream>, Event),
+    /// Another path sent its first item before that.
+    Other(Box<Upstream>, Next),
     /// No other path is available now.
     Neither,
 }
@@ -63,9 +64,9 @@
     Late,
 }
 
-impl<T> From<(Upstream, Event)> for Race<T> {
-    fn from((upstream, event): (Upstream, Event)) -> Race<T> {
-        Race::Other(Box::new(upstream), event)
+impl<T> From<(Upstream, Next)> for Race<T> {
+    fn from((upstream, next): (Upstream, Next)) -> Race<T> {
+        Race::Other(Box::new(upstream), next)
     }
 }
 
@@ -84,10 +85,10 @@
 
 impl Progress<'_> {
     /// Resumes the stream after its last event on another path; tries until the caller's deadline.
-    pub(super) async fn resume(&mut self) -> Option<(Upstream, Event)> {
+    pub(super) async fn resume(&mut self) -> Option<(Upstream, Next)> {
         while self.last_event.is_some() && self.may_run_again().await {
             match self.open().await {
-                Ok(Opened::Stream(upstream, event)) => return Some((upstream, event)),
+                Ok(Opened::Stream(upstream, next)) => return Some((upstream, next)),
                 Ok(Opened::Complete(_)) => return None,
                 Err(reason)
                     if Instant::now() >= self.call.deadline
@@ -134,11 +135,11 @@
     }
 
     /// Opens another path and returns it with its first event; after a short wait returns `None` if there is none now.
-    fn try_other_path(&mut self) -> LocalBoxFuture<'_, Option<(Upstream, Event)>> {
+    fn try_other_path(&mut self) -> LocalBoxFuture<'_, Option<(Upstream, Next)>> {
         Box::pin(async {
             match self.may_run_again().await {
                 true => match self.open().await {
-                    Ok(Opened::Stream(upstream, event)) => return Some((upstream, event)),
+                    Ok(Opened::Stream(upstream, next)) => return Some((upstream, next)),
                     Ok(Opened::Complete(_)) | Err(_) => {}
                 },
                 false => self.obstacle = Some(Obstacle::Attempts),
@@ -359,7 +360,7 @@
                 let ends = |outcome: &Outcome| !matches!(outcome, Outcome::Answer(_));
                 match self.race_other_path(&mut sending, ends).await {
                     Race::Kept(outcome) => break outcome,
-                    Race::Other(upstream, event) => return Ok(Opened::Stream(*upstream, event)),
+                    Race::Other(upstream, next) => return Ok(Opened::Stream(*upstream, next)),
                     Race::Neither => {}
                 }
             }
@@ -431,12 +432,17 @@
         while let Next::Silent(why) = next {
             next = self.recover(&mut upstream, why).await;
         }
+        if matches!(next, Next::End) {
+            next = upstream.end().await;
+        }
         match next {
+            // The former server ended after the last event.
+            Next::End if self.last_event.is_some() => Ok(Opened::Stream(upstream, Next::End)),
             Next::Event(event) => {
                 self.state.metrics.first_event(upstream.started.elapsed());
                 upstream.path.first().count_continued();
                 crash::record_progress(self.state, self.call, event.id.map_or(1, |id| id + 1));
-                Ok(Opened::Stream(upstream, event))
+                Ok(Opened::Stream(upstream, Next::Event(event)))
             }
             Next::Late => Err(Failure::Late),
             Next::End | Next::Silent(_) | Next::Broken(_) => {
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -88,11 +88,11 @@
             let event = upstream.event(self.last_event, self.call.deadline);
             match self.race_other_path(event, |next| matches!(next, Next::Broken(_))).await {
                 Race::Kept(next) => return next,
-                Race::Other(fresh, event) => {
+                Race::Other(fresh, next) => {
                     self.held_up = "resumed";
                     self.abandon(upstream);
                     *upstream = *fresh;
-                    return Next::Event(event);
+                    return next;
                 }
                 Race::Neither => {}
             }
