Contents lost beside a suspected part are not refused while its last loss is unknown

Cause: the request had moved to the next server together with the one at fault, three times. Its router counted the third loss before the notice of the third loss of the part came, so the part could not explain it.

Change: a part of two losses, which already runs alone, explains the losses of contents beside it.

--- a/crates/policy/src/crash/weight.rs
+++ b/crates/policy/src/crash/weight.rs
@@ -5,7 +5,7 @@
 use super::record::Record;
 use super::{
     Kind, Loss, MAX_ENDED_SERVERS, MIN_LOSSES_TO_REFUSE, MIN_LOSSES_TO_SUSPECT,
-    MIN_WEIGHT_TO_REFUSE, Start,
+    MIN_WEIGHT_TO_ISOLATE, Start,
 };
 
 /// Time within which servers that end count as ending together.
@@ -110,17 +110,19 @@
         weight
     }
 
-    /// A part that several requests had and on which no answer began is a better explanation than the content of one of
-    /// them: losses that such a part explains do not count against contents.
+    /// A part on which no answer begins is a better explanation than the content of a request beside it: losses that
+    /// such a part explains do not count against contents. Another router may have the last loss of the part, and
+    /// report it after those of the contents beside it, so it need not have enough losses to be refused.
     fn weigh_content(&self, record: &Record) -> Weight {
-        let few = self.parts.len() <= MAX_EXPLAINING_SUSPECTS;
+        let few = self.suspected_parts.len() <= MAX_EXPLAINING_SUSPECTS;
         let is_at_fault = |part: &&&Record| {
             // A part that was never lost without this content explains nothing.
             !part.companions().contains(&record.fingerprint)
                 && (part.refused_until.is_some()
-                    || few && self.weigh_part(part).refuse >= MIN_WEIGHT_TO_REFUSE)
+                    || few && self.weigh_part(part).isolate >= MIN_WEIGHT_TO_ISOLATE)
         };
-        let at_fault: Vec<&Record> = self.parts.iter().filter(is_at_fault).copied().collect();
+        let at_fault = self.suspected_parts.iter().filter(is_at_fault);
+        let at_fault: Vec<&Record> = at_fault.copied().collect();
         let mut weight = Weight::default();
         for loss in &record.losses {
             if at_fault.iter().any(|part| part.lost_at(&loss.start)) {
--- a/crates/policy/tests/crash.rs
+++ b/crates/policy/tests/crash.rs
@@ -632,6 +632,20 @@
     assert!(list.take_update(at(3), 0.0).cleared.iter().any(|c| c.fingerprint == 7 && c.refused));
 }
 
+/// A content must not be refused for losses beside a part whose last loss another router has yet to report.
+#[test]
+fn a_content_lost_beside_a_suspected_part_is_not_refused() {
+    let (mut list, at) = (List::default(), Duration::from_millis);
+    for n in 0..3 {
+        list.record_loss(content(7), loss(n, at(100 * n), 0), false);
+        if n < 2 {
+            let request = Request { content: 100 + n, parts: &[DEADLY] };
+            list.record_loss(request, loss(n, at(100 * n), 0), true);
+        }
+    }
+    assert_eq!(list.verdict(content(7), at(210)), Verdict::Clear);
+}
+
 /// Of two parts that were only lost together, the harmless one must be usable without the other.
 #[test]
 fn parts_that_are_always_together_are_refused_together() {
