--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod estimate;
 pub mod fill;
 pub mod health;
+pub mod intake;
 pub mod limit;
 pub mod link;
 pub mod loan;
