Routers turn connections away that their processor can't bear

Cause: callers' connections are bounded by file descriptors alone. A router to which the load balancer sends most new connections for some seconds took them all; each brings work for seconds, so all of its requests were late.

Change: policy::intake lets as many new connections pass as the processor bears, by the share of it that is in use at the usual rate, and half the usual rate while timers are late by 70 ms on average. Up to 1.5 times the usual rate all are taken, as in the first 15 s of a process. The others are closed before their request is read, which costs the caller one try at another router. A line a second and a counter (turned_away) say how many.

Not reached: memory is not measured; retries, limits of servers and room stay in even parts.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -15,6 +15,11 @@
     }
 }
 
+/// Returns the processor time that this process has used, if it is known.
+pub fn processor() -> Option<Duration> {
+    clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID).ok().map(Duration::from)
+}
+
 /// Returns the Unix time by the wall clock, which may jump.
 pub fn wall() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -69,6 +69,11 @@
                     log::warn!("gateway: connection refused open={}", state.callers.get());
                     continue;
                 }
+                // Closed before its request is read: the caller's next try meets another router.
+                if !state.intake.borrow_mut().admits(state.now()) {
+                    state.metrics.turned_away();
+                    continue;
+                }
                 tokio::task::spawn_local(serve_connection(state.clone(), stream));
             }
             Err(e) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -108,6 +108,11 @@
         self.event("caller_left");
     }
 
+    /// Counts a connection that was closed before its request was read.
+    pub fn turned_away(&self) {
+        self.event("turned_away");
+    }
+
     /// Counts an answer that did not come in time.
     pub fn answer_late(&self) {
         self.event("late");
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,6 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
+use crate::clock;
 use crate::crash;
 use crate::notice::Notice;
 use crate::peer::{Peer, Probe, Reachability};
@@ -29,14 +30,35 @@
 /// Interval between two measurements of this process's own delay.
 const LAG_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Measures by how much timers are late in this process, which shows how slow its VM is.
+/// Measurements of that delay between two of the processor time in use.
+const LAGS_PER_USE: u32 = 10;
+
+/// Measures by how much timers are late in this process, which shows how slow its VM is, and which share of the VM's
+/// processor time it uses.
 pub async fn measure_lag(state: Rc<State>) {
     loop {
-        let before = Instant::now();
-        tokio::time::sleep(LAG_INTERVAL).await;
-        let late = before.elapsed().saturating_sub(LAG_INTERVAL);
-        // A delay decays within about a second.
-        state.lag.set(late.max(state.lag.get().mul_f64(0.8)));
+        let (began, used) = (Instant::now(), clock::processor());
+        for _ in 0..LAGS_PER_USE {
+            let before = Instant::now();
+            tokio::time::sleep(LAG_INTERVAL).await;
+            let late = before.elapsed().saturating_sub(LAG_INTERVAL);
+            // A delay decays within about a second.
+            state.lag.set(late.max(state.lag.get().mul_f64(0.8)));
+            state.intake.borrow_mut().record_delay(late);
+        }
+        let used = clock::processor().zip(used).map(|(now, before)| now.saturating_sub(before));
+        if let (Some(used), Some(share)) = (used, state.setup.processor.filter(|s| *s > 0.0)) {
+            let available = began.elapsed().mul_f64(share);
+            state.intake.borrow_mut().record_use(used.div_duration_f64(available));
+        }
+        let (turned_away, capacity) = state.intake.borrow_mut().take_turned_away();
+        if turned_away > 0 {
+            log::info!(
+                "gateway: connections turned_away={turned_away} capacity={capacity:.1} per second open={} lag={:?}",
+                state.callers.get(),
+                state.lag.get()
+            );
+        }
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 
 use layers::server::Zone;
 use policy::demand::Demand;
+use policy::intake::Intake;
 use policy::meter::Meter;
 use policy::missing::Missing;
 use policy::shortage::Shortage;
@@ -93,6 +94,8 @@
     pub stream_duration: Cell<Duration>,
     /// By how much timers are late in this process.
     pub lag: Cell<Duration>,
+    /// Decides whether to take a new connection of a caller.
+    pub intake: RefCell<Intake>,
     /// The log whose task probes whether the store is available again, while it is unavailable.
     probing_log: Cell<Option<Log>>,
     /// When the store last answered again after it was unavailable.
@@ -155,6 +158,7 @@
             crossings: RefCell::default(),
             stream_duration: Cell::new(DEFAULT_STREAM_DURATION),
             lag: Cell::default(),
+            intake: RefCell::default(),
             probing_log: Cell::new(None),
             regained: Cell::default(),
             store_regained: Notify::new(),
