--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -10,3 +10,4 @@
 pub mod quarantine;
 pub mod show;
 pub mod status;
+pub mod suspects;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -42,6 +42,7 @@
     Audit(cmd::audit::Args),
     Quarantine(cmd::quarantine::Args),
     Status(cmd::status::Args),
+    Suspects(cmd::suspects::Args),
     Explain(cmd::explain::Args),
 }
 
@@ -57,6 +58,7 @@
         Command::Audit(args) => cmd::audit::run(&common, args).await,
         Command::Quarantine(args) => cmd::quarantine::run(&common, args).await,
         Command::Status(args) => cmd::status::run(&common, args).await,
+        Command::Suspects(args) => cmd::suspects::run(&common, args).await,
         Command::Explain(args) => cmd::explain::run(&common, args).await,
     };
     match result {
