Refusals of parts: decided again when the suspects lost with them turn out fewer

Found by a test of a restart of all routers: a part that was refused together with the content that was lost with it stayed so in the store for up to 0.8 s after another content had been lost with the part, and a router that started then let one more request through.

The quarantine page names only companions that are still suspects.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -367,7 +367,7 @@
                 suspects.iter().map(|(other, _)| *other).filter(|other| other != suspect).collect();
             let at = self.record_index(*suspect, *kind, now);
             self.records[at].add(&loss, remote);
-            self.records[at].restrict_companions(&others);
+            self.records[at].restrict_companions(&others, now);
         }
         if !remote && !suspects.is_empty() {
             self.outbox.add_lost(Lost { content: request.content, parts, loss });
@@ -477,7 +477,7 @@
         let record = &mut self.records[at];
         let left = refusal.left.min(REFUSAL_TIME);
         let until = (now + left).max(record.refused_until.unwrap_or_default());
-        record.restrict_companions(&refusal.companions);
+        record.restrict_companions(&refusal.companions, now);
         (record.refused_until, record.servers) = (Some(until), record.servers.max(refusal.servers));
         (record.resend_at, record.resends) =
             (now + RESEND_INTERVAL.mul_f64(1.0 + jitter), FAST_RESENDS);
@@ -501,7 +501,7 @@
         let entry = |record: Record| Entry {
             fingerprint: record.fingerprint,
             kind: record.kind,
-            companions: record.companions().to_vec(),
+            companions: self.suspected_companions(&record),
             verdict: self.verdict_on(record.fingerprint, now),
             servers: record.servers,
             last: record.losses.last().cloned(),
@@ -509,6 +509,11 @@
         known.into_iter().map(entry).collect()
     }
 
+    fn suspected_companions(&self, record: &Record) -> Vec<Fingerprint> {
+        let is_suspect = |companion: &&Fingerprint| self.find(**companion).is_ok();
+        record.companions().iter().filter(is_suspect).copied().collect()
+    }
+
     /// Returns the number of contents or parts that are suspects, and how many of them are refused.
     pub fn counts(&self, parts: bool, now: Duration) -> (usize, usize) {
         let all = || self.records.iter().filter(|r| r.kind.is_part() == parts);
--- a/crates/policy/src/crash/record.rs
+++ b/crates/policy/src/crash/record.rs
@@ -56,8 +56,9 @@
         }
     }
 
-    /// Drops the companions that are not among `others`, the other suspects of a lost request.
-    pub(super) fn restrict_companions(&mut self, others: &[Fingerprint]) {
+    /// Drops the companions that are not among `others`, the other suspects of a lost request. A refusal that this would
+    /// widen has to be decided again.
+    pub(super) fn restrict_companions(&mut self, others: &[Fingerprint], now: Duration) {
         let kept = match &self.companions {
             Some(known) => known.iter().filter(|c| others.contains(c)).copied().collect(),
             None => {
@@ -66,6 +67,10 @@
                 others
             }
         };
+        let kept: Vec<Fingerprint> = kept;
+        if self.is_refused(now) && kept.len() < self.companions().len() && !self.losses.is_empty() {
+            self.refused_until = None;
+        }
         self.companions = Some(kept);
     }
 
