Parts that sound requests have: fewer refusals while the part at fault is not decided

Traced: a part on several servers that end at once counted each as a loss of its own; a part that one request alone had was weighed more strictly than that request; a part was put off for a second although the request lacked the one that shared its losses, and so would have told them apart.

Change: losses of a part within 20 ms count as one; a part that only one content had is weighed like it; parts of two losses share the losses of others; a request that lacks such a part runs alone instead of being put off, and is held back while another router does so.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -257,12 +257,43 @@
     fn judge(&mut self, request: Request<'_>, suspect: Fingerprint, now: Duration) -> Verdict {
         match self.verdict_on(suspect, now) {
             Verdict::Refused { .. } | Verdict::Later { .. } if !self.has_all(request, suspect) => {
-                Verdict::Alone
+                self.isolated(suspect, now)
+            }
+            Verdict::Later { .. } if self.has_alternative(request, suspect) => {
+                self.isolated(suspect, now)
             }
             verdict => verdict,
         }
     }
 
+    /// Returns the verdict on a suspect that one request at a time may try.
+    fn isolated(&self, suspect: Fingerprint, now: Duration) -> Verdict {
+        let held_until = self.find(suspect).ok().and_then(|at| self.held_until(at));
+        match held_until {
+            Some(until) if now < until => Verdict::Held { left: until - now },
+            _ => Verdict::Alone,
+        }
+    }
+
+    /// Returns until when a suspect is held back, if another router had its last loss.
+    fn held_until(&self, at: usize) -> Option<Duration> {
+        let record = &self.records[at];
+        record.lost_elsewhere.then(|| record.last() + self.hold_time)
+    }
+
+    /// Whether a part that a request lacks shares losses with a part that it has. The request tells the two apart.
+    fn has_alternative(&self, request: Request<'_>, suspect: Fingerprint) -> bool {
+        let Ok(at) = self.find(suspect) else { return false };
+        let record = &self.records[at];
+        record.kind.is_part()
+            && self.records.iter().any(|other| {
+                other.kind.is_part()
+                    && other.losses.len() >= MIN_LOSSES_TO_SUSPECT
+                    && !request.has(other.fingerprint)
+                    && other.losses.iter().any(|loss| record.lost_at(&loss.start))
+            })
+    }
+
     /// Whether a request has all other suspects that were lost each time that this one was. A part that was lost in other
     /// workspaces as well was lost with more than one content.
     fn has_all(&self, request: Request<'_>, suspect: Fingerprint) -> bool {
@@ -299,8 +330,7 @@
         if losses == 0 {
             return Verdict::Clear;
         }
-        let held_until = last + self.hold_time;
-        let is_held = record.lost_elsewhere && now < held_until;
+        let held_until = self.held_until(at).filter(|until| now < *until);
         let weight = weigh(&self.records[at], &self.records, &self.ended);
         let (enough, enough_weight) = match self.is_refused_elsewhere(at, now) {
             true => (MIN_LOSSES_TO_SUSPECT, MIN_WEIGHT_TO_ISOLATE),
@@ -319,8 +349,8 @@
             {
                 Verdict::Later { left: last + UNDECIDED_PAUSE - now }
             }
-            () if is_held && weight.isolate >= MIN_WEIGHT_TO_HOLD => {
-                Verdict::Held { left: held_until - now }
+            () if weight.isolate >= MIN_WEIGHT_TO_HOLD && held_until.is_some() => {
+                self.isolated(suspect, now)
             }
             () if losses >= MIN_LOSSES_TO_SUSPECT && weight.isolate >= MIN_WEIGHT_TO_ISOLATE => {
                 Verdict::Alone
--- a/crates/policy/src/crash/weight.rs
+++ b/crates/policy/src/crash/weight.rs
@@ -4,7 +4,7 @@
 
 use super::record::Record;
 use super::{
-    Kind, Loss, MAX_ENDED_SERVERS, MIN_LOSSES_TO_REFUSE, MIN_LOSSES_TO_SUSPECT,
+    Fingerprint, Kind, Loss, MAX_ENDED_SERVERS, MIN_LOSSES_TO_REFUSE, MIN_LOSSES_TO_SUSPECT,
     MIN_WEIGHT_TO_ISOLATE, Start,
 };
 
@@ -19,6 +19,10 @@
 /// is lost again and again is at fault even while servers end in bulk.
 const MAX_OTHERS_FOR_PARTS: usize = 1;
 
+/// Time within which losses of a part on several servers have one cause. A request that ends servers takes longer from
+/// one to the next.
+const COINCIDENCE: Duration = Duration::from_millis(20);
+
 /// Servers that have ended lately.
 #[derive(Debug, Default)]
 pub(super) struct Ended {
@@ -54,6 +58,7 @@
     /// Parts and contents with as many losses as it takes to refuse them.
     parts: Vec<&'a Record>,
     contents: Vec<&'a Record>,
+    records: &'a [Record],
     ended: &'a Ended,
 }
 
@@ -69,10 +74,16 @@
             suspected_parts: of(true, MIN_LOSSES_TO_SUSPECT),
             parts: of(true, MIN_LOSSES_TO_REFUSE),
             contents: of(false, MIN_LOSSES_TO_REFUSE),
+            records,
             ended,
         }
     }
 
+    fn is_content(&self, suspect: Fingerprint) -> bool {
+        let found = self.records.binary_search_by_key(&suspect, |r| r.fingerprint);
+        found.is_ok_and(|at| !self.records[at].kind.is_part())
+    }
+
     /// Counts the other servers that ended together with one, unless some suspect explains their end.
     fn count_unexplained(&self, record: &Record, loss: &Loss) -> usize {
         let is_explained = |start: &Start| {
@@ -101,11 +112,21 @@
         suspects.iter().filter(shares).count()
     }
 
+    /// A part that many requests have runs on all servers, so that it is lost several times where a few end at once.
+    /// These losses count as one.
     fn weigh_part(&self, record: &Record) -> Weight {
         let mut weight = Weight::default();
-        for loss in &record.losses {
-            let others = self.count_unexplained(record, loss).min(MAX_OTHERS_FOR_PARTS);
-            weight.add(others, Self::count_sharers(record, loss, &self.parts));
+        // A part that only one request had is lost as often as that request.
+        let is_single = record.companions().iter().any(|companion| self.is_content(*companion));
+        let mut losses: Vec<&Loss> = record.losses.iter().collect();
+        losses.sort_unstable_by_key(|loss| loss.at);
+        for losses in losses.chunk_by(|a, b| b.at - a.at < COINCIDENCE) {
+            let loss = losses[0];
+            let others = match is_single {
+                true => self.count_unexplained(record, loss),
+                false => self.count_unexplained(record, loss).min(MAX_OTHERS_FOR_PARTS),
+            };
+            weight.add(others, Self::count_sharers(record, loss, &self.suspected_parts));
         }
         weight
     }
