--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -110,8 +110,8 @@
         Verdict::Refused { left } | Verdict::Later { left } => left,
         Verdict::Clear | Verdict::Alone | Verdict::Held { .. } => return None,
     };
-    let of_content = verdict(state, Request { parts: &[], ..request(call) });
-    let count = &state.crashes.refused[usize::from(of_content <= Verdict::Alone)];
+    let for_part = state.crashes.list.borrow_mut().is_for_part(request(call), state.now());
+    let count = &state.crashes.refused[usize::from(for_part)];
     count.set(count.get() + 1);
     Some(answer::error_after(Reason::Crashes, Some(left)))
 }
--- a/crates/policy/src/crash/weight.rs
+++ b/crates/policy/src/crash/weight.rs
@@ -11,8 +11,8 @@
 /// Time within which servers that end count as ending together.
 const BULK_WINDOW: Duration = Duration::from_secs(1);
 
-/// Number of suspects of one kind with many losses up to which each of them explains the end of its servers. With more of them
-/// servers end in bulk.
+/// Number of suspects of one kind with many losses up to which each of them explains the end of its servers. With more
+/// of them servers end in bulk.
 const MAX_EXPLAINING_SUSPECTS: usize = 8;
 
 /// Number of other servers ending together that can speak for a part. An answer on it anywhere clears it, so one that
--- a/crates/policy/tests/crash.rs
+++ b/crates/policy/tests/crash.rs
@@ -272,9 +272,7 @@
                 Verdict::Later { .. } if begun => false,
                 Verdict::Later { .. } | Verdict::Refused { .. } => {
                     self.result.refused += u32::from(!run.is_deadly);
-                    let entries = self.lists[run.router].entries(self.now);
-                    let content = entries.iter().find(|e| e.fingerprint == run.content);
-                    let for_part = content.is_none_or(|e| e.verdict <= Verdict::Alone);
+                    let for_part = self.lists[run.router].is_for_part(request, self.now);
                     self.result.refused_for_part += u32::from(!run.is_deadly && for_part);
                     self.runs.swap_remove(i);
                     continue;
