Streams: the end of an answer is checked once, where its items are awaited

The check whether a server has ended stood in the relay and in the search for the first event, so that a resumed stream that had ended was probed twice.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -292,9 +292,6 @@
 ) {
     let mut next = first;
     loop {
-        if matches!(next, Next::End) {
-            next = upstream.end().await;
-        }
         let why = match next {
             Next::Event(event) => {
                 progress.last_event = event.id.or(progress.last_event);
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -432,9 +432,6 @@
         while let Next::Silent(why) = next {
             next = self.recover(&mut upstream, why).await;
         }
-        if matches!(next, Next::End) {
-            next = upstream.end().await;
-        }
         match next {
             // The former server ended after the last event.
             Next::End if self.last_event.is_some() => Ok(Opened::Stream(upstream, Next::End)),
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -45,6 +45,7 @@
                 }
             };
             match outcome {
+                Ok(Next::End) => return upstream.end().await,
                 Ok(next) => return next,
                 // Part of an event was received meanwhile.
                 Err(_) if upstream.since + wait > due => {
@@ -87,6 +88,7 @@
             }
             let event = upstream.event(self.last_event, self.call.deadline);
             match self.race_other_path(event, |next| matches!(next, Next::Broken(_))).await {
+                Race::Kept(Next::End) => return upstream.end().await,
                 Race::Kept(next) => return next,
                 Race::Other(fresh, next) => {
                     self.held_up = "resumed";
