Parts of a prompt are hashed once a request, not for each line that names them

Each sent_to= and run=broken line decoded the field and hashed the workspace and id of each part again; the lines now pair the ids with the parts that the request keeps. The lines are the same.

--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -43,37 +43,35 @@
 /// Characters of a part's id that are logged.
 const MAX_LOGGED_ID: usize = 20;
 
-/// Returns the parts of a prompt that other requests may share, in order, with the ids that the caller gives them. Since
-/// callers choose the ids, a part belongs to its workspace.
-pub fn shared_parts<'a>(
-    codec: &Codec,
-    workspace: Option<&str>,
-    headers: &'a HeaderMap,
-) -> Vec<(&'a str, Part)> {
+/// Returns the ids of the parts of a prompt that other requests may share, in order.
+fn shared_ids<'a>(codec: &Codec, headers: &'a HeaderMap) -> impl Iterator<Item = &'a str> {
     let field = headers.get(&codec.names.parts).and_then(|value| value.to_str().ok());
+    field.map_or(Vec::new(), codec.shared_parts).into_iter().take(MAX_PARTS)
+}
+
+/// Returns the parts of a prompt that other requests may share, in order. Since callers choose the ids, a part belongs
+/// to its workspace.
+pub fn shared_parts(codec: &Codec, workspace: Option<&str>, headers: &HeaderMap) -> Vec<Part> {
     let workspace = workspace.unwrap_or_default().as_bytes();
-    let part = |id: &'a str| {
-        let fingerprint = hash(&[b"part", workspace, id.as_bytes()]);
-        (id, Part { fingerprint, id: hash(&[b"id", id.as_bytes()]) })
+    let part = |id: &str| Part {
+        fingerprint: hash(&[b"part", workspace, id.as_bytes()]),
+        id: hash(&[b"id", id.as_bytes()]),
     };
-    field
-        .map_or(Vec::new(), |f| (codec.shared_parts)(f))
-        .into_iter()
-        .take(MAX_PARTS)
-        .map(part)
-        .collect()
+    shared_ids(codec, headers).map(part).collect()
 }
 
 /// Formats the parts of a request's prompt that others may share as `ID=FINGERPRINT`, separated by commas.
 pub fn describe_parts(codec: &Codec, call: &Call) -> String {
-    let parts = shared_parts(codec, call.workspace.as_deref(), &call.headers);
-    let text = |(id, part): &(&str, Part)| {
+    let text = |(id, part): (&str, &Part)| {
         let id: String = id.chars().take(MAX_LOGGED_ID).collect();
         format!("{id}={}", format_fingerprint(part.fingerprint))
     };
-    match parts.is_empty() {
+    match call.parts.is_empty() {
         true => "none".to_owned(),
-        false => parts.iter().map(text).collect::<Vec<_>>().join(","),
+        false => {
+            let parts = shared_ids(codec, &call.headers).zip(&call.parts);
+            parts.map(text).collect::<Vec<_>>().join(",")
+        }
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -127,7 +127,6 @@
     let uri = head.uri.path_and_query().map_or(head.uri.clone(), |p| Uri::from(p.clone()));
     let content = content::fingerprint(workspace.as_deref(), &host, &head.method, &uri, &body);
     let parts = content::shared_parts(&state.codec, workspace.as_deref(), &headers);
-    let parts = parts.into_iter().map(|(_, part)| part).collect();
     Ok(Call {
         id,
         method: head.method,
