policy::crash: one search for records, one measure of the hold; single losses are not weighed

The search by fingerprint stood three times and the time for which a suspect is held back twice. Suspects with one loss of this router, which decides nothing, were weighed against all ended servers for each request; they are clear at once again.

--- a/crates/policy/src/crash/list.rs
+++ b/crates/policy/src/crash/list.rs
@@ -4,7 +4,7 @@
 
 use super::outbox::{FAST_RESENDS, Outbox};
 use super::recent::Recent;
-use super::record::Record;
+use super::record::{Record, find};
 use super::weight::{Ended, Weight, weigh};
 use super::{
     Cleared, Entry, Fingerprint, Kind, Loss, Lost, MAX_SUSPECTS, MIN_LOSSES_TO_REFUSE,
@@ -112,17 +112,14 @@
 
     /// Returns the verdict on a suspect that one request at a time may try.
     fn isolated(&self, suspect: Fingerprint, now: Duration) -> Verdict {
-        let held_until = self.find(suspect).ok().and_then(|at| self.held_until(at));
-        match held_until {
-            Some(until) if now < until => Verdict::Held { left: until - now },
-            _ => Verdict::Alone,
-        }
+        let left = self.find(suspect).ok().and_then(|at| self.hold_left(&self.records[at], now));
+        left.map_or(Verdict::Alone, |left| Verdict::Held { left })
     }
 
-    /// Returns until when a suspect is held back, if another router had its last loss.
-    fn held_until(&self, at: usize) -> Option<Duration> {
-        let record = &self.records[at];
-        record.lost_elsewhere.then(|| record.last() + self.hold_time)
+    /// Returns the time for which a suspect is still held back, if another router had its last loss.
+    fn hold_left(&self, record: &Record, now: Duration) -> Option<Duration> {
+        let until = record.last() + self.hold_time;
+        (record.lost_elsewhere && now < until).then(|| until - now)
     }
 
     /// Whether a part that a request lacks shares losses with a part that it has. The request tells the two apart.
@@ -171,10 +168,11 @@
         let record = &mut self.records[at];
         record.losses.retain(|loss| now < loss.at + LOSS_LIFETIME);
         let (losses, last) = (record.losses.len(), record.last());
-        if losses == 0 {
+        let hold_left = self.hold_left(&self.records[at], now);
+        // Most suspects have one loss of this router, which never decides anything.
+        if losses == 0 || losses < MIN_LOSSES_TO_SUSPECT && hold_left.is_none() {
             return Verdict::Clear;
         }
-        let held_until = self.held_until(at).filter(|until| now < *until);
         let weight = weigh(&self.records[at], &self.records, &self.ended);
         let (enough, enough_weight) = match self.is_refused_elsewhere(at, now) {
             true => (MIN_LOSSES_TO_SUSPECT, MIN_WEIGHT_TO_ISOLATE),
@@ -193,7 +191,7 @@
             {
                 Verdict::Later { left: last + UNDECIDED_PAUSE - now }
             }
-            () if weight.isolate >= MIN_WEIGHT_TO_HOLD && held_until.is_some() => {
+            () if weight.isolate >= MIN_WEIGHT_TO_HOLD && hold_left.is_some() => {
                 self.isolated(suspect, now)
             }
             () if losses >= MIN_LOSSES_TO_SUSPECT && weight.isolate >= MIN_WEIGHT_TO_ISOLATE => {
@@ -408,7 +406,7 @@
     }
 
     fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
-        self.records.binary_search_by_key(&fingerprint, |r| r.fingerprint)
+        find(&self.records, fingerprint)
     }
 
     /// Returns the index of a suspect's record, which is added if there is none.
--- a/crates/policy/src/crash/outbox.rs
+++ b/crates/policy/src/crash/outbox.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::record::Record;
+use super::record::{Record, find};
 use super::{
     FIRST_LOSS_DELAY, Fingerprint, Kind, Loss, MAX_SUSPECTS, MIN_LOSSES_TO_SUSPECT, Part,
     RESEND_INTERVAL, Start,
@@ -131,11 +131,8 @@
     }
 
     fn take_lost(&mut self, records: &mut [Record], now: Duration) -> Vec<Lost> {
-        let find = |records: &[Record], fingerprint| {
-            records.binary_search_by_key(&fingerprint, |r| r.fingerprint).ok()
-        };
         let losses = |suspect: Fingerprint, start: &Start| {
-            let record = &records[find(records, suspect)?];
+            let record = &records[find(records, suspect).ok()?];
             record.lost_at(start).then_some(record.losses.len())
         };
         let mut due = Vec::new();
@@ -155,7 +152,7 @@
         due.truncate(MAX_LOSSES_PER_UPDATE);
         let due: Vec<Lost> = due.into_iter().map(|(_, lost)| lost).collect();
         for suspect in due.iter().flat_map(Lost::suspects) {
-            if let Some(at) = find(records, suspect) {
+            if let Ok(at) = find(records, suspect) {
                 records[at].known_elsewhere = true;
             }
         }
--- a/crates/policy/src/crash/record.rs
+++ b/crates/policy/src/crash/record.rs
@@ -26,6 +26,11 @@
     pub(super) resends: u32,
 }
 
+/// Finds the record of a suspect among records sorted by fingerprint, or the place where it belongs.
+pub(super) fn find(records: &[Record], fingerprint: Fingerprint) -> Result<usize, usize> {
+    records.binary_search_by_key(&fingerprint, |r| r.fingerprint)
+}
+
 impl Record {
     pub(super) fn new(fingerprint: Fingerprint, kind: Kind) -> Record {
         Record {
@@ -59,7 +64,7 @@
     /// Drops the companions that are not among `others`, the other suspects of a lost request. A refusal that this would
     /// widen has to be decided again.
     pub(super) fn restrict_companions(&mut self, others: &[Fingerprint], now: Duration) {
-        let kept = match &self.companions {
+        let kept: Vec<Fingerprint> = match &self.companions {
             Some(known) => known.iter().filter(|c| others.contains(c)).copied().collect(),
             None => {
                 let mut others = others.to_vec();
@@ -67,7 +72,6 @@
                 others
             }
         };
-        let kept: Vec<Fingerprint> = kept;
         if self.is_refused(now) && kept.len() < self.companions().len() && !self.losses.is_empty() {
             self.refused_until = None;
         }
--- a/crates/policy/src/crash/weight.rs
+++ b/crates/policy/src/crash/weight.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::record::Record;
+use super::record::{Record, find};
 use super::{
     Fingerprint, Kind, Loss, MAX_ENDED_SERVERS, MIN_LOSSES_TO_REFUSE, MIN_LOSSES_TO_SUSPECT,
     MIN_WEIGHT_TO_ISOLATE, Start,
@@ -80,8 +80,7 @@
     }
 
     fn is_content(&self, suspect: Fingerprint) -> bool {
-        let found = self.records.binary_search_by_key(&suspect, |r| r.fingerprint);
-        found.is_ok_and(|at| !self.records[at].kind.is_part())
+        find(self.records, suspect).is_ok_and(|at| !self.records[at].kind.is_part())
     }
 
     /// Counts the other servers that ended together with one, unless some suspect explains their end.
--- a/crates/policy/tests/crash.rs
+++ b/crates/policy/tests/crash.rs
@@ -156,6 +156,14 @@
     longest: usize,
 }
 
+impl Result {
+    /// Counts the ends later than `REACTION_TIME` after the third.
+    fn late_ends(&self) -> usize {
+        let ends = &self.ends;
+        ends.iter().filter(|at| ends.len() > 2 && **at > ends[2] + REACTION_TIME).count()
+    }
+}
+
 struct Simulation {
     case: Case,
     random: Pcg64,
@@ -438,8 +446,7 @@
     for seed in 0..10 {
         let result = Simulation::new(case, seed).simulate();
         let ends = &result.ends;
-        let late =
-            ends.iter().filter(|at| ends.len() > 2 && **at > ends[2] + REACTION_TIME).count();
+        let late = result.late_ends();
         let what = format!("seed {seed}: ended {}, late {late}, {result:?}", ends.len());
         assert!(late as u64 <= case.contents, "{what}");
         assert!(ends.len() as u64 <= case.max_ends * case.contents, "{what}");
@@ -488,8 +495,7 @@
     for seed in 0..10 {
         let result = Simulation::new(case, seed).simulate();
         let ends = &result.ends;
-        let late =
-            ends.iter().filter(|at| ends.len() > 2 && **at > ends[2] + REACTION_TIME).count();
+        let late = result.late_ends();
         let what = format!("seed {seed}: ended {}, late {late}, {result:?}", ends.len());
         let causes = case.contents + case.deadly_parts;
         println!(
