--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,14 +1,16 @@
 //! Requests that crash the servers that run them, by their content or a part of their prompt: records the losses,
 //! exchanges them with other routers, and refuses requests that are at fault.
 
+mod page;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::{Response, StatusCode};
 use policy::crash::{
-    Entry, FIRST_LOSS_DELAY, Fingerprint, Kind, List, Loss, Lost, Part, Refusal, Request, Start,
-    Update, Verdict,
+    FIRST_LOSS_DELAY, Fingerprint, Kind, List, Loss, Lost, Part, Refusal, Request, Start, Update,
+    Verdict,
 };
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio::task::{JoinHandle, spawn_local};
@@ -23,6 +25,8 @@
 use crate::probe;
 use crate::request::Call;
 use crate::state::State;
+use page::{format_fingerprints, kind_name};
+pub use page::{page, quarantine};
 
 /// Longest time that a suspect request waits for other suspects, at this router or at others. After a much longer wait,
 /// its caller would have left.
@@ -68,13 +72,6 @@
     }
 }
 
-/// Names of the kinds of suspects in metrics, on pages and in the log.
-const KINDS: [&str; 2] = ["content", "part"];
-
-fn kind_name(kind: Kind) -> &'static str {
-    KINDS[usize::from(kind.is_part())]
-}
-
 /// Returns what a request can be suspected of.
 fn request(call: &Call) -> Request<'_> {
     Request { content: call.content, parts: &call.parts }
@@ -335,14 +332,6 @@
     }
 }
 
-/// Formats fingerprints, separated by commas.
-fn format_fingerprints(fingerprints: &[Fingerprint]) -> String {
-    match fingerprints.is_empty() {
-        true => "none".to_owned(),
-        false => texts(fingerprints).join(","),
-    }
-}
-
 fn texts(fingerprints: &[Fingerprint]) -> Vec<String> {
     fingerprints.iter().copied().map(format_fingerprint).collect()
 }
@@ -384,44 +373,3 @@
     }
     all
 }
-
-/// Returns the metrics text.
-pub fn page(state: &State) -> String {
-    let crashes = &state.crashes;
-    let mut text = String::new();
-    for (parts, refusals) in [false, true].into_iter().zip(&crashes.refused) {
-        let (name, now) = (KINDS[usize::from(parts)], state.now());
-        let (suspects, refused) = crashes.list.borrow().counts(parts, now);
-        text.push_str(&format!(
-            "hyssop_crash_suspects{{kind=\"{name}\"}} {suspects}\n\
-             hyssop_quarantined{{kind=\"{name}\"}} {refused}\n\
-             hyssop_quarantine_refusals_total{{kind=\"{name}\"}} {}\n",
-            refusals.get()
-        ));
-    }
-    text + &format!("hyssop_runs_lost_total {}\n", crashes.lost.get())
-}
-
-/// Returns the contents and parts that are refused or suspected and the reasons, one line each.
-pub fn quarantine(state: &State) -> String {
-    let now = state.now();
-    let entries = state.crashes.list.borrow_mut().entries(now);
-    let line = |entry: &Entry| {
-        let last = entry.last.as_ref().map_or_else(
-            || "last=unknown".to_owned(),
-            |loss| {
-                let ago = now.saturating_sub(loss.at);
-                format!("last={} ago={ago:?} events={}", loss.start.id, loss.events)
-            },
-        );
-        format!(
-            "{}={} verdict={:?} companions={} servers_ended={} {last}\n",
-            kind_name(entry.kind),
-            format_fingerprint(entry.fingerprint),
-            entry.verdict,
-            format_fingerprints(&entry.companions),
-            entry.servers
-        )
-    };
-    entries.iter().map(line).collect()
-}
