Requests are held while a router reads its settings

A router that starts refused what reached it before settings and servers were read, although it could serve 20 to 100 ms later; the callers lost a try and came back 200 ms later.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -11,7 +11,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Response, StatusCode};
-use policy::missing;
+use policy::{missing, startup};
 
 /// Error that closes a caller's connection in the middle of an answer.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -107,8 +107,7 @@
     /// Returns the time after which a retry by the caller may succeed.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            // Settings and servers are read within some tens of milliseconds.
-            Reason::Starting => Some(Duration::from_millis(200)),
+            Reason::Starting => Some(startup::MIN_RETRY_AFTER),
             // The store is available again, or the settings are read, within about this time.
             Reason::Unsettled => Some(Duration::from_millis(1500)),
             // While the store is unavailable no router may order another server to load the lost layers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod shared_read;
 pub mod state;
 pub mod shutdown;
+pub mod startup;
 pub mod store;
 pub mod stream;
 pub mod wire;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use crate::answer::{self, Reason};
 use crate::content;
 use crate::settings::{Rank, Route, Settings};
+use crate::startup;
 use crate::state::State;
 
 /// Time-out for receiving a body, counted from the end of the head.
@@ -101,11 +102,7 @@
 /// Checks a request and reads its body.
 pub async fn read(state: &Rc<State>, head: Parts, body: &mut Incoming) -> Result<Call, Reason> {
     let arrived = Instant::now();
-    let settings = match state.settings() {
-        Some(settings) if state.servers_read.get() => settings,
-        _ if state.store_unavailable() => return Err(Reason::Unsettled),
-        _ => return Err(Reason::Starting),
-    };
+    let settings = startup::settings(state).await?;
     let host = host(&head.headers, &head.uri)?;
     let route = settings.route(&host, head.uri.path()).ok_or(Reason::NoRoute)?.clone();
     let (workspace, rank) = authenticate(state, &settings, &route, &head.headers)?;
--- /dev/null
+++ b/crates/gateway/src/startup.rs
@@ -0,0 +1,50 @@
+//! Holds requests that arrive while the router reads the settings and the list of servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout};
+
+use crate::answer::Reason;
+use crate::count::Counted;
+use crate::settings::Settings;
+use crate::state::State;
+
+/// Longest time between two checks whether a held request can be served or has to be refused.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Returns the settings in force once the servers are known too. A request that arrives before that is held for a
+/// moment, unless too many are, or the store does not answer.
+pub async fn settings(state: &State) -> Result<Rc<Settings>, Reason> {
+    if let Some(settings) = known(state) {
+        return Ok(settings);
+    }
+    let max_hold = state.startup.get().max_hold(state.held_requests.get());
+    let Some(max_hold) = max_hold.filter(|_| state.stopping.get().is_none()) else {
+        return Err(reason(state));
+    };
+    let _held = Counted::new(&state.held_requests);
+    let until = Instant::now() + max_hold;
+    loop {
+        match known(state) {
+            Some(settings) => return Ok(settings),
+            None if state.store_unavailable() => return Err(Reason::Unsettled),
+            None if Instant::now() >= until => {
+                let mut startup = state.startup.get();
+                startup.record_expiry();
+                state.startup.set(startup);
+                return Err(reason(state));
+            }
+            None => drop(timeout(CHECK_INTERVAL, state.changed.notified()).await),
+        }
+    }
+}
+
+/// Returns the settings in force if the servers are known too.
+fn known(state: &State) -> Option<Rc<Settings>> {
+    state.settings().filter(|_| state.servers_read.get())
+}
+
+fn reason(state: &State) -> Reason {
+    if state.store_unavailable() { Reason::Unsettled } else { Reason::Starting }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use policy::meter::Meter;
 use policy::missing::Missing;
 use policy::shortage::Shortage;
+use policy::startup::Startup;
 use policy::tenure::Tenure;
 use policy::window::{Budget, Handover, Routers};
 use tokio::sync::Notify;
@@ -68,6 +69,10 @@
     routers: RefCell<Routers>,
     /// Whether the list of servers was read once.
     pub servers_read: Cell<bool>,
+    /// Whether requests are held until settings and servers are read.
+    pub startup: Cell<Startup>,
+    /// Requests that are held until then.
+    pub held_requests: Cell<u32>,
     /// When the process received the stop signal.
     pub stopping: Cell<Option<Duration>>,
     /// Callers' open connections.
@@ -145,6 +150,8 @@
             budgets: RefCell::default(),
             routers: RefCell::new(Routers::new(DEFAULT_ROUTERS, DEPARTED_ROUTER_TIME)),
             servers_read: Cell::new(false),
+            startup: Cell::default(),
+            held_requests: Cell::new(0),
             stopping: Cell::new(None),
             callers: Cell::new(0),
             serving: Cell::new(0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod route;
 pub mod share;
 pub mod shortage;
+pub mod startup;
 pub mod suspicion;
 pub mod tenure;
 pub mod tuning;
