Servers that decline without being full are asked for their health

While the store is silent the list says of no server that it drains. Each router met the leaving servers with requests of its own, and again each second or two: a decline was taken for want of memory, and the probe that follows one only noticed silence. A server whose report shows room and the layers that it was asked for, and whose health answer says that it is ill, is now believed to be leaving (policy::departure). Health answers may be false, so neither a decline nor the answer decides alone, and an answer with the mark of a request that was not run is none.

--- /dev/null
+++ b/crates/gateway/src/departure.rs
@@ -0,0 +1,80 @@
+//! Finds out why a backend server declines requests, and notifies the other routers of one that is leaving.
+//!
+//! The list of servers says so as well, but not while the store is unavailable.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::notice::Notice;
+use crate::peer::Peer;
+use crate::probe;
+use crate::server::Report;
+use crate::state::State;
+
+/// Fraction of a server's memory in use above which it may decline a request for lack of memory.
+pub const NEARLY_FULL_FRACTION: f64 = 0.85;
+
+/// Probes a server that declined a request. Suspects it if it does not answer; if it is leaving, avoids it and checks it
+/// again as long as it is listed as ready.
+pub fn check(state: &Rc<State>, peer: &Rc<Peer>) {
+    if peer.checking_departure.replace(true) {
+        return;
+    }
+    let (state, peer) = (state.clone(), peer.clone());
+    spawn_local(async move {
+        if may_be_leaving(&state, &peer).await {
+            watch(&state, &peer).await;
+        }
+        peer.checking_departure.set(false);
+    });
+}
+
+/// Whether nothing else explains that a server declined a request.
+async fn may_be_leaving(state: &Rc<State>, peer: &Rc<Peer>) -> bool {
+    let span = peer.span(state.now());
+    match probe::report(state, peer).await {
+        Some(report) => {
+            let Report { busy, filled, .. } = report;
+            !busy && report.span == span && filled.is_some_and(|fill| fill <= NEARLY_FULL_FRACTION)
+        }
+        None => {
+            probe::suspect(state, peer, "no answer to a probe");
+            false
+        }
+    }
+}
+
+/// Asks a server for its health until it is well again or listed as leaving.
+async fn watch(state: &Rc<State>, peer: &Rc<Peer>) {
+    let (server, listed) = (peer.server(), || state.peer(&peer.server().id).is_some());
+    while peer.ready() && listed() && peer.server().born == server.born {
+        let health = probe::health(state, peer).await;
+        let mut departure = peer.departure.get();
+        let leaving = departure.record_health(health, state.now());
+        peer.departure.set(departure);
+        log::info!("gateway: server={} leaving={leaving} health={health:?}", server.id);
+        state.changed.notify_waiters();
+        if !leaving {
+            return;
+        }
+        let hold = departure.until().saturating_sub(state.now());
+        state.announce(Notice::Leaving {
+            server: server.id.clone(),
+            born: server.born,
+            hold_ms: hold.as_millis() as u64,
+        });
+        sleep(hold).await;
+    }
+}
+
+/// Applies the notice of another router that a server is leaving.
+pub fn receive(state: &State, server: &str, born: u64, hold: Duration) {
+    if let Some(peer) = state.peer(server).filter(|peer| peer.server().born == born) {
+        let mut departure = peer.departure.get();
+        departure.record_report(state.now(), hold);
+        peer.departure.set(departure);
+    }
+}
--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -60,7 +60,7 @@
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.unwrap_or(peer.span(now)),
-            usable: card.is_some() && peer.ready() && (!reachable || !peer.counts_as_dead()),
+            usable: card.is_some() && peer.stays(now) && (!reachable || !peer.counts_as_dead()),
             busy: order.is_some(),
             slow: peer.slowdown.get() > MAX_SLOWDOWN,
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod content;
 pub mod count;
 pub mod crash;
+pub mod departure;
 pub mod edge;
 pub mod event;
 pub mod exchange;
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash;
+use crate::departure;
 use crate::limited;
 use crate::peer::Peer;
 use crate::probe;
@@ -29,6 +30,15 @@
         /// The server.
         server: String,
     },
+    /// A server is leaving, although the list of servers does not say so yet.
+    Leaving {
+        /// The server.
+        server: String,
+        /// When it had started, in milliseconds of Unix time.
+        born: u64,
+        /// For how long it is believed to be leaving, in milliseconds.
+        hold_ms: u64,
+    },
     /// A server broke a run although it is alive.
     Broke {
         /// The server.
@@ -184,6 +194,9 @@
             }
             return;
         }
+        Notice::Leaving { server, born, hold_ms } => {
+            departure::receive(state, server, *born, Duration::from_millis(*hold_ms));
+        }
         Notice::Broke { server } => {
             if let Some(peer) = state.peer(server) {
                 peer.record_break(now);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,6 +6,7 @@
 
 use layers::Span;
 use policy::breaks::{self, Tally};
+use policy::departure::Departure;
 use policy::fill;
 use policy::meter::Meter;
 use policy::pick::Pace;
@@ -15,7 +16,7 @@
 
 use crate::limited::Limited;
 use crate::pool::Pool;
-use crate::server::{Server, Stall, State};
+use crate::server::{Report, Server, Stall, State};
 use crate::shared_read::{self, Digest};
 use crate::store::Offset;
 
@@ -33,14 +34,14 @@
 }
 
 /// Result of a probe whether a server is alive.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Probe {
     /// When it was answered or timed out.
     pub at: Duration,
     /// Time-out of the probe.
     pub limit: Duration,
-    /// Start time that the server reported, 0 if it reports none; `None` if there was no answer.
-    pub start: Option<u64>,
+    /// The server's report; `None` if there was no answer.
+    pub report: Option<Report>,
 }
 
 /// Result of a check whether a silent server has ended or is cut off.
@@ -66,6 +67,10 @@
     pub suspicion: RefCell<Suspicion>,
     /// Whether it has declined requests lately, as it is draining or out of memory.
     pub declines: RefCell<Suspicion>,
+    /// Whether it is believed to be leaving although the list does not say so.
+    pub departure: Cell<Departure>,
+    /// Whether this router is checking that.
+    pub checking_departure: Cell<bool>,
     /// Runs that it broke although it was alive.
     pub breaks: Cell<Tally>,
     /// Requests of all routers that ran or waited there according to its last report, and when that was received.
@@ -117,6 +122,8 @@
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
             declines: RefCell::default(),
+            departure: Cell::default(),
+            checking_departure: Cell::new(false),
             breaks: Cell::default(),
             reported_load: Cell::new(None),
             pace: Cell::default(),
@@ -131,7 +138,7 @@
             last_probe: Mutex::new(Probe {
                 at: Duration::ZERO,
                 limit: Duration::ZERO,
-                start: Some(0),
+                report: Some(Report::default()),
             }),
             reachability: Mutex::default(),
             last_break: Cell::new(None),
@@ -174,6 +181,7 @@
             self.first_seen.set(entry.received);
             self.recorded_span.set(None);
             self.suspicion.borrow_mut().clear();
+            self.departure.take();
             self.slowdown.set(1.0);
             self.filled.set(None);
             self.limited.clear();
@@ -213,14 +221,19 @@
         self.grace_end.get().is_some_and(|until| until <= now)
     }
 
-    /// Whether it takes new requests.
+    /// Whether it is listed as taking new requests.
     pub fn ready(&self) -> bool {
         self.server.borrow().state == State::Ready
     }
 
+    /// Whether it is listed as ready and not believed to be leaving.
+    pub fn stays(&self, now: Duration) -> bool {
+        self.ready() && !self.departure.get().holds(now)
+    }
+
     /// Whether it takes new requests and is not suspected.
     pub fn usable(&self, now: Duration) -> bool {
-        self.ready() && !self.suspicion.borrow().holds(now)
+        self.stays(now) && !self.suspicion.borrow().holds(now)
     }
 
     /// Whether the placement of layers treats it as dead: it failed to answer, and has not answered since. A report of
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -3,10 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Request, StatusCode};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, StatusCode, Uri};
+use policy::departure::Health;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
@@ -96,21 +99,18 @@
     reuse: bool,
 ) -> Result<(StatusCode, Vec<u8>), String> {
     match timeout(limit, exchange(peer, command, reuse)).await {
-        Ok(answer) => answer,
+        Ok(answer) => answer.map(|(head, body)| (head.status, body)),
         Err(_) => Err(format!("no answer from {} within {limit:?}", peer.server().address)),
     }
 }
 
-async fn exchange(
-    peer: &Peer,
-    command: Command,
-    reuse: bool,
-) -> Result<(StatusCode, Vec<u8>), String> {
+async fn exchange(peer: &Peer, command: Command, reuse: bool) -> Result<(Parts, Vec<u8>), String> {
     let connection = if reuse { peer.pool.take().await } else { peer.pool.connect().await };
     let mut connection = connection.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(command.body));
     *request.method_mut() = command.method;
-    *request.uri_mut() = command.path.parse().map_err(|e| format!("path {}: {e}", command.path))?;
+    *request.uri_mut() =
+        command.path.parse::<Uri>().map_err(|e| format!("path {}: {e}", command.path))?;
     let host = HeaderValue::from_str(&peer.server().address.to_string()).expect("an address");
     request.headers_mut().insert(HOST, host);
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -119,7 +119,7 @@
     let (head, body) = answer.into_parts();
     let body = body.collect().await.map_err(fault)?.to_bytes();
     peer.pool.keep(connection, &head.headers);
-    Ok((head.status, body.to_vec()))
+    Ok((head, body.to_vec()))
 }
 
 /// Fetches a server's report over a new connection.
@@ -170,8 +170,31 @@
 }
 
 async fn is_alive(state: &State, peer: &Peer) -> bool {
-    !peer.suspicion.borrow().holds(state.now())
-        && probe(state, peer, Duration::ZERO, PROBE_TIMEOUT).await.is_some()
+    report(state, peer).await.is_some()
+}
+
+/// Probes a server and returns its report; none if it does not answer or is suspected.
+pub async fn report(state: &State, peer: &Peer) -> Option<Report> {
+    let suspected = peer.suspicion.borrow().holds(state.now());
+    if suspected { None } else { probe(state, peer, Duration::ZERO, PROBE_TIMEOUT).await }
+}
+
+/// Asks a server for its health.
+pub async fn health(state: &State, peer: &Peer) -> Health {
+    let service = peer.server().service.clone();
+    let settings = state.settings();
+    let path = settings.as_ref().and_then(|s| s.service(&service)?.health.clone());
+    let Some(path) = path else { return Health::Unknown };
+    let command = Command { method: Method::GET, path: path.into(), body: Bytes::new() };
+    match timeout(urgent_timeout(state), exchange(peer, command, false)).await {
+        Ok(Ok((head, _))) if head.status == StatusCode::OK => Health::Well,
+        // A server that is only full declines the question like a request.
+        Ok(Ok((head, _))) if head.headers.contains_key(&state.codec.names.not_run) => {
+            Health::Unknown
+        }
+        Ok(Ok((head, _))) if head.status == StatusCode::SERVICE_UNAVAILABLE => Health::Ill,
+        Ok(Ok(_) | Err(_)) | Err(_) => Health::Unknown,
+    }
 }
 
 /// Whether a server that started at `born` no longer answers this router after `since`, whatever other routers report.
@@ -181,7 +204,7 @@
     match probe(state, peer, since, URGENT_TIMEOUT).await {
         None => true,
         // Not every server reports its start time.
-        Some(start) => start != born && start != 0 && born != 0,
+        Some(report) => report.born != born && report.born != 0 && born != 0,
     }
 }
 
@@ -228,27 +251,27 @@
 }
 
 /// Probes a server. Reuses the last result if that is recent and not older than `since`, and is an answer or had at
-/// least the same time-out. Returns the start time that the server reports, or `None` if it does not answer.
-async fn probe(state: &State, peer: &Peer, since: Duration, limit: Duration) -> Option<u64> {
+/// least the same time-out. Returns the server's report, or `None` if it does not answer.
+async fn probe(state: &State, peer: &Peer, since: Duration, limit: Duration) -> Option<Report> {
     let mut last = peer.last_probe.lock().await;
     let fresh = since <= last.at && state.now() < last.at + PROBE_VALIDITY;
-    if fresh && (last.start.is_some() || limit <= last.limit) {
-        return last.start;
+    if fresh && (last.report.is_some() || limit <= last.limit) {
+        return last.report.clone();
     }
-    let start = match fetch_report(state, peer, limit + state.lag.get() * LAG_FACTOR).await {
+    let report = match fetch_report(state, peer, limit + state.lag.get() * LAG_FACTOR).await {
         Ok(report) => {
             peer.slowdown.set(report.pace.max(1.0));
             peer.record_span(report.span, state.now());
-            *peer.stalled.borrow_mut() = report.stalled;
-            Some(report.born)
+            *peer.stalled.borrow_mut() = report.stalled.clone();
+            Some(report)
         }
         Err(why) => {
             log::debug!("gateway: probe failed: {why}");
             None
         }
     };
-    *last = Probe { at: state.now(), limit, start };
-    start
+    *last = Probe { at: state.now(), limit, report: report.clone() };
+    report
 }
 
 /// Probes a server that another router reported as not answering. An answer ends the suspicion.
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -26,7 +26,7 @@
     let now = state.now();
     let peers = state.peers_of(service);
     let zone_loads = zone_loads(&peers, now, state.routers());
-    let (mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0);
+    let (mut leaving, mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0, 0);
     let mut zones: Vec<DataCentre> = Vec::new();
     let snapshot = |zone_load| Snapshot { now, zone_load, lasting: state.stream_duration.get() };
     for (i, peer) in peers.iter().enumerate() {
@@ -39,6 +39,7 @@
             zones.len() - 1
         });
         match () {
+            () if !peer.stays(now) => leaving += 1,
             () if !peer.usable(now) => silent += 1,
             () if !peer.accepts_requests(now) || excluded.contains(&peer.server().id) => {
                 declined += 1
@@ -75,7 +76,7 @@
     };
     let full = links.iter().filter(full).count();
     format!(
-        "servers={} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
+        "servers={} leaving={leaving} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
         peers.len(),
         zone_loads
             .iter()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -94,6 +94,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: String,
+    /// Path of the health checks of its servers, if they answer any.
+    pub health: Option<String>,
     /// Number of connections that one of its servers accepts from all callers together.
     pub connections: u32,
     /// The model that is distributed over its servers, if it has one.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -21,6 +21,7 @@
 
 use crate::answer::{self, Body, BodyError, Reason};
 use crate::crash;
+use crate::departure::NEARLY_FULL_FRACTION;
 use crate::event::{Event, Id, Splitter};
 use crate::exchange::Answer;
 use crate::limited;
@@ -54,9 +55,6 @@
 /// Interval between two checks of a silent path. The reports of servers are some hundred milliseconds old.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Fraction of a server's memory in use above which it may decline a request for lack of memory.
-const NEARLY_FULL_FRACTION: f64 = 0.85;
-
 /// Limit on the events queued for one caller. A caller that does not read blocks only its own stream.
 const MAX_QUEUED_EVENTS: usize = 64;
 
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -16,11 +16,11 @@
 use crate::answer::{self, Body, Reason};
 use crate::count::Counted;
 use crate::crash;
+use crate::departure;
 use crate::event::Splitter;
 use crate::exchange::{self, Answer, Outcome};
 use crate::limited;
 use crate::plain;
-use crate::probe;
 use crate::retries;
 use crate::route::{self, Crossing, Path};
 
@@ -471,12 +471,7 @@
                 self.excluded.push(peer.server().id.clone());
                 record_decline(self.state, &peer);
                 // If it is dead rather than full, other streams that pass through it are recovered at once.
-                let state = self.state.clone();
-                tokio::task::spawn_local(async move {
-                    for dead in probe::find_silent(&state, &[peer]).await {
-                        probe::suspect(&state, &dead, "no answer to a probe");
-                    }
-                });
+                departure::check(self.state, &peer);
             }
             None => {
                 if let Some(peer) = self.state.peer(first) {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use hyper::header::HeaderName;
 use layers::Span;
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
 use crate::server::Report;
@@ -55,7 +56,7 @@
     /// Method.
     pub method: Method,
     /// Path.
-    pub path: &'static str,
+    pub path: Cow<'static, str>,
     /// Body, in JSON.
     pub body: Bytes,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod chain;
 pub mod crash;
 pub mod demand;
+pub mod departure;
 pub mod entry;
 pub mod estimate;
 pub mod fill;
