The last leader orders missing layers while the store answers nobody

A server takes an order only if it has accepted as many before as the order names, so two leaders could at most load the same layers twice. The orders are recorded when a term is valid again.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -14,13 +14,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::holdover::Holdover;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::clock;
 use crate::shared_read;
 use crate::state::State;
 use crate::store::{Assignment, Call, Fault, Generation, Offset};
-use order::{Issued, Planned};
+use order::{Authority, Issued, Planned, Record};
 use term::Term;
 
 /// Time between two join calls that keep the first partition, or any partition while no other router forwards changes
@@ -67,6 +69,10 @@
     holds_first: bool,
     /// The current term, while this router has one.
     term: Option<Term>,
+    /// Whether it continues as the last leader while the store answers no router.
+    holdover: Holdover,
+    /// Orders that it gave without a term and that are still to be recorded.
+    unrecorded: Vec<Record>,
     /// End of the log of orders as last reported by the store.
     end: Offset,
     issued: Vec<Issued>,
@@ -90,6 +96,8 @@
         last_join_failed: false,
         holds_first: false,
         term: None,
+        holdover: Holdover::default(),
+        unrecorded: Vec::new(),
         end: 0,
         issued: Vec::new(),
         planned: Vec::new(),
@@ -204,6 +212,7 @@
         let (generation, era) = (assignment.generation, self.state.store.era());
         match self.term.filter(|term| term.end.era == era) {
             _ if !assignment.holds_first => {
+                self.holdover.end();
                 if self.term.take().is_some() {
                     log::info!("gateway: gives_orders=false generation={generation}");
                 }
@@ -212,7 +221,7 @@
             Some(term) => self.term = Some(Term { until, ..term }),
             None => {
                 self.term = None;
-                let term = match term::begin(&self.state, assignment, until, self.end).await {
+                let mut term = match term::begin(&self.state, assignment, until, self.end).await {
                     Ok(term) => term,
                     Err(fault) => {
                         log::info!("gateway: gives_orders=false epoch={generation} why={fault}");
@@ -221,6 +230,7 @@
                     }
                 };
                 log::info!("gateway: gives_orders=true epoch={generation} end={}", term.end.offset);
+                order::record_late(&self.state, &mut term, &mut self.unrecorded).await?;
                 (self.term, self.end) = (Some(term), term.end.offset);
                 self.issued = order::inherit(&self.state, term.end).await;
                 self.planned.clear();
@@ -235,21 +245,20 @@
         if count > self.most_servers.0 {
             self.most_servers = (count, self.state.now());
         }
-        let Some(mut term) = self.term.filter(Term::is_valid) else { return };
-        if self.state.now() >= self.last_survey + SURVEY_INTERVAL {
-            self.last_survey = self.state.now();
-            // Runs concurrently with what follows: a dead server that is probed twice for 0.6 s would delay all orders
-            // while layers are missing.
-            let (state, from) = (self.state.clone(), self.next_server);
-            self.next_server = self.next_server.wrapping_add(survey::MAX_CONCURRENT_PROBES);
-            spawn_local(async move { survey::survey(&state, from).await });
-        }
-        self.term = match self.plan_and_issue(&mut term).await {
+        let Some(mut term) = self.term.filter(Term::is_valid) else {
+            return self.hold_over().await;
+        };
+        self.holdover.record_term(clock::boot());
+        self.survey_if_due();
+        self.term = match self.issue_under(&mut term).await {
             Ok(()) => {
                 self.state.tenure.borrow_mut().succeeded();
                 Some(term)
             }
             Err(e) => {
+                if matches!(e, Fault::EndMismatch { .. }) {
+                    self.holdover.end();
+                }
                 let idle = self.state.tenure.borrow().idle(self.state.now());
                 log::warn!(
                     "gateway: gives_orders=false epoch={} idle={idle:?} why={e}",
@@ -267,6 +276,40 @@
         };
     }
 
+    /// Records what was ordered without a term, and issues orders under one.
+    async fn issue_under(&mut self, term: &mut Term) -> Result<(), Fault> {
+        order::record_late(&self.state, term, &mut self.unrecorded).await?;
+        self.plan_and_issue(&mut Authority::Term(term)).await
+    }
+
+    /// Issues orders for missing layers while the store answers no router, if this one was the last leader.
+    async fn hold_over(&mut self) {
+        let silent = self.last_join_failed && !shared_read::has_source(&self.state);
+        if !self.holdover.may_order(clock::boot(), silent) {
+            return;
+        }
+        self.survey_if_due();
+        let mut unrecorded = std::mem::take(&mut self.unrecorded);
+        let issued = self.plan_and_issue(&mut Authority::Holdover(&mut unrecorded)).await;
+        self.unrecorded = unrecorded;
+        if let Err(e) = issued {
+            log::warn!("gateway: orders without a term not issued: {e}");
+        }
+    }
+
+    /// Surveys the model servers if that is due.
+    fn survey_if_due(&mut self) {
+        if self.state.now() < self.last_survey + SURVEY_INTERVAL {
+            return;
+        }
+        self.last_survey = self.state.now();
+        // Runs concurrently with what follows: a dead server that is probed twice for 0.6 s would delay all orders
+        // while layers are missing.
+        let (state, from) = (self.state.clone(), self.next_server);
+        self.next_server = self.next_server.wrapping_add(survey::MAX_CONCURRENT_PROBES);
+        spawn_local(async move { survey::survey(&state, from).await });
+    }
+
     /// Records that this router holds the first partition and could not issue orders, and leaves the group if another
     /// router may succeed.
     async fn record_failure(&mut self) {
@@ -287,7 +330,7 @@
     }
 
     /// Plans orders for missing layers and issues them.
-    async fn plan_and_issue(&mut self, term: &mut Term) -> Result<(), Fault> {
+    async fn plan_and_issue(&mut self, authority: &mut Authority<'_>) -> Result<(), Fault> {
         let state = &self.state;
         let settled = state.now() > self.most_servers.1 + FLEET_SETTLE_TIME;
         let Some(settings) = state.settings() else { return Ok(()) };
@@ -301,10 +344,14 @@
                 continue;
             }
             let plan = gap::plan(state, &peers, model, &self.issued, &self.planned);
+            let plan = match authority {
+                Authority::Term(_) => plan.places(),
+                Authority::Holdover(_) => plan.repairs(),
+            };
             self.planned.extend(plan);
             let orders = order::next_batch(state, &service.name, &mut self.planned);
             if !orders.is_empty() {
-                order::issue(state, term, model, orders, &mut self.issued).await?;
+                order::issue(state, authority, model, orders, &mut self.issued).await?;
             }
         }
         Ok(())
--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -36,14 +36,39 @@
     missing: Vec<Span>,
 }
 
+/// Layers planned for servers that do not hold them yet.
+pub(super) struct Plan<'a> {
+    peers: &'a [Rc<Peer>],
+    shape: &'a Shape,
+    servers: Vec<layers::Server>,
+    places: Vec<Place>,
+}
+
+impl Plan<'_> {
+    /// Returns all of them.
+    pub(super) fn places(&self) -> Vec<Planned> {
+        self.planned(&self.places)
+    }
+
+    /// Returns only those that fill a gap and leave none elsewhere.
+    pub(super) fn repairs(&self) -> Vec<Planned> {
+        self.planned(&placement::repairs(&self.places, &self.servers, self.shape))
+    }
+
+    fn planned(&self, places: &[Place]) -> Vec<Planned> {
+        let server = |place: &Place| self.peers[place.server].server().id.clone();
+        places.iter().map(|place| Planned { server: server(place), span: place.span }).collect()
+    }
+}
+
 /// Plans layers for servers that do not hold them yet.
-pub(super) fn plan(
+pub(super) fn plan<'a>(
     state: &State,
-    peers: &[Rc<Peer>],
-    model: &Model,
+    peers: &'a [Rc<Peer>],
+    model: &'a Model,
     issued: &[Issued],
     planned: &[Planned],
-) -> Vec<Planned> {
+) -> Plan<'a> {
     let now = state.now();
     let issued = issued.iter().map(|i| (i.server.as_str(), i.span));
     let planned = planned.iter().map(|p| (p.server.as_str(), p.span));
@@ -73,11 +98,7 @@
     let age = |server: Index| now.saturating_sub(peers[server].first_seen());
     let losses = |zone: Zone| recent_losses(state, peers, zone);
     let places = placement::defer_reserves(places, &servers, &model.shape, age, losses);
-    let planned = |place: &Place| Planned {
-        server: peers[place.server].server().id.clone(),
-        span: place.span,
-    };
-    places.iter().map(planned).collect()
+    Plan { peers, shape: &model.shape, servers, places }
 }
 
 /// Returns how long ago a data centre lost model servers that had not announced to leave. A server that is silent and
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -14,7 +14,7 @@
 use crate::server::{Id, Report};
 use crate::settings::Model;
 use crate::state::State;
-use crate::store::{Call, End, Fault, Log, Offset, Reply};
+use crate::store::{Call, End, Fault, Generation, Log, Offset, Reply};
 use crate::wire::Order;
 
 /// Longest time an order may take before it counts as failed, as a multiple of the time to load only its layers.
@@ -51,15 +51,83 @@
     pub(super) span: Span,
 }
 
-/// Record that is appended to the log before an order is sent.
+/// Record that is appended to the log before an order is sent, or later if the order was given without a term.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct Record {
+pub(super) struct Record {
     server: String,
     from: u32,
     to: u32,
     after: u64,
 }
 
+/// By what right orders are given.
+#[derive(Debug)]
+pub(super) enum Authority<'a> {
+    /// Under a valid term; records are appended first.
+    Term(&'a mut Term),
+    /// As the last leader while the store answers no router; records are collected here.
+    Holdover(&'a mut Vec<Record>),
+}
+
+impl Authority<'_> {
+    async fn record(&mut self, state: &State, records: Vec<Record>) -> Result<(), Fault> {
+        match self {
+            Authority::Term(term) => append(state, term, &records).await,
+            Authority::Holdover(unrecorded) => {
+                log::warn!("gateway: orders_unwritten={} term=none", records.len());
+                unrecorded.extend(records);
+                Ok(())
+            }
+        }
+    }
+
+    /// Whether orders may still be sent.
+    fn is_valid(&self) -> bool {
+        match self {
+            Authority::Term(term) => term.is_valid(),
+            Authority::Holdover(_) => true,
+        }
+    }
+
+    /// Whether a server may get an order although its report shows other layers than this router knew of. Without a
+    /// term, another router may have ordered it.
+    fn accepts(&self, reported: Span, known: Span) -> bool {
+        matches!(self, Authority::Term(_)) || reported == known
+    }
+
+    fn epoch(&self) -> Option<Generation> {
+        match self {
+            Authority::Term(term) => Some(term.epoch),
+            Authority::Holdover(_) => None,
+        }
+    }
+}
+
+async fn append(state: &State, term: &mut Term, records: &[Record]) -> Result<(), Fault> {
+    let encode = |record| Bytes::from(serde_json::to_vec(record).expect("plain fields"));
+    term.append(state, records.iter().map(encode).collect()).await?;
+    log::info!(
+        "gateway: orders_written={} epoch={} end={}",
+        records.len(),
+        term.epoch,
+        term.end.offset
+    );
+    Ok(())
+}
+
+/// Records the orders that this router gave without a term.
+pub(super) async fn record_late(
+    state: &State,
+    term: &mut Term,
+    unrecorded: &mut Vec<Record>,
+) -> Result<(), Fault> {
+    if !unrecorded.is_empty() {
+        append(state, term, unrecorded).await?;
+        unrecorded.clear();
+    }
+    Ok(())
+}
+
 /// Reads the orders of the previous leader that may still be in progress. They count as sent, so that no server gets
 /// the same order twice.
 pub(super) async fn inherit(state: &State, end: End) -> Vec<Issued> {
@@ -112,18 +180,19 @@
 /// Records orders in the log and sends them.
 pub(super) async fn issue(
     state: &Rc<State>,
-    term: &mut Term,
+    authority: &mut Authority<'_>,
     model: &Model,
     orders: Vec<(Span, Rc<Peer>)>,
     issued: &mut Vec<Issued>,
 ) -> Result<(), Fault> {
     // The number of orders accepted so far comes from the server itself: its entry in the list lags.
     let queries = orders.into_iter().map(|(span, peer)| async move {
-        (span, probe::fetch_report(state, &peer, probe::urgent_timeout(state)).await, peer)
+        let known = peer.span(state.now());
+        (span, known, probe::fetch_report(state, &peer, probe::urgent_timeout(state)).await, peer)
     });
     let reports = futures_util::future::join_all(queries).await;
     let mut ready = Vec::new();
-    for (span, report, peer) in reports {
+    for (span, known, report, peer) in reports {
         match report {
             Ok(report) if report.span == span => peer.record_span(report.span, state.now()),
             Ok(report) if report.busy => {
@@ -135,6 +204,9 @@
                     until,
                 });
             }
+            Ok(report) if !authority.accepts(report.span, known) => {
+                peer.record_span(report.span, state.now());
+            }
             Ok(report) => ready.push((span, report.orders, peer)),
             Err(why) => probe::suspect(state, &peer, &why),
         }
@@ -142,8 +214,9 @@
     if ready.is_empty() {
         return Ok(());
     }
-    append_records(state, term, &ready).await?;
-    let sent = ready.iter().map(|(span, after, peer)| send(state, term, peer, *span, *after));
+    authority.record(state, ready.iter().map(record).collect()).await?;
+    let authority = &*authority;
+    let sent = ready.iter().map(|(span, after, peer)| send(state, authority, peer, *span, *after));
     for ((span, _, peer), accepted) in ready.iter().zip(futures_util::future::join_all(sent).await)
     {
         if accepted {
@@ -159,31 +232,21 @@
     Ok(())
 }
 
-async fn append_records(
-    state: &State,
-    term: &mut Term,
-    ready: &[(Span, u64, Rc<Peer>)],
-) -> Result<(), Fault> {
-    let record = |(span, after, peer): &(Span, u64, Rc<Peer>)| {
-        let server = peer.server().id.clone();
-        let record = Record { server, from: span.from, to: span.to, after: *after };
-        Bytes::from(serde_json::to_vec(&record).expect("plain fields"))
-    };
-    let records = ready.iter().map(record).collect();
-    term.append(state, records).await?;
-    log::info!(
-        "gateway: orders_written={} epoch={} end={}",
-        ready.len(),
-        term.epoch,
-        term.end.offset
-    );
-    Ok(())
+fn record((span, after, peer): &(Span, u64, Rc<Peer>)) -> Record {
+    let server = peer.server().id.clone();
+    Record { server, from: span.from, to: span.to, after: *after }
 }
 
 /// Sends one order; returns whether it may be in progress now.
-async fn send(state: &State, term: &Term, peer: &Rc<Peer>, span: Span, after: u64) -> bool {
+async fn send(
+    state: &State,
+    authority: &Authority<'_>,
+    peer: &Rc<Peer>,
+    span: Span,
+    after: u64,
+) -> bool {
     let id = peer.server().id.clone();
-    if !term.is_valid() {
+    if !authority.is_valid() {
         log::warn!("gateway: order not sent server={id} layers={span} why=the term has ended");
         return false;
     }
@@ -192,8 +255,8 @@
         probe::send(peer, (state.codec.order)(&Order { span, after }), probe::BACKGROUND_TIMEOUT)
             .await;
     log::info!(
-        "gateway: order server={id} layers={span} after={after} epoch={} answer={:?}",
-        term.epoch,
+        "gateway: order server={id} layers={span} after={after} epoch={:?} answer={:?}",
+        authority.epoch(),
         answer.as_ref().map(|(status, _)| status)
     );
     match answer {
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -109,6 +109,34 @@
     planner.missing(&[zone], None)
 }
 
+/// Returns the orders that fill a gap of their data centre and leave none elsewhere in it, also if the others are not
+/// carried out.
+///
+/// ```
+/// # use layers::{Card, Server, Shape, Span, placement::{Place, repairs}};
+/// # let shape = Shape { layers: 8, layer_bytes: 1e9, token_bytes: 1e3, step_ms: 1.0,
+/// #     read_per_ms: 100.0, cross_ms: 0.6, cross_token_ms: 0.01, pause_ms: 200.0, pass: None };
+/// # let card = Card { bytes: 9e9, pace: 1.0, read: 1.0 };
+/// let held = |from, to| Server { zone: 0, card, span: Span::new(from, to), usable: true, busy: false, slow: false };
+/// let servers = [held(0, 4), held(0, 4), held(4, 6), held(0, 0)];
+/// let fills = |server| Place { server, span: Span::new(6, 8) };
+/// let second = Place { server: 3, span: Span::new(0, 4) };
+/// // Nothing else holds the layers of the third server, and no layers between 0 and 4 are missing.
+/// assert_eq!(repairs(&[fills(0), fills(2), second], &servers, &shape), [fills(0)]);
+/// ```
+pub fn repairs(places: &[Place], servers: &[Server], shape: &Shape) -> Vec<Place> {
+    let planner = Planner { servers: servers.to_vec(), shape, orders: Vec::new() };
+    let is_repair = |place: &&Place| {
+        let group = [servers[place.server].zone];
+        let gaps = planner.missing(&group, None);
+        let fills = gaps.iter().any(|g| g.from < place.span.to && place.span.from < g.to);
+        let (held, new) = (servers[place.server].span, place.span);
+        let keeps = new.from <= held.from && held.to <= new.to;
+        fills && (keeps || planner.redundant(&group, place.server))
+    };
+    places.iter().filter(is_repair).copied().collect()
+}
+
 /// Groups of data centres that hold a copy together: each data centre alone if its memory suffices, the rest as one
 /// group.
 fn groups(servers: &[Server], shape: &Shape, zones: &[Zone]) -> Vec<Vec<Zone>> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod estimate;
 pub mod fill;
 pub mod health;
+pub mod holdover;
 pub mod intake;
 pub mod limit;
 pub mod link;
