--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -111,6 +111,8 @@
     tails: RefCell<[Tail; LOGS.len()]>,
     /// Newest value of each key of the settings and of the list of servers.
     newest: RefCell<[Newest; 2]>,
+    /// The last snapshot of a log that was requested, encoded, with the era, the log and the offset that it is of.
+    encoded: RefCell<Option<((Era, usize, Offset), Bytes)>>,
     /// Era of the store that all of these belong to, and when it began.
     era: Cell<Era>,
     era_began_at: Cell<Option<Duration>>,
--- a/crates/gateway/src/shared_read/page.rs
+++ b/crates/gateway/src/shared_read/page.rs
@@ -1,9 +1,13 @@
 //! Messages between routers that share reads of the store.
 
+use std::io::{Read, Write};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use serde::{Deserialize, Serialize};
 
 use super::LOGS;
@@ -17,11 +21,15 @@
 const VERSION: u16 = 5;
 
 /// Version of a snapshot, distinct from those of pages, so that the two can't be confused.
-const SNAPSHOT_VERSION: u16 = 0x101;
+const SNAPSHOT_VERSION: u16 = 0x102;
 
 /// Longest answer that is read, in bytes. Fleet settings take up to a megabyte.
 pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Longest snapshot, in bytes before compression: five times a megabyte of settings, or the entries of ten thousand
+/// servers.
+const MAX_SNAPSHOT_BYTES: u64 = 5 << 20;
+
 /// Answer to a poll.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
@@ -155,19 +163,36 @@
         Snapshot { version: SNAPSHOT_VERSION, era, end, items }
     }
 
-    /// Encodes the answer.
+    /// Encodes the answer: the version, and the compressed snapshot. The entries of servers differ in a few digits, and
+    /// a hundred routers may request them from one relay at the same time.
+    ///
+    /// ```
+    /// use gateway::shared_read::page::Snapshot;
+    /// let entry = |n| (format!("i-{n}"), br#"{"service":"model","slots":192,"state":"ready"}"#.to_vec());
+    /// let snapshot = Snapshot::new(1, 9, (0..500).map(entry).collect());
+    /// let bytes = snapshot.encode();
+    /// assert!(bytes.len() < 5_000);
+    /// assert_eq!(Snapshot::decode(&bytes).unwrap(), snapshot);
+    /// ```
     pub fn encode(&self) -> Bytes {
-        Bytes::from(postcard::to_allocvec(self).expect("plain fields"))
+        let plain = postcard::to_allocvec(self).expect("plain fields");
+        let version = postcard::to_allocvec(&self.version).expect("a number");
+        let mut encoder = DeflateEncoder::new(version, Compression::fast());
+        encoder.write_all(&plain).expect("memory");
+        Bytes::from(encoder.finish().expect("memory"))
     }
 
     /// Decodes an answer.
     pub fn decode(bytes: &[u8]) -> Result<Snapshot, Fault> {
         let unreadable = |e: postcard::Error| Fault::Unreadable(e.to_string());
-        let (version, _) = postcard::take_from_bytes::<u16>(bytes).map_err(unreadable)?;
-        match version {
-            SNAPSHOT_VERSION => postcard::from_bytes(bytes).map_err(unreadable),
-            version => Err(Fault::Version(version)),
+        let (version, rest) = postcard::take_from_bytes::<u16>(bytes).map_err(unreadable)?;
+        if version != SNAPSHOT_VERSION {
+            return Err(Fault::Version(version));
         }
+        let mut plain = Vec::new();
+        let mut decoder = DeflateDecoder::new(rest).take(MAX_SNAPSHOT_BYTES);
+        decoder.read_to_end(&mut plain).map_err(|e| Fault::Unreadable(e.to_string()))?;
+        postcard::from_bytes(&plain).map_err(unreadable)
     }
 }
 
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -176,6 +176,10 @@
     };
     let _ = timeout(MAX_SNAPSHOT_WAIT, available).await;
     let end = known_end().filter(|_| !is_store_unavailable(state))?;
+    let key = (state.store.era(), at, end);
+    if let Some((_, encoded)) = state.sharing.encoded.borrow().as_ref().filter(|e| e.0 == key) {
+        return Some(encoded.clone());
+    }
     let items = match state.sharing.newest.borrow().get(at) {
         Some(newest) => {
             newest.values.iter().map(|(key, value)| (key.clone(), value.to_vec())).collect()
@@ -187,5 +191,10 @@
             notices.map(|notice| (String::new(), notice.to_vec())).collect()
         }
     };
-    Some(Snapshot::new(state.store.era(), end, items).encode())
+    let encoded = Snapshot::new(state.store.era(), end, items).encode();
+    // Notices are passed on without an offset of their own.
+    if LOGS[at] != Log::Notices {
+        *state.sharing.encoded.borrow_mut() = Some((key, encoded.clone()));
+    }
+    Some(encoded)
 }
