Layers that a server reports hold until a later entry

What a probe found of a server's layers was believed for 3.5 s, then its entry again. While the store is silent the entry of a server that has restarted empty still lists its former layers, so that requests met it again each few seconds, and the leader planned around layers that nobody held. A report now holds until an entry is received after it; the survey of the leader compares layers too, and a difference goes to the other routers as a notice.

--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -37,6 +37,7 @@
     let span = peer.span(state.now());
     match probe::report(state, peer).await {
         Some(report) => {
+            probe::record_layers(state, peer, &report, span);
             let Report { busy, filled, .. } = report;
             !busy && report.span == span && filled.is_some_and(|fill| fill <= NEARLY_FULL_FRACTION)
         }
--- a/crates/gateway/src/leader/survey.rs
+++ b/crates/gateway/src/leader/survey.rs
@@ -42,6 +42,7 @@
                 continue;
             }
         };
+        probe::record_layers(state, peer, &report, peer.span(state.now()));
         if let Some(fraction) = report.filled.filter(|_| !report.span.is_empty()) {
             peer.filled.set(Some((fraction, state.now())));
             filled.push((server.clone(), (fraction * 100.0).round() as u8));
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -191,10 +191,12 @@
         *self.server.borrow_mut() = Rc::new(server);
     }
 
-    /// Returns the layers that it holds.
+    /// Returns the layers that it holds. Without a later entry, those that it reported itself: while the store is
+    /// unavailable, the entry of a server that has restarted still lists its former layers.
     pub fn span(&self, now: Duration) -> Span {
         match self.recorded_span.get() {
             Some((span, at)) if now < at + RECORDED_SPAN_VALIDITY => span,
+            Some((span, at)) if self.entry.get().received < at => span,
             _ => self.server.borrow().span,
         }
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
+use layers::Span;
 use policy::departure::Health;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -144,6 +145,18 @@
     report.ok_or_else(|| format!("unreadable report of {}, status {status}", peer.server().address))
 }
 
+/// Records the layers that a server reports, and notifies the other routers if `known` were others.
+pub fn record_layers(state: &State, peer: &Peer, report: &Report, known: Span) {
+    if report.busy || report.span == known {
+        return;
+    }
+    let (server, span) = (peer.server().id.clone(), report.span);
+    log::info!("gateway: server={server} layers={span} before={known} why=its report");
+    peer.record_span(span, state.now());
+    state.announce(Notice::Holds { server, from: span.from, to: span.to });
+    state.changed.notify_waiters();
+}
+
 /// Probes servers concurrently; returns those that do not answer.
 pub async fn find_silent(state: &State, peers: &[Rc<Peer>]) -> Vec<Rc<Peer>> {
     let answers = join_all(peers.iter().map(|peer| is_alive(state, peer))).await;
