--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -11,15 +11,31 @@
 use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::probe;
+use crate::route;
 use crate::server::Report;
 use crate::state::State;
 
 /// Fraction of a server's memory in use above which it may decline a request for lack of memory.
-pub const NEARLY_FULL_FRACTION: f64 = 0.85;
+const NEARLY_FULL_FRACTION: f64 = 0.85;
+
+/// Avoids a server that declined a request for a while, and finds out why it did.
+///
+/// The other routers are notified, unless its last known memory use was nearly full: it may have room again by the time
+/// they receive the notice.
+pub fn record_decline(state: &Rc<State>, peer: &Rc<Peer>) {
+    let now = state.now();
+    let already_declining = peer.declines.borrow().holds(now);
+    peer.declines.borrow_mut().record_failure(now);
+    let full = route::reported_fill(peer, now).is_some_and(|fill| fill > NEARLY_FULL_FRACTION);
+    if !already_declining && !full {
+        state.announce(Notice::Declines { server: peer.server().id.clone() });
+    }
+    check(state, peer);
+}
 
 /// Probes a server that declined a request. Suspects it if it does not answer; if it is leaving, avoids it and checks it
 /// again as long as it is listed as ready.
-pub fn check(state: &Rc<State>, peer: &Rc<Peer>) {
+fn check(state: &Rc<State>, peer: &Rc<Peer>) {
     if peer.checking_departure.replace(true) {
         return;
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -17,7 +17,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use policy::startup;
 use rand::RngExt;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -32,6 +31,7 @@
 use crate::settings::Route;
 use crate::shared_read;
 use crate::shutdown;
+use crate::startup;
 use crate::state::State;
 use crate::stream;
 
@@ -249,12 +249,7 @@
             }
             state.metrics.refused(reason);
             request::discard(body);
-            let mut response = match reason {
-                Reason::Starting => {
-                    answer::error_after(reason, Some(startup::retry_after(state.now())))
-                }
-                _ => answer::error(reason),
-            };
+            let mut response = startup::error(state, reason);
             // The rest of an unread body must not be parsed as the next request.
             if matches!(reason, Reason::Malformed | Reason::TooLong | Reason::SlowCaller) {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -74,6 +74,16 @@
     end: Option<Offset>,
 }
 
+/// Encoded snapshot of a log.
+#[derive(Debug)]
+struct Encoded {
+    era: Era,
+    /// Index of the log in [`LOGS`].
+    log: usize,
+    end: Offset,
+    bytes: Bytes,
+}
+
 /// State of the shared reads of one router.
 #[derive(Debug, Default)]
 pub struct Sharing {
@@ -111,8 +121,8 @@
     tails: RefCell<[Tail; LOGS.len()]>,
     /// Newest value of each key of the settings and of the list of servers.
     newest: RefCell<[Newest; 2]>,
-    /// The last snapshot of a log that was requested, encoded, with the era, the log and the offset that it is of.
-    encoded: RefCell<Option<((Era, usize, Offset), Bytes)>>,
+    /// The last snapshot that was requested.
+    encoded: RefCell<Option<Encoded>>,
     /// Era of the store that all of these belong to, and when it began.
     era: Cell<Era>,
     era_began_at: Cell<Option<Duration>>,
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -15,7 +15,7 @@
 use super::page::{NoticeBatch, Page, Part, Snapshot};
 use super::tail::Tail;
 use super::view::{self, View};
-use super::{LOGS, MAX_AGE, MAX_POLL_WAIT, drop_former_era};
+use super::{Encoded, LOGS, MAX_AGE, MAX_POLL_WAIT, drop_former_era};
 use crate::limited;
 use crate::state::State;
 use crate::store::{Generation, Log, Offset};
@@ -176,9 +176,10 @@
     };
     let _ = timeout(MAX_SNAPSHOT_WAIT, available).await;
     let end = known_end().filter(|_| !is_store_unavailable(state))?;
-    let key = (state.store.era(), at, end);
-    if let Some((_, encoded)) = state.sharing.encoded.borrow().as_ref().filter(|e| e.0 == key) {
-        return Some(encoded.clone());
+    let era = state.store.era();
+    let is_current = |e: &&Encoded| (e.era, e.log, e.end) == (era, at, end);
+    if let Some(encoded) = state.sharing.encoded.borrow().as_ref().filter(is_current) {
+        return Some(encoded.bytes.clone());
     }
     let items = match state.sharing.newest.borrow().get(at) {
         Some(newest) => {
@@ -191,10 +192,11 @@
             notices.map(|notice| (String::new(), notice.to_vec())).collect()
         }
     };
-    let encoded = Snapshot::new(state.store.era(), end, items).encode();
-    // Notices are passed on without an offset of their own.
+    let bytes = Snapshot::new(era, end, items).encode();
+    // A snapshot of notices also has those that no offset counts.
     if LOGS[at] != Log::Notices {
-        *state.sharing.encoded.borrow_mut() = Some((key, encoded.clone()));
+        let encoded = Encoded { era, log: at, end, bytes: bytes.clone() };
+        *state.sharing.encoded.borrow_mut() = Some(encoded);
     }
-    Some(encoded)
+    Some(bytes)
 }
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Response;
+use policy::startup;
 use tokio::time::{Instant, timeout};
 
-use crate::answer::Reason;
+use crate::answer::{self, Body, Reason};
 use crate::count::Counted;
 use crate::settings::Settings;
 use crate::state::State;
@@ -48,3 +50,11 @@
 fn reason(state: &State) -> Reason {
     if state.store_unavailable() { Reason::Unsettled } else { Reason::Starting }
 }
+
+/// Returns the answer to a request that was refused before it was read.
+pub fn error(state: &State, reason: Reason) -> Response<Body> {
+    match reason {
+        Reason::Starting => answer::error_after(reason, Some(startup::retry_after(state.now()))),
+        _ => answer::error(reason),
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,6 +3,8 @@
 
 mod open;
 mod run;
+mod send;
+mod upstream;
 mod watch;
 
 use std::cell::Cell;
@@ -16,23 +18,21 @@
 use hyper::{Response, StatusCode, Version};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::answer::{self, Body, BodyError, Reason};
 use crate::crash;
-use crate::departure::NEARLY_FULL_FRACTION;
-use crate::event::{Event, Id, Splitter};
-use crate::exchange::Answer;
+use crate::event::Id;
 use crate::limited;
-use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::request::Call;
-use crate::route::{self, Path};
+use crate::route::Path;
 use crate::settings::Model;
 use crate::state::State;
 use open::Opened;
 use run::Run;
+use upstream::{Next, Upstream};
 
 /// Multiple of a stream's mean pause after which the servers of its path are probed. With the time for the probe
 /// and for the prefill on another path, the next event is then still on time or only slightly late.
@@ -41,9 +41,6 @@
 /// Mean pause that is assumed before the first pauses have been measured.
 const INITIAL_PAUSE: Duration = Duration::from_millis(30);
 
-/// Weight of the newest pause in the moving average.
-const NEWEST_PAUSE_WEIGHT: f64 = 0.2;
-
 /// Shortest silence after which a path is probed: a pass over a full batch takes some 30 ms on the slowest
 /// accelerators.
 const MIN_SILENCE: Duration = Duration::from_millis(55);
@@ -119,84 +116,6 @@
     Declined,
 }
 
-/// A path along which a stream arrives.
-struct Upstream {
-    path: Path,
-    answer: Box<Answer>,
-    splitter: Splitter,
-    started: Instant,
-    /// Moving average of the pause between two events.
-    pause: Duration,
-    /// When bytes were last received, or when waiting for them began.
-    since: Instant,
-    /// Whether the connection to the first server broke.
-    disconnected: bool,
-}
-
-impl Upstream {
-    /// Returns the next event, which must follow `last`; waits until the deadline `until` at most. Cancel-safe: no
-    /// bytes are lost if the future is dropped.
-    async fn event(&mut self, last: Option<Id>, until: Instant) -> Next {
-        loop {
-            match self.splitter.next() {
-                Some(event) if event.follows(last) => return Next::Event(event),
-                Some(_) => return Next::Broken("an event is missing"),
-                None if self.splitter.overflows() => return Next::Broken("an event is too long"),
-                None => {}
-            }
-            match timeout_at(until, self.answer.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
-                        self.record_pause();
-                    }
-                }
-                Ok(Some(Err(_))) => {
-                    self.disconnected = true;
-                    return Next::Broken("the connection to the first server broke");
-                }
-                Ok(None) if self.splitter.is_empty() => return Next::End,
-                Ok(None) => {
-                    self.disconnected |= self.answer.ends_with_connection();
-                    return Next::Broken("the stream ended in the middle of an event");
-                }
-                Err(_) => return Next::Late,
-            }
-        }
-    }
-
-    /// Returns the item that follows the last event: the end of the stream, unless its server may have ended early.
-    async fn end(&mut self) -> Next {
-        match self.answer.may_be_cut().await {
-            true => {
-                self.disconnected = true;
-                Next::Broken("the first server ended with the connection")
-            }
-            false => Next::End,
-        }
-    }
-
-    fn record_pause(&mut self) {
-        let pause = self.since.elapsed();
-        self.pause =
-            self.pause.mul_f64(1.0 - NEWEST_PAUSE_WEIGHT) + pause.mul_f64(NEWEST_PAUSE_WEIGHT);
-        self.since = Instant::now();
-    }
-}
-
-/// Next item of a stream.
-enum Next {
-    Event(Event),
-    /// The stream is complete.
-    End,
-    /// No event for too long, but the servers may still be alive.
-    Silent(&'static str),
-    /// The stream is broken and will send no more events.
-    Broken(&'static str),
-    /// The deadline of the caller or the route has passed.
-    Late,
-}
-
 /// Serves one request to a model.
 pub async fn serve(
     state: &Rc<State>,
@@ -411,15 +330,3 @@
         (self.obstacle, self.repath_failure) = (None, None);
     }
 }
-
-/// Avoids a server that declined a request for a while, and notifies the other routers. They are not notified if its
-/// last known memory use was nearly full: it may have room again by the time they receive the notice.
-fn record_decline(state: &State, peer: &Peer) {
-    let now = state.now();
-    let already_declining = peer.declines.borrow().holds(now);
-    peer.declines.borrow_mut().record_failure(now);
-    let full = route::reported_fill(peer, now).is_some_and(|fill| fill > NEARLY_FULL_FRACTION);
-    if !already_declining && !full {
-        state.announce(Notice::Declines { server: peer.server().id.clone() });
-    }
-}
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -3,33 +3,22 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use hyper::header::HeaderValue;
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use policy::window::Need;
 use tokio::sync::SemaphorePermit;
 use tokio::time::{Instant, timeout};
 
-use super::{
-    INITIAL_PAUSE, MAX_SILENCE, MIN_SILENCE, Next, Obstacle, Progress, SILENCE_CHECK_INTERVAL,
-    Upstream, record_decline,
-};
-use crate::answer::{self, Body, Reason};
+use super::{Next, Obstacle, Progress, Upstream};
+use crate::answer::{Body, Reason};
 use crate::count::Counted;
 use crate::crash;
-use crate::departure;
-use crate::event::Splitter;
-use crate::exchange::{self, Answer, Outcome};
 use crate::limited;
-use crate::plain;
 use crate::retries;
-use crate::route::{self, Crossing, Path};
+use crate::route::{self, Path};
 
 /// Limit on the paths tried for one request, including those whose servers decline it.
 const MAX_TRIES: u32 = 5;
 
-/// Fraction of the route's goal after which the servers of the path are probed if no event has come.
-const FIRST_EVENT_CHECK_FRACTION: f64 = 0.5;
-
 /// Interval between two searches for a path.
 const PATH_RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -58,9 +47,12 @@
 }
 
 /// Why no stream came along a path.
-enum Failure {
+pub(super) enum Failure {
+    /// No server ran the request.
     NotRun,
+    /// A server may have run it.
     Unknown,
+    /// The deadline has passed.
     Late,
 }
 
@@ -206,7 +198,7 @@
     }
 
     /// Returns what a retry would be for.
-    fn need(&self) -> Need {
+    pub(super) fn need(&self) -> Need {
         if self.last_event.is_some() { Need::Begun } else { Need::New }
     }
 
@@ -311,188 +303,4 @@
         let broke = peers.iter().filter(|p| p.broke_recently(now)).map(|p| p.server().id.clone());
         self.excluded.iter().cloned().chain(broke).collect()
     }
-
-    /// Sends the request along a path and waits for the first event.
-    async fn begin(&mut self, mut path: Path) -> Result<Opened, Failure> {
-        let started = Instant::now();
-        path.charge(self.state);
-        let peer = path.first().clone();
-        let hops = path.hops.clone();
-        let id = peer.server().id.clone();
-        self.record_run(&peer);
-        self.unrefused += 1;
-        let outcome = {
-            let (state, call) = (self.state, self.call);
-            let (need, fields) = (self.need(), self.fields(&path, &id));
-            let sending = exchange::send(state, &peer, call, need, fields, call.deadline);
-            tokio::pin!(sending);
-            let mut wait =
-                self.call.route.goal.mul_f64(FIRST_EVENT_CHECK_FRACTION).max(MIN_SILENCE);
-            let mut silent = false;
-            loop {
-                let until = started + wait;
-                if !silent {
-                    tokio::select! {
-                        outcome = &mut sending => break outcome,
-                        () = tokio::time::sleep_until(until) => {}
-                        () = self.state.server_suspected.notified() => {}
-                    }
-                }
-                let due = Instant::now() >= until;
-                if due {
-                    wait += SILENCE_CHECK_INTERVAL;
-                    self.check_path(&path).await;
-                }
-                let suspected = path.is_suspected(self.state.now());
-                // Servers that stay on the path need no second prefill, and a repath uses no retry.
-                if suspected
-                    && (due || !silent)
-                    && self.repath(&mut path, Crossing::IMMEDIATE).await
-                {
-                    silent = false;
-                    continue;
-                }
-                silent = (suspected || wait > MAX_SILENCE) && self.may_run_again().await;
-                if !silent {
-                    continue;
-                }
-                self.exclude(&peer);
-                let ends = |outcome: &Outcome| !matches!(outcome, Outcome::Answer(_));
-                match self.race_other_path(&mut sending, ends).await {
-                    Race::Kept(outcome) => break outcome,
-                    Race::Other(upstream, next) => return Ok(Opened::Stream(*upstream, next)),
-                    Race::Neither => {}
-                }
-            }
-        };
-        match outcome {
-            Outcome::Answer(answer) => self.first_event(path, answer, started).await,
-            Outcome::NotSent(why) => {
-                self.remove_run(&peer);
-                self.unrefused -= 1;
-                self.suspect(&peer, &why);
-                Err(Failure::NotRun)
-            }
-            Outcome::NotRun(status, culprit) => {
-                self.remove_run(&peer);
-                self.unrefused -= 1;
-                self.handle_decline(&id, status, culprit);
-                Err(Failure::NotRun)
-            }
-            Outcome::Unknown(why) => {
-                // The first server may have begun the run, whatever happened at the servers behind it.
-                self.record_broken_run(&peer);
-                log::info!(
-                    "gateway: request={} first={id} outcome=unknown why={why} path={}",
-                    self.call.id,
-                    (self.state.codec.path)(&hops)
-                );
-                self.exclude(&peer);
-                Err(Failure::Unknown)
-            }
-            Outcome::Late => Err(Failure::Late),
-        }
-    }
-
-    /// Waits for the first event of an answer whose head was received.
-    async fn first_event(
-        &mut self,
-        path: Path,
-        answer: Box<Answer>,
-        started: Instant,
-    ) -> Result<Opened, Failure> {
-        let status = answer.head.status();
-        let first = path.first().clone();
-        if status != StatusCode::OK {
-            let again = status.is_server_error() && self.may_run_again().await;
-            let collected = answer.collect(self.call.deadline).await;
-            if collected.is_some() {
-                crash::record_completion(self.state, self.call, status);
-            }
-            log::info!(
-                "gateway: request={} first={} status={status} again={again}",
-                self.call.id,
-                first.server().id
-            );
-            return match collected {
-                Some((head, body)) if !again => {
-                    Ok(Opened::Complete(answer::from_server(head, body)))
-                }
-                _ => {
-                    self.exclude(&first);
-                    Err(Failure::Unknown)
-                }
-            };
-        }
-        let splitter = Splitter::default();
-        let (pause, since) = (INITIAL_PAUSE, started);
-        let mut upstream =
-            Upstream { path, answer, splitter, started, pause, since, disconnected: false };
-        let mut next = self.next_event(&mut upstream).await;
-        while let Next::Silent(why) = next {
-            next = self.recover(&mut upstream, why).await;
-        }
-        match next {
-            // The former server ended after the last event.
-            Next::End if self.last_event.is_some() => Ok(Opened::Stream(upstream, Next::End)),
-            Next::Event(event) => {
-                self.state.metrics.first_event(upstream.started.elapsed());
-                upstream.path.first().count_continued();
-                crash::record_progress(self.state, self.call, event.id.map_or(1, |id| id + 1));
-                Ok(Opened::Stream(upstream, Next::Event(event)))
-            }
-            Next::Late => Err(Failure::Late),
-            Next::End | Next::Silent(_) | Next::Broken(_) => {
-                // Without an event, an end that only the connection marks is no complete stream.
-                upstream.disconnected |= upstream.answer.ends_with_connection();
-                self.abandon(&upstream);
-                Err(Failure::Unknown)
-            }
-        }
-    }
-
-    /// Handles a decline: some server of the path is dead, draining, full or holds other layers.
-    fn handle_decline(
-        &mut self,
-        first: &str,
-        status: StatusCode,
-        culprit: Option<std::net::SocketAddr>,
-    ) {
-        let culprit = culprit.and_then(|address| self.state.peer_at(address));
-        log::info!(
-            "gateway: request={} first={first} declined status={status} culprit={:?} new={} believed={}",
-            self.call.id,
-            culprit.as_ref().map(|p| p.server().id.clone()),
-            self.last_event.is_none(),
-            culprit.as_ref().map_or_else(String::new, |p| route::describe(p, self.state.now()))
-        );
-        match culprit {
-            Some(peer) => {
-                self.excluded.push(peer.server().id.clone());
-                record_decline(self.state, &peer);
-                // If it is dead rather than full, other streams that pass through it are recovered at once.
-                departure::check(self.state, &peer);
-            }
-            None => {
-                if let Some(peer) = self.state.peer(first) {
-                    record_decline(self.state, &peer);
-                }
-                self.excluded.push(first.to_owned());
-            }
-        }
-    }
-
-    fn fields(&self, path: &Path, id: &str) -> hyper::HeaderMap {
-        let names = &self.state.codec.names;
-        let mut fields = plain::fields(self.state, self.call, id);
-        let text = (self.state.codec.path)(&path.hops);
-        fields.insert(&names.path, HeaderValue::from_str(&text).expect("addresses and digits"));
-        // A resumed stream is already late; its caller leaves if it queues behind new requests.
-        let rank = if self.last_event.is_some() { 0 } else { self.call.rank.max(1) };
-        fields.insert(&names.rank, HeaderValue::from(u16::from(rank)));
-        if let Some(last) = self.last_event {
-            fields.insert(&names.last_event, HeaderValue::from(last));
-        }
-        fields
-    }
 }
