--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -110,7 +110,7 @@
             Reason::Starting => Some(startup::MIN_RETRY_AFTER),
             // The store is available again, or the settings are read, within about this time.
             Reason::Unsettled => Some(Duration::from_millis(1500)),
-            // While the store is unavailable no router may order another server to load the lost layers.
+            // While the store is unavailable only the last leader orders servers to load lost layers, and it may have ended.
             Reason::NoPathAway => Some(Duration::from_millis(4500)),
             Reason::NoPath => Some(missing::MIN_RETRY_AFTER),
             // Another router accepts the request at once.
