Routers that start together read a long list of servers from their source

A router whose list has more than one page now waits up to 1.5 s for its source, which reads the store for all, and has that long for the answer. Lists of one page are read as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -45,6 +45,10 @@
 /// unavailable.
 const REGAINED_PERIOD: Duration = Duration::from_millis(1500);
 
+/// Longest wait for a source that is reading a list of several pages itself. If hundreds of routers that start at the
+/// same time read all pages from the store, each of them takes seconds.
+const MAX_LONG_LIST_WAIT: Duration = Duration::from_millis(1500);
+
 /// A key and its value; the value is none if the key was deleted.
 pub type Keyed = (String, Option<Bytes>);
 
@@ -251,15 +255,9 @@
 }
 
 async fn read_newest(state: &State, log: Log, restored: bool) -> Result<Batch, Fault> {
-    if let Some(snapshot) = shared_read::snapshot(state, log, restored).await {
-        let end = snapshot.end;
-        let item = |(key, value): (String, Vec<u8>)| Item {
-            key,
-            value: Some(value.into()),
-            offset: end.saturating_sub(1),
-        };
-        let items = snapshot.items.into_iter().map(item).collect();
-        return Ok(Batch { items, end, kind: ReadKind::Newest });
+    let wait = if restored { shared_read::MAX_RESTORE_WAIT } else { Duration::ZERO };
+    if let Some(batch) = read_snapshot(state, log, wait).await {
+        return Ok(batch);
     }
     let (mut items, mut after, mut first_end) = (Vec::new(), None, None);
     let mut era = None;
@@ -272,7 +270,14 @@
                 // Pages are no consistent snapshot: changes since the first page are read again.
                 let end = *first_end.get_or_insert(end);
                 after = page.last().map(|i| i.key.clone());
+                let is_first = items.is_empty();
                 items.extend(page);
+                if more
+                    && is_first
+                    && let Some(batch) = read_snapshot(state, log, MAX_LONG_LIST_WAIT).await
+                {
+                    return Ok(batch);
+                }
                 if !more || after.is_none() {
                     shared_read::cache_records(state, log, end, &[], |_| true);
                     return Ok(Batch { items, end, kind: ReadKind::Newest });
@@ -283,6 +288,19 @@
     }
 }
 
+/// Reads all newest records from the source, which may still be reading them itself for the time `wait`.
+async fn read_snapshot(state: &State, log: Log, wait: Duration) -> Option<Batch> {
+    let snapshot = shared_read::snapshot(state, log, wait).await?;
+    let end = snapshot.end;
+    let item = |(key, value): (String, Vec<u8>)| Item {
+        key,
+        value: Some(value.into()),
+        offset: end.saturating_sub(1),
+    };
+    let items = snapshot.items.into_iter().map(item).collect();
+    Some(Batch { items, end, kind: ReadKind::Newest })
+}
+
 async fn read_changes(
     state: &State,
     log: Log,
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -36,7 +36,7 @@
     was_store_silent_since,
 };
 pub(crate) use client::get;
-pub use client::{run, snapshot};
+pub use client::{MAX_RESTORE_WAIT, run, snapshot};
 pub use forward::{forward_notices, publish};
 pub use gossip::{Gossip, Origin};
 pub use server::answer;
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -37,7 +37,7 @@
 const MAX_MEMBERS_WAIT: Duration = Duration::from_millis(100);
 
 /// Longest wait after a restore of the store until the source has read all records again.
-const MAX_RESTORE_WAIT: Duration = Duration::from_millis(1200);
+pub const MAX_RESTORE_WAIT: Duration = Duration::from_millis(1200);
 
 /// Time limit for a snapshot of the source.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -203,12 +203,13 @@
 /// Requests all records that the source holds of a log, for a router that has just started. Returns none if this router
 /// has to read the store.
 ///
-/// With `wait_for_restore`, after a restore of the store, it waits until the source has read all records again: the
-/// store would refuse hundreds of routers that read it at once.
-pub async fn snapshot(state: &State, log: Log, wait_for_restore: bool) -> Option<Snapshot> {
-    let until = Instant::now() + if wait_for_restore { MAX_RESTORE_WAIT } else { Duration::ZERO };
+/// Waits up to `wait` for a source that is still reading the store itself: after a restore, or if all routers have just
+/// started, the store would refuse or delay hundreds of routers that read it at once.
+pub async fn snapshot(state: &State, log: Log, wait: Duration) -> Option<Snapshot> {
+    let until = Instant::now() + wait;
     loop {
-        let snapshot = request_snapshot(state, log).await;
+        let left = until.saturating_duration_since(Instant::now());
+        let snapshot = request_snapshot(state, log, left.max(SNAPSHOT_TIMEOUT)).await;
         if snapshot.is_some() || Instant::now() >= until || snapshot_source(state).is_none() {
             return snapshot;
         }
@@ -226,7 +227,7 @@
     }
 }
 
-async fn request_snapshot(state: &State, log: Log) -> Option<Snapshot> {
+async fn request_snapshot(state: &State, log: Log, limit: Duration) -> Option<Snapshot> {
     let has_members = async {
         while state.sharing.members() < MIN_SHARING_ROUTERS {
             state.sharing.updated.notified().await;
@@ -237,8 +238,7 @@
     }
     let address = snapshot_source(state)?;
     let pool = pool(state, address);
-    let answer =
-        timeout(SNAPSHOT_TIMEOUT, get(&pool, &format!("/all?log={log}"), Bytes::new())).await;
+    let answer = timeout(limit, get(&pool, &format!("/all?log={log}"), Bytes::new())).await;
     let body = match answer {
         Ok(Ok(body)) => body,
         other => {
