--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -5,6 +5,9 @@
 //! no other record was added since. A router that was paused or cut off and does not know that another term has begun
 //! therefore fails to append and sends no order. Each order names the number of orders that the server has accepted
 //! before, so an outdated order that arrives late has no effect.
+//!
+//! While the store answers no router, the last leader continues without a term, with orders for missing layers only, and
+//! records them once it has a term again, see [`policy::holdover`].
 
 mod gap;
 mod order;
