--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -69,15 +69,13 @@
     let (server, listed) = (peer.server(), || state.peer(&peer.server().id).is_some());
     while peer.ready() && listed() && peer.server().born == server.born {
         let health = probe::health(state, peer).await;
-        let mut departure = peer.departure.get();
-        let leaving = departure.record_health(health, state.now());
-        peer.departure.set(departure);
+        let leaving = peer.departure.borrow_mut().record_health(health, state.now());
         log::info!("gateway: server={} leaving={leaving} health={health:?}", server.id);
         state.changed.notify_waiters();
         if !leaving {
             return;
         }
-        let hold = departure.until().saturating_sub(state.now());
+        let hold = peer.departure.borrow().until().saturating_sub(state.now());
         state.announce(Notice::Leaving {
             server: server.id.clone(),
             born: server.born,
@@ -90,8 +88,6 @@
 /// Applies the notice of another router that a server is leaving.
 pub fn receive(state: &State, server: &str, born: u64, hold: Duration) {
     if let Some(peer) = state.peer(server).filter(|peer| peer.server().born == born) {
-        let mut departure = peer.departure.get();
-        departure.record_report(state.now(), hold);
-        peer.departure.set(departure);
+        peer.departure.borrow_mut().record_report(state.now(), hold);
     }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -68,7 +68,7 @@
     /// Whether it has declined requests lately, as it is draining or out of memory.
     pub declines: RefCell<Suspicion>,
     /// Whether it is believed to be leaving although the list does not say so.
-    pub departure: Cell<Departure>,
+    pub departure: RefCell<Departure>,
     /// Whether this router is checking that.
     pub checking_departure: Cell<bool>,
     /// Runs that it broke although it was alive.
@@ -122,7 +122,7 @@
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
             declines: RefCell::default(),
-            departure: Cell::default(),
+            departure: RefCell::default(),
             checking_departure: Cell::new(false),
             breaks: Cell::default(),
             reported_load: Cell::new(None),
@@ -195,8 +195,11 @@
     /// unavailable, the entry of a server that has restarted still lists its former layers.
     pub fn span(&self, now: Duration) -> Span {
         match self.recorded_span.get() {
-            Some((span, at)) if now < at + RECORDED_SPAN_VALIDITY => span,
-            Some((span, at)) if self.entry.get().received < at => span,
+            Some((span, at))
+                if now < at + RECORDED_SPAN_VALIDITY || self.entry.get().received < at =>
+            {
+                span
+            }
             _ => self.server.borrow().span,
         }
     }
@@ -230,7 +233,7 @@
 
     /// Whether it is listed as ready and not believed to be leaving.
     pub fn stays(&self, now: Duration) -> bool {
-        self.ready() && !self.departure.get().holds(now)
+        self.ready() && !self.departure.borrow().holds(now)
     }
 
     /// Whether it takes new requests and is not suspected.
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -21,9 +21,10 @@
     if let Some(settings) = known(state) {
         return Ok(settings);
     }
-    let max_hold = state.startup.get().max_hold(state.held_requests.get());
+    let max_hold = state.startup.borrow().max_hold(state.held_requests.get());
     let Some(max_hold) = max_hold.filter(|_| state.stopping.get().is_none()) else {
-        return Err(reason(state));
+        let silent = state.store_unavailable();
+        return Err(if silent { Reason::Unsettled } else { Reason::Starting });
     };
     let _held = Counted::new(&state.held_requests);
     let until = Instant::now() + max_hold;
@@ -32,10 +33,8 @@
             Some(settings) => return Ok(settings),
             None if state.store_unavailable() => return Err(Reason::Unsettled),
             None if Instant::now() >= until => {
-                let mut startup = state.startup.get();
-                startup.record_expiry();
-                state.startup.set(startup);
-                return Err(reason(state));
+                state.startup.borrow_mut().record_expiry();
+                return Err(Reason::Starting);
             }
             None => drop(timeout(CHECK_INTERVAL, state.changed.notified()).await),
         }
@@ -47,10 +46,6 @@
     state.settings().filter(|_| state.servers_read.get())
 }
 
-fn reason(state: &State) -> Reason {
-    if state.store_unavailable() { Reason::Unsettled } else { Reason::Starting }
-}
-
 /// Returns the answer to a request that was refused before it was read.
 pub fn error(state: &State, reason: Reason) -> Response<Body> {
     match reason {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -70,7 +70,7 @@
     /// Whether the list of servers was read once.
     pub servers_read: Cell<bool>,
     /// Whether requests are held until settings and servers are read.
-    pub startup: Cell<Startup>,
+    pub startup: RefCell<Startup>,
     /// Requests that are held until then.
     pub held_requests: Cell<u32>,
     /// When the process received the stop signal.
@@ -150,7 +150,7 @@
             budgets: RefCell::default(),
             routers: RefCell::new(Routers::new(DEFAULT_ROUTERS, DEPARTED_ROUTER_TIME)),
             servers_read: Cell::new(false),
-            startup: Cell::default(),
+            startup: RefCell::default(),
             held_requests: Cell::new(0),
             stopping: Cell::new(None),
             callers: Cell::new(0),
--- a/crates/gateway/src/stream/send.rs
+++ b/crates/gateway/src/stream/send.rs
@@ -173,7 +173,7 @@
         );
         match culprit.or_else(|| self.state.peer(first)) {
             Some(peer) => {
-                self.excluded.push(peer.server().id.clone());
+                self.exclude(&peer);
                 departure::record_decline(self.state, &peer);
             }
             None => self.excluded.push(first.to_owned()),
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -128,10 +128,8 @@
     let planner = Planner { servers: servers.to_vec(), shape, orders: Vec::new() };
     let is_repair = |place: &&Place| {
         let group = [servers[place.server].zone];
-        let gaps = planner.missing(&group, None);
-        let fills = gaps.iter().any(|g| g.from < place.span.to && place.span.from < g.to);
-        let (held, new) = (servers[place.server].span, place.span);
-        let keeps = new.from <= held.from && held.to <= new.to;
+        let fills = planner.missing(&group, None).iter().any(|gap| gap.overlaps(place.span));
+        let keeps = place.span.covers(servers[place.server].span);
         fills && (keeps || planner.redundant(&group, place.server))
     };
     places.iter().filter(is_repair).copied().collect()
@@ -264,7 +262,7 @@
     fn redundant(&self, group: &[Zone], server: Index) -> bool {
         let span = self.servers[server].span;
         let gaps = self.missing(group, Some(server));
-        span.is_empty() || gaps.iter().all(|gap| gap.to <= span.from || span.to <= gap.from)
+        span.is_empty() || !gaps.iter().any(|gap| gap.overlaps(span))
     }
 
     /// Assigns missing layers to redundant servers, then to the servers beside the gap if they have room.
--- a/crates/layers/src/placement/reserve.rs
+++ b/crates/layers/src/placement/reserve.rs
@@ -58,7 +58,7 @@
 ) -> Vec<Place> {
     let fills = |place: &Place| {
         let missing = missing(servers, shape, servers[place.server].zone);
-        missing.iter().any(|gap| gap.from < place.span.to && place.span.from < gap.to)
+        missing.iter().any(|gap| gap.overlaps(place.span))
     };
     let returns = |server: Index| {
         let zone = servers[server].zone;
--- a/crates/layers/src/span.rs
+++ b/crates/layers/src/span.rs
@@ -43,6 +43,17 @@
         self.from <= other.from && other.to <= self.to
     }
 
+    /// Returns whether some layer is in both spans.
+    ///
+    /// ```
+    /// # use layers::Span;
+    /// assert!(Span::new(0, 5).overlaps(Span::new(4, 8)));
+    /// assert!(!Span::new(0, 4).overlaps(Span::new(4, 8)));
+    /// ```
+    pub fn overlaps(self, other: Span) -> bool {
+        self.from < other.to && other.from < self.to
+    }
+
     /// Returns the spans of layers that are not held. `held` has an entry for each layer in order.
     ///
     /// ```
