Gateway: what a server asks for in its answer is parsed once and logged

Callers saw nothing: each request that a server declined was served by another one. From the output one could not tell whether a server had named a time to wait, or whether the router knew of it when it sent the next request: no line had either. The head of an answer is now parsed once (statement), and one line says what the server asked for (backoff=, leaving=, culprit=); hyssop_happenings_total counts these answers (backoff_asked). No decision reads the new fields.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,6 +20,7 @@
 use crate::retries;
 use crate::shared_read;
 use crate::state::State;
+use crate::statement::Statement;
 use crate::store::Log;
 
 /// Longest answer of a service without a model; it is buffered before the caller gets any of it.
@@ -165,6 +166,21 @@
     );
 }
 
+/// Logs that a server asks for fewer requests, or none.
+fn log_statement(state: &State, peer: &Peer, call: &Call, statement: &Statement) {
+    if statement.asks() {
+        state.metrics.backoff_asked();
+        log::info!(
+            "gateway: request={} server={} backoff={:?} leaving={:?} culprit={:?}",
+            call.id,
+            peer.server().id,
+            statement.backoff,
+            statement.leaving,
+            statement.culprit
+        );
+    }
+}
+
 async fn exchange(
     state: &Rc<State>,
     peer: &Rc<Peer>,
@@ -212,35 +228,27 @@
     if foreign {
         return Outcome::Unknown("the answer belongs to another request".to_owned());
     }
-    let own = headers.contains_key(&names.stamp);
-    limited::record(state, peer, headers.get(&names.limit), own, took);
     let status = answer.status();
-    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
-        let culprit = headers.get(&names.culprit).and_then(|v| v.to_str().ok()?.parse().ok());
+    let statement = Statement::parse(names, status, headers);
+    log_statement(state, peer, call, &statement);
+    limited::record(state, peer, statement.limit, statement.own, took);
+    if statement.not_run {
         let (head, body) = answer.into_parts();
         drop(body);
         // The short body is not read, so the connection can't be reused.
         drop(connection);
-        return Outcome::NotRun(head.status, culprit);
+        return Outcome::NotRun(head.status, statement.culprit);
     }
-    if !headers.contains_key(&names.stamp) || headers.contains_key(CONTENT_ENCODING) {
+    if !statement.own || headers.contains_key(CONTENT_ENCODING) {
         return Outcome::Unknown(format!(
             "the answer with status {status} was not sent by the backend server"
         ));
     }
     peer.record_answer(took);
-    if let Some(running) = headers.get(&names.load).and_then(running) {
+    if let Some(running) = statement.running {
         peer.reported_load.set(Some((running, state.now())));
     }
     let (parts, body) = answer.into_parts();
     let head = Response::from_parts(parts, ());
     Outcome::Answer(Box::new(Answer { head, body, connection, peer: peer.clone() }))
 }
-
-/// Parses the load field of an answer; returns the number of requests that run at the server or wait for a slot there.
-fn running(load: &HeaderValue) -> Option<u32> {
-    let mut numbers = load.to_str().ok()?.split(',').map(|n| n.trim().parse::<u32>().ok());
-    let runs = numbers.next()??;
-    let waits = numbers.next().flatten().unwrap_or(0);
-    Some(runs.saturating_add(waits))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod setup;
 pub mod shared_read;
 pub mod state;
+pub mod statement;
 pub mod shutdown;
 pub mod startup;
 pub mod store;
--- a/crates/gateway/src/limited.rs
+++ b/crates/gateway/src/limited.rs
@@ -12,7 +12,6 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::header::HeaderValue;
 use policy::quota::{Grant, Ledger, MIN_LIMIT, Permits, Request};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -25,6 +24,7 @@
 use crate::server::Id;
 use crate::shared_read;
 use crate::state::State;
+use crate::statement::Field;
 
 /// Time limit for an answer of a ledger's owner. Routers are some milliseconds apart, and callers wait for the answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -137,39 +137,14 @@
     }
 }
 
-/// Parses the value of a header field as requests a second, rounded to the thousandths that notices carry. None if it
-/// is no valid limit.
-///
-/// ```
-/// use hyper::header::HeaderValue;
-/// let named = |text| gateway::limited::parse(&HeaderValue::from_static(text));
-/// assert_eq!(named("2.9"), Some(2.9));
-/// assert_eq!(named("4.12345"), Some(4.123));
-/// assert_eq!(named("-1"), None);
-/// assert_eq!(named("inf"), None);
-/// ```
-pub fn parse(value: &HeaderValue) -> Option<f64> {
-    let limit = value.to_str().ok()?.trim().parse::<f64>().ok()?;
-    (limit.is_finite() && limit >= 0.0).then(|| (limit * 1e3).round() / 1e3)
-}
-
 /// Records the limit that a server's answer names, to a request that was sent `took` ago. `own` says that the answer
 /// comes from the server itself, so that it has no limit if it names none.
-pub fn record(
-    state: &Rc<State>,
-    peer: &Rc<Peer>,
-    named: Option<&HeaderValue>,
-    own: bool,
-    took: Duration,
-) {
+pub fn record(state: &Rc<State>, peer: &Rc<Peer>, named: Field<f64>, own: bool, took: Duration) {
     let now = state.now();
-    let named = named.and_then(|value| {
-        let limit = parse(value);
-        if limit.is_none() {
-            log::warn!("gateway: server={} limit can't be read: {value:?}", peer.server().id);
-        }
-        limit
-    });
+    if let Field::Unreadable(text) = &named {
+        log::warn!("gateway: server={} limit can't be read: {text:?}", peer.server().id);
+    }
+    let named = named.value();
     let since = peer.limited.limit.borrow().as_ref().map(|limit| limit.since);
     // The answer to a request that was sent before the limit was known is no sign that the limit has ended.
     let ended = own && since.is_some_and(|since| since < now.saturating_sub(took));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -158,6 +158,11 @@
         self.event("limit_named");
     }
 
+    /// Counts an answer in which a server asks for fewer requests, or none.
+    pub fn backoff_asked(&self) {
+        self.event("backoff_asked");
+    }
+
     /// Counts an order to a server to hold layers.
     pub fn ordered(&self) {
         self.event("order");
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -42,6 +42,8 @@
     pub load: HeaderName,
     /// Requests a second that an overloaded backend server accepts from all routers together.
     pub limit: HeaderName,
+    /// Set by a backend server that is leaving.
+    pub leaving: HeaderName,
     /// Expected version of the weights.
     pub weights: HeaderName,
     /// Parts of the prompt, in order.
