policy::availability: what servers ask of a router, for each start, and the return after a backoff

Where the fix decides: until when no request may be sent to a start of a server, as the first one or along a path, whether it said that it is leaving, and how requests return when a backoff has passed. Nothing uses it yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`Duration`]: std::time::Duration
 
 pub mod affinity;
+pub mod availability;
 pub mod breaks;
 pub mod chain;
 pub mod crash;
