Requests are kept off a server for the time that it asked for

Cause: the time to wait in a server's answer was read nowhere, and a plain service kept nothing at all of an answer that a request had not run. A server that declines has nothing running and answers fast, so it was preferred.

Change: exchange parses an answer once, policy::availability decides for that start of the server, and one check right before a request's bytes leave (exchange::exchange, the only way to send one) withholds it: first and second sendings, retries, hedges, racing paths and resumed streams. The choice of servers asks the same register, also where nobody else is left; then the request is refused at once with the time of the first return. A request that is withheld keeps the retry it took. A server that names a time is not probed or surveyed and gets no order meanwhile; probes for running streams reach it twice at most in one backoff. Where a later server of a path is at fault, it gets no path and the first one, which answered, nothing directly: the rule speaks of the server that has answered.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -58,6 +58,9 @@
     /// All servers that could take the request have set limits that are used up.
     #[display("the limit that the backend servers name is used up")]
     Limited,
+    /// All servers that could take the request have asked for a backoff.
+    #[display("the backend servers asked for a backoff")]
+    Backoff,
     /// All servers that were tried declined.
     #[display("the backend servers are full")]
     Full,
@@ -93,6 +96,7 @@
             | Reason::NoPath
             | Reason::NoPathAway
             | Reason::Limited
+            | Reason::Backoff
             | Reason::Full
             | Reason::Crashes
             | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
@@ -115,7 +119,9 @@
             Reason::NoPath => Some(missing::MIN_RETRY_AFTER),
             // Another router accepts the request at once.
             Reason::Stopping => Some(Duration::from_millis(100)),
-            Reason::NoServer | Reason::Limited => Some(Duration::from_millis(1000)),
+            Reason::NoServer | Reason::Limited | Reason::Backoff => {
+                Some(Duration::from_millis(1000))
+            }
             // About the duration of a request: the requests that fill the memory now have ended by then.
             Reason::Full | Reason::NoMemory => Some(Duration::from_millis(1500)),
             _ => None,
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use policy::availability::Use;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -21,7 +22,7 @@
 /// Avoids a server that declined a request for a while, and finds out why it did.
 ///
 /// The other routers are notified, unless its last known memory use was nearly full: it may have room again by the time
-/// they receive the notice.
+/// they receive the notice. A server that said itself what it wants is not asked.
 pub fn record_decline(state: &Rc<State>, peer: &Rc<Peer>) {
     let now = state.now();
     let already_declining = peer.declines.borrow().holds(now);
@@ -30,7 +31,9 @@
     if !already_declining && !full {
         state.announce(Notice::Declines { server: peer.server().id.clone() });
     }
-    check(state, peer);
+    if peer.obstacle(Use::Path, now).is_none() {
+        check(state, peer);
+    }
 }
 
 /// Probes a server that declined a request. Suspects it if it does not answer; if it is leaving, avoids it and checks it
@@ -68,6 +71,10 @@
 async fn watch(state: &Rc<State>, peer: &Rc<Peer>) {
     let (server, listed) = (peer.server(), || state.peer(&peer.server().id).is_some());
     while peer.ready() && listed() && peer.server().born == server.born {
+        if let Some(end) = peer.backoff_end(state.now()) {
+            sleep(end.saturating_sub(state.now())).await;
+            continue;
+        }
         let health = probe::health(state, peer).await;
         let leaving = peer.departure.borrow_mut().record_health(health, state.now());
         log::info!("gateway: server={} leaving={leaving} health={health:?}", server.id);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,9 +8,12 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
+use policy::availability::Use;
+use policy::crash::Start;
 use policy::window::Need;
 use tokio::time::{Instant, timeout_at};
 
+use crate::availability::{self, Withheld};
 use crate::content;
 use crate::limited;
 use crate::peer::Peer;
@@ -33,6 +36,8 @@
     Answer(Box<Answer>),
     /// The server never received the request.
     NotSent(String),
+    /// Not sent, as a server does not want it.
+    Withheld(Withheld),
     /// The server declined the request; the address, if there is one, is that of the server of the path that is at
     /// fault.
     NotRun(StatusCode, Option<std::net::SocketAddr>),
@@ -102,17 +107,18 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer until `until`.
+/// Sends a request along a path and waits for the head of the answer of its first server until `until`.
 ///
 /// `extra` are the header fields that this router sets for this server, `need` is what a retry would be for.
 pub async fn send(
     state: &Rc<State>,
-    peer: &Rc<Peer>,
+    path: &[Rc<Peer>],
     call: &Call,
     need: Need,
     extra: HeaderMap,
     until: Instant,
 ) -> Outcome {
+    let peer = &path[0];
     // A request that must not run twice is not sent on an idle connection, which the server may just be closing.
     let connection = match call.route.class.is_retryable() {
         true => peer.pool.take().await,
@@ -125,9 +131,8 @@
             return Outcome::NotSent(e.to_string());
         }
     };
-    log_sent(state, peer, call);
     let reused = connection.reused;
-    let outcome = exchange(state, peer, call, &extra, connection, until).await;
+    let outcome = exchange(state, path, call, &extra, connection, until).await;
     // A reused connection that ends before any byte of the answer was most likely idle for too long.
     let stale = reused && call.route.class.is_retryable() && matches!(outcome, Outcome::Unknown(_));
     if !stale || Instant::now() >= until || !may_resend(state, peer, need).await {
@@ -135,7 +140,10 @@
     }
     log::debug!("gateway: request={} sent again: {outcome:?}", call.id);
     match peer.pool.connect().await {
-        Ok(connection) => exchange(state, peer, call, &extra, connection, until).await,
+        Ok(connection) => match exchange(state, path, call, &extra, connection, until).await {
+            Outcome::Withheld(_) => outcome,
+            second => second,
+        },
         Err(e) => Outcome::Unknown(e.to_string()),
     }
 }
@@ -143,12 +151,14 @@
 /// Takes a retry and the server's permit for a request that is sent to the same server again.
 async fn may_resend(state: &Rc<State>, peer: &Peer, need: Need) -> bool {
     let service = peer.server().service.clone();
-    if !peer.limited.allows(state.now()) {
+    let accepts = || peer.obstacle(Use::Direct, state.now()).is_none();
+    if !peer.limited.allows(state.now()) || !accepts() {
         return false;
     }
     retries::borrow(state, &service, need).await;
     let now = state.now();
-    peer.limited.allows(now) && retries::take(state, &service, need) && peer.limited.take(now)
+    let may = peer.limited.allows(now) && accepts();
+    may && retries::take(state, &service, need) && peer.limited.take(now)
 }
 
 /// Logs which server a request is sent to, and which entry of it this router knows.
@@ -166,29 +176,15 @@
     );
 }
 
-/// Logs that a server asks for fewer requests, or none.
-fn log_statement(state: &State, peer: &Peer, call: &Call, statement: &Statement) {
-    if statement.asks() {
-        state.metrics.backoff_asked();
-        log::info!(
-            "gateway: request={} server={} backoff={:?} leaving={:?} culprit={:?}",
-            call.id,
-            peer.server().id,
-            statement.backoff,
-            statement.leaving,
-            statement.culprit
-        );
-    }
-}
-
 async fn exchange(
     state: &Rc<State>,
-    peer: &Rc<Peer>,
+    path: &[Rc<Peer>],
     call: &Call,
     extra: &HeaderMap,
     mut connection: Connection,
     until: Instant,
 ) -> Outcome {
+    let peer = &path[0];
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
@@ -198,7 +194,16 @@
     }
     let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
     request.headers_mut().insert(&state.codec.names.deadline, HeaderValue::from(left));
-    let sent = Instant::now();
+    let permit = match availability::permit(state, path) {
+        Ok(permit) => permit,
+        Err(withheld) => {
+            log::info!("gateway: request={} withheld {withheld}", call.id);
+            peer.pool.keep(connection, &HeaderMap::new());
+            return Outcome::Withheld(withheld);
+        }
+    };
+    log_sent(state, peer, call);
+    let (sent, start) = (Instant::now(), peer.start());
     peer.sent.borrow_mut().record(state.now());
     let answer = match timeout_at(until, connection.sender.try_send_request(request)).await {
         Err(_) => return Outcome::Late,
@@ -209,28 +214,30 @@
         }
         Ok(Ok(answer)) => answer,
     };
-    classify(state, peer, call, answer, connection, sent.elapsed())
+    let outcome = classify(state, peer, &start, call, answer, connection, sent.elapsed());
+    permit.settle(matches!(outcome, Outcome::Answer(_)));
+    outcome
 }
 
 /// Decides whether an answer belongs to this request, and whether the request ran.
 fn classify(
     state: &Rc<State>,
     peer: &Rc<Peer>,
+    start: &Start,
     call: &Call,
     answer: Response<Incoming>,
     connection: Connection,
     took: Duration,
 ) -> Outcome {
     let names = &state.codec.names;
-    let headers = answer.headers();
+    let (status, headers) = (answer.status(), answer.headers());
+    let statement = Statement::parse(names, status, headers);
+    availability::record(state, peer, start, &statement, &call.id);
     // A late answer to an earlier request may arrive on the connection.
     let foreign = headers.get(&names.request).is_some_and(|id| id.as_bytes() != call.id.as_bytes());
     if foreign {
         return Outcome::Unknown("the answer belongs to another request".to_owned());
     }
-    let status = answer.status();
-    let statement = Statement::parse(names, status, headers);
-    log_statement(state, peer, call, &statement);
     limited::record(state, peer, statement.limit, statement.own, took);
     if statement.not_run {
         let (head, body) = answer.into_parts();
--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -24,7 +24,7 @@
             }
             if was.address != server.address || was.service != server.service {
                 state.remove(&item.key);
-                state.add(Peer::new(server, known));
+                state.add(Peer::new(server, known, state.availability.clone()));
                 return true;
             }
             if was.state != server.state || was.span != server.span || was.born != server.born {
@@ -53,7 +53,7 @@
                 server.span,
                 item.offset
             );
-            state.add(Peer::new(server, known));
+            state.add(Peer::new(server, known, state.availability.clone()));
         }
         // An entry that can't be read names no server to use.
         (None, Some(_)) => remove_or_expire(state, &item.key, regained),
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -166,6 +166,7 @@
     planned.retain(|plan| match state.peer(&plan.server) {
         None => false,
         Some(peer) if !peer.usable(state.now()) => false,
+        Some(peer) if peer.backoff_end(state.now()).is_some() => true,
         Some(peer) if peer.server().service != service || batch.len() >= MAX_CONCURRENT_ORDERS => {
             true
         }
@@ -251,9 +252,13 @@
         return false;
     }
     state.metrics.ordered();
-    let answer =
-        probe::send(peer, (state.codec.order)(&Order { span, after }), probe::BACKGROUND_TIMEOUT)
-            .await;
+    let answer = probe::send(
+        state,
+        peer,
+        (state.codec.order)(&Order { span, after }),
+        probe::BACKGROUND_TIMEOUT,
+    )
+    .await;
     log::info!(
         "gateway: order server={id} layers={span} after={after} epoch={:?} answer={:?}",
         authority.epoch(),
@@ -274,7 +279,7 @@
 
 /// Fetches a server's report, unless the server is suspected: its order has been overdue for some time, and the orders
 /// of other servers must not wait for it each time.
-async fn query(state: &State, peer: &Peer) -> Result<Report, String> {
+async fn query(state: &State, peer: &Rc<Peer>) -> Result<Report, String> {
     if peer.suspicion.borrow().holds(state.now()) {
         return Err("it is suspected".to_owned());
     }
@@ -287,6 +292,9 @@
     let open: Vec<Issued> = issued.clone();
     let queries = open.iter().filter_map(|i| {
         let peer = peers.iter().find(|p| p.server().id == i.server)?.clone();
+        if peer.backoff_end(now).is_some() && now <= i.until {
+            return None;
+        }
         Some(async move { (i, query(state, &peer).await, peer) })
     });
     for (order, report, peer) in futures_util::future::join_all(queries).await {
--- a/crates/gateway/src/leader/survey.rs
+++ b/crates/gateway/src/leader/survey.rs
@@ -25,7 +25,8 @@
 /// treats servers as full that are not, or fills them until requests are preempted.
 pub(super) async fn survey(state: &Rc<State>, from: usize) {
     let mut peers = state.peers();
-    peers.retain(|p| p.server().card.is_some() && p.usable(state.now()));
+    let now = state.now();
+    peers.retain(|p| p.server().card.is_some() && p.usable(now) && p.backoff_end(now).is_none());
     let start = from % peers.len().max(1);
     peers.rotate_left(start);
     peers.truncate(MAX_CONCURRENT_PROBES);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! formats of the platform.
 
 pub mod answer;
+pub mod availability;
 pub mod clock;
 pub mod content;
 pub mod count;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::answer::Reason;
+use crate::availability;
 use crate::crash;
 use crate::limited;
 use crate::retries;
@@ -158,11 +159,16 @@
         self.event("limit_named");
     }
 
-    /// Counts an answer in which a server asks for fewer requests, or none.
+    /// Counts an answer in which a server asks for a backoff.
     pub fn backoff_asked(&self) {
         self.event("backoff_asked");
     }
 
+    /// Counts a request that was not sent to a server that was chosen for it, as the server asked for a backoff meanwhile.
+    pub fn withheld(&self) {
+        self.event("request_withheld");
+    }
+
     /// Counts an order to a server to hold layers.
     pub fn ordered(&self) {
         self.event("order");
@@ -183,6 +189,7 @@
         let is_reader = u8::from(shared_read::is_reader(state));
         text.push_str(&format!("hyssop_reads_for_others {is_reader}\n"));
         text.push_str(&limited::page(state));
+        text.push_str(&availability::page(state));
         text.push_str(&retries::page(state));
         text.push_str(&crash::page(state));
         let restores = state.store.restores();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use layers::Span;
+use policy::availability::{Obstacle, Register, Use};
 use policy::breaks::{self, Tally};
+use policy::crash::Start;
 use policy::departure::Departure;
 use policy::fill;
 use policy::meter::Meter;
@@ -67,6 +69,8 @@
     pub suspicion: RefCell<Suspicion>,
     /// Whether it has declined requests lately, as it is draining or out of memory.
     pub declines: RefCell<Suspicion>,
+    /// What starts of servers have asked of this router.
+    availability: Rc<RefCell<Register>>,
     /// Whether it is believed to be leaving although the list does not say so.
     pub departure: RefCell<Departure>,
     /// Whether this router is checking that.
@@ -112,8 +116,8 @@
 }
 
 impl Peer {
-    /// Creates a server that has just appeared on the list.
-    pub fn new(server: Server, entry: Entry) -> Peer {
+    /// Creates a server that has just appeared on the list. `availability` outlasts its entry.
+    pub fn new(server: Server, entry: Entry, availability: Rc<RefCell<Register>>) -> Peer {
         Peer {
             pool: Pool::new(server.address),
             entry: Cell::new(entry),
@@ -122,6 +126,7 @@
             server: RefCell::new(Rc::new(server)),
             suspicion: RefCell::default(),
             declines: RefCell::default(),
+            availability,
             departure: RefCell::default(),
             checking_departure: Cell::new(false),
             breaks: Cell::default(),
@@ -231,7 +236,31 @@
         self.server.borrow().state == State::Ready
     }
 
-    /// Whether it is listed as ready and not believed to be leaving.
+    /// Returns its current start.
+    pub fn start(&self) -> Start {
+        let server = self.server.borrow();
+        Start { id: server.id.clone(), born: server.born }
+    }
+
+    /// Returns why it wants no request now; none if it accepts one.
+    pub fn obstacle(&self, how: Use, now: Duration) -> Option<Obstacle> {
+        let server = self.server.borrow();
+        self.availability.borrow().obstacle(&server.id, server.born, how, now)
+    }
+
+    /// Returns when the backoff ends that it has asked for; none if that has passed.
+    pub fn backoff_end(&self, now: Duration) -> Option<Duration> {
+        let server = self.server.borrow();
+        self.availability.borrow().backoff_end(&server.id, server.born, Use::Direct, now)
+    }
+
+    /// Returns the length of the backoff that it has asked for; none if that has passed.
+    pub fn backoff_length(&self, now: Duration) -> Option<Duration> {
+        let server = self.server.borrow();
+        self.availability.borrow().backoff_length(&server.id, server.born, now)
+    }
+
+    /// Whether it is listed as ready, and not believed to be leaving.
     pub fn stays(&self, now: Duration) -> bool {
         self.ready() && !self.departure.borrow().holds(now)
     }
@@ -249,7 +278,12 @@
 
     /// Whether it is usable and has not just declined a request.
     pub fn accepts_requests(&self, now: Duration) -> bool {
-        self.usable(now) && !self.declines.borrow().holds(now)
+        self.accepts_paths(now) && !self.declines.borrow().holds(now)
+    }
+
+    /// Whether it is usable and wants requests along paths through it.
+    pub fn accepts_paths(&self, now: Duration) -> bool {
+        self.usable(now) && self.obstacle(Use::Path, now).is_none()
     }
 
     /// Records that it did not answer; true if it was not suspected before.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,12 +8,14 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
+use policy::availability::Use;
 use policy::pick::{Choice, pick};
 use policy::window::Need;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::answer::{self, Body, Reason};
+use crate::availability;
 use crate::crash;
 use crate::exchange::{self, Outcome};
 use crate::limited;
@@ -44,6 +46,8 @@
     Broken,
     /// The server never received the request.
     NotSent(String),
+    /// Not sent, as the server does not want it.
+    Withheld,
     /// The server declined the request.
     NotRun(StatusCode),
     /// Not sent, as backend servers ended while they ran the request.
@@ -61,6 +65,8 @@
     service: &'a str,
     /// Servers tried so far.
     tried: Vec<String>,
+    /// Whether the next attempt takes no retry: nothing was sent yet, or the last attempt was not sent after all.
+    is_paid: bool,
     /// Number of servers that ran the request, or may have.
     ran: u32,
     /// Completes when it is known whether the server of the last broken run has ended.
@@ -75,7 +81,8 @@
 /// be even slower.
 pub async fn serve(state: &Rc<State>, call: &Call, service: &str) -> Response<Body> {
     let (tried, fallback) = (Vec::new(), answer::error(Reason::NoServer));
-    let mut progress = Progress { state, call, service, tried, ran: 0, end_check: None, fallback };
+    let mut progress =
+        Progress { state, call, service, tried, is_paid: true, ran: 0, end_check: None, fallback };
     let mut pending = FuturesUnordered::new();
     limited::request_permits(state, service, |_| true).await;
     let mut next = choose(state, service, &progress.tried);
@@ -85,6 +92,7 @@
     let mut slow_timer = None;
     loop {
         if let Some(peer) = next.take().filter(|peer| peer.limited.take(state.now())) {
+            progress.is_paid = false;
             progress.tried.push(peer.server().id.clone());
             slow_timer = Some((slow_deadline(call, &peer), peer.clone()));
             pending.push(try_server(state, call, peer));
@@ -100,18 +108,18 @@
                 }
                 continue;
             }
-            else => return progress.fallback,
+            else => return progress.give_up(),
         };
         if let Some(answer) = progress.handle_attempt(&peer, attempt, pending.len() as u32) {
             return answer;
         }
         if pending.is_empty() {
             if call.time_left().is_zero() || !progress.may_try(0) {
-                return progress.fallback;
+                return progress.give_up();
             }
             next = progress.retry().await;
             if next.is_none() {
-                return progress.fallback;
+                return progress.give_up();
             }
         }
     }
@@ -134,10 +142,25 @@
             return None;
         }
         let other = choose(self.state, self.service, &self.tried)?;
+        if self.is_paid {
+            return Some(other);
+        }
         retries::borrow(self.state, self.service, Need::New).await;
         retries::take(self.state, self.service, Need::New).then_some(other)
     }
 
+    /// Returns the answer to the caller if no server gives one. A request that did not run is refused until the first
+    /// backoff ends if no server accepts it before.
+    fn give_up(self) -> Response<Body> {
+        let (state, call, service) = (self.state, self.call, self.service);
+        match self.ran == 0 && choose(state, service, &[]).is_none() {
+            true if availability::first_return(state, service).is_some() => {
+                availability::refuse(state, call, service)
+            }
+            _ => self.fallback,
+        }
+    }
+
     /// Handles the result of one attempt; returns the answer to the caller if that ends the request.
     fn handle_attempt(
         &mut self,
@@ -164,6 +187,7 @@
                 return Some(refusal.unwrap_or_else(|| answer::error(Reason::Crashes)));
             }
             Attempt::Blocked => {}
+            Attempt::Withheld => self.is_paid = true,
             Attempt::NotRun(status) => {
                 let id = &peer.server().id;
                 log::info!("gateway: request={} server={id} declined status={status}", call.id);
@@ -206,13 +230,15 @@
     };
     let _load = Load::new(peer.clone(), 0.0);
     let fields = fields(state, call, &peer.server().id);
-    let attempt = match exchange::send(state, &peer, call, Need::New, fields, call.deadline).await {
+    let path = std::slice::from_ref(&peer);
+    let attempt = match exchange::send(state, path, call, Need::New, fields, call.deadline).await {
         Outcome::Answer(answer) => match answer.collect(call.deadline).await {
             Some((head, body)) => Attempt::Answered(head, body),
             None if Instant::now() >= call.deadline => Attempt::Late,
             None => Attempt::Broken,
         },
         Outcome::NotSent(why) => Attempt::NotSent(why),
+        Outcome::Withheld(_) => Attempt::Withheld,
         Outcome::NotRun(status, _) => Attempt::NotRun(status),
         Outcome::Unknown(why) => Attempt::Unknown(why),
         Outcome::Late => Attempt::Late,
@@ -257,9 +283,12 @@
 fn choose(state: &State, service: &str, excluded: &[String]) -> Option<Rc<Peer>> {
     let now = state.now();
     let mut peers = state.peers_of(service);
-    peers.retain(|p| p.ready() && p.limited.allows(now) && !excluded.contains(&p.server().id));
+    peers.retain(|p| {
+        let accepts = p.obstacle(Use::Direct, now).is_none() && p.limited.allows(now);
+        p.ready() && accepts && !excluded.contains(&p.server().id)
+    });
     let healthy: Vec<_> = peers.iter().filter(|p| p.usable(now)).cloned().collect();
-    // If all are suspected, the network is more likely at fault than all servers.
+    // If all are suspected, the network is more likely at fault than all servers. What they ask for themselves holds.
     let candidates = if healthy.is_empty() { peers } else { healthy };
     let choices: Vec<Choice> = candidates
         .iter()
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
+use crate::availability;
 use crate::clock;
 use crate::crash;
 use crate::notice::Notice;
@@ -21,6 +22,7 @@
 use crate::pool::Cause;
 use crate::server::Report;
 use crate::state::State;
+use crate::statement::Statement;
 use crate::wire::Command;
 
 /// Time-out of a probe. A round trip takes up to two milliseconds, so a live server answers far sooner; a longer
@@ -84,28 +86,35 @@
 
 /// Sends a command over a new connection; returns the status and body of the answer.
 pub async fn send(
-    peer: &Peer,
+    state: &State,
+    peer: &Rc<Peer>,
     command: Command,
     limit: Duration,
 ) -> Result<(StatusCode, Vec<u8>), String> {
-    send_over(peer, command, limit, false).await
+    send_over(state, peer, command, limit, false).await
 }
 
 /// Sends a command, over an idle connection of the pool if `reuse`. An idle connection may have gone dead while its
 /// server is alive, so commands whose result decides about a server use a new one.
 async fn send_over(
-    peer: &Peer,
+    state: &State,
+    peer: &Rc<Peer>,
     command: Command,
     limit: Duration,
     reuse: bool,
 ) -> Result<(StatusCode, Vec<u8>), String> {
-    match timeout(limit, exchange(peer, command, reuse)).await {
+    match timeout(limit, exchange(state, peer, command, reuse)).await {
         Ok(answer) => answer.map(|(head, body)| (head.status, body)),
         Err(_) => Err(format!("no answer from {} within {limit:?}", peer.server().address)),
     }
 }
 
-async fn exchange(peer: &Peer, command: Command, reuse: bool) -> Result<(Parts, Vec<u8>), String> {
+async fn exchange(
+    state: &State,
+    peer: &Rc<Peer>,
+    command: Command,
+    reuse: bool,
+) -> Result<(Parts, Vec<u8>), String> {
     let connection = if reuse { peer.pool.take().await } else { peer.pool.connect().await };
     let mut connection = connection.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(command.body));
@@ -116,22 +125,29 @@
     request.headers_mut().insert(HOST, host);
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let fault = |e: hyper::Error| format!("command to {}: {e}", peer.server().address);
+    let start = peer.start();
     let answer = connection.sender.send_request(request).await.map_err(fault)?;
     let (head, body) = answer.into_parts();
+    let statement = Statement::parse(&state.codec.names, head.status, &head.headers);
+    availability::record(state, peer, &start, &statement, "command");
     let body = body.collect().await.map_err(fault)?.to_bytes();
     peer.pool.keep(connection, &head.headers);
     Ok((head, body.to_vec()))
 }
 
 /// Fetches a server's report over a new connection.
-pub async fn fetch_report(state: &State, peer: &Peer, limit: Duration) -> Result<Report, String> {
-    let (status, body) = send(peer, (state.codec.report)(), limit).await?;
+pub async fn fetch_report(
+    state: &State,
+    peer: &Rc<Peer>,
+    limit: Duration,
+) -> Result<Report, String> {
+    let (status, body) = send(state, peer, (state.codec.report)(), limit).await?;
     read(state, peer, status, &body)
 }
 
 /// Fetches a server's report; tries an idle connection of the pool first.
-pub async fn fetch_report_pooled(state: &State, peer: &Peer) -> Result<Report, String> {
-    match send_over(peer, (state.codec.report)(), BACKGROUND_TIMEOUT, true).await {
+pub async fn fetch_report_pooled(state: &State, peer: &Rc<Peer>) -> Result<Report, String> {
+    match send_over(state, peer, (state.codec.report)(), BACKGROUND_TIMEOUT, true).await {
         Ok((status, body)) => read(state, peer, status, &body),
         Err(_) => fetch_report(state, peer, BACKGROUND_TIMEOUT).await,
     }
@@ -182,24 +198,24 @@
     (probed.len(), find_silent(state, &probed).await)
 }
 
-async fn is_alive(state: &State, peer: &Peer) -> bool {
+async fn is_alive(state: &State, peer: &Rc<Peer>) -> bool {
     report(state, peer).await.is_some()
 }
 
 /// Probes a server and returns its report; none if it does not answer or is suspected.
-pub async fn report(state: &State, peer: &Peer) -> Option<Report> {
+pub async fn report(state: &State, peer: &Rc<Peer>) -> Option<Report> {
     let suspected = peer.suspicion.borrow().holds(state.now());
     if suspected { None } else { probe(state, peer, Duration::ZERO, PROBE_TIMEOUT).await }
 }
 
 /// Asks a server for its health.
-pub async fn health(state: &State, peer: &Peer) -> Health {
+pub async fn health(state: &State, peer: &Rc<Peer>) -> Health {
     let service = peer.server().service.clone();
     let settings = state.settings();
     let path = settings.as_ref().and_then(|s| s.service(&service)?.health.clone());
     let Some(path) = path else { return Health::Unknown };
     let command = Command { method: Method::GET, path: path.into(), body: Bytes::new() };
-    match timeout(urgent_timeout(state), exchange(peer, command, false)).await {
+    match timeout(urgent_timeout(state), exchange(state, peer, command, false)).await {
         Ok(Ok((head, _))) if head.status == StatusCode::OK => Health::Well,
         // A server that is only full declines the question like a request.
         Ok(Ok((head, _))) if head.headers.contains_key(&state.codec.names.not_run) => {
@@ -213,7 +229,7 @@
 /// Whether a server that started at `born` no longer answers this router after `since`, whatever other routers report.
 /// One that was restarted under its name has ended as well. Uses a longer time-out than a probe, for which a live
 /// server may be too slow.
-pub async fn has_ended(state: &State, peer: &Peer, born: u64, since: Duration) -> bool {
+pub async fn has_ended(state: &State, peer: &Rc<Peer>, born: u64, since: Duration) -> bool {
     match probe(state, peer, since, URGENT_TIMEOUT).await {
         None => true,
         // Not every server reports its start time.
@@ -265,9 +281,12 @@
 
 /// Probes a server. Reuses the last result if that is recent and not older than `since`, and is an answer or had at
 /// least the same time-out. Returns the server's report, or `None` if it does not answer.
-async fn probe(state: &State, peer: &Peer, since: Duration, limit: Duration) -> Option<Report> {
+async fn probe(state: &State, peer: &Rc<Peer>, since: Duration, limit: Duration) -> Option<Report> {
     let mut last = peer.last_probe.lock().await;
-    let fresh = since <= last.at && state.now() < last.at + PROBE_VALIDITY;
+    // At most two probes reach a server within a backoff that it asked for.
+    let backoff = peer.backoff_length(state.now()).map(|length| length / 2);
+    let validity = backoff.unwrap_or_default().max(PROBE_VALIDITY);
+    let fresh = since <= last.at && state.now() < last.at + validity;
     if fresh && (last.report.is_some() || limit <= last.limit) {
         return last.report.clone();
     }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -10,9 +10,11 @@
 use layers::path::{self, Holder, Query};
 use layers::server::Zone;
 use layers::{Shape, Span, slots};
+use policy::availability::Use;
 use policy::fill::Report;
 
 use crate::answer::Reason;
+use crate::availability;
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
 use crate::settings::Model;
@@ -147,19 +149,36 @@
 /// Returns why there is no path that avoids the servers in `excluded`. The reasons differ in when a caller should
 /// retry: full memory is released sooner than lost layers are loaded.
 pub fn no_path_reason(state: &State, service: &str, model: &Model, excluded: &[String]) -> Reason {
-    match covers_all_layers(state, service, model, excluded) {
-        true if over_limit(state, service, excluded) => Reason::Limited,
-        true => Reason::Full,
-        false if state.store_unavailable() => Reason::NoPathAway,
-        false => Reason::NoPath,
+    let now = state.now();
+    let accepts = |p: &Peer| {
+        let begins = !holds_first_layer(p, now) || p.obstacle(Use::Direct, now).is_none();
+        begins && p.accepts_requests(now)
+    };
+    match () {
+        () if covers_all_layers(state, service, model, excluded, accepts) => {
+            if over_limit(state, service, excluded) { Reason::Limited } else { Reason::Full }
+        }
+        () if covers_all_layers(state, service, model, excluded, |p| p.usable(now))
+            && availability::first_return(state, service).is_some() =>
+        {
+            Reason::Backoff
+        }
+        () if state.store_unavailable() => Reason::NoPathAway,
+        () => Reason::NoPath,
     }
 }
 
-/// Whether each layer of the model is held by some server that accepts requests and is not in `excluded`.
-fn covers_all_layers(state: &State, service: &str, model: &Model, excluded: &[String]) -> bool {
+/// Whether each layer of the model is held by some server that `accepts` requests and is not in `excluded`.
+fn covers_all_layers(
+    state: &State,
+    service: &str,
+    model: &Model,
+    excluded: &[String],
+    accepts: impl Fn(&Peer) -> bool,
+) -> bool {
     let now = state.now();
     let peers = state.peers_of(service);
-    let accepting = |p: &&Rc<Peer>| p.accepts_requests(now) && !excluded.contains(&p.server().id);
+    let accepting = |p: &&Rc<Peer>| accepts(p) && !excluded.contains(&p.server().id);
     let spans = peers.iter().filter(accepting).map(|p| p.span(now));
     let mut spans: Vec<Span> = spans.collect();
     spans.sort_unstable();
@@ -217,23 +236,28 @@
         let found = zone_loads.binary_search_by_key(&zone, |load| load.zone);
         found.map_or(ZoneLoad::unknown(zone, state.routers()), |at| zone_loads[at])
     };
-    let holders: Vec<Holder> =
-        peers
-            .iter()
-            .enumerate()
-            .filter(|(_, p)| {
-                if constraints.accepting_only { p.accepts_requests(now) } else { p.usable(now) }
-            })
-            .filter(|(_, p)| !excluded.contains(&p.server().id))
-            .filter_map(|(i, p)| {
-                let kept = constraints.kept.iter().any(|k| Rc::ptr_eq(k, p));
-                let zone_load = load_of(zone(&p.server().zone));
-                let snapshot = Snapshot { now, zone_load, lasting: state.stream_duration.get() };
-                let mut holder = holder(p, i, model, tokens, kept, snapshot)?;
-                holder.layer_ms *= if kept { KEPT_COST_FACTOR } else { 1.0 };
-                Some(holder)
-            })
-            .collect();
+    let holders: Vec<Holder> = peers
+        .iter()
+        .enumerate()
+        .filter(|(_, p)| {
+            // A server that already runs the request continues to, whatever it asked for.
+            let kept = constraints.kept.iter().any(|k| Rc::ptr_eq(k, p));
+            match constraints.accepting_only {
+                true if kept => p.usable(now) && !p.declines.borrow().holds(now),
+                true => p.accepts_requests(now),
+                false => p.accepts_paths(now),
+            }
+        })
+        .filter(|(_, p)| !excluded.contains(&p.server().id))
+        .filter_map(|(i, p)| {
+            let kept = constraints.kept.iter().any(|k| Rc::ptr_eq(k, p));
+            let zone_load = load_of(zone(&p.server().zone));
+            let snapshot = Snapshot { now, zone_load, lasting: state.stream_duration.get() };
+            let mut holder = holder(p, i, model, tokens, kept, snapshot)?;
+            holder.layer_ms *= if kept { KEPT_COST_FACTOR } else { 1.0 };
+            Some(holder)
+        })
+        .collect();
     let total_ms = request_ms(shape, tokens, 10.0);
     let transfer = (tokens.prompt + tokens.answer) * shape.cross_token_ms;
     let random = rand::random();
@@ -330,7 +354,7 @@
         span,
         layer_ms: (prefill + decode) / f64::from(shape.layers) * memory_factor * balance_factor,
         hop_ms: HOP_MS * tokens.answer + millis(backlog),
-        begin_ms: match peer.limited.allows(now) {
+        begin_ms: match peer.limited.allows(now) && peer.obstacle(Use::Direct, now).is_none() {
             true => begin_ms(peer, now, request_ms(shape, tokens, 10.0)),
             false => f64::INFINITY,
         },
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use layers::Span;
 use layers::server::Zone;
+use policy::availability::Use;
 use policy::meter::Meter;
 
 use super::load::{MAX_LINK_UTILIZATION, MAX_LINK_WAIT, MAX_PREFILL_WAIT, ZoneLoad, zone_loads};
@@ -26,7 +27,8 @@
     let now = state.now();
     let peers = state.peers_of(service);
     let zone_loads = zone_loads(&peers, now, state.routers());
-    let (mut leaving, mut silent, mut declined, mut reading, mut scarce) = (0, 0, 0, 0, 0);
+    let (mut leaving, mut silent, mut backoff) = (0, 0, 0);
+    let (mut declined, mut reading, mut scarce) = (0, 0, 0);
     let mut zones: Vec<DataCentre> = Vec::new();
     let snapshot = |zone_load| Snapshot { now, zone_load, lasting: state.stream_duration.get() };
     for (i, peer) in peers.iter().enumerate() {
@@ -41,6 +43,7 @@
         match () {
             () if !peer.stays(now) => leaving += 1,
             () if !peer.usable(now) => silent += 1,
+            () if !peer.accepts_paths(now) => backoff += 1,
             () if !peer.accepts_requests(now) || excluded.contains(&peer.server().id) => {
                 declined += 1
             }
@@ -76,7 +79,7 @@
     };
     let full = links.iter().filter(full).count();
     format!(
-        "servers={} leaving={leaving} silent={silent} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
+        "servers={} leaving={leaving} silent={silent} backoff={backoff} declined={declined} reading={reading} memory={scarce} links_full={full} {views} crowds=[{}]",
         peers.len(),
         zone_loads
             .iter()
@@ -93,11 +96,12 @@
         None => (None, None),
     };
     format!(
-        "[layers={} filled={fill:?} age={age:?} running={} declines={} slots={:?}]",
+        "[layers={} filled={fill:?} age={age:?} running={} declines={} slots={:?} obstacle={}]",
         peer.span(now),
         peer.running.get(),
         peer.declines.borrow().holds(now),
-        peer.reported_load.get().map(|(running, _)| running)
+        peer.reported_load.get().map(|(running, _)| running),
+        peer.obstacle(Use::Path, now).map_or_else(|| "none".to_owned(), |o| o.to_string())
     )
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use layers::server::Zone;
+use policy::availability::Register;
 use policy::demand::Demand;
 use policy::intake::Intake;
 use policy::meter::Meter;
@@ -63,6 +64,8 @@
     pub metrics: Metrics,
     settings: RefCell<Option<Rc<Settings>>>,
     peers: RefCell<Vec<Rc<Peer>>>,
+    /// What starts of servers have asked of this router; shared with the peers.
+    pub availability: Rc<RefCell<Register>>,
     /// Last entries of servers that were removed, and when.
     removed: RefCell<Vec<(Rc<Server>, Duration)>>,
     budgets: RefCell<Vec<(String, Budget)>>,
@@ -146,6 +149,7 @@
             metrics,
             settings: RefCell::default(),
             peers: RefCell::default(),
+            availability: Rc::default(),
             removed: RefCell::default(),
             budgets: RefCell::default(),
             routers: RefCell::new(Routers::new(DEFAULT_ROUTERS, DEPARTED_ROUTER_TIME)),
--- a/crates/gateway/src/statement.rs
+++ b/crates/gateway/src/statement.rs
@@ -91,12 +91,6 @@
             running: text(&names.load).and_then(parse_load),
         }
     }
-
-    /// Whether the server asks for fewer requests, or none.
-    pub fn asks(&self) -> bool {
-        self.backoff != Field::Absent
-            || !matches!(self.leaving, Field::Absent | Field::Value(false))
-    }
 }
 
 /// Parses a time in seconds, which may have a fraction. None if it is no such time: signs, dates and exponents are
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,6 +22,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::answer::{self, Body, BodyError, Reason};
+use crate::availability;
 use crate::crash;
 use crate::event::Id;
 use crate::limited;
@@ -66,8 +67,10 @@
     model: &'a Model,
     /// Servers that further paths of this request avoid.
     excluded: Vec<String>,
-    /// Paths that the request was sent along.
+    /// Paths that the request was sent along, or chosen for.
     tries: u32,
+    /// Whether the next attempt takes no retry: nothing was sent yet, or the last attempt was not sent after all.
+    is_paid: bool,
     /// Runs of the request that may have begun.
     runs: Vec<Run>,
     /// Completes when it is known whether the server of the last broken run has ended.
@@ -130,6 +133,7 @@
         model,
         excluded: Vec::new(),
         tries: 0,
+        is_paid: true,
         runs: Vec::new(),
         end_check: None,
         unrefused: 0,
@@ -156,6 +160,7 @@
         Err(Reason::Limited) => {
             return limited::refuse(state, service);
         }
+        Err(Reason::Backoff) => return availability::refuse(state, &call, service),
         Err(Reason::Crashes) => {
             let refusal = crash::refuse(state, &call);
             return refusal.unwrap_or_else(|| answer::error(Reason::Crashes));
@@ -183,6 +188,7 @@
             model: &model,
             excluded,
             tries,
+            is_paid: false,
             runs,
             end_check: None,
             unrefused,
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -163,7 +163,7 @@
                 reason = Some(cause);
                 break;
             };
-            let again = self.tries > 0;
+            let again = !self.is_paid;
             // A retry sent to a dead server is wasted, and none may be left for the next one.
             if again && self.may_find_retry() && self.probe_and_borrow(&path).await {
                 continue;
@@ -181,6 +181,7 @@
                 continue;
             }
             self.tries += 1;
+            self.is_paid = false;
             reason = Some(match self.begin(path).await {
                 Ok(opened) => return Ok(opened),
                 Err(Failure::NotRun) if self.unrefused == 0 => Reason::Full,
--- a/crates/gateway/src/stream/send.rs
+++ b/crates/gateway/src/stream/send.rs
@@ -34,7 +34,8 @@
         let outcome = {
             let (state, call) = (self.state, self.call);
             let (need, fields) = (self.need(), self.fields(&path, &id));
-            let sending = exchange::send(state, &peer, call, need, fields, call.deadline);
+            let peers = path.peers.clone();
+            let sending = exchange::send(state, &peers, call, need, fields, call.deadline);
             tokio::pin!(sending);
             let mut wait =
                 self.call.route.goal.mul_f64(FIRST_EVENT_CHECK_FRACTION).max(MIN_SILENCE);
@@ -83,6 +84,12 @@
                 self.suspect(&peer, &why);
                 Err(Failure::NotRun)
             }
+            Outcome::Withheld(_) => {
+                self.remove_run(&peer);
+                self.unrefused -= 1;
+                self.is_paid = true;
+                Err(Failure::NotRun)
+            }
             Outcome::NotRun(status, culprit) => {
                 self.remove_run(&peer);
                 self.unrefused -= 1;
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -147,7 +147,7 @@
         };
         new_path.charge(self.state);
         let command = (self.state.codec.repath)(&self.call.id, &new_path.hops);
-        let answer = probe::send(new_path.first(), command, REPATH_TIMEOUT).await;
+        let answer = probe::send(self.state, new_path.first(), command, REPATH_TIMEOUT).await;
         let done = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
         log::info!(
             "gateway: request={} repath={done} first={} answer={:?} last_event={:?} path={}",
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -71,6 +71,8 @@
     direct: Duration,
     /// End for requests along paths through it.
     path: Duration,
+    /// Time that the server asked for.
+    length: Duration,
     /// Random number below one that decides when in the spread this router returns.
     phase: f64,
     /// Limit on the requests in progress after the end; none if the return is complete.
@@ -151,7 +153,9 @@
             backoff.phase = phase;
         }
         let end = now + time + return_spread(time, routers, backoff.phase);
-        backoff.direct = backoff.direct.max(end);
+        if end > backoff.direct {
+            (backoff.direct, backoff.length) = (end, time);
+        }
         if how == Use::Path {
             backoff.path = backoff.path.max(end);
         }
@@ -217,6 +221,12 @@
         self.find(id, born).map(|record| record.backoff.end(how)).filter(|end| now < *end)
     }
 
+    /// Returns the length of a backoff that has not passed yet.
+    pub fn backoff_length(&self, id: &str, born: u64, now: Duration) -> Option<Duration> {
+        let backoff = self.find(id, born)?.backoff;
+        (now < backoff.direct).then_some(backoff.length)
+    }
+
     /// Admits a request to a start of a server; returns whether it counts as in progress until it is settled.
     ///
     /// ```
