A server that says in its answers that it is leaving gets no more requests

What callers saw: while the list of servers could not be read, requests sent to a server that had told this router that it leaves; those that run when it exits are lost.

Cause: the field was read nowhere, and what was believed of a leaving server ended with a good health answer, with its next entry, or after eight seconds.

Change: any answer counts, also that of a report, a health check or an order, and it holds for that start of the server until it is gone: policy::availability outlasts its entry. The other routers are notified (Notice::Leaving, stated; older routers read it as a belief of eight seconds), those that start read it in the replayed notices, the placement counts the server as going. Running streams finish as for a server listed as draining.

--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -11,8 +11,10 @@
 use hyper::Response;
 use policy::availability::{Obstacle, Use, return_spread};
 use policy::crash::Start;
+use policy::departure::MAX_HOLD;
 
 use crate::answer::{self, Body, Reason};
+use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::request::Call;
 use crate::server::Id;
@@ -90,6 +92,11 @@
         Field::Unreadable(text) => record_unreadable(state, start, "backoff", text),
         Field::Value(_) | Field::Absent => {}
     }
+    match &statement.leaving {
+        Field::Value(true) => record_leaving(state, start, "its answer", true),
+        Field::Unreadable(text) => record_unreadable(state, start, "leaving", text),
+        Field::Value(false) | Field::Absent => {}
+    }
 }
 
 /// Records a backoff. If a later server of the path is at fault, that one gets no requests at all, and the first one,
@@ -130,6 +137,22 @@
     }
 }
 
+/// Records that a start of a server is leaving for good; `first_hand` says that it said so to this router, which then
+/// notifies the others.
+pub fn record_leaving(state: &State, start: &Start, why: &str, first_hand: bool) {
+    if !state.availability.borrow_mut().leave(start, state.now()) {
+        return;
+    }
+    let Start { id, born } = start;
+    log::info!("gateway: server={id} leaving=true born={born} why={why}");
+    if first_hand {
+        let (server, born) = (id.clone(), *born);
+        let hold_ms = MAX_HOLD.as_millis() as u64;
+        state.announce(Notice::Leaving { server, born, hold_ms, stated: true });
+    }
+    state.changed.notify_waiters();
+}
+
 /// Returns how long it takes until the first backoff of a service's servers ends; none if no server has asked for one.
 pub fn first_return(state: &State, service: &str) -> Option<Duration> {
     let now = state.now();
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use policy::availability::Use;
+use policy::crash::Start;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::availability;
 use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::probe;
@@ -70,7 +72,7 @@
 /// Asks a server for its health until it is well again or listed as leaving.
 async fn watch(state: &Rc<State>, peer: &Rc<Peer>) {
     let (server, listed) = (peer.server(), || state.peer(&peer.server().id).is_some());
-    while peer.ready() && listed() && peer.server().born == server.born {
+    while peer.ready() && !peer.says_leaving() && listed() && peer.server().born == server.born {
         if let Some(end) = peer.backoff_end(state.now()) {
             sleep(end.saturating_sub(state.now())).await;
             continue;
@@ -87,13 +89,18 @@
             server: server.id.clone(),
             born: server.born,
             hold_ms: hold.as_millis() as u64,
+            stated: false,
         });
         sleep(hold).await;
     }
 }
 
-/// Applies the notice of another router that a server is leaving.
-pub fn receive(state: &State, server: &str, born: u64, hold: Duration) {
+/// Applies the notice of another router that a server is leaving. If the server has `stated` it, it holds for good.
+pub fn receive(state: &State, server: &str, born: u64, hold: Duration, stated: bool) {
+    if stated {
+        let start = Start { id: server.to_owned(), born };
+        return availability::record_leaving(state, &start, "reported by another router", false);
+    }
     if let Some(peer) = state.peer(server).filter(|peer| peer.server().born == born) {
         peer.departure.borrow_mut().record_report(state.now(), hold);
     }
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -38,6 +38,9 @@
         born: u64,
         /// For how long it is believed to be leaving, in milliseconds.
         hold_ms: u64,
+        /// Whether it has said so itself. It then holds as long as the server runs.
+        #[serde(default)]
+        stated: bool,
     },
     /// A server broke a run although it is alive.
     Broke {
@@ -152,8 +155,8 @@
 }
 
 /// Replays the notices from before the start of this process, the oldest first. The load of servers is announced again
-/// each second, and the last notice about it and about limits holds; a server that was silent or held layers may have
-/// changed since.
+/// each second, and the last notice about it and about limits holds; a server that said it is leaving still is; one that
+/// was silent or held layers may have changed since.
 pub fn replay(state: &Rc<State>, earlier: &[Notice]) {
     for notice in earlier {
         match notice {
@@ -162,7 +165,10 @@
                 state.peers().iter().for_each(|peer| peer.slowdown.set(1.0));
                 receive(state, notice);
             }
-            Notice::Limit { .. } | Notice::Refused { .. } | Notice::Cleared { .. } => {
+            Notice::Limit { .. }
+            | Notice::Refused { .. }
+            | Notice::Cleared { .. }
+            | Notice::Leaving { stated: true, .. } => {
                 receive(state, notice);
             }
             Notice::Heavy { at_ms } => retries::replay_heavy_use(state, *at_ms),
@@ -194,8 +200,9 @@
             }
             return;
         }
-        Notice::Leaving { server, born, hold_ms } => {
-            departure::receive(state, server, *born, Duration::from_millis(*hold_ms));
+        Notice::Leaving { server, born, hold_ms, stated } => {
+            let hold = Duration::from_millis(*hold_ms);
+            departure::receive(state, server, *born, hold, *stated);
         }
         Notice::Broke { server } => {
             if let Some(peer) = state.peer(server) {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -260,9 +260,15 @@
         self.availability.borrow().backoff_length(&server.id, server.born, now)
     }
 
-    /// Whether it is listed as ready, and not believed to be leaving.
+    /// Whether it said that it is leaving.
+    pub fn says_leaving(&self) -> bool {
+        let server = self.server.borrow();
+        self.availability.borrow().is_leaving(&server.id, server.born)
+    }
+
+    /// Whether it is listed as ready, and neither said that it is leaving nor is believed to be.
     pub fn stays(&self, now: Duration) -> bool {
-        self.ready() && !self.departure.borrow().holds(now)
+        self.ready() && !self.says_leaving() && !self.departure.borrow().holds(now)
     }
 
     /// Whether it takes new requests and is not suspected.
