Plain services: a server that breaks off its answers is avoided

What callers saw: 502 for 4 of 73 requests beside an idle server: each broken answer took a retry, and the next request was sent to the same server.

Cause: breaks.rs counts broken runs against a server and lets it be passed over for a while, and only streams asked. The head of such an answer comes fast, which makes the server a preferred one.

Change: the choice prefers servers that accept requests, as for streams, then those that are not suspected, then any of those listed as ready; what a server asked for itself holds in all three.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -287,9 +287,13 @@
         let accepts = p.obstacle(Use::Direct, now).is_none() && p.limited.allows(now);
         p.ready() && accepts && !excluded.contains(&p.server().id)
     });
-    let healthy: Vec<_> = peers.iter().filter(|p| p.usable(now)).cloned().collect();
-    // If all are suspected, the network is more likely at fault than all servers. What they ask for themselves holds.
-    let candidates = if healthy.is_empty() { peers } else { healthy };
+    // If all are suspected, the network is more likely at fault than all servers.
+    let preferences: [fn(&Peer, Duration) -> bool; 3] =
+        [Peer::accepts_requests, Peer::usable, |_, _| true];
+    let fitting = |fits: &fn(&Peer, Duration) -> bool| -> Vec<&Rc<Peer>> {
+        peers.iter().filter(|p| fits(p, now)).collect()
+    };
+    let candidates = preferences.iter().map(fitting).find(|fit| !fit.is_empty())?;
     let choices: Vec<Choice> = candidates
         .iter()
         .map(|p| Choice {
@@ -299,7 +303,7 @@
             near: p.server().zone == state.setup.zone,
         })
         .collect();
-    pick(&choices, &mut rand::rng()).map(|at| candidates[at].clone())
+    pick(&choices, &mut rand::rng()).map(|at| Rc::clone(candidates[at]))
 }
 
 /// Whether all servers that take requests have set limits that are used up.
