Streams: comments belong to the next event, and events have ids

What callers saw: a stream of comments, or of events without an id, that had no end and began with 200.

Cause: the first event of a stream was accepted whatever it was, and as it had no id, so was each one after it. A comment in the middle of a stream broke it.

Change: the splitter returns comments with the event that follows, so that comments without an end are one event that is too long; comments at the end of a stream are left out. A first event needs an id like all others.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -19,7 +19,8 @@
 }
 
 impl Event {
-    /// Whether it is the next event after the last one that the caller received. Ids increase by one within a stream.
+    /// Whether it is the next event after the last one that the caller received. Ids increase by one within a stream; an
+    /// event without one belongs to no stream.
     ///
     /// ```
     /// let mut splitter = gateway::event::Splitter::default();
@@ -31,14 +32,16 @@
     pub fn follows(&self, last: Option<Id>) -> bool {
         match (last, self.id) {
             (Some(last), Some(id)) => id == last + 1,
-            (Some(_), None) => false,
-            (None, _) => true,
+            (None, Some(_)) => true,
+            (_, None) => false,
         }
     }
 }
 
 /// Buffers bytes until an event is complete.
 ///
+/// Comments are returned with the event that follows them, so that comments without end are an event that is too long.
+///
 /// Only complete events are returned. If a server died in the middle of an event, the caller would otherwise get a part
 /// of it, and the first event of the next server would be appended to that part.
 ///
@@ -55,6 +58,8 @@
     buffer: BytesMut,
     /// Bytes already searched for the end of the event.
     scanned: usize,
+    /// Bytes of complete comments before the event.
+    comments: usize,
 }
 
 impl Splitter {
@@ -68,16 +73,23 @@
         self.buffer.is_empty()
     }
 
+    /// Whether only complete comments are buffered.
+    pub fn holds_comments_only(&self) -> bool {
+        !self.buffer.is_empty() && self.comments == self.buffer.len()
+    }
+
     /// Whether the incomplete event is longer than [`MAX_EVENT_BYTES`].
     pub fn overflows(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the end of the next event or comment after the known comments.
     fn find_end(&mut self) -> Option<usize> {
-        let from = self.scanned.saturating_sub(3);
+        let from = self.scanned.saturating_sub(3).max(self.comments);
         let found = self.buffer[from..].windows(2).position(|w| w == b"\n\n");
-        self.scanned = self.buffer.len();
-        found.map(|at| from + at + 2)
+        let end = found.map(|at| from + at + 2);
+        self.scanned = end.unwrap_or(self.buffer.len());
+        end
     }
 }
 
@@ -85,13 +97,22 @@
     type Item = Event;
 
     fn next(&mut self) -> Option<Event> {
-        let end = self.find_end()?;
+        let mut end = self.find_end()?;
+        while is_comment(&self.buffer[self.comments..end]) {
+            self.comments = end;
+            end = self.find_end()?;
+        }
         let bytes = self.buffer.copy_to_bytes(end);
-        self.scanned = 0;
+        (self.scanned, self.comments) = (0, 0);
         Some(Event { id: id(&bytes), bytes })
     }
 }
 
+/// Whether all lines are comments or empty.
+fn is_comment(lines: &[u8]) -> bool {
+    lines.split(|b| *b == b'\n').all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 fn id(event: &[u8]) -> Option<Id> {
     let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
--- a/crates/gateway/src/stream/upstream.rs
+++ b/crates/gateway/src/stream/upstream.rs
@@ -48,7 +48,9 @@
                     self.disconnected = true;
                     return Next::Broken("the connection to the first server broke");
                 }
-                Ok(None) if self.splitter.is_empty() => return Next::End,
+                Ok(None) if self.splitter.is_empty() || self.splitter.holds_comments_only() => {
+                    return Next::End;
+                }
                 Ok(None) => {
                     self.disconnected |= self.answer.ends_with_connection();
                     return Next::Broken("the stream ended in the middle of an event");
