Connections of a router: bytes before the head of an answer and bodies are bounded

What callers saw: one server stopped a router, and all that use it, for as long as it sent interim heads; the memory of a router grew past its limit where a server or the store sent a body without end.

Cause: hyper parses interim heads as long as bytes arrive, on the only thread, so that no timer fires. Reports, health answers, orders and answers of the store were collected whole, whatever their length.

Change: Connection::send is the only way to send a request; until the head of the answer is complete the peer may send 64 kB (guard), after which the connection fails and the request may have run.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -205,7 +205,7 @@
     log_sent(state, peer, call);
     let (sent, start) = (Instant::now(), peer.start());
     peer.sent.borrow_mut().record(state.now());
-    let answer = match timeout_at(until, connection.sender.try_send_request(request)).await {
+    let answer = match timeout_at(until, connection.send(request)).await {
         Err(_) => return Outcome::Late,
         Ok(Err(mut e)) => {
             let unsent = e.take_message().is_some();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod exchange;
 pub mod follow;
+pub mod guard;
 pub mod leader;
 pub mod limited;
 pub mod logging;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,23 +2,32 @@
 //!
 //! A connection serves one request at a time. One that the server closed, or on which unsolicited bytes were received,
 //! is dropped: those bytes would be read as the next answer.
+//!
+//! What a peer may send is bounded: until the head of an answer is complete by [`MAX_HEAD_BYTES`], and each body by the
+//! limit of [`read_body`] or of the reader that it is passed to.
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::guard::{Allowance, Guard};
+
 /// Time-out for establishing a connection. Round trips take a few milliseconds; a lost SYN packet is retransmitted
 /// after a second, and another server answers sooner than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -37,6 +46,10 @@
 /// Fraction of the idle time-out announced by a server for which a connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
+/// Longest head of an answer, interim heads included. Reading interim heads without a limit would leave the thread to
+/// nothing else, as the parser goes on while bytes arrive.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Why no connection could be established.
 #[derive(Debug, Clone, Display, Error)]
 #[display("connecting to {peer}: {why}")]
@@ -63,8 +76,9 @@
 /// A connection in use by one request.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends the request.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    /// Bytes that the peer may still send before the head of its answer is complete.
+    allowance: Rc<Allowance>,
     task: Task,
     /// Whether it was used before.
     pub reused: bool,
@@ -132,9 +146,10 @@
             }
             Err(_) => return Err(fault("no answer in time".to_owned(), Cause::Silent)),
         };
+        let allowance = Rc::new(Allowance::default());
         let (sender, connection) = Builder::new()
             .max_headers(64)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Guard::new(stream, allowance.clone())))
             .await
             .map_err(|e| fault(e.to_string(), Cause::Other))?;
         let peer = self.address;
@@ -144,7 +159,7 @@
             }
         });
         self.connection_count.set(self.connection_count.get() + 1);
-        Ok(Connection { sender, task: Task(task.abort_handle()), reused: false })
+        Ok(Connection { sender, allowance, task: Task(task.abort_handle()), reused: false })
     }
 
     /// Returns a connection to the pool after its answer was read to the end.
@@ -190,7 +205,24 @@
     Ok(stream)
 }
 
+/// Reads the complete body of an answer of at most `limit` bytes.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, String> {
+    let body = Limited::new(body, limit).collect().await.map_err(|e| e.to_string())?;
+    Ok(body.to_bytes())
+}
+
 impl Connection {
+    /// Sends a request and returns the head of the answer. The error holds the request if nothing of it was sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance.limit(MAX_HEAD_BYTES);
+        let answer = self.sender.try_send_request(request).await;
+        self.allowance.lift();
+        answer
+    }
+
     /// Whether the server closed it.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed() || self.task.0.is_finished()
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
@@ -19,7 +19,7 @@
 use crate::crash;
 use crate::notice::Notice;
 use crate::peer::{Peer, Probe, Reachability};
-use crate::pool::Cause;
+use crate::pool::{self, Cause};
 use crate::server::Report;
 use crate::state::State;
 use crate::statement::Statement;
@@ -33,6 +33,9 @@
 /// treat all servers as dead.
 const LAG_FACTOR: u32 = 4;
 
+/// Longest answer to a command. A report of a thousand waiting requests is a tenth as long.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// Interval between two measurements of this process's own delay.
 const LAG_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -124,13 +127,13 @@
     let host = HeaderValue::from_str(&peer.server().address.to_string()).expect("an address");
     request.headers_mut().insert(HOST, host);
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let fault = |e: hyper::Error| format!("command to {}: {e}", peer.server().address);
+    let fault = |e: String| format!("command to {}: {e}", peer.server().address);
     let start = peer.start();
-    let answer = connection.sender.send_request(request).await.map_err(fault)?;
+    let answer = connection.send(request).await.map_err(|e| fault(e.into_error().to_string()))?;
     let (head, body) = answer.into_parts();
     let statement = Statement::parse(&state.codec.names, head.status, &head.headers);
     availability::record(state, peer, &start, &statement, "command");
-    let body = body.collect().await.map_err(fault)?.to_bytes();
+    let body = pool::read_body(body, MAX_ANSWER_BYTES).await.map_err(fault)?;
     peer.pool.keep(connection, &head.headers);
     Ok((head, body.to_vec()))
 }
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -18,7 +18,7 @@
 use super::{
     CHECK_INTERVAL, LOGS, MAX_AGE, MAX_POLL_WAIT, drop_former_era, poll_pause, position, source,
 };
-use crate::pool::Pool;
+use crate::pool::{self, Pool};
 use crate::roster::{MAX_DIRECT_ROUTERS, MIN_SHARING_ROUTERS, Source};
 use crate::state::State;
 use crate::store::{Log, Offset};
@@ -122,10 +122,9 @@
     let mut connection = pool.take().await.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(body));
     *request.uri_mut() = path.parse().expect("names and digits");
-    let answer = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let answer = connection.send(request).await.map_err(|e| e.into_error().to_string())?;
     let (head, body) = answer.into_parts();
-    let body =
-        Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let body = pool::read_body(body, MAX_ANSWER_BYTES).await?;
     pool.keep(connection, &head.headers);
     match head.status {
         StatusCode::OK => Ok(body),
