--- a/crates/ctl/src/cmd/lines.rs
+++ b/crates/ctl/src/cmd/lines.rs
@@ -19,7 +19,7 @@
 const TIME_AFTER: Duration = Duration::seconds(4);
 
 /// Fields whose value is the name of a server.
-const SERVER_FIELDS: [&str; 3] = ["server", "first", "culprit"];
+const SERVER_FIELDS: [&str; 4] = ["server", "first", "culprit", "sent_to"];
 
 /// Beginnings of lines about the state of a gateway that concerns more than one server.
 const STATE_PREFIXES: [&str; 6] =
@@ -58,6 +58,14 @@
         Some(bare.unwrap_or(found))
     }
 
+    /// Returns whether the line is about the state of a gateway that may concern any request.
+    fn is_general(&self) -> bool {
+        // A request that all servers want to wait has no line that names one of them.
+        let asked = ["backoff", "leaving"].iter().any(|name| self.field(name).is_some());
+        let is_state = STATE_PREFIXES.iter().any(|prefix| self.text.starts_with(prefix));
+        is_state || (asked && self.text.starts_with("server="))
+    }
+
     /// Returns whether the line is about one of the servers and not about a request.
     fn is_about(&self, servers: &[&str]) -> bool {
         self.field("request").is_none()
@@ -94,8 +102,7 @@
         .collect();
     servers.sort_unstable();
     let is_context = |line: &Line| {
-        let is_general = STATE_PREFIXES.iter().any(|prefix| line.text.starts_with(prefix));
-        from <= line.at && line.at <= to && (is_general || line.is_about(&servers))
+        from <= line.at && line.at <= to && (line.is_general() || line.is_about(&servers))
     };
     let rows = lines.iter().filter_map(|line| {
         let relation = match () {
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -46,6 +46,25 @@
     expected: &'static str,
 }
 
+const REFUSED: &str = "\
+2026-07-04T02:52:36.100000000Z [INFO] gateway: server=i-3 backoff=3s until=9.1s use=Path asked_by=i-3 asked_at=ff00
+2026-07-04T02:52:36.200000000Z [INFO] gateway: server=i-4 leaving=true born=7 why=its answer
+2026-07-04T02:52:36.300000000Z [INFO] gateway: server=i-5 suspect=true why=no answer to a probe
+2026-07-04T02:52:36.980000000Z [INFO] gateway: request=dd44 outcome=refused why=the backend servers asked for a backoff
+";
+
+/// Guards against a refusal without its cause where no server is named, as all of them asked to be left alone.
+#[tokio::test]
+async fn backoffs_explain_a_refusal() {
+    let scratch = Scratch::new("explain-backoffs");
+    scratch.write("entry-1.log", REFUSED);
+    let run = scratch.run(&["explain", "dd44", "--output", "entry-1.log"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let shown = ["server=i-3 backoff=3s", "server=i-4 leaving=true", "request=dd44"];
+    assert!(shown.iter().all(|text| run.out.contains(text)), "{}", run.out);
+    assert!(!run.out.contains("server=i-5"), "{}", run.out);
+}
+
 /// An unknown id or file gives a message that names it, and the exit code of an error.
 #[rstest::rstest]
 #[case::unknown(Case { args: &["explain", "cc33", "--output", "entry-1.log"], code: 1, expected: "none of 7 lines is of request cc33" })]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -164,14 +164,16 @@
 /// Logs which server a request is sent to, and which entry of it this router knows.
 fn log_sent(state: &State, peer: &Peer, call: &Call) {
     let (server, entry, now) = (peer.server(), peer.entry(), state.now());
+    let backoff_end = state.availability.borrow().last_backoff_end(&server.id, server.born);
     log::info!(
-        "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={} parts={}",
+        "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={} backoff_ended={:?} ago parts={}",
         call.id,
         server.id,
         server.sequence,
         entry.offset,
         now.saturating_sub(entry.received),
         shared_read::read_position(state, Log::Servers),
+        backoff_end.map(|end| now.saturating_sub(end)),
         content::describe_parts(&state.codec, call)
     );
 }
--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -35,6 +35,9 @@
 #[case(Case { bytes: "data: no number\n\n", events: 1, id: None, incomplete: false })]
 #[case(Case { bytes: "id: x\ndata: y\n\n", events: 1, id: None, incomplete: false })]
 #[case(Case { bytes: "id: 9\ndata: half", events: 0, id: None, incomplete: true })]
+#[case(Case { bytes: ": comment\n\nid: 3\ndata: x\n\n", events: 1, id: Some(3), incomplete: false })]
+#[case(Case { bytes: ": a\n: b\n\n: c\n\nid: 3\ndata: x\n\n", events: 1, id: Some(3), incomplete: false })]
+#[case(Case { bytes: ": comment\n\n", events: 0, id: None, incomplete: true })]
 #[case(Case { bytes: "", events: 0, id: None, incomplete: false })]
 fn single_chunks(#[case] case: Case) {
     let mut splitter = Splitter::default();
@@ -45,6 +48,34 @@
     assert_eq!(!splitter.is_empty(), case.incomplete);
 }
 
+/// Guards against bytes lost with a comment, in any split, and against a complete stream taken for a cut one.
+#[test]
+fn comments_belong_to_the_next_event() {
+    let stream = "id: 0\ndata: x\n\n: one\n\n: two\n\nid: 1\ndata: y\n\n: last\n\n";
+    for size in 1..20 {
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        for chunk in stream.as_bytes().chunks(size) {
+            splitter.push(chunk);
+            events.extend(splitter.by_ref());
+        }
+        let texts: Vec<_> = events.iter().map(|e| std::str::from_utf8(&e.bytes).unwrap()).collect();
+        let second = ": one\n\n: two\n\nid: 1\ndata: y\n\n";
+        assert_eq!(texts, ["id: 0\ndata: x\n\n", second], "chunks of {size}");
+        assert!(splitter.holds_comments_only());
+    }
+}
+
+/// Guards against comments without an end, and against searching all of them again with each one.
+#[test]
+fn endless_comments_are_detected() {
+    let mut splitter = Splitter::default();
+    while !splitter.overflows() {
+        splitter.push(b":\n\n");
+        assert!(splitter.next().is_none());
+    }
+}
+
 /// A server sends endless bytes that never complete an event. Buffering them would use up the router's memory.
 #[test]
 fn endless_events_are_detected() {
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -221,6 +221,11 @@
         self.find(id, born).map(|record| record.backoff.end(how)).filter(|end| now < *end)
     }
 
+    /// Returns when the last backoff ends or ended; none if there was none.
+    pub fn last_backoff_end(&self, id: &str, born: u64) -> Option<Duration> {
+        self.find(id, born).map(|record| record.backoff.direct).filter(|end| !end.is_zero())
+    }
+
     /// Returns the length of a backoff that has not passed yet.
     pub fn backoff_length(&self, id: &str, born: u64, now: Duration) -> Option<Duration> {
         let backoff = self.find(id, born)?.backoff;
--- a/crates/policy/tests/availability.rs
+++ b/crates/policy/tests/availability.rs
@@ -174,7 +174,18 @@
         found.filter(|o| *o != Obstacle::Return || self.scenario.after == Return::Gradual)
     }
 
-    /// Chooses a server for a request, or holds or refuses it.
+    /// Disturbs one of the routers after each interval.
+    fn disturb(&mut self, interval: Option<Duration>, event: fn(usize) -> Event) {
+        let Some(interval) = interval else { return };
+        let mut at = interval;
+        while at < END {
+            let router = self.rng.random_range(0..self.scenario.routers);
+            self.push(at, event(router));
+            at += interval;
+        }
+    }
+
+    /// Chooses a server for a request, or refuses it.
     fn dispatch(&mut self, now: Duration, router: usize, caller: usize) {
         if self.callers[caller].answered || now >= self.callers[caller].arrived + DEADLINE {
             return;
@@ -385,19 +396,8 @@
         });
         play.push(at, Event::Request { router, caller });
     }
-    let kinds: [(Option<Duration>, fn(usize) -> Event); 2] = [
-        (scenario.restarts, |router| Event::Restart { router }),
-        (scenario.freezes, |router| Event::Freeze { router }),
-    ];
-    for (interval, event) in kinds {
-        let Some(interval) = interval else { continue };
-        let mut at = interval;
-        while at < END {
-            let router = play.rng.random_range(0..routers);
-            play.push(at, event(router));
-            at += interval;
-        }
-    }
+    play.disturb(scenario.restarts, |router| Event::Restart { router });
+    play.disturb(scenario.freezes, |router| Event::Freeze { router });
     play.outcome.callers = play.callers.len();
     while let Some(Reverse((now, _, event))) = play.events.pop() {
         if now < END {
