Plain services pass over a server that declined a request for half a second

What callers saw: with two servers, one of which declined everything without a time that could be read, every eleventh request was sent in vain and took a retry; where the budget is small they are lost.

Cause: a plain service kept nothing of an answer that a request had not run. Such a server runs nothing and answers fast, so it was preferred.

Change: a decline is recorded like one that another router reports, half a second without doubling, as slots are free again soon.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -194,8 +194,10 @@
                 if self.ran == 0 {
                     self.fallback = answer::error(Reason::Full);
                 }
-                if status == StatusCode::MISDIRECTED_REQUEST {
-                    peer.record_failure(state.now());
+                match status {
+                    StatusCode::MISDIRECTED_REQUEST => drop(peer.record_failure(state.now())),
+                    // Without requests it would be preferred. Its slots are free again within a moment.
+                    _ => peer.declines.borrow_mut().record_report(state.now()),
                 }
             }
             Attempt::Broken | Attempt::Unknown(_) => {
