What servers ask for is recorded by departure, and checked by a module that knows no State; a return ends in time

The circle of the gateway's files does not grow: statement, availability and guard import none of it. A return is complete two seconds after the backoff in any case, as the first request may take long. A probe without an answer is not reused for half a backoff. A server that wants no requests counts as busy where layers are planned, so that others load what is missing.

--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -1,4 +1,5 @@
-//! Finds out why a backend server declines requests, and notifies the other routers of one that is leaving.
+//! Records what backend servers ask for in their answers, finds out why one declines requests without saying so, and
+//! notifies the other routers of one that is leaving.
 //!
 //! The list of servers says so as well, but not while the store is unavailable.
 
@@ -7,16 +8,17 @@
 
 use policy::availability::Use;
 use policy::crash::Start;
+use policy::departure::MAX_HOLD;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::availability;
 use crate::notice::Notice;
 use crate::peer::Peer;
 use crate::probe;
 use crate::route;
 use crate::server::Report;
 use crate::state::State;
+use crate::statement::{Field, Statement};
 
 /// Fraction of a server's memory in use above which it may decline a request for lack of memory.
 const NEARLY_FULL_FRACTION: f64 = 0.85;
@@ -99,9 +101,83 @@
 pub fn receive(state: &State, server: &str, born: u64, hold: Duration, stated: bool) {
     if stated {
         let start = Start { id: server.to_owned(), born };
-        return availability::record_leaving(state, &start, "reported by another router", false);
+        return record_leaving(state, &start, "reported by another router", false);
     }
     if let Some(peer) = state.peer(server).filter(|peer| peer.server().born == born) {
         peer.departure.borrow_mut().record_report(state.now(), hold);
     }
 }
+
+/// Records what a server asks for in an answer. `start` is its start when `request` was sent.
+pub fn record_statement(
+    state: &State,
+    peer: &Peer,
+    start: &Start,
+    statement: &Statement,
+    request: &str,
+) {
+    match &statement.backoff {
+        Field::Value(time) if !time.is_zero() => {
+            record_backoff(state, peer, start, *time, statement, request);
+        }
+        Field::Unreadable(text) => record_unreadable(state, start, "backoff", text),
+        Field::Value(_) | Field::Absent => {}
+    }
+    match &statement.leaving {
+        Field::Value(true) => record_leaving(state, start, "its answer", true),
+        Field::Unreadable(text) => record_unreadable(state, start, "leaving", text),
+        Field::Value(false) | Field::Absent => {}
+    }
+}
+
+/// Records a backoff. If a later server of the path is at fault, that one gets no requests at all, and the first one,
+/// which gave the answer, none that are sent to it directly.
+fn record_backoff(
+    state: &State,
+    peer: &Peer,
+    start: &Start,
+    time: Duration,
+    statement: &Statement,
+    request: &str,
+) {
+    state.metrics.backoff_asked();
+    let (now, routers) = (state.now(), state.routers());
+    let culprit = statement.culprit.filter(|address| *address != peer.server().address);
+    let at_fault = culprit.and_then(|address| state.peer_at(address)).map(|peer| peer.start());
+    let how = if culprit.is_some() { Use::Direct } else { Use::Path };
+    let mut register = state.availability.register.borrow_mut();
+    let later = at_fault.iter().map(|start| (start, Use::Path));
+    for (start, how) in std::iter::once((start, how)).chain(later) {
+        if register.back_off(start, how, time, now, routers, rand::random()) {
+            log::info!(
+                "gateway: server={} backoff={time:?} until={:?} use={how:?} asked_by={} asked_at={request}",
+                start.id,
+                register.backoff_end(&start.id, start.born, Use::Direct, now).unwrap_or(now),
+                peer.server().id
+            );
+        }
+    }
+    state.changed.notify_waiters();
+}
+
+fn record_unreadable(state: &State, start: &Start, field: &str, text: &str) {
+    if state.availability.register.borrow_mut().record_unreadable(start, state.now()) {
+        log::warn!("gateway: server={} {field} can't be read: {text:?}", start.id);
+    }
+}
+
+/// Records that a start of a server is leaving for good; `first_hand` says that it said so to this router, which then
+/// notifies the others.
+fn record_leaving(state: &State, start: &Start, why: &str, first_hand: bool) {
+    if !state.availability.register.borrow_mut().leave(start, state.now()) {
+        return;
+    }
+    let Start { id, born } = start;
+    log::info!("gateway: server={id} leaving=true born={born} why={why}");
+    if first_hand {
+        let (server, born) = (id.clone(), *born);
+        let hold_ms = MAX_HOLD.as_millis() as u64;
+        state.announce(Notice::Leaving { server, born, hold_ms, stated: true });
+    }
+    state.changed.notify_waiters();
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,8 +13,9 @@
 use policy::window::Need;
 use tokio::time::{Instant, timeout_at};
 
-use crate::availability::{self, Withheld};
+use crate::availability::Withheld;
 use crate::content;
+use crate::departure;
 use crate::limited;
 use crate::peer::Peer;
 use crate::pool::Connection;
@@ -164,7 +165,8 @@
 /// Logs which server a request is sent to, and which entry of it this router knows.
 fn log_sent(state: &State, peer: &Peer, call: &Call) {
     let (server, entry, now) = (peer.server(), peer.entry(), state.now());
-    let backoff_end = state.availability.borrow().last_backoff_end(&server.id, server.born);
+    let backoff_end =
+        state.availability.register.borrow().last_backoff_end(&server.id, server.born);
     log::info!(
         "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={} backoff_ended={:?} ago parts={}",
         call.id,
@@ -196,16 +198,18 @@
     }
     let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
     request.headers_mut().insert(&state.codec.names.deadline, HeaderValue::from(left));
-    let permit = match availability::permit(state, path) {
+    let starts: Vec<Start> = path.iter().map(|peer| peer.start()).collect();
+    let permit = match state.availability.permit(&starts) {
         Ok(permit) => permit,
         Err(withheld) => {
+            state.metrics.withheld();
             log::info!("gateway: request={} withheld {withheld}", call.id);
             peer.pool.keep(connection, &HeaderMap::new());
             return Outcome::Withheld(withheld);
         }
     };
     log_sent(state, peer, call);
-    let (sent, start) = (Instant::now(), peer.start());
+    let sent = Instant::now();
     peer.sent.borrow_mut().record(state.now());
     let answer = match timeout_at(until, connection.send(request)).await {
         Err(_) => return Outcome::Late,
@@ -216,7 +220,7 @@
         }
         Ok(Ok(answer)) => answer,
     };
-    let outcome = classify(state, peer, &start, call, answer, connection, sent.elapsed());
+    let outcome = classify(state, peer, &starts[0], call, answer, connection, sent.elapsed());
     permit.settle(matches!(outcome, Outcome::Answer(_)));
     outcome
 }
@@ -234,7 +238,7 @@
     let names = &state.codec.names;
     let (status, headers) = (answer.status(), answer.headers());
     let statement = Statement::parse(names, status, headers);
-    availability::record(state, peer, start, &statement, &call.id);
+    departure::record_statement(state, peer, start, &statement, &call.id);
     // A late answer to an earlier request may arrive on the connection.
     let foreign = headers.get(&names.request).is_some_and(|id| id.as_bytes() != call.id.as_bytes());
     if foreign {
--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -86,7 +86,8 @@
             card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
             span: order.unwrap_or(peer.span(now)),
             usable: card.is_some() && peer.stays(now) && (!reachable || !peer.counts_as_dead()),
-            busy: order.is_some(),
+            // A server that wants no requests gets no orders either.
+            busy: order.is_some() || peer.backoff_end(now).is_some(),
             slow: peer.slowdown.get() > MAX_SLOWDOWN,
         }
     };
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -166,7 +166,7 @@
     planned.retain(|plan| match state.peer(&plan.server) {
         None => false,
         Some(peer) if !peer.usable(state.now()) => false,
-        Some(peer) if peer.backoff_end(state.now()).is_some() => true,
+        Some(peer) if peer.backoff_end(state.now()).is_some() => false,
         Some(peer) if peer.server().service != service || batch.len() >= MAX_CONCURRENT_ORDERS => {
             true
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,17 +1,19 @@
 //! Metrics: OpenTelemetry counters and histograms, exported as Prometheus text.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use policy::availability::{Obstacle, Use};
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::answer::Reason;
-use crate::availability;
 use crate::crash;
 use crate::limited;
+use crate::peer::Peer;
 use crate::retries;
 use crate::shared_read;
 use crate::state::State;
@@ -189,7 +191,7 @@
         let is_reader = u8::from(shared_read::is_reader(state));
         text.push_str(&format!("hyssop_reads_for_others {is_reader}\n"));
         text.push_str(&limited::page(state));
-        text.push_str(&availability::page(state));
+        text.push_str(&availability_page(state));
         text.push_str(&retries::page(state));
         text.push_str(&crash::page(state));
         let restores = state.store.restores();
@@ -213,3 +215,19 @@
         text
     }
 }
+
+/// Returns the metrics text: remaining backoffs of servers, and servers that said they are leaving.
+fn availability_page(state: &State) -> String {
+    let now = state.now();
+    let line = |peer: Rc<Peer>| {
+        let id = &peer.server().id;
+        match peer.obstacle(Use::Direct, now)? {
+            Obstacle::Leaving => Some(format!("hyssop_server_leaving{{server=\"{id}\"}} 1\n")),
+            Obstacle::Backoff | Obstacle::Return => {
+                let left = peer.backoff_end(now).map_or(0.0, |end| (end - now).as_secs_f64());
+                Some(format!("hyssop_server_backoff_seconds{{server=\"{id}\"}} {left:.1}\n"))
+            }
+        }
+    };
+    state.peers().into_iter().filter_map(line).collect()
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -153,11 +153,10 @@
     /// backoff ends if no server accepts it before.
     fn give_up(self) -> Response<Body> {
         let (state, call, service) = (self.state, self.call, self.service);
-        match self.ran == 0 && choose(state, service, &[]).is_none() {
-            true if availability::first_return(state, service).is_some() => {
-                availability::refuse(state, call, service)
-            }
-            _ => self.fallback,
+        let refused = self.ran == 0 && choose(state, service, &[]).is_none();
+        match state.first_return(service).filter(|_| refused) {
+            Some(wait) => availability::refuse(wait, state.routers(), call.time_left()),
+            None => self.fallback,
         }
     }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -14,9 +14,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
-use crate::availability;
 use crate::clock;
 use crate::crash;
+use crate::departure;
 use crate::notice::Notice;
 use crate::peer::{Peer, Probe, Reachability};
 use crate::pool::{self, Cause};
@@ -75,6 +75,9 @@
 /// pass of each other, and each of them probes all servers of its path.
 const PROBE_VALIDITY: Duration = Duration::from_millis(150);
 
+/// Longest time for which the answer of a server to a probe is reused while it wants no requests.
+const MAX_PROBE_VALIDITY: Duration = Duration::from_secs(5);
+
 /// Time-out of commands on which no request and no other order waits.
 pub const BACKGROUND_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -132,7 +135,7 @@
     let answer = connection.send(request).await.map_err(|e| fault(e.into_error().to_string()))?;
     let (head, body) = answer.into_parts();
     let statement = Statement::parse(&state.codec.names, head.status, &head.headers);
-    availability::record(state, peer, &start, &statement, "command");
+    departure::record_statement(state, peer, &start, &statement, "command");
     let body = pool::read_body(body, MAX_ANSWER_BYTES).await.map_err(fault)?;
     peer.pool.keep(connection, &head.headers);
     Ok((head, body.to_vec()))
@@ -286,9 +289,11 @@
 /// least the same time-out. Returns the server's report, or `None` if it does not answer.
 async fn probe(state: &State, peer: &Rc<Peer>, since: Duration, limit: Duration) -> Option<Report> {
     let mut last = peer.last_probe.lock().await;
-    // At most two probes reach a server within a backoff that it asked for.
-    let backoff = peer.backoff_length(state.now()).map(|length| length / 2);
-    let validity = backoff.unwrap_or_default().max(PROBE_VALIDITY);
+    let validity = match peer.backoff_length(state.now()).filter(|_| last.report.is_some()) {
+        // At most two probes reach the server meanwhile.
+        Some(backoff) => (backoff / 2).clamp(PROBE_VALIDITY, MAX_PROBE_VALIDITY),
+        None => PROBE_VALIDITY,
+    };
     let fresh = since <= last.at && state.now() < last.at + validity;
     if fresh && (last.report.is_some() || limit <= last.limit) {
         return last.report.clone();
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -14,7 +14,6 @@
 use policy::fill::Report;
 
 use crate::answer::Reason;
-use crate::availability;
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
 use crate::settings::Model;
@@ -159,7 +158,7 @@
             if over_limit(state, service, excluded) { Reason::Limited } else { Reason::Full }
         }
         () if covers_all_layers(state, service, model, excluded, |p| p.usable(now))
-            && availability::first_return(state, service).is_some() =>
+            && state.first_return(service).is_some() =>
         {
             Reason::Backoff
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use layers::server::Zone;
-use policy::availability::Register;
+use policy::availability::{Obstacle, Use};
 use policy::demand::Demand;
 use policy::intake::Intake;
 use policy::meter::Meter;
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::availability::{Availability, RETURN_RETRY_AFTER};
 use crate::crash::Crashes;
 use crate::limited::Ledgers;
 use crate::logging::Quota;
@@ -65,7 +66,7 @@
     settings: RefCell<Option<Rc<Settings>>>,
     peers: RefCell<Vec<Rc<Peer>>>,
     /// What starts of servers have asked of this router; shared with the peers.
-    pub availability: Rc<RefCell<Register>>,
+    pub availability: Rc<Availability>,
     /// Last entries of servers that were removed, and when.
     removed: RefCell<Vec<(Rc<Server>, Duration)>>,
     budgets: RefCell<Vec<(String, Budget)>>,
@@ -142,6 +143,7 @@
 impl State {
     /// Creates the state of a router that has just started.
     pub fn new(setup: Setup, codec: Codec, store: Client, metrics: Metrics) -> Rc<State> {
+        let start = Instant::now();
         Rc::new(State {
             setup,
             codec,
@@ -149,7 +151,7 @@
             metrics,
             settings: RefCell::default(),
             peers: RefCell::default(),
-            availability: Rc::default(),
+            availability: Availability::new(start),
             removed: RefCell::default(),
             budgets: RefCell::default(),
             routers: RefCell::new(Routers::new(DEFAULT_ROUTERS, DEPARTED_ROUTER_TIME)),
@@ -186,7 +188,7 @@
             layers_missing_since: Cell::new(None),
             notices: RefCell::default(),
             notices_queued: Notify::new(),
-            start: Instant::now(),
+            start,
         })
     }
 
@@ -269,6 +271,18 @@
         peers.iter().filter(|p| p.server().service == service).cloned().collect()
     }
 
+    /// Returns how long it takes until the first backoff of a service's servers ends; none if no server has asked for one.
+    pub fn first_return(&self, service: &str) -> Option<Duration> {
+        let now = self.now();
+        let wait = |peer: &Rc<Peer>| match peer.obstacle(Use::Direct, now) {
+            _ if !peer.stays(now) => None,
+            Some(Obstacle::Backoff) => peer.backoff_end(now).map(|end| end.saturating_sub(now)),
+            Some(Obstacle::Return) => Some(RETURN_RETRY_AFTER),
+            Some(Obstacle::Leaving) | None => None,
+        };
+        self.peers_of(service).iter().filter_map(wait).min()
+    }
+
     /// Returns the server with that id.
     pub fn peer(&self, id: &str) -> Option<Rc<Peer>> {
         let peers = self.peers.borrow();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,7 +22,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::answer::{self, Body, BodyError, Reason};
-use crate::availability;
+use crate::availability::{self, RETURN_RETRY_AFTER};
 use crate::crash;
 use crate::event::Id;
 use crate::limited;
@@ -160,7 +160,10 @@
         Err(Reason::Limited) => {
             return limited::refuse(state, service);
         }
-        Err(Reason::Backoff) => return availability::refuse(state, &call, service),
+        Err(Reason::Backoff) => {
+            let wait = state.first_return(service).unwrap_or(RETURN_RETRY_AFTER);
+            return availability::refuse(wait, state.routers(), call.time_left());
+        }
         Err(Reason::Crashes) => {
             let refusal = crash::refuse(state, &call);
             return refusal.unwrap_or_else(|| answer::error(Reason::Crashes));
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -23,6 +23,9 @@
 /// Requests in progress at a server from which on a return is complete.
 const FULL_WINDOW: u32 = 16;
 
+/// Time after a backoff after which a return is complete in any case, as the requests sent since may take long.
+pub const MAX_RETURN_TIME: Duration = Duration::from_secs(2);
+
 /// Limit on the starts of servers that are remembered; the one that spoke longest ago is dropped first.
 const MAX_STARTS: usize = 1024;
 
@@ -108,7 +111,9 @@
         match window {
             _ if self.leaving => Some(Obstacle::Leaving),
             _ if now < self.backoff.end(how) => Some(Obstacle::Backoff),
-            Some(window) if trials >= window => Some(Obstacle::Return),
+            Some(window) if trials >= window && now < self.backoff.end(how) + MAX_RETURN_TIME => {
+                Some(Obstacle::Return)
+            }
             Some(_) | None => None,
         }
     }
--- a/crates/policy/tests/availability.rs
+++ b/crates/policy/tests/availability.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use policy::availability::{MAX_BACKOFF, Obstacle, Register, Use, return_spread};
+use policy::availability::{MAX_BACKOFF, MAX_RETURN_TIME, Obstacle, Register, Use, return_spread};
 use policy::crash::Start;
 use policy::pick::{Choice, Pace, pick};
 use rand::{RngExt, SeedableRng};
@@ -487,6 +487,18 @@
     assert!(gradual.declined < at_once.declined, "{gradual:?} {at_once:?}");
 }
 
+/// Guards against a server that is hardly used because its first request after a backoff takes long.
+#[test]
+fn a_return_ends_in_time() {
+    let mut register = Register::default();
+    let (server, time, now) = (start(1), Duration::from_secs(1), Duration::from_secs(5));
+    register.back_off(&server, Use::Path, time, now, 1, 0.0);
+    let mut admit = |at| register.admit(&server.id, server.born, Use::Direct, at);
+    assert_eq!(admit(now + time), Ok(true));
+    assert_eq!(admit(now + time + MAX_RETURN_TIME / 2), Err(Obstacle::Return));
+    assert_eq!(admit(now + time + MAX_RETURN_TIME), Ok(true));
+}
+
 /// Guards against a server that is never used again because of one answer, and against overflows.
 #[test]
 fn no_backoff_lasts_for_ever() {
