--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -11,27 +11,19 @@
 use hyper::Response;
 use policy::availability::{Obstacle, Register, Use, return_spread};
 use policy::crash::Start;
-use tokio::time::Instant;
 
 use crate::answer::{self, Body, Reason};
+use crate::server::{Id, Server};
 
 /// Time after which a caller retries if the only servers have just ended their backoffs: several answers later.
 pub const RETURN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// What the starts of servers have asked of this router, shared by its tasks.
-#[derive(Debug)]
-pub struct Availability {
-    /// The statements.
-    pub register: RefCell<Register>,
-    start: Instant,
-}
-
 /// Why a request was not sent.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 #[display("server={server} obstacle={obstacle}")]
 pub struct Withheld {
     /// The server that does not want it.
-    pub server: String,
+    pub server: Id,
     /// Why it does not.
     pub obstacle: Obstacle,
 }
@@ -40,54 +32,45 @@
 /// backoff.
 #[derive(Debug)]
 pub struct Permit {
-    availability: Rc<Availability>,
+    register: Rc<RefCell<Register>>,
     counted: Vec<Start>,
-    served: bool,
-}
-
-impl Availability {
-    /// Creates the register of a process that began at `start`.
-    pub fn new(start: Instant) -> Rc<Availability> {
-        Rc::new(Availability { register: RefCell::default(), start })
-    }
-
-    /// Returns the time since the process started.
-    pub fn now(&self) -> Duration {
-        self.start.elapsed()
-    }
-
-    /// Checks whether a request may be sent to the first server of `path`, and on to the others, right before it is sent.
-    pub fn permit(self: &Rc<Availability>, path: &[Start]) -> Result<Permit, Withheld> {
-        let now = self.now();
-        let mut permit = Permit { availability: self.clone(), counted: Vec::new(), served: false };
-        for (at, start) in path.iter().enumerate() {
-            let how = if at == 0 { Use::Direct } else { Use::Path };
-            let admitted = self.register.borrow_mut().admit(&start.id, start.born, how, now);
-            match admitted {
-                Ok(true) => permit.counted.push(start.clone()),
-                Ok(false) => {}
-                Err(obstacle) => return Err(Withheld { server: start.id.clone(), obstacle }),
-            }
-        }
-        Ok(permit)
-    }
+    /// When the servers began to answer the request.
+    served_at: Option<Duration>,
 }
 
 impl Permit {
-    /// Ends the permit; `served` says whether the servers answered the request.
-    pub fn settle(mut self, served: bool) {
-        self.served = served;
+    /// Ends the permit of a request that the servers have answered.
+    pub fn served(mut self, now: Duration) {
+        self.served_at = Some(now);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let now = self.availability.now();
-        let mut register = self.availability.register.borrow_mut();
+        let mut register = self.register.borrow_mut();
         for start in &self.counted {
-            register.settle(&start.id, start.born, self.served, now);
+            register.settle(&start.id, start.born, self.served_at);
+        }
+    }
+}
+
+/// Checks whether a request may be sent to the first server of `path`, and on to the others, right before it is sent.
+pub fn permit(
+    register: &Rc<RefCell<Register>>,
+    path: &[Rc<Server>],
+    now: Duration,
+) -> Result<Permit, Withheld> {
+    let mut permit = Permit { register: register.clone(), counted: Vec::new(), served_at: None };
+    for (at, server) in path.iter().enumerate() {
+        let how = if at == 0 { Use::Direct } else { Use::Path };
+        let admitted = register.borrow_mut().admit(&server.id, server.born, how, now);
+        match admitted {
+            Ok(true) => permit.counted.push(server.start()),
+            Ok(false) => {}
+            Err(obstacle) => return Err(Withheld { server: server.id.clone(), obstacle }),
         }
     }
+    Ok(permit)
 }
 
 /// Returns the response to a request that must wait for the end of a backoff, `wait` from now, whose caller has `left`
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -175,7 +175,7 @@
             );
         }
         if ended {
-            let start = Start { id: server.id.clone(), born: server.born };
+            let start = server.start();
             let request = Request { content, parts: &shared_parts };
             return record_loss(&state, request, Loss { start, at, events }, false);
         }
@@ -210,7 +210,7 @@
     let (state, peer, server) = (state.clone(), peer.clone(), peer.server());
     spawn_local(async move {
         if probe::refuses_connections(&peer).await {
-            let start = Start { id: server.id.clone(), born: server.born };
+            let start = server.start();
             state.crashes.list.borrow_mut().record_end(start, state.now());
         }
     });
--- a/crates/gateway/src/departure.rs
+++ b/crates/gateway/src/departure.rs
@@ -3,6 +3,7 @@
 //!
 //! The list of servers says so as well, but not while the store is unavailable.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use crate::peer::Peer;
 use crate::probe;
 use crate::route;
-use crate::server::Report;
+use crate::server::{Report, Server};
 use crate::state::State;
 use crate::statement::{Field, Statement};
 
@@ -108,24 +109,18 @@
     }
 }
 
-/// Records what a server asks for in an answer. `start` is its start when `request` was sent.
-pub fn record_statement(
-    state: &State,
-    peer: &Peer,
-    start: &Start,
-    statement: &Statement,
-    request: &str,
-) {
+/// Records what a server asks for in an answer. `server` is its entry when `request` was sent.
+pub fn record_statement(state: &State, server: &Server, statement: &Statement, request: &str) {
     match &statement.backoff {
         Field::Value(time) if !time.is_zero() => {
-            record_backoff(state, peer, start, *time, statement, request);
+            record_backoff(state, server, *time, statement.culprit, request);
         }
-        Field::Unreadable(text) => record_unreadable(state, start, "backoff", text),
+        Field::Unreadable(text) => record_unreadable(state, server, "backoff", text),
         Field::Value(_) | Field::Absent => {}
     }
     match &statement.leaving {
-        Field::Value(true) => record_leaving(state, start, "its answer", true),
-        Field::Unreadable(text) => record_unreadable(state, start, "leaving", text),
+        Field::Value(true) => record_leaving(state, &server.start(), "its answer", true),
+        Field::Unreadable(text) => record_unreadable(state, server, "leaving", text),
         Field::Value(false) | Field::Absent => {}
     }
 }
@@ -134,42 +129,41 @@
 /// which gave the answer, none that are sent to it directly.
 fn record_backoff(
     state: &State,
-    peer: &Peer,
-    start: &Start,
+    server: &Server,
     time: Duration,
-    statement: &Statement,
+    culprit: Option<SocketAddr>,
     request: &str,
 ) {
     state.metrics.backoff_asked();
     let (now, routers) = (state.now(), state.routers());
-    let culprit = statement.culprit.filter(|address| *address != peer.server().address);
-    let at_fault = culprit.and_then(|address| state.peer_at(address)).map(|peer| peer.start());
+    let culprit = culprit.filter(|address| *address != server.address);
+    let at_fault = culprit.and_then(|address| state.peer_at(address));
+    let later = at_fault.map(|peer| (peer.server().start(), Use::Path));
     let how = if culprit.is_some() { Use::Direct } else { Use::Path };
-    let mut register = state.availability.register.borrow_mut();
-    let later = at_fault.iter().map(|start| (start, Use::Path));
-    for (start, how) in std::iter::once((start, how)).chain(later) {
-        if register.back_off(start, how, time, now, routers, rand::random()) {
+    let mut register = state.availability.borrow_mut();
+    for (start, how) in std::iter::once((server.start(), how)).chain(later) {
+        if register.back_off(&start, how, time, now, routers, rand::random()) {
             log::info!(
                 "gateway: server={} backoff={time:?} until={:?} use={how:?} asked_by={} asked_at={request}",
                 start.id,
                 register.backoff_end(&start.id, start.born, Use::Direct, now).unwrap_or(now),
-                peer.server().id
+                server.id
             );
         }
     }
     state.changed.notify_waiters();
 }
 
-fn record_unreadable(state: &State, start: &Start, field: &str, text: &str) {
-    if state.availability.register.borrow_mut().record_unreadable(start, state.now()) {
-        log::warn!("gateway: server={} {field} can't be read: {text:?}", start.id);
+fn record_unreadable(state: &State, server: &Server, field: &str, text: &str) {
+    if state.availability.borrow_mut().record_unreadable(&server.start(), state.now()) {
+        log::warn!("gateway: server={} {field} can't be read: {text:?}", server.id);
     }
 }
 
 /// Records that a start of a server is leaving for good; `first_hand` says that it said so to this router, which then
 /// notifies the others.
 fn record_leaving(state: &State, start: &Start, why: &str, first_hand: bool) {
-    if !state.availability.register.borrow_mut().leave(start, state.now()) {
+    if !state.availability.borrow_mut().leave(start, state.now()) {
         return;
     }
     let Start { id, born } = start;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,11 +9,10 @@
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use policy::availability::Use;
-use policy::crash::Start;
 use policy::window::Need;
 use tokio::time::{Instant, timeout_at};
 
-use crate::availability::Withheld;
+use crate::availability::{self, Withheld};
 use crate::content;
 use crate::departure;
 use crate::limited;
@@ -22,6 +21,7 @@
 use crate::probe;
 use crate::request::Call;
 use crate::retries;
+use crate::server::Server;
 use crate::shared_read;
 use crate::state::State;
 use crate::statement::Statement;
@@ -165,8 +165,7 @@
 /// Logs which server a request is sent to, and which entry of it this router knows.
 fn log_sent(state: &State, peer: &Peer, call: &Call) {
     let (server, entry, now) = (peer.server(), peer.entry(), state.now());
-    let backoff_end =
-        state.availability.register.borrow().last_backoff_end(&server.id, server.born);
+    let backoff_end = state.availability.borrow().last_backoff_end(&server.id, server.born);
     log::info!(
         "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={} backoff_ended={:?} ago parts={}",
         call.id,
@@ -198,8 +197,8 @@
     }
     let left = until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
     request.headers_mut().insert(&state.codec.names.deadline, HeaderValue::from(left));
-    let starts: Vec<Start> = path.iter().map(|peer| peer.start()).collect();
-    let permit = match state.availability.permit(&starts) {
+    let servers: Vec<Rc<Server>> = path.iter().map(|peer| peer.server()).collect();
+    let permit = match availability::permit(&state.availability, &servers, state.now()) {
         Ok(permit) => permit,
         Err(withheld) => {
             state.metrics.withheld();
@@ -220,8 +219,10 @@
         }
         Ok(Ok(answer)) => answer,
     };
-    let outcome = classify(state, peer, &starts[0], call, answer, connection, sent.elapsed());
-    permit.settle(matches!(outcome, Outcome::Answer(_)));
+    let outcome = classify(state, peer, &servers[0], call, answer, connection, sent.elapsed());
+    if matches!(outcome, Outcome::Answer(_)) {
+        permit.served(state.now());
+    }
     outcome
 }
 
@@ -229,7 +230,7 @@
 fn classify(
     state: &Rc<State>,
     peer: &Rc<Peer>,
-    start: &Start,
+    server: &Server,
     call: &Call,
     answer: Response<Incoming>,
     connection: Connection,
@@ -238,7 +239,7 @@
     let names = &state.codec.names;
     let (status, headers) = (answer.status(), answer.headers());
     let statement = Statement::parse(names, status, headers);
-    departure::record_statement(state, peer, start, &statement, &call.id);
+    departure::record_statement(state, server, &statement, &call.id);
     // A late answer to an earlier request may arrive on the connection.
     let foreign = headers.get(&names.request).is_some_and(|id| id.as_bytes() != call.id.as_bytes());
     if foreign {
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -279,7 +279,7 @@
 
 /// Fetches a server's report, unless the server is suspected: its order has been overdue for some time, and the orders
 /// of other servers must not wait for it each time.
-async fn query(state: &State, peer: &Rc<Peer>) -> Result<Report, String> {
+async fn query(state: &State, peer: &Peer) -> Result<Report, String> {
     if peer.suspicion.borrow().holds(state.now()) {
         return Err("it is suspected".to_owned());
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use layers::Span;
-use policy::availability::{Obstacle, Use};
+use policy::availability::{Obstacle, Register, Use};
 use policy::breaks::{self, Tally};
-use policy::crash::Start;
 use policy::departure::Departure;
 use policy::fill;
 use policy::meter::Meter;
@@ -16,7 +15,6 @@
 use policy::suspicion::Suspicion;
 use tokio::sync::Mutex;
 
-use crate::availability::Availability;
 use crate::limited::Limited;
 use crate::pool::Pool;
 use crate::server::{Report, Server, Stall, State};
@@ -71,7 +69,7 @@
     /// Whether it has declined requests lately, as it is draining or out of memory.
     pub declines: RefCell<Suspicion>,
     /// What starts of servers have asked of this router.
-    availability: Rc<Availability>,
+    availability: Rc<RefCell<Register>>,
     /// Whether it is believed to be leaving although the list does not say so.
     pub departure: RefCell<Departure>,
     /// Whether this router is checking that.
@@ -118,7 +116,7 @@
 
 impl Peer {
     /// Creates a server that has just appeared on the list. `availability` outlasts its entry.
-    pub fn new(server: Server, entry: Entry, availability: Rc<Availability>) -> Peer {
+    pub fn new(server: Server, entry: Entry, availability: Rc<RefCell<Register>>) -> Peer {
         Peer {
             pool: Pool::new(server.address),
             entry: Cell::new(entry),
@@ -237,34 +235,28 @@
         self.server.borrow().state == State::Ready
     }
 
-    /// Returns its current start.
-    pub fn start(&self) -> Start {
-        let server = self.server.borrow();
-        Start { id: server.id.clone(), born: server.born }
-    }
-
     /// Returns why it wants no request now; none if it accepts one.
     pub fn obstacle(&self, how: Use, now: Duration) -> Option<Obstacle> {
         let server = self.server.borrow();
-        self.availability.register.borrow().obstacle(&server.id, server.born, how, now)
+        self.availability.borrow().obstacle(&server.id, server.born, how, now)
     }
 
     /// Returns when the backoff ends that it has asked for; none if that has passed.
     pub fn backoff_end(&self, now: Duration) -> Option<Duration> {
         let server = self.server.borrow();
-        self.availability.register.borrow().backoff_end(&server.id, server.born, Use::Direct, now)
+        self.availability.borrow().backoff_end(&server.id, server.born, Use::Direct, now)
     }
 
     /// Returns the length of the backoff that it has asked for; none if that has passed.
     pub fn backoff_length(&self, now: Duration) -> Option<Duration> {
         let server = self.server.borrow();
-        self.availability.register.borrow().backoff_length(&server.id, server.born, now)
+        self.availability.borrow().backoff_length(&server.id, server.born, now)
     }
 
     /// Whether it said that it is leaving.
     pub fn says_leaving(&self) -> bool {
         let server = self.server.borrow();
-        self.availability.register.borrow().is_leaving(&server.id, server.born)
+        self.availability.borrow().is_leaving(&server.id, server.born)
     }
 
     /// Whether it is listed as ready, and neither said that it is leaving nor is believed to be.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,7 +7,6 @@
 use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
 use layers::Span;
 use policy::departure::Health;
@@ -93,7 +92,7 @@
 /// Sends a command over a new connection; returns the status and body of the answer.
 pub async fn send(
     state: &State,
-    peer: &Rc<Peer>,
+    peer: &Peer,
     command: Command,
     limit: Duration,
 ) -> Result<(StatusCode, Vec<u8>), String> {
@@ -104,23 +103,23 @@
 /// server is alive, so commands whose result decides about a server use a new one.
 async fn send_over(
     state: &State,
-    peer: &Rc<Peer>,
+    peer: &Peer,
     command: Command,
     limit: Duration,
     reuse: bool,
 ) -> Result<(StatusCode, Vec<u8>), String> {
     match timeout(limit, exchange(state, peer, command, reuse)).await {
-        Ok(answer) => answer.map(|(head, body)| (head.status, body)),
+        Ok(answer) => answer.map(|(status, _, body)| (status, body)),
         Err(_) => Err(format!("no answer from {} within {limit:?}", peer.server().address)),
     }
 }
 
 async fn exchange(
     state: &State,
-    peer: &Rc<Peer>,
+    peer: &Peer,
     command: Command,
     reuse: bool,
-) -> Result<(Parts, Vec<u8>), String> {
+) -> Result<(StatusCode, Statement, Vec<u8>), String> {
     let connection = if reuse { peer.pool.take().await } else { peer.pool.connect().await };
     let mut connection = connection.map_err(|e| e.to_string())?;
     let mut request = Request::new(Full::new(command.body));
@@ -131,28 +130,24 @@
     request.headers_mut().insert(HOST, host);
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let fault = |e: String| format!("command to {}: {e}", peer.server().address);
-    let start = peer.start();
+    let server = peer.server();
     let answer = connection.send(request).await.map_err(|e| fault(e.into_error().to_string()))?;
     let (head, body) = answer.into_parts();
     let statement = Statement::parse(&state.codec.names, head.status, &head.headers);
-    departure::record_statement(state, peer, &start, &statement, "command");
+    departure::record_statement(state, &server, &statement, "command");
     let body = pool::read_body(body, MAX_ANSWER_BYTES).await.map_err(fault)?;
     peer.pool.keep(connection, &head.headers);
-    Ok((head, body.to_vec()))
+    Ok((head.status, statement, body.to_vec()))
 }
 
 /// Fetches a server's report over a new connection.
-pub async fn fetch_report(
-    state: &State,
-    peer: &Rc<Peer>,
-    limit: Duration,
-) -> Result<Report, String> {
+pub async fn fetch_report(state: &State, peer: &Peer, limit: Duration) -> Result<Report, String> {
     let (status, body) = send(state, peer, (state.codec.report)(), limit).await?;
     read(state, peer, status, &body)
 }
 
 /// Fetches a server's report; tries an idle connection of the pool first.
-pub async fn fetch_report_pooled(state: &State, peer: &Rc<Peer>) -> Result<Report, String> {
+pub async fn fetch_report_pooled(state: &State, peer: &Peer) -> Result<Report, String> {
     match send_over(state, peer, (state.codec.report)(), BACKGROUND_TIMEOUT, true).await {
         Ok((status, body)) => read(state, peer, status, &body),
         Err(_) => fetch_report(state, peer, BACKGROUND_TIMEOUT).await,
@@ -204,30 +199,28 @@
     (probed.len(), find_silent(state, &probed).await)
 }
 
-async fn is_alive(state: &State, peer: &Rc<Peer>) -> bool {
+async fn is_alive(state: &State, peer: &Peer) -> bool {
     report(state, peer).await.is_some()
 }
 
 /// Probes a server and returns its report; none if it does not answer or is suspected.
-pub async fn report(state: &State, peer: &Rc<Peer>) -> Option<Report> {
+pub async fn report(state: &State, peer: &Peer) -> Option<Report> {
     let suspected = peer.suspicion.borrow().holds(state.now());
     if suspected { None } else { probe(state, peer, Duration::ZERO, PROBE_TIMEOUT).await }
 }
 
 /// Asks a server for its health.
-pub async fn health(state: &State, peer: &Rc<Peer>) -> Health {
+pub async fn health(state: &State, peer: &Peer) -> Health {
     let service = peer.server().service.clone();
     let settings = state.settings();
     let path = settings.as_ref().and_then(|s| s.service(&service)?.health.clone());
     let Some(path) = path else { return Health::Unknown };
     let command = Command { method: Method::GET, path: path.into(), body: Bytes::new() };
     match timeout(urgent_timeout(state), exchange(state, peer, command, false)).await {
-        Ok(Ok((head, _))) if head.status == StatusCode::OK => Health::Well,
+        Ok(Ok((StatusCode::OK, ..))) => Health::Well,
         // A server that is only full declines the question like a request.
-        Ok(Ok((head, _))) if head.headers.contains_key(&state.codec.names.not_run) => {
-            Health::Unknown
-        }
-        Ok(Ok((head, _))) if head.status == StatusCode::SERVICE_UNAVAILABLE => Health::Ill,
+        Ok(Ok((_, statement, _))) if statement.not_run => Health::Unknown,
+        Ok(Ok((StatusCode::SERVICE_UNAVAILABLE, ..))) => Health::Ill,
         Ok(Ok(_) | Err(_)) | Err(_) => Health::Unknown,
     }
 }
@@ -235,7 +228,7 @@
 /// Whether a server that started at `born` no longer answers this router after `since`, whatever other routers report.
 /// One that was restarted under its name has ended as well. Uses a longer time-out than a probe, for which a live
 /// server may be too slow.
-pub async fn has_ended(state: &State, peer: &Rc<Peer>, born: u64, since: Duration) -> bool {
+pub async fn has_ended(state: &State, peer: &Peer, born: u64, since: Duration) -> bool {
     match probe(state, peer, since, URGENT_TIMEOUT).await {
         None => true,
         // Not every server reports its start time.
@@ -287,7 +280,7 @@
 
 /// Probes a server. Reuses the last result if that is recent and not older than `since`, and is an answer or had at
 /// least the same time-out. Returns the server's report, or `None` if it does not answer.
-async fn probe(state: &State, peer: &Rc<Peer>, since: Duration, limit: Duration) -> Option<Report> {
+async fn probe(state: &State, peer: &Peer, since: Duration, limit: Duration) -> Option<Report> {
     let mut last = peer.last_probe.lock().await;
     let validity = match peer.backoff_length(state.now()).filter(|_| last.report.is_some()) {
         // At most two probes reach the server meanwhile.
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -157,8 +157,8 @@
         () if covers_all_layers(state, service, model, excluded, accepts) => {
             if over_limit(state, service, excluded) { Reason::Limited } else { Reason::Full }
         }
-        () if covers_all_layers(state, service, model, excluded, |p| p.usable(now))
-            && state.first_return(service).is_some() =>
+        () if state.first_return(service).is_some()
+            && covers_all_layers(state, service, model, excluded, |p| p.usable(now)) =>
         {
             Reason::Backoff
         }
@@ -238,18 +238,15 @@
     let holders: Vec<Holder> = peers
         .iter()
         .enumerate()
-        .filter(|(_, p)| {
+        .filter(|(_, p)| !excluded.contains(&p.server().id))
+        .map(|(i, p)| (i, p, constraints.kept.iter().any(|k| Rc::ptr_eq(k, p))))
+        .filter(|(_, p, kept)| match constraints.accepting_only {
             // A server that already runs the request continues to, whatever it asked for.
-            let kept = constraints.kept.iter().any(|k| Rc::ptr_eq(k, p));
-            match constraints.accepting_only {
-                true if kept => p.usable(now) && !p.declines.borrow().holds(now),
-                true => p.accepts_requests(now),
-                false => p.accepts_paths(now),
-            }
+            true if *kept => p.usable(now) && !p.declines.borrow().holds(now),
+            true => p.accepts_requests(now),
+            false => p.accepts_paths(now),
         })
-        .filter(|(_, p)| !excluded.contains(&p.server().id))
-        .filter_map(|(i, p)| {
-            let kept = constraints.kept.iter().any(|k| Rc::ptr_eq(k, p));
+        .filter_map(|(i, p, kept)| {
             let zone_load = load_of(zone(&p.server().zone));
             let snapshot = Snapshot { now, zone_load, lasting: state.stream_duration.get() };
             let mut holder = holder(p, i, model, tokens, kept, snapshot)?;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use layers::Span;
+use policy::crash::Start;
 
 /// Name of one start of a backend server.
 pub type Id = String;
@@ -56,6 +57,11 @@
         self.born == other.born && self.born != 0
     }
 
+    /// Returns the start of the server that wrote this entry.
+    pub fn start(&self) -> Start {
+        Start { id: self.id.clone(), born: self.born }
+    }
+
     /// Whether the same start of the server wrote this entry before the other one; false if that is not known.
     ///
     /// ```
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use layers::server::Zone;
-use policy::availability::{Obstacle, Use};
+use policy::availability::{Obstacle, Register, Use};
 use policy::demand::Demand;
 use policy::intake::Intake;
 use policy::meter::Meter;
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::availability::{Availability, RETURN_RETRY_AFTER};
+use crate::availability::RETURN_RETRY_AFTER;
 use crate::crash::Crashes;
 use crate::limited::Ledgers;
 use crate::logging::Quota;
@@ -66,7 +66,7 @@
     settings: RefCell<Option<Rc<Settings>>>,
     peers: RefCell<Vec<Rc<Peer>>>,
     /// What starts of servers have asked of this router; shared with the peers.
-    pub availability: Rc<Availability>,
+    pub availability: Rc<RefCell<Register>>,
     /// Last entries of servers that were removed, and when.
     removed: RefCell<Vec<(Rc<Server>, Duration)>>,
     budgets: RefCell<Vec<(String, Budget)>>,
@@ -143,7 +143,6 @@
 impl State {
     /// Creates the state of a router that has just started.
     pub fn new(setup: Setup, codec: Codec, store: Client, metrics: Metrics) -> Rc<State> {
-        let start = Instant::now();
         Rc::new(State {
             setup,
             codec,
@@ -151,7 +150,7 @@
             metrics,
             settings: RefCell::default(),
             peers: RefCell::default(),
-            availability: Availability::new(start),
+            availability: Rc::default(),
             removed: RefCell::default(),
             budgets: RefCell::default(),
             routers: RefCell::new(Routers::new(DEFAULT_ROUTERS, DEPARTED_ROUTER_TIME)),
@@ -188,7 +187,7 @@
             layers_missing_since: Cell::new(None),
             notices: RefCell::default(),
             notices_queued: Notify::new(),
-            start,
+            start: Instant::now(),
         })
     }
 
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -250,7 +250,7 @@
     /// let mut admit = || register.admit("desk-1", 1_000, Use::Direct, now + time);
     /// assert_eq!(admit(), Ok(true));
     /// assert_eq!(admit(), Err(Obstacle::Return));
-    /// register.settle("desk-1", 1_000, true, now + time);
+    /// register.settle("desk-1", 1_000, Some(now + time));
     /// let mut admit = || register.admit("desk-1", 1_000, Use::Direct, now + time);
     /// assert_eq!((admit(), admit()), (Ok(true), Ok(true)));
     /// ```
@@ -272,12 +272,12 @@
         }
     }
 
-    /// Records that a counted request ended; `served` says whether the server answered it.
-    pub fn settle(&mut self, id: &str, born: u64, served: bool, now: Duration) {
+    /// Records that a counted request ended, and when the server answered it, if it did.
+    pub fn settle(&mut self, id: &str, born: u64, served_at: Option<Duration>) {
         let Ok(at) = self.position(id, born) else { return };
         let backoff = &mut self.records[at].backoff;
         backoff.trials = backoff.trials.saturating_sub(1);
-        if served && now >= backoff.direct {
+        if served_at.is_some_and(|at| at >= backoff.direct) {
             backoff.window = backoff.window.map(|n| n * 2).filter(|n| *n < FULL_WINDOW);
         }
     }
--- a/crates/policy/tests/availability.rs
+++ b/crates/policy/tests/availability.rs
@@ -311,7 +311,8 @@
                 let state = &mut self.routers[router];
                 state.running[server] -= 1;
                 if counted {
-                    state.register.settle(&id.id, id.born, declined.is_none(), now);
+                    let served_at = declined.is_none().then_some(now);
+                    state.register.settle(&id.id, id.born, served_at);
                 }
                 match declined {
                     None => {
