--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,124 @@
+//! How much room a request to a model may take, from its rank, its workspace and the demand of all data centres.
+//!
+//! [`policy::headroom::Limit`] bounds the load of the servers of its path. Each submodule gives a limit, and the narrowest
+//! one holds. Routers tell each other what demand they see ([`policy::census`]) while ranks differ or room is short.
+
+mod data_centre;
+mod rank;
+mod workspace;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use policy::census::{self, Census, Report, Tally};
+use policy::headroom::Limit;
+use tokio::time::sleep;
+
+use crate::notice::Notice;
+use crate::request::Call;
+use crate::settings::Settings;
+use crate::state::State;
+
+/// Refused demand, in tokens a second, from which on room counts as short.
+const MIN_REFUSED_DEMAND: f64 = 1.0;
+
+/// Demand for the models, as this router knows it.
+#[derive(Debug, Default)]
+pub struct Admission {
+    /// By name of the service, sorted.
+    services: RefCell<Vec<(String, Service)>>,
+}
+
+/// Demand for one model.
+#[derive(Debug, Default)]
+struct Service {
+    tally: Tally,
+    census: Census,
+}
+
+impl Admission {
+    /// Runs `work` on the demand for a service.
+    fn service<T>(&self, name: &str, work: impl FnOnce(&mut Service) -> T) -> T {
+        let mut services = self.services.borrow_mut();
+        let at = match services.binary_search_by(|(n, _)| n.as_str().cmp(name)) {
+            Ok(at) => at,
+            Err(at) => {
+                services.insert(at, (name.to_owned(), Service::default()));
+                at
+            }
+        };
+        work(&mut services[at].1)
+    }
+}
+
+impl Service {
+    /// Whether this or another router has refused requests lately, as there was no room.
+    fn is_short(&self, own: &Report, routers: u32, now: Duration) -> bool {
+        let demand = self.census.by_rank(own, routers, now);
+        demand.iter().any(|demand| demand.refused >= MIN_REFUSED_DEMAND)
+    }
+}
+
+/// Returns the limit of a request.
+pub fn limit(state: &State, call: &Call, service: &str) -> Limit {
+    let limits = [
+        rank::limit(state, call, service),
+        workspace::limit(state, call, service),
+        data_centre::limit(state, call, service),
+    ];
+    limits.into_iter().fold(Limit::full(), Limit::min)
+}
+
+/// Records a request to a model that arrived.
+pub fn arrived(state: &State, call: &Call, service: &str) {
+    let (now, tokens) = (state.now(), call.tokens.total());
+    let workspace = call.workspace.as_deref();
+    state.admission.service(service, |s| s.tally.arrived(call.rank, workspace, tokens, now));
+}
+
+/// Records a request to a model that was refused, as there was no room for it.
+pub fn refused(state: &State, call: &Call, service: &str) {
+    let (now, tokens) = (state.now(), call.tokens.total());
+    state.admission.service(service, |s| s.tally.refused(call.rank, tokens, now));
+}
+
+/// Whether requests of different ranks go to a service.
+pub fn ranks_differ(settings: &Settings, service: &str) -> bool {
+    let routes = settings.routes.iter();
+    let mut leading = routes.filter(|r| r.targets.iter().any(|t| t.service == service));
+    let Some(rank) = leading.next().map(|route| route.rank) else { return false };
+    leading.any(|route| route.rank != rank)
+        || settings.keys.iter().any(|key| key.rank.is_some_and(|r| r != rank))
+}
+
+/// Applies the report of another router.
+pub fn receive(state: &State, router: &str, service: &str, report: Report) {
+    if router == state.setup.vm {
+        return;
+    }
+    let now = state.now();
+    state.admission.service(service, |s| s.census.insert(router, report, now));
+}
+
+/// Tells the other routers what demand this one sees, as long as the process runs and ranks differ or room is short.
+pub async fn send_reports(state: Rc<State>) {
+    loop {
+        sleep(census::interval(state.routers())).await;
+        let (now, routers) = (state.now(), state.routers());
+        let Some(settings) = state.settings() else { continue };
+        let models = settings.services.iter().filter(|s| s.model.is_some());
+        for service in models.map(|s| s.name.as_str()) {
+            let differ = ranks_differ(&settings, service);
+            let report = state.admission.service(service, |s| {
+                s.census.expire(routers, now);
+                let report = s.tally.report(&state.setup.zone, now);
+                (differ || s.is_short(&report, routers, now)).then_some(report)
+            });
+            if let Some(report) = report {
+                let router = state.setup.vm.clone();
+                state.announce(Notice::demand(router, service.to_owned(), &report));
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! layers. The crates `policy` and `layers` make the decisions. A [`wire::Codec`] and a [`store::Client`] define the
 //! formats of the platform.
 
+pub mod admission;
 pub mod answer;
 pub mod availability;
 pub mod clock;
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -5,9 +5,11 @@
 
 use bytes::Bytes;
 use layers::Span;
+use policy::census::{Demand, Report};
 use policy::crash::Start;
 use serde::{Deserialize, Serialize};
 
+use crate::admission;
 use crate::crash;
 use crate::departure;
 use crate::limited;
@@ -110,6 +112,19 @@
         /// Number of servers that ended.
         servers: u32,
     },
+    /// What demand for a model a router sees, in tokens a second.
+    Demand {
+        /// The router.
+        router: String,
+        /// Its data centre.
+        data_centre: String,
+        /// The model's service.
+        service: String,
+        /// Rank, what arrived and what was refused.
+        ranks: Vec<(u8, u64, u64)>,
+        /// The workspaces with the highest demand.
+        workspaces: Vec<(String, u64)>,
+    },
     /// A server holds layers now.
     Holds {
         /// The server.
@@ -122,6 +137,19 @@
 }
 
 impl Notice {
+    /// Creates the notice of the demand that a router sees.
+    pub fn demand(router: String, service: String, report: &Report) -> Notice {
+        let rank = |d: &Demand| (d.rank, d.arrived.round() as u64, d.refused.round() as u64);
+        let workspace = |(name, tokens): &(String, f64)| (name.clone(), tokens.round() as u64);
+        Notice::Demand {
+            router,
+            data_centre: report.data_centre.clone(),
+            service,
+            ranks: report.ranks.iter().map(rank).collect(),
+            workspaces: report.workspaces.iter().map(workspace).collect(),
+        }
+    }
+
     /// Encodes the notice as a record.
     pub fn encode(&self) -> Bytes {
         Bytes::from(serde_json::to_vec(self).expect("plain fields"))
@@ -234,6 +262,20 @@
             }
             return;
         }
+        Notice::Demand { router, data_centre, service, ranks, workspaces } => {
+            let rank = |&(rank, arrived, refused): &(u8, u64, u64)| Demand {
+                rank,
+                arrived: arrived as f64,
+                refused: refused as f64,
+            };
+            let workspace = |(name, tokens): &(String, u64)| (name.clone(), *tokens as f64);
+            let report = Report {
+                data_centre: data_centre.clone(),
+                ranks: ranks.iter().map(rank).collect(),
+                workspaces: workspaces.iter().map(workspace).collect(),
+            };
+            return admission::receive(state, router, service, report);
+        }
         Notice::Heavy { .. } => return retries::receive_heavy_use(state),
         Notice::Ended { server, born, ago_ms, runs, parts } => {
             let start = Start { id: server.clone(), born: *born };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -74,6 +74,13 @@
     pub answer: f64,
 }
 
+impl Tokens {
+    /// Returns the tokens of context that the request takes at its end.
+    pub fn total(self) -> f64 {
+        self.prompt + self.answer
+    }
+}
+
 /// Memory reserved for a body, released when dropped.
 #[derive(Debug)]
 struct Reservation {
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -12,6 +12,7 @@
 use layers::{Shape, Span, slots};
 use policy::availability::Use;
 use policy::fill::Report;
+use policy::headroom::{Limit, MAX_MEMORY, MAX_PREFILL};
 
 use crate::answer::Reason;
 use crate::peer::{Load, Peer};
@@ -23,7 +24,7 @@
 use crossing::spread;
 pub use explain::{describe, explain};
 use load::{
-    Charge, FILL_VALIDITY, LOAD_VALIDITY, MAX_LINK_UTILIZATION, MAX_PREFILL_WAIT, ZoneLoad,
+    Charge, FILL_VALIDITY, LOAD_VALIDITY, MAX_LINK_UTILIZATION, ZoneLoad,
     link_meter, millis, zone_loads,
 };
 
@@ -32,10 +33,6 @@
 /// cost of a missing layer.
 const REMOTE_START_COST: f64 = 0.35;
 
-/// Fraction of a server's memory for requests up to which this router sends it more. Other routers send to it as well,
-/// and a request that finds the memory full is declined or preempts another one.
-const MAX_MEMORY_FILL: f64 = 0.97;
-
 /// Time for a token to reach the next server of a path in the same data centre, in milliseconds.
 const HOP_MS: f64 = 0.2;
 
@@ -100,20 +97,31 @@
     }
 }
 
-/// Finds the best path for a request of that size that avoids the servers in `excluded`; with `accepting_only`, also
-/// those that have just declined a request; and unless `may_cross`, links between data centres.
+/// What a path of a request has to keep to.
+#[derive(Debug, Clone, Copy)]
+pub struct Search<'a> {
+    /// Servers that it avoids.
+    pub excluded: &'a [String],
+    /// Whether it also avoids those that have just declined a request.
+    pub accepting_only: bool,
+    /// Whether it may cross links between data centres.
+    pub may_cross: bool,
+    /// How full its servers may be.
+    pub limit: Limit,
+}
+
+/// Finds the best path for a request of that size.
 pub fn find(
     state: &State,
     service: &str,
     model: &Model,
     tokens: Tokens,
-    excluded: &[String],
-    accepting_only: bool,
-    may_cross: bool,
+    options: Search<'_>,
 ) -> Option<Path> {
+    let Search { excluded, accepting_only, may_cross, limit } = options;
     let zone = zone(&state.setup.zone);
     let crossing = if may_cross { Crossing::DEFAULT } else { Crossing::NONE };
-    let constraints = Constraints { from: 0, zone, kept: &[], accepting_only, crossing };
+    let constraints = Constraints { from: 0, zone, kept: &[], accepting_only, crossing, limit };
     search(state, service, model, tokens, excluded, &constraints)
 }
 
@@ -136,6 +144,7 @@
         kept: &path.peers,
         accepting_only: true,
         crossing,
+        limit: Limit::full(),
     };
     let mut rest = search(state, service, model, tokens, &excluded, &constraints)?;
     let bytes = context_bytes(model, tokens) * f64::from(hop.span.len());
@@ -211,6 +220,7 @@
     kept: &'a [Rc<Peer>],
     accepting_only: bool,
     crossing: Crossing,
+    limit: Limit,
 }
 
 /// Returns the bytes of context that a request takes in one layer.
@@ -248,7 +258,8 @@
         })
         .filter_map(|(i, p, kept)| {
             let zone_load = load_of(zone(&p.server().zone));
-            let snapshot = Snapshot { now, zone_load, lasting: state.stream_duration.get() };
+            let lasting = state.stream_duration.get();
+            let snapshot = Snapshot { now, zone_load, lasting, limit: constraints.limit };
             let mut holder = holder(p, i, model, tokens, kept, snapshot)?;
             holder.layer_ms *= if kept { KEPT_COST_FACTOR } else { 1.0 };
             Some(holder)
@@ -313,7 +324,7 @@
     kept: bool,
     snapshot: Snapshot,
 ) -> Option<Holder> {
-    let Snapshot { now, zone_load, .. } = snapshot;
+    let Snapshot { now, zone_load, limit, .. } = snapshot;
     let entry = peer.server();
     let card = model.card(entry.card.as_deref()?)?;
     let span = peer.span(now);
@@ -328,17 +339,17 @@
     let taken = peer.context.get().max(in_use) + bytes * layers;
     let full = taken / memory.max(1.0);
     let backlog = peer.prefill_backlog.get();
-    let takes_prompt = backlog.accepts(now, 1.0, zone_load.zone_ratio, MAX_PREFILL_WAIT);
-    let backlog = backlog.waiting(now, 1.0 / zone_load.zone_ratio).min(MAX_PREFILL_WAIT);
+    let takes_prompt = backlog.accepts(now, 1.0, zone_load.zone_ratio, limit.prefill);
+    let backlog = backlog.waiting(now, 1.0 / zone_load.zone_ratio).min(MAX_PREFILL);
     // A server that already runs the request is not subject to these limits.
-    if !kept && (full > MAX_MEMORY_FILL || !takes_prompt || peer.running.get() >= entry.slots) {
+    if !kept && (full > limit.memory || !takes_prompt || peer.running.get() >= entry.slots) {
         return None;
     }
     let slowdown = peer.slowdown.get();
     let prefill = tokens.prompt / shape.read_per_ms * card.read * slowdown;
     let decode = tokens.answer * shape.step_ms * card.pace * slowdown;
     // Grows without bound as memory fills, so that the copies fill evenly.
-    let full = full.min(MAX_MEMORY_FILL);
+    let full = full.min(MAX_MEMORY);
     let memory_factor = 1.0 / (1.0 - full * full);
     // Where two servers hold the same layers, the one with fewer of this router's requests is preferred: a loss then
     // breaks half as many, and their prefill is repeated in half the time.
@@ -364,12 +375,14 @@
     zone_load: ZoneLoad,
     /// Mean duration of streams.
     lasting: Duration,
+    /// How full servers may be.
+    limit: Limit,
 }
 
 /// Estimates the bytes of a server's memory that requests of all routers take: from its last report and what was sent
 /// since, or without a recent report from this router's own requests, limited to all that run in the data centre.
 fn memory_in_use(peer: &Peer, model: &Model, memory: f64, snapshot: Snapshot) -> f64 {
-    let Snapshot { now, zone_load, lasting } = snapshot;
+    let Snapshot { now, zone_load, lasting, .. } = snapshot;
     match peer.filled.get().filter(|(_, at)| now < *at + FILL_VALIDITY) {
         Some((fraction, received)) => {
             let at = received.saturating_sub(model.report_lag);
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -6,9 +6,10 @@
 use layers::Span;
 use layers::server::Zone;
 use policy::availability::Use;
+use policy::headroom::{Limit, MAX_PREFILL};
 use policy::meter::Meter;
 
-use super::load::{MAX_LINK_UTILIZATION, MAX_LINK_WAIT, MAX_PREFILL_WAIT, ZoneLoad, zone_loads};
+use super::load::{MAX_LINK_UTILIZATION, MAX_LINK_WAIT, ZoneLoad, zone_loads};
 use super::{Snapshot, begin_ms, holder, zone};
 use crate::peer::Peer;
 use crate::request::Tokens;
@@ -30,7 +31,8 @@
     let (mut leaving, mut silent, mut backoff) = (0, 0, 0);
     let (mut declined, mut reading, mut scarce) = (0, 0, 0);
     let mut zones: Vec<DataCentre> = Vec::new();
-    let snapshot = |zone_load| Snapshot { now, zone_load, lasting: state.stream_duration.get() };
+    let (lasting, limit) = (state.stream_duration.get(), Limit::full());
+    let snapshot = |zone_load| Snapshot { now, zone_load, lasting, limit };
     for (i, peer) in peers.iter().enumerate() {
         let zone = zone(&peer.server().zone);
         let zone_load = zone_loads.iter().find(|load| load.zone == zone).copied();
@@ -51,7 +53,7 @@
                 now,
                 1.0,
                 zone_load.zone_ratio,
-                MAX_PREFILL_WAIT,
+                MAX_PREFILL,
             ) =>
             {
                 reading += 1
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -22,9 +22,6 @@
 /// is then left.
 pub(super) const MAX_LINK_WAIT: Duration = Duration::from_millis(250);
 
-/// Queueing time for the prefill at a server up to which it gets further prompts.
-pub(super) const MAX_PREFILL_WAIT: Duration = Duration::from_millis(300);
-
 /// Time for which a load that a server reported in an answer is used.
 pub(super) const LOAD_VALIDITY: Duration = Duration::from_millis(1500);
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::admission::Admission;
 use crate::availability::RETURN_RETRY_AFTER;
 use crate::crash::Crashes;
 use crate::limited::Ledgers;
@@ -83,6 +84,8 @@
     pub callers: Cell<u32>,
     /// Requests that are being served.
     pub serving: Cell<u32>,
+    /// Demand for the models.
+    pub admission: Admission,
     /// Requests to models that found no free server lately.
     pub shortage: RefCell<Shortage>,
     /// For how long some layers of a model have been missing.
@@ -160,6 +163,7 @@
             stopping: Cell::new(None),
             callers: Cell::new(0),
             serving: Cell::new(0),
+            admission: Admission::default(),
             shortage: RefCell::default(),
             missing: RefCell::default(),
             unplaced_requests: Cell::new(0),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::admission;
 use crate::answer::{self, Body, BodyError, Reason};
 use crate::availability::{self, RETURN_RETRY_AFTER};
 use crate::crash;
@@ -126,6 +127,7 @@
     service: &str,
     model: &Model,
 ) -> Response<Body> {
+    admission::arrived(state, &call, service);
     let mut progress = Progress {
         state,
         call: &call,
@@ -150,6 +152,7 @@
         Ok(Opened::Stream(upstream, first)) => (upstream, first),
         Ok(Opened::Complete(answer)) => return answer,
         Err(Reason::Full) => {
+            admission::refused(state, &call, service);
             let retry_after = state.shortage.borrow_mut().refused(state.now());
             return answer::error_after(Reason::Full, Some(retry_after));
         }
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -4,11 +4,13 @@
 
 use futures_util::future::LocalBoxFuture;
 use hyper::Response;
+use policy::headroom::Limit;
 use policy::window::Need;
 use tokio::sync::SemaphorePermit;
 use tokio::time::{Instant, timeout};
 
 use super::{Next, Obstacle, Progress, Upstream};
+use crate::admission;
 use crate::answer::{Body, Reason};
 use crate::count::Counted;
 use crate::crash;
@@ -263,17 +265,14 @@
     /// Finds a path. One that crosses links between data centres is used only if there is no other, and for a new
     /// request only as far as the links can carry the traffic of all routers.
     fn find_path(&self) -> Option<Path> {
-        let avoiding = |excluded: &[String], accepting, may_cross_links| {
-            let tokens = self.call.tokens;
-            route::find(
-                self.state,
-                self.service,
-                self.model,
-                tokens,
-                excluded,
-                accepting,
-                may_cross_links,
-            )
+        // A stream that has begun may take all room: the work on it would be lost otherwise.
+        let limit = match self.last_event {
+            Some(_) => Limit::full(),
+            None => admission::limit(self.state, self.call, self.service),
+        };
+        let avoiding = |excluded: &[String], accepting_only, may_cross| {
+            let options = route::Search { excluded, accepting_only, may_cross, limit };
+            route::find(self.state, self.service, self.model, self.call.tokens, options)
         };
         let find =
             |accepting, may_cross_links| avoiding(&self.excluded, accepting, may_cross_links);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod affinity;
 pub mod availability;
 pub mod breaks;
+pub mod census;
 pub mod chain;
 pub mod crash;
 pub mod demand;
@@ -24,6 +25,7 @@
 pub mod entry;
 pub mod estimate;
 pub mod fill;
+pub mod headroom;
 pub mod health;
 pub mod holdover;
 pub mod intake;
