Requests to models are admitted by rank: a queue in order of urgency, room kept for the more urgent

Cause: the gateway let in whoever found a path, made three wait and refused the rest, whatever their rank. A refused caller comes back seconds later, when its answer is late in any case, so bursts of the least urgent requests made the most urgent ones late. Where ranks differ, new requests now wait in order of urgency, those that can still be on time first, as long as a place can come in time. Less urgent ones leave room free in proportion to the more urgent demand, and more while that is refused; a starved rank may take all room. Refused callers come back in order of rank, spread over time. Settings often give all workspaces one rank, so that the routes' ranks order requests of equal rank.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,6 +5,7 @@
 
 mod data_centre;
 mod rank;
+mod usual;
 mod workspace;
 
 use std::cell::RefCell;
@@ -13,8 +14,11 @@
 
 use policy::census::{self, Census, Report, Tally};
 use policy::headroom::Limit;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
+pub use rank::{Waiting, enter, first_event, retry_after};
+
 use crate::notice::Notice;
 use crate::request::Call;
 use crate::settings::Settings;
@@ -23,11 +27,16 @@
 /// Refused demand, in tokens a second, from which on room counts as short.
 const MIN_REFUSED_DEMAND: f64 = 1.0;
 
+/// Time without refusals after which all requests that arrive count as first attempts.
+const QUIET_TIME: Duration = Duration::from_secs(8);
+
 /// Demand for the models, as this router knows it.
 #[derive(Debug, Default)]
 pub struct Admission {
     /// By name of the service, sorted.
     services: RefCell<Vec<(String, Service)>>,
+    /// Notified when a request leaves the queue.
+    pub(crate) queue_moved: Notify,
 }
 
 /// Demand for one model.
@@ -35,6 +44,10 @@
 struct Service {
     tally: Tally,
     census: Census,
+    ranks: rank::Ranks,
+    usual: usual::Usual,
+    /// When a request was last refused.
+    short_at: Option<Duration>,
 }
 
 impl Admission {
@@ -74,13 +87,22 @@
 pub fn arrived(state: &State, call: &Call, service: &str) {
     let (now, tokens) = (state.now(), call.tokens.total());
     let workspace = call.workspace.as_deref();
-    state.admission.service(service, |s| s.tally.arrived(call.rank, workspace, tokens, now));
+    state.admission.service(service, |s| {
+        s.tally.arrived(call.urgency(), workspace, tokens, now);
+        // While requests are refused, some of those that arrive are further attempts.
+        if s.short_at.is_none_or(|at| now >= at + QUIET_TIME) {
+            s.usual.record(call);
+        }
+    });
 }
 
 /// Records a request to a model that was refused, as there was no room for it.
 pub fn refused(state: &State, call: &Call, service: &str) {
     let (now, tokens) = (state.now(), call.tokens.total());
-    state.admission.service(service, |s| s.tally.refused(call.rank, tokens, now));
+    state.admission.service(service, |s| {
+        s.tally.refused(call.urgency(), tokens, now);
+        s.short_at = Some(now);
+    });
 }
 
 /// Whether requests of different ranks go to a service.
@@ -98,7 +120,12 @@
         return;
     }
     let now = state.now();
-    state.admission.service(service, |s| s.census.insert(router, report, now));
+    state.admission.service(service, |s| {
+        if report.total().refused >= MIN_REFUSED_DEMAND {
+            s.short_at = Some(now);
+        }
+        s.census.insert(router, report, now);
+    });
 }
 
 /// Tells the other routers what demand this one sees, as long as the process runs and ranks differ or room is short.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -171,6 +171,12 @@
 }
 
 impl Call {
+    /// Returns its place in the order of urgency, from 0. The rank of the workspace comes first, and among requests of
+    /// equal rank that of the route.
+    pub fn urgency(&self) -> Rank {
+        self.rank.min(9) * 10 + self.route.rank.min(9)
+    }
+
     /// Returns the bytes of its body.
     pub fn size(&self) -> usize {
         self.reservation.bytes
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -24,8 +24,8 @@
 use crossing::spread;
 pub use explain::{describe, explain};
 use load::{
-    Charge, FILL_VALIDITY, LOAD_VALIDITY, MAX_LINK_UTILIZATION, ZoneLoad,
-    link_meter, millis, zone_loads,
+    Charge, FILL_VALIDITY, LOAD_VALIDITY, MAX_LINK_UTILIZATION, ZoneLoad, link_meter, millis,
+    zone_loads,
 };
 
 /// Cost of beginning in another data centre, as a fraction of the total time of a request. More than the copies differ
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -153,7 +153,8 @@
         Ok(Opened::Complete(answer)) => return answer,
         Err(Reason::Full) => {
             admission::refused(state, &call, service);
-            let retry_after = state.shortage.borrow_mut().refused(state.now());
+            let usual = state.shortage.borrow_mut().refused(state.now());
+            let retry_after = admission::retry_after(state, &call, service).unwrap_or(usual);
             return answer::error_after(Reason::Full, Some(retry_after));
         }
         Err(Reason::NoPath) => {
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -5,6 +5,7 @@
 use futures_util::future::LocalBoxFuture;
 use hyper::Response;
 use policy::headroom::Limit;
+use policy::rank::Turn;
 use policy::window::Need;
 use tokio::sync::SemaphorePermit;
 use tokio::time::{Instant, timeout};
@@ -24,6 +25,9 @@
 /// Interval between two searches for a path.
 const PATH_RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Interval between two checks of a request in the queue whether it is its turn.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Limit on the new requests of one router that wait for a free slot or memory at the same time.
 const MAX_WAITING_REQUESTS: u32 = 3;
 
@@ -244,6 +248,11 @@
             route::holds_first_layer(peer, now)
         })
         .await;
+        if self.last_event.is_none()
+            && let Some(waiting) = admission::enter(self.state, self.call, self.service)
+        {
+            return self.wait_in_queue(waiting).await;
+        }
         let path = self.find_path();
         if path.is_some()
             || self.last_event.is_some()
@@ -262,6 +271,33 @@
         }
     }
 
+    /// Finds a path for a request in the queue; only the first one searches.
+    async fn wait_in_queue(&self, waiting: admission::Waiting<'_>) -> Option<Path> {
+        loop {
+            match waiting.turn() {
+                Turn::Refuse => return None,
+                Turn::Search => {
+                    let path = self.find_path();
+                    if path.is_some() {
+                        waiting.found();
+                        return path;
+                    }
+                    if self.no_path() != Reason::Full {
+                        return None;
+                    }
+                }
+                Turn::Wait => {}
+            }
+            let moved = async {
+                tokio::select! {
+                    () = self.state.changed.notified() => {}
+                    () = self.state.admission.queue_moved.notified() => {}
+                }
+            };
+            let _ = timeout(QUEUE_CHECK_INTERVAL, moved).await;
+        }
+    }
+
     /// Finds a path. One that crosses links between data centres is used only if there is no other, and for a new
     /// request only as far as the links can carry the traffic of all routers.
     fn find_path(&self) -> Option<Path> {
--- a/crates/gateway/src/stream/send.rs
+++ b/crates/gateway/src/stream/send.rs
@@ -10,6 +10,7 @@
 use super::{
     INITIAL_PAUSE, MAX_SILENCE, MIN_SILENCE, Next, Progress, SILENCE_CHECK_INTERVAL, Upstream,
 };
+use crate::admission;
 use crate::answer;
 use crate::crash;
 use crate::departure;
@@ -154,6 +155,9 @@
             Next::End if self.last_event.is_some() => Ok(Opened::Stream(upstream, Next::End)),
             Next::Event(event) => {
                 self.state.metrics.first_event(upstream.started.elapsed());
+                if self.last_event.is_none() {
+                    admission::first_event(self.state, self.call, self.service, started);
+                }
                 upstream.path.first().count_continued();
                 crash::record_progress(self.state, self.call, event.id.map_or(1, |id| id + 1));
                 Ok(Opened::Stream(upstream, Next::Event(event)))
--- a/crates/policy/src/census.rs
+++ b/crates/policy/src/census.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-/// Priority rank of a request; 0 comes first.
+/// Place of a request in the order of urgency; 0 comes first.
 pub type Rank = u8;
 
 /// Time constant of the decay: after it a request counts for a third of what it did.
@@ -222,7 +222,12 @@
     }
 
     /// Returns the demand of each data centre that is known, sorted by name.
-    pub fn by_data_centre(&self, own: &Report, routers: u32, now: Duration) -> Vec<(String, Demand)> {
+    pub fn by_data_centre(
+        &self,
+        own: &Report,
+        routers: u32,
+        now: Duration,
+    ) -> Vec<(String, Demand)> {
         let mut data_centres: Vec<(String, Demand)> = Vec::new();
         for report in self.valid(own, routers, now) {
             let total = report.total();
--- a/crates/policy/src/headroom.rs
+++ b/crates/policy/src/headroom.rs
@@ -50,10 +50,7 @@
     /// assert_eq!(a.min(b), Limit { memory: a.memory, prefill: Duration::ZERO });
     /// ```
     pub fn min(self, other: Limit) -> Limit {
-        Limit {
-            memory: self.memory.min(other.memory),
-            prefill: self.prefill.min(other.prefill),
-        }
+        Limit { memory: self.memory.min(other.memory), prefill: self.prefill.min(other.prefill) }
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod quota;
 pub mod ramp;
 mod range;
+pub mod rank;
 pub mod refusal;
 pub mod replica;
 pub mod retry;
