Rank: room kept grows with the refused part of all demand; demand is not written to the store

Cause: the room kept for the more urgent grew with the part of their own demand that was refused. A few refused requests of small workspaces of the first rank kept half of all room from the others, for some ten seconds after all routers had lost power. It now grows with the part of all demand. A router that has found no place lately, as it has just started, expects ten a second, so that it does not refuse all but three.

--- a/crates/gateway/src/follow/notices.rs
+++ b/crates/gateway/src/follow/notices.rs
@@ -150,7 +150,10 @@
         }
         let mut notices: Vec<Notice> = state.notices.borrow_mut().drain(..).collect();
         notices.retain(|notice| !notice::was_announced(&state, notice));
-        notices.retain(|notice| !shared_read::publish(&state, notice) || notice.is_durable());
+        notices.retain(|notice| {
+            let published = shared_read::publish(&state, notice);
+            notice.is_durable() || !published && !notice.is_transient()
+        });
         // Notices from before the store was regained are out of date.
         if notices.is_empty() || state.store_unavailable() {
             continue;
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -163,6 +163,11 @@
         )
     }
 
+    /// Whether the notice is out of date within seconds, so that the store isn't worth a call for it.
+    pub fn is_transient(&self) -> bool {
+        matches!(self, Notice::Demand { .. })
+    }
+
     /// Decodes a record; returns none if it is of another kind or version.
     pub fn decode(record: &[u8]) -> Option<Notice> {
         serde_json::from_slice(record).ok()
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -17,8 +17,8 @@
 /// much they may grow within the second in which servers report their load.
 const RESERVE: f64 = 0.15;
 
-/// Room kept in addition for each part of the more urgent demand that was refused.
-const REFUSAL_RESERVE: f64 = 1.0;
+/// Room kept in addition, as a multiple of the part of all demand that was more urgent and refused.
+const REFUSAL_RESERVE: f64 = 2.0;
 
 /// Least share of the room that a rank may take.
 const MIN_SHARE: f64 = 0.5;
@@ -54,7 +54,7 @@
     if urgent.0 < MIN_DEMAND || is_starved(rank, demand) {
         return 1.0;
     }
-    let reserve = RESERVE * urgent.0 / all.0 + REFUSAL_RESERVE * urgent.1 / urgent.0;
+    let reserve = (RESERVE * urgent.0 + REFUSAL_RESERVE * urgent.1) / all.0;
     (1.0 - reserve).max(MIN_SHARE)
 }
 
@@ -97,6 +97,10 @@
 /// places, and at 1 requests would be refused that get a place in time.
 const WAIT_TOLERANCE: f64 = 1.5;
 
+/// Places in a second that are assumed at least. A router that has just started has found none yet, and one whose servers
+/// were full finds several at once when they report room.
+const MIN_RATE: f64 = 10.0;
+
 /// Waiting requests that are always kept, whatever the rate is.
 const MIN_WAITING: usize = 3;
 
@@ -180,7 +184,7 @@
     }
 
     fn expected_wait(&self, ahead: usize, now: Duration) -> f64 {
-        ahead as f64 / self.rate(now).max(f64::EPSILON)
+        ahead as f64 / self.rate(now).max(MIN_RATE)
     }
 
     fn decay(&self, now: Duration) -> f64 {
