--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -102,6 +102,7 @@
     }
     let now = state.now();
     let waited = call.arrived.elapsed();
+    let rank = with_demand(state, service, |demand| rank::queue_rank(call.urgency(), demand));
     let place = state.admission.service(service, |s| {
         let late = s.usual.is_return(call);
         let first_event = s.ranks.first_event.unwrap_or(INITIAL_FIRST_EVENT);
@@ -112,7 +113,7 @@
                 .saturating_sub(first_event.mul_f64(FIRST_EVENT_FACTOR))
                 .max(goal.mul_f64(MIN_WAIT_FRACTION)),
         };
-        s.ranks.queue.enter(call.urgency(), late, now + wait.saturating_sub(waited))
+        s.ranks.queue.enter(rank, late, now + wait.saturating_sub(waited))
     });
     Some(Waiting { state, service, place, placed: Cell::new(false) })
 }
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -58,6 +58,27 @@
     (1.0 - reserve).max(MIN_SHARE)
 }
 
+/// Returns the rank by which a request of `rank` is queued: that of the most urgent demand while its own is starved.
+/// Room alone does not help a starved rank, as more urgent requests take it first while they too are refused.
+///
+/// ```
+/// use policy::census::Demand;
+/// use policy::rank::queue_rank;
+/// let demand = [
+///     Demand { rank: 0, arrived: 500.0, refused: 100.0 },
+///     Demand { rank: 2, arrived: 500.0, refused: 400.0 },
+/// ];
+/// assert_eq!(queue_rank(2, &demand), 0);
+/// assert_eq!(queue_rank(2, &[demand[0], Demand { refused: 300.0, ..demand[1] }]), 2);
+/// ```
+pub fn queue_rank(rank: Rank, demand: &[Demand]) -> Rank {
+    let first = demand.iter().find(|d| d.arrived >= MIN_DEMAND);
+    match first {
+        Some(first) if is_starved(rank, demand) => first.rank.min(rank),
+        _ => rank,
+    }
+}
+
 /// Whether the demand of a rank is served much less often than that of another one.
 fn is_starved(rank: Rank, demand: &[Demand]) -> bool {
     let served = |d: &Demand| 1.0 - (d.refused / d.arrived.max(MIN_DEMAND)).min(1.0);
