Refusals of requests to models are counted by rank and logged with the limit, the share, the demand and the queue

Cause: refusals were counted by reason only, and the lines did not say which limit applied, nor who had the room. Instruments in admission/metrics.rs count admitted, queued, refused requests and first events by place in the order of urgency (at most ten values), workspace class and data centre, and record the time of those that waited. admission/refusal.rs writes one line a refusal, under the limit of 20 lines a second that other refusals have.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -4,7 +4,9 @@
 //! one holds. Routers tell each other what demand they see ([`policy::census`]) while ranks differ or room is short.
 
 mod data_centre;
+pub mod metrics;
 mod rank;
+pub(crate) mod refusal;
 mod usual;
 mod workspace;
 
@@ -73,14 +75,29 @@
     }
 }
 
+/// The limits of one request, each with the name of what gives it.
+struct Limits([(&'static str, Limit); 3]);
+
+impl Limits {
+    fn of(state: &State, call: &Call, service: &str) -> Limits {
+        Limits([
+            ("rank", rank::limit(state, call, service)),
+            ("workspace", workspace::limit(state, call, service)),
+            ("data_centre", data_centre::limit(state, call, service)),
+        ])
+    }
+
+    /// Returns the narrowest limit and the name of what gives it.
+    fn narrowest(&self) -> (&'static str, Limit) {
+        let limit = self.0.iter().map(|(_, limit)| *limit).fold(Limit::full(), Limit::min);
+        let by = self.0.iter().find(|(_, l)| l.memory == limit.memory && *l != Limit::full());
+        (by.map_or("none", |(name, _)| name), limit)
+    }
+}
+
 /// Returns the limit of a request.
 pub fn limit(state: &State, call: &Call, service: &str) -> Limit {
-    let limits = [
-        rank::limit(state, call, service),
-        workspace::limit(state, call, service),
-        data_centre::limit(state, call, service),
-    ];
-    limits.into_iter().fold(Limit::full(), Limit::min)
+    Limits::of(state, call, service).narrowest().1
 }
 
 /// Records a request to a model that arrived.
--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -43,11 +43,21 @@
     first_event: Option<Duration>,
 }
 
+impl Ranks {
+    /// Returns the number of waiting requests.
+    pub(super) fn queue_length(&self) -> usize {
+        self.queue.len()
+    }
+}
+
 /// A request in the queue, which it leaves when this is dropped.
 pub struct Waiting<'a> {
     state: &'a State,
+    call: &'a Call,
     service: &'a str,
     place: Place,
+    entered: Duration,
+    waited: Cell<bool>,
     placed: Cell<bool>,
 }
 
@@ -58,6 +68,11 @@
         self.state.admission.service(self.service, |s| s.ranks.queue.turn(self.place, now))
     }
 
+    /// Records that the request found no path at once.
+    pub fn waits(&self) {
+        self.waited.set(true);
+    }
+
     /// Records that the request got a path.
     pub fn found(&self) {
         self.placed.set(true);
@@ -70,6 +85,10 @@
         self.state
             .admission
             .service(self.service, |s| s.ranks.queue.leave(self.place, placed, now));
+        if self.waited.get() {
+            let waited = now.saturating_sub(self.entered);
+            self.state.metrics.admission.queued(&self.state.setup.zone, self.call, waited);
+        }
         self.state.admission.queue_moved.notify_waiters();
     }
 }
@@ -96,7 +115,7 @@
 }
 
 /// Adds a new request to the queue, if ranks differ.
-pub fn enter<'a>(state: &'a State, call: &Call, service: &'a str) -> Option<Waiting<'a>> {
+pub fn enter<'a>(state: &'a State, call: &'a Call, service: &'a str) -> Option<Waiting<'a>> {
     if !super::ranks_differ(&call.settings, service) {
         return None;
     }
@@ -115,13 +134,22 @@
         };
         s.ranks.queue.enter(rank, late, now + wait.saturating_sub(waited))
     });
-    Some(Waiting { state, service, place, placed: Cell::new(false) })
+    Some(Waiting {
+        state,
+        call,
+        service,
+        place,
+        entered: now,
+        waited: Cell::new(false),
+        placed: Cell::new(false),
+    })
 }
 
 /// Records a first event: how long it took from the place, and whether it was on time.
 pub fn first_event(state: &State, call: &Call, service: &str, sent: Instant) {
     let (now, took) = (state.now(), sent.elapsed());
     let is_late = call.arrived.elapsed() > call.route.goal;
+    state.metrics.admission.first_event(&state.setup.zone, call, is_late);
     state.admission.service(service, |s| {
         let mean = s.ranks.first_event.unwrap_or(took);
         s.ranks.first_event = Some(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use policy::availability::{Obstacle, Use};
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::admission::metrics::Instruments;
 use crate::answer::Reason;
 use crate::crash;
 use crate::limited;
@@ -21,6 +22,8 @@
 /// The instruments of a gateway, which docs/OPERATIONS.md explains to operators.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Those of requests to models, by rank.
+    pub admission: Instruments,
     registry: Registry,
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
@@ -45,6 +48,7 @@
             meter.f64_histogram(name).with_unit("s").with_description(what).build()
         };
         Ok(Metrics {
+            admission: Instruments::new(&meter),
             answers: meter
                 .u64_counter("hyssop_answers")
                 .with_description("Answers by status")
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -52,6 +52,8 @@
     pub workspace: Option<String>,
     /// Its rank.
     pub rank: Rank,
+    /// Whether that is the rank of its workspace.
+    pub has_own_rank: bool,
     /// When it arrived.
     pub arrived: Instant,
     /// When its caller's or its route's time-out ends, whichever is earlier.
@@ -112,7 +114,11 @@
     let settings = startup::settings(state).await?;
     let host = host(&head.headers, &head.uri)?;
     let route = settings.route(&host, head.uri.path()).ok_or(Reason::NoRoute)?.clone();
-    let (workspace, rank) = authenticate(state, &settings, &route, &head.headers)?;
+    let (workspace, own_rank) = authenticate(state, &settings, &route, &head.headers)?;
+    let rank = match (own_rank, &workspace) {
+        (None, None) => route.rank,
+        (own, _) => own.unwrap_or(route.rank).min(9),
+    };
     check_framing(&head.headers)?;
     if body.size_hint().lower() > settings.limits.body as u64 {
         return Err(Reason::TooLong);
@@ -141,6 +147,7 @@
         settings,
         workspace,
         rank,
+        has_own_rank: own_rank.is_some(),
         arrived,
         deadline,
         tokens,
@@ -174,7 +181,7 @@
     /// Returns its place in the order of urgency, from 0. The rank of the workspace comes first, and among requests of
     /// equal rank that of the route.
     pub fn urgency(&self) -> Rank {
-        self.rank.min(9) * 10 + self.route.rank.min(9)
+        urgency(self.rank, self.route.rank)
     }
 
     /// Returns the bytes of its body.
@@ -188,6 +195,11 @@
     }
 }
 
+/// Returns the place in the order of urgency of a request with this rank on a route with that one.
+pub(crate) fn urgency(rank: Rank, route: Rank) -> Rank {
+    rank.min(9) * 10 + route.min(9)
+}
+
 fn host(headers: &HeaderMap, uri: &Uri) -> Result<String, Reason> {
     let mut hosts = headers.get_all(HOST).iter();
     match (hosts.next(), hosts.next(), uri.authority()) {
@@ -197,16 +209,15 @@
     }
 }
 
-/// Finds the workspace that the caller's key belongs to, and the rank of the request.
+/// Finds the workspace that the caller's key belongs to, and its rank if it has its own.
 fn authenticate(
     state: &State,
     settings: &Settings,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<(Option<String>, Rank), Reason> {
-    let rank = route.rank;
+) -> Result<(Option<String>, Option<Rank>), Reason> {
     if route.public || !settings.requires_key {
-        return Ok((None, rank));
+        return Ok((None, None));
     }
     let mut keys = headers.get_all(&state.codec.names.key).iter();
     let key = match (keys.next(), keys.next()) {
@@ -214,7 +225,7 @@
         _ => return Err(Reason::NoKey),
     };
     let holder = settings.key(key).ok_or(Reason::NoKey)?;
-    Ok((Some(holder.workspace.clone()), holder.rank.unwrap_or(rank).min(9)))
+    Ok((Some(holder.workspace.clone()), holder.rank))
 }
 
 /// Refuses requests whose body length is ambiguous. What one parser reads as the body, another would read as a second
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -148,7 +148,15 @@
         random: rand::random(),
         counted_for_link: Cell::new(false),
     };
-    let (mut upstream, first) = match progress.open().await {
+    let opened = progress.open().await;
+    match &opened {
+        Ok(_) => state.metrics.admission.admitted(&state.setup.zone, &call),
+        Err(reason) if reason.is_refusal() => {
+            admission::refusal::record(state, &call, service, *reason);
+        }
+        Err(_) => {}
+    }
+    let (mut upstream, first) = match opened {
         Ok(Opened::Stream(upstream, first)) => (upstream, first),
         Ok(Opened::Complete(answer)) => return answer,
         Err(Reason::Full) => {
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -288,6 +288,7 @@
                 }
                 Turn::Wait => {}
             }
+            waiting.waits();
             let moved = async {
                 tokio::select! {
                     () = self.state.changed.notified() => {}
