Notices of demand are shorter and measured; operators go from a refused urgent request to its cause

Cause: a notice of demand with three ranks and eight workspaces took 301 bytes; at 30 a second that is 9,030 bytes/s for each of 300 routers, all of the 9 KB/s for control traffic. With short field names it takes 267 bytes, 7,983 bytes/s received; with ten ranks 379 bytes, 11.4 KB/s, still over, as docs/CAPACITY.md says, and so is a router from which 80 others read.

--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -65,6 +65,29 @@
     assert!(!run.out.contains("server=i-5"), "{}", run.out);
 }
 
+const SHORT: &str = "\
+2026-07-04T02:52:36.100000000Z [INFO] gateway: request=ee55 admission=refused limit=rank memory=0.74 prefill=228ms rank=12 share=0.76 demand=[10:900/40 12:400/120] queue=5 room=[10:860 12:280] workspaces=[w:700 x:600] routers=27 left_out=0 why=the backend servers are full
+2026-07-04T02:52:36.100100000Z [INFO] gateway: request=ff66 admission=refused limit=none memory=0.97 why=the backend servers are full
+";
+
+/// Guards against a refusal without the limit, the demand and those who had the room.
+#[tokio::test]
+async fn a_refusal_by_rank_is_shown() {
+    let scratch = Scratch::new("explain-rank");
+    scratch.write("entry-1.log", SHORT);
+    let run = scratch.run(&["explain", "ee55", "--output", "entry-1.log"]).await;
+    assert_eq!(run.code, 0, "{run:?}");
+    let shown = [
+        "limit=rank",
+        "share=0.76",
+        "demand=[10:900/40 12:400/120]",
+        "queue=5",
+        "workspaces=[w:700",
+    ];
+    assert!(shown.iter().all(|text| run.out.contains(text)), "{}", run.out);
+    assert!(!run.out.contains("ff66"), "{}", run.out);
+}
+
 /// An unknown id or file gives a message that names it, and the exit code of an error.
 #[rstest::rstest]
 #[case::unknown(Case { args: &["explain", "cc33", "--output", "entry-1.log"], code: 1, expected: "none of 7 lines is of request cc33" })]
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -112,17 +112,23 @@
         /// Number of servers that ended.
         servers: u32,
     },
-    /// What demand for a model a router sees, in tokens a second.
+    /// What demand for a model a router sees, in tokens a second. Its field names are short, as each router receives up
+    /// to 30 of these notices a second.
     Demand {
         /// The router.
+        #[serde(rename = "r")]
         router: String,
         /// Its data centre.
+        #[serde(rename = "d")]
         data_centre: String,
         /// The model's service.
+        #[serde(rename = "s")]
         service: String,
         /// Rank, what arrived and what was refused.
+        #[serde(rename = "k")]
         ranks: Vec<(u8, u64, u64)>,
         /// The workspaces with the highest demand.
+        #[serde(rename = "w")]
         workspaces: Vec<(String, u64)>,
     },
     /// A server holds layers now.
