Policy: ejection of servers that fail at once, by success ratio per start and route

A server that answers 500 after 2 ms gets requests for as long as it does so, and nothing compares its outcomes with those of the other servers.

policy::failure weighs each outcome against the route's usual failure ratio, adds the own evidence of other routers, ejects at most 0.4 of a service's servers, probes them with requests that may be repeated and returns their share gradually, writes last.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -258,7 +258,7 @@
             "the answer with status {status} was not sent by the backend server"
         ));
     }
-    peer.record_answer(took);
+    peer.record_answer(took, status.is_server_error());
     if let Some(running) = statement.running {
         peer.reported_load.set(Some((running, state.now())));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod edge;
 pub mod event;
 pub mod exchange;
+pub mod failing;
 pub mod follow;
 pub mod guard;
 pub mod leader;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,10 +8,12 @@
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use policy::availability::{Obstacle, Use};
+use policy::failure::Change;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::answer::Reason;
 use crate::crash;
+use crate::failing;
 use crate::limited;
 use crate::peer::Peer;
 use crate::retries;
@@ -171,6 +173,19 @@
         self.event("request_withheld");
     }
 
+    /// Counts a change of the belief that a server fails.
+    pub fn failing_changed(&self, change: Option<Change>) {
+        match change {
+            None => {}
+            Some(Change::Ejected { confirmed: true, .. }) => self.event("server_ejected"),
+            Some(Change::Ejected { confirmed: false, .. }) => {
+                self.event("server_ejected_by_report");
+            }
+            Some(Change::Returns) => self.event("server_returns"),
+            Some(Change::CommonCause) => self.event("most_servers_fail"),
+        }
+    }
+
     /// Counts an order to a server to hold layers.
     pub fn ordered(&self) {
         self.event("order");
@@ -192,6 +207,7 @@
         text.push_str(&format!("hyssop_reads_for_others {is_reader}\n"));
         text.push_str(&limited::page(state));
         text.push_str(&availability_page(state));
+        text.push_str(&failing::page(state));
         text.push_str(&retries::page(state));
         text.push_str(&crash::page(state));
         let restores = state.store.restores();
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -12,6 +12,7 @@
 use crate::admission;
 use crate::crash;
 use crate::departure;
+use crate::failing;
 use crate::limited;
 use crate::peer::Peer;
 use crate::probe;
@@ -49,6 +50,17 @@
         /// The server.
         server: String,
     },
+    /// A server answers requests of a router with errors.
+    Failing {
+        /// The router.
+        router: String,
+        /// The server.
+        server: String,
+        /// When it had started, in milliseconds of Unix time.
+        born: u64,
+        /// The router's own evidence, in hundredths of a natural logarithm of the likelihood ratio.
+        evidence_percent: u64,
+    },
     /// A server is slower than others of its kind.
     Slow {
         /// The server.
@@ -238,6 +250,9 @@
             }
             return;
         }
+        Notice::Failing { router, server, born, evidence_percent } => {
+            return failing::receive(state, router, server, *born, *evidence_percent);
+        }
         Notice::Slow { server, percent } => {
             if let Some(peer) = state.peer(server) {
                 peer.slowdown.set(f64::from(*percent) / 100.0);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -322,11 +322,13 @@
         self.breaks.set(breaks);
     }
 
-    /// Records an answer that took `took`.
-    pub fn record_answer(&self, took: Duration) {
+    /// Records an answer that took `took`. An error may come sooner than any result, so it never makes the server look
+    /// faster.
+    pub fn record_answer(&self, took: Duration, is_error: bool) {
         self.suspicion.borrow_mut().clear();
         let mut pace = self.pace.get();
-        pace.add(took.as_secs_f64() * 1e3);
+        let ms = took.as_secs_f64() * 1e3;
+        pace.add(if is_error { ms.max(pace.mean()) } else { ms });
         self.pace.set(pace);
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -18,6 +18,7 @@
 use crate::availability;
 use crate::crash;
 use crate::exchange::{self, Outcome};
+use crate::failing;
 use crate::limited;
 use crate::peer::{Load, Peer};
 use crate::request::Call;
@@ -85,7 +86,7 @@
         Progress { state, call, service, tried, is_paid: true, ran: 0, end_check: None, fallback };
     let mut pending = FuturesUnordered::new();
     limited::request_permits(state, service, |_| true).await;
-    let mut next = choose(state, service, &progress.tried);
+    let mut next = choose(state, call, service, &progress.tried);
     if next.is_none() && over_limit(state, service) {
         return limited::refuse(state, service);
     }
@@ -94,6 +95,7 @@
         if let Some(peer) = next.take().filter(|peer| peer.limited.take(state.now())) {
             progress.is_paid = false;
             progress.tried.push(peer.server().id.clone());
+            failing::record_sent(state, call, &peer);
             slow_timer = Some((slow_deadline(call, &peer), peer.clone()));
             pending.push(try_server(state, call, peer));
         }
@@ -141,7 +143,7 @@
         if crash::is_blocked(self.state, self.call) {
             return None;
         }
-        let other = choose(self.state, self.service, &self.tried)?;
+        let other = choose(self.state, self.call, self.service, &self.tried)?;
         if self.is_paid {
             return Some(other);
         }
@@ -153,7 +155,7 @@
     /// backoff ends if no server accepts it before.
     fn give_up(self) -> Response<Body> {
         let (state, call, service) = (self.state, self.call, self.service);
-        let refused = self.ran == 0 && choose(state, service, &[]).is_none();
+        let refused = self.ran == 0 && choose(state, call, service, &[]).is_none();
         match state.first_return(service).filter(|_| refused) {
             Some(wait) => availability::refuse(wait, state.routers(), call.time_left()),
             None => self.fallback,
@@ -172,6 +174,7 @@
             Attempt::Answered(head, body) => {
                 self.ran += 1;
                 crash::record_completion(state, call, head.status());
+                failing::record(state, call, peer, head.status());
                 peer.count_continued();
                 let answer = answer::from_server(head, body);
                 let better = call.route.class.is_retryable() && (running > 0 || self.may_try(0));
@@ -281,13 +284,27 @@
     (Instant::now() + time).min(call.deadline)
 }
 
-fn choose(state: &State, service: &str, excluded: &[String]) -> Option<Rc<Peer>> {
+/// Chooses a server for a request. One that fails gets none while another accepts it, apart from probes.
+fn choose(state: &State, call: &Call, service: &str, excluded: &[String]) -> Option<Rc<Peer>> {
     let now = state.now();
     let mut peers = state.peers_of(service);
     peers.retain(|p| {
         let accepts = p.obstacle(Use::Direct, now).is_none() && p.limited.allows(now);
         p.ready() && accepts && !excluded.contains(&p.server().id)
     });
+    // A probe is not the second attempt of a request, which may have no further one.
+    let probed = peers.iter().filter(|p| p.accepts_requests(now) && excluded.is_empty());
+    if let Some(peer) = probed.into_iter().find(|p| failing::is_probed(state, call, p)) {
+        return Some(peer.clone());
+    }
+    let sound: Vec<Rc<Peer>> = peers
+        .iter()
+        .filter(|p| p.usable(now) && !failing::avoids(state, call, p))
+        .cloned()
+        .collect();
+    if !sound.is_empty() {
+        peers = sound;
+    }
     // If all are suspected, the network is more likely at fault than all servers.
     let preferences: [fn(&Peer, Duration) -> bool; 3] =
         [Peer::accepts_requests, Peer::usable, |_, _| true];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::admission::Admission;
 use crate::availability::RETURN_RETRY_AFTER;
 use crate::crash::Crashes;
+use crate::failing::Failing;
 use crate::limited::Ledgers;
 use crate::logging::Quota;
 use crate::metrics::Metrics;
@@ -126,6 +127,8 @@
     pub sharing: Sharing,
     /// Requests during which servers ended.
     pub crashes: Crashes,
+    /// Servers that answer with errors.
+    pub failing: Failing,
     /// Ledgers that this router owns for servers that set limits.
     pub ledgers: Ledgers,
     /// Retries that this router borrowed from others.
@@ -183,6 +186,7 @@
             tenure: RefCell::default(),
             sharing: Sharing::default(),
             crashes: Crashes::default(),
+            failing: Failing::default(),
             ledgers: Ledgers::default(),
             retries: Retries::default(),
             neighbours: Neighbours::default(),
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -15,6 +15,7 @@
 use crate::answer::{Body, Reason};
 use crate::count::Counted;
 use crate::crash;
+use crate::failing;
 use crate::limited;
 use crate::retries;
 use crate::route::{self, Path};
@@ -312,10 +313,16 @@
         };
         let find =
             |accepting, may_cross_links| avoiding(&self.excluded, accepting, may_cross_links);
+        // No run is spent on a server that answers with errors either. Streams along the same path are not told apart:
+        // the first server answers for the later ones.
+        let failing = failing::avoided(self.state, self.call, self.service);
         // The number of runs is limited: none is spent on a server that has just broken one if there is another path.
-        let cautious = match self.runs.is_empty() {
+        let is_first_run = self.runs.is_empty();
+        let passed_over =
+            if is_first_run { self.excluded.clone() } else { self.excluded_and_breaking() };
+        let cautious = match is_first_run && failing.is_empty() {
             true => None,
-            false => avoiding(&self.excluded_and_breaking(), true, false),
+            false => avoiding(&[passed_over, failing].concat(), true, false),
         };
         let crossing = |accepting| {
             let path = find(accepting, true)?;
--- a/crates/gateway/src/stream/send.rs
+++ b/crates/gateway/src/stream/send.rs
@@ -16,6 +16,7 @@
 use crate::departure;
 use crate::event::Splitter;
 use crate::exchange::{self, Answer, Outcome};
+use crate::failing;
 use crate::plain;
 use crate::route::{self, Crossing, Path};
 
@@ -31,6 +32,7 @@
         let hops = path.hops.clone();
         let id = peer.server().id.clone();
         self.record_run(&peer);
+        failing::record_sent(self.state, self.call, &peer);
         self.unrefused += 1;
         let outcome = {
             let (state, call) = (self.state, self.call);
@@ -122,6 +124,7 @@
         let status = answer.head.status();
         let first = path.first().clone();
         if status != StatusCode::OK {
+            failing::record(self.state, self.call, &first, status);
             let again = status.is_server_error() && self.may_run_again().await;
             let collected = answer.collect(self.call.deadline).await;
             if collected.is_some() {
@@ -159,6 +162,7 @@
                     admission::first_event(self.state, self.call, self.service, started);
                 }
                 upstream.path.first().count_continued();
+                failing::record(self.state, self.call, &first, StatusCode::OK);
                 crash::record_progress(self.state, self.call, event.id.map_or(1, |id| id + 1));
                 Ok(Opened::Stream(upstream, Next::Event(event)))
             }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod departure;
 pub mod entry;
 pub mod estimate;
+pub mod failure;
 pub mod fill;
 pub mod headroom;
 pub mod health;
