--- a/crates/policy/src/failure.rs
+++ b/crates/policy/src/failure.rs
@@ -35,7 +35,7 @@
 /// Time for which a contradicted router is doubted.
 const DOUBT_TIME: Duration = Duration::from_secs(10);
 
-/// Length of a first ejection. It doubles with each ejection that follows within [`MEMORY`] of the last one.
+/// Length of a first ejection. It doubles with each ejection that follows within 30 s of the last one.
 pub const MIN_HOLD: Duration = Duration::from_secs(3);
 
 /// Longest ejection, without the random part.
