Policy: callers of a data centre leave room for those of one that is refused more often

The demand of one data centre at 4.5 times the usual fills its servers; free room elsewhere is taken by the routers near it, and its callers are refused far more often than all others.

policy::balance compares the refused parts of the demand by data centre, from the census, and narrows the limit of the own callers in proportion to how far another data centre is behind, by at most 0.1 in a second, down to 0.8; it widens by 0.05 in a second.

Trials with steps that add up alternated between the data centres and were left.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod affinity;
 pub mod availability;
+pub mod balance;
 pub mod breaks;
 pub mod census;
 pub mod chain;
