--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -45,6 +45,7 @@
     tally: Tally,
     census: Census,
     ranks: rank::Ranks,
+    data_centres: data_centre::DataCentres,
     usual: usual::Usual,
     /// When a request was last refused.
     short_at: Option<Duration>,
@@ -128,6 +129,11 @@
     });
 }
 
+/// Returns the metrics text of the demand of the data centres.
+pub fn page(state: &State) -> String {
+    data_centre::page(state)
+}
+
 /// Tells the other routers what demand this one sees, as long as the process runs and ranks differ or room is short.
 pub async fn send_reports(state: Rc<State>) {
     loop {
@@ -142,6 +148,8 @@
                 let report = s.tally.report(&state.setup.zone, now);
                 (differ || s.is_short(&report, routers, now)).then_some(report)
             });
+            // Without requests, the limit would stay as it was in the metrics.
+            data_centre::differ(&state, service);
             if let Some(report) = report {
                 let router = state.setup.vm.clone();
                 state.announce(Notice::demand(router, service.to_owned(), &report));
