Routes: a router with a burst may use the prefill time of other data centres by its demand

A router may use a share of a server's prefill time: one part in the requests that run in that data centre for each of its own. One whose data centre is full has none in the others at first and counts for one in twelve, and its callers are refused while prefill time there is free.

While data centres differ, a router counts in the others by its demand, if that is more (policy::balance::demand_ratio). The ratio for links and for the own data centre is as before.

In the load test a router may send at least 1.5 times as many prompts to a server elsewhere, and four of them leave a tenth of its time.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -129,6 +129,12 @@
     });
 }
 
+/// Returns the demand of all routers for each token of this one's, while data centres differ: a router with a burst
+/// may then use servers of other data centres in proportion to it.
+pub fn demand_ratio(state: &State, service: &str) -> Option<f64> {
+    data_centre::demand_ratio(state, service)
+}
+
 /// Returns the metrics text of the demand of the data centres.
 pub fn page(state: &State) -> String {
     data_centre::page(state)
--- a/crates/gateway/src/admission/data_centre.rs
+++ b/crates/gateway/src/admission/data_centre.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::balance::{Balance, refused};
+use policy::balance::{self, Balance, refused};
 use policy::census::{Census, Demand, Report};
 use policy::headroom::Limit;
 
@@ -27,6 +27,8 @@
 pub(super) struct DataCentres {
     balance: Balance,
     demand: Vec<(String, Demand)>,
+    /// Demand of all routers for each token of this one's.
+    demand_ratio: Option<f64>,
     updated: Option<Duration>,
     logged: Option<(f64, Duration)>,
 }
@@ -36,6 +38,8 @@
     fn update(&mut self, service: &str, census: &Census, own: Report, routers: u32, now: Duration) {
         self.updated = Some(now);
         self.demand = census.by_data_centre(&own, routers, now);
+        self.demand_ratio =
+            balance::demand_ratio(&own.total(), &census.by_rank(&own, routers, now));
         self.balance.update(&own.data_centre, &self.demand, now);
         let share = self.balance.share();
         let (before, at) = self.logged.unwrap_or((1.0, Duration::ZERO));
@@ -60,26 +64,32 @@
 }
 
 /// Brings the decision up to date and runs `work` on it.
-fn with_balance<T>(state: &State, service: &str, work: impl FnOnce(&Balance) -> T) -> T {
+fn with_census<T>(state: &State, service: &str, work: impl FnOnce(&DataCentres) -> T) -> T {
     let (now, routers) = (state.now(), state.routers());
     state.admission.service(service, |s: &mut Service| {
         if s.data_centres.updated.is_none_or(|at| now >= at + DECISION_VALIDITY) {
             let own = s.tally.report(&state.setup.zone, now);
             s.data_centres.update(service, &s.census, own, routers, now);
         }
-        work(&s.data_centres.balance)
+        work(&s.data_centres)
     })
 }
 
 /// Returns the limit of a request.
 pub(super) fn limit(state: &State, _call: &Call, service: &str) -> Limit {
-    Limit::full().scaled(with_balance(state, service, Balance::share))
+    Limit::full().scaled(with_census(state, service, |d| d.balance.share()))
 }
 
 /// Whether the callers of one data centre are refused clearly more often than those of another one.
 pub(super) fn differ(state: &State, service: &str) -> bool {
     let now = state.now();
-    with_balance(state, service, |balance| balance.differs(now))
+    with_census(state, service, |d| d.balance.differs(now))
+}
+
+/// Returns the demand of all routers for each token of this one's, while data centres differ.
+pub(super) fn demand_ratio(state: &State, service: &str) -> Option<f64> {
+    let now = state.now();
+    with_census(state, service, |d| d.demand_ratio.filter(|_| d.balance.differs(now)))
 }
 
 /// Returns the metrics text: the share of the limit that callers of this data centre may take, and the refused part of
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -240,7 +240,7 @@
     let peers: Vec<Rc<Peer>> = state.peers_of(service);
     let shape = &model.shape;
     let bytes = context_bytes(model, tokens);
-    let zone_loads = zone_loads(&peers, now, state.routers());
+    let zone_loads = zone_loads(state, service, &peers);
     let load_of = |zone: Zone| {
         let found = zone_loads.binary_search_by_key(&zone, |load| load.zone);
         found.map_or(ZoneLoad::unknown(zone, state.routers()), |at| zone_loads[at])
@@ -339,8 +339,8 @@
     let taken = peer.context.get().max(in_use) + bytes * layers;
     let full = taken / memory.max(1.0);
     let backlog = peer.prefill_backlog.get();
-    let takes_prompt = backlog.accepts(now, 1.0, zone_load.zone_ratio, limit.prefill);
-    let backlog = backlog.waiting(now, 1.0 / zone_load.zone_ratio).min(MAX_PREFILL);
+    let takes_prompt = backlog.accepts(now, 1.0, zone_load.prompt_ratio, limit.prefill);
+    let backlog = backlog.waiting(now, 1.0 / zone_load.prompt_ratio).min(MAX_PREFILL);
     // A server that already runs the request is not subject to these limits.
     if !kept && (full > limit.memory || !takes_prompt || peer.running.get() >= entry.slots) {
         return None;
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -27,7 +27,7 @@
 ) -> String {
     let now = state.now();
     let peers = state.peers_of(service);
-    let zone_loads = zone_loads(&peers, now, state.routers());
+    let zone_loads = zone_loads(state, service, &peers);
     let (mut leaving, mut silent, mut backoff) = (0, 0, 0);
     let (mut declined, mut reading, mut scarce) = (0, 0, 0);
     let mut zones: Vec<DataCentre> = Vec::new();
@@ -52,7 +52,7 @@
             () if !peer.prefill_backlog.get().accepts(
                 now,
                 1.0,
-                zone_load.zone_ratio,
+                zone_load.prompt_ratio,
                 MAX_PREFILL,
             ) =>
             {
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -9,6 +9,7 @@
 use policy::meter::Meter;
 
 use super::zone;
+use crate::admission;
 use crate::peer::Peer;
 use crate::request::Tokens;
 use crate::settings::Model;
@@ -41,6 +42,8 @@
     pub(super) total_ratio: f64,
     /// Ratio of the requests of all routers to those of this router in this data centre; at least one.
     pub(super) zone_ratio: f64,
+    /// Ratio of the prompts of all routers in this data centre to those that this router may send there; at least one.
+    pub(super) prompt_ratio: f64,
 }
 
 impl ZoneLoad {
@@ -48,14 +51,23 @@
     /// routers.
     pub(super) fn unknown(zone: Zone, routers: u32) -> ZoneLoad {
         let zone_ratio = f64::from(routers).sqrt();
-        ZoneLoad { zone, running: 0.0, own: 0.0, total_ratio: zone_ratio, zone_ratio }
+        ZoneLoad {
+            zone,
+            running: 0.0,
+            own: 0.0,
+            total_ratio: zone_ratio,
+            zone_ratio,
+            prompt_ratio: zone_ratio,
+        }
     }
 }
 
 /// Returns the requests of all routers that run through the copy of each data centre, as reported by the first servers
 /// of its paths. A router sees only its own; when copies are lost, the requests of the others move to the remaining
 /// copies, and no router would detect that their memory is full.
-pub(super) fn zone_loads(peers: &[Rc<Peer>], now: Duration, routers: u32) -> Vec<ZoneLoad> {
+pub(super) fn zone_loads(state: &State, service: &str, peers: &[Rc<Peer>]) -> Vec<ZoneLoad> {
+    let (now, routers) = (state.now(), state.routers());
+    let (home, demand_ratio) = (zone(&state.setup.zone), admission::demand_ratio(state, service));
     let mut zone_loads: Vec<ZoneLoad> = Vec::new();
     for peer in peers {
         let Some((running, _)) =
@@ -69,7 +81,14 @@
             Err(at) => {
                 zone_loads.insert(
                     at,
-                    ZoneLoad { zone, running: 0.0, own: 0.0, total_ratio: 1.0, zone_ratio: 1.0 },
+                    ZoneLoad {
+                        zone,
+                        running: 0.0,
+                        own: 0.0,
+                        total_ratio: 1.0,
+                        zone_ratio: 1.0,
+                        prompt_ratio: 1.0,
+                    },
                 );
                 at
             }
@@ -84,6 +103,9 @@
             (all.0 / f64::max(all.1, 1.0)).clamp(1.0, f64::from(routers.max(1)));
         let ratio = zone_load.running / zone_load.own.max(1.0);
         zone_load.zone_ratio = ratio.clamp(1.0, f64::from(routers.max(1)));
+        let demand_ratio = demand_ratio.filter(|_| zone_load.zone != home);
+        zone_load.prompt_ratio =
+            demand_ratio.map_or(zone_load.zone_ratio, |ratio| ratio.min(zone_load.zone_ratio));
     }
     zone_loads
 }
@@ -138,7 +160,7 @@
         Some(Charge {
             target: Target::Server(peer.clone()),
             work,
-            share: 1.0 / zone_load.zone_ratio,
+            share: 1.0 / zone_load.prompt_ratio,
         })
     }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -49,6 +49,24 @@
     (demand.arrived >= MIN_DEMAND).then(|| (demand.refused / demand.arrived).clamp(0.0, 1.0))
 }
 
+/// Returns how many tokens all routers are asked for, for each one that this router is asked for.
+///
+/// Load pattern: the routers of a data centre with a burst have few requests in the others, so that by those they would
+/// count for little there, and each could begin only a stream or two a second. While data centres differ, they use
+/// servers elsewhere in proportion to their demand.
+///
+/// ```
+/// use policy::balance::demand_ratio;
+/// use policy::census::Demand;
+/// let demand = |arrived| Demand { arrived, ..Demand::default() };
+/// assert_eq!(demand_ratio(&demand(100.0), &[demand(300.0), demand(200.0)]), Some(5.0));
+/// assert_eq!(demand_ratio(&demand(0.0), &[demand(300.0)]), None);
+/// ```
+pub fn demand_ratio(own: &Demand, all: &[Demand]) -> Option<f64> {
+    let all: f64 = all.iter().map(|demand| demand.arrived).sum();
+    (own.arrived >= MIN_DEMAND).then(|| (all / own.arrived).max(1.0))
+}
+
 /// The limit of the callers of one data centre, relative to that of all.
 ///
 /// ```
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use policy::balance::Balance;
-use policy::census::{Census, Report, Tally};
+use policy::balance::{Balance, demand_ratio};
+use policy::census::{Census, Demand, Report, Tally};
 use policy::fill::{self, Sent};
 use policy::headroom::Limit;
+use policy::meter::Meter;
 use policy::rank::{Place, Queue, Turn};
 use policy::shortage::Shortage;
 use rand::{RngExt, SeedableRng};
@@ -234,3 +235,30 @@
     let end = run([4.5, 1.0, 1.0], 8, true, 5, 1).end;
     assert!(end.iter().all(|share| *share == 1.0), "{end:?}");
 }
+
+/// Prompts that a router may send to one server in four seconds, if it counts for one in `ratio` there.
+fn prompts(ratio: f64) -> u32 {
+    let (mut meter, mut sent) = (Meter::default(), 0);
+    for now in (0..400).map(|tick| TICK * tick) {
+        if meter.accepts(now, 1.0, ratio, Limit::full().prefill) {
+            meter.add(now, Duration::from_millis(40), 1.0 / ratio);
+            sent += 1;
+        }
+    }
+    sent
+}
+
+/// A router with a burst runs no requests in another data centre yet, and counts for one in twelve there. Without its
+/// demand it could send hardly more than a router without a burst, while the server has time left.
+#[test]
+fn routers_with_a_burst_may_use_servers_elsewhere() {
+    let demand = |arrived| Demand { arrived, ..Demand::default() };
+    let ratio = demand_ratio(&demand(4.5), &[demand(4.5 * 4.0 + 8.0)]).unwrap();
+    let (by_demand, by_requests) = (prompts(ratio), prompts(12.0));
+    assert!(f64::from(by_demand) >= 1.5 * f64::from(by_requests), "{by_demand}, {by_requests}");
+    // Four of them must leave some of the server's time to the routers of its data centre.
+    assert!(
+        Duration::from_millis(40) * by_demand * 4 <= Duration::from_secs(4).mul_f64(0.9),
+        "{by_demand}"
+    );
+}
