--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -1,5 +1,5 @@
 //! Requests of different ranks that compete for room: their limits, the order in which they wait, and when refused
-//! callers come back.
+//! callers come back. Requests of one rank wait in the same queue while data centres differ.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -33,7 +33,7 @@
 /// Fraction of the time that a caller has left after which it returns at the latest.
 const MAX_RETURN_FRACTION: f64 = 0.3;
 
-/// What one router keeps of the requests to one model while ranks differ.
+/// What one router keeps of the requests to one model while ranks or data centres differ.
 #[derive(Debug, Default)]
 pub(super) struct Ranks {
     queue: Queue,
@@ -114,14 +114,16 @@
     })
 }
 
-/// Adds a new request to the queue, if ranks differ.
+/// Adds a new request to the queue, if ranks or data centres differ. A request of a data centre that is full then waits
+/// for room in another one up to its goal: a refused caller comes back only when its answer is late.
 pub fn enter<'a>(state: &'a State, call: &'a Call, service: &'a str) -> Option<Waiting<'a>> {
-    if !super::ranks_differ(&call.settings, service) {
-        return None;
-    }
+    let rank = match super::ranks_differ(&call.settings, service) {
+        true => with_demand(state, service, |demand| rank::queue_rank(call.urgency(), demand)),
+        false if super::data_centre::differ(state, service) => 0,
+        false => return None,
+    };
     let now = state.now();
     let waited = call.arrived.elapsed();
-    let rank = with_demand(state, service, |demand| rank::queue_rank(call.urgency(), demand));
     let place = state.admission.service(service, |s| {
         let late = s.usual.is_return(call);
         let first_event = s.ranks.first_event.unwrap_or(INITIAL_FIRST_EVENT);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,7 +11,7 @@
 use policy::failure::Change;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::admission::metrics::Instruments;
+use crate::admission::{self, metrics::Instruments};
 use crate::answer::Reason;
 use crate::crash;
 use crate::failing;
@@ -210,6 +210,7 @@
         let is_reader = u8::from(shared_read::is_reader(state));
         text.push_str(&format!("hyssop_reads_for_others {is_reader}\n"));
         text.push_str(&limited::page(state));
+        text.push_str(&admission::page(state));
         text.push_str(&availability_page(state));
         text.push_str(&failing::page(state));
         text.push_str(&retries::page(state));
