Leader: layers of a server that says it is leaving are loaded elsewhere while the store is away

Cause: the last leader issues only repairs without a term. Where no server of the data centre is spare and none beside the gap has room, the gap waits for RESTART_TIME, as a crashed server would return, and then the rearranged copy is not issued at all: one of its servers gives up layers that another one does not hold yet.

Change: a gap that a server opened by stating that it leaves counts as lasting at once while the store is unavailable, and the server counts as lost. `placement::repairs` then also issues the order by which a server takes over layers that another one has to give up, and that one's order once the layers are held, not only being loaded. Gaps of other causes are repaired as before.

--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -42,6 +42,8 @@
     shape: &'a Shape,
     servers: Vec<layers::Server>,
     places: Vec<Place>,
+    /// Whether a server that is leaving for good has opened a gap.
+    by_departure: bool,
 }
 
 impl Plan<'_> {
@@ -52,7 +54,12 @@
 
     /// Returns only those that fill a gap and leave none elsewhere.
     pub(super) fn repairs(&self) -> Vec<Planned> {
-        self.planned(&placement::repairs(&self.places, &self.servers, self.shape))
+        self.planned(&placement::repairs(
+            &self.places,
+            &self.servers,
+            self.shape,
+            self.by_departure,
+        ))
     }
 
     fn planned(&self, places: &[Place]) -> Vec<Planned> {
@@ -94,22 +101,39 @@
     let servers: Vec<layers::Server> = peers.iter().map(server).collect();
     let gaps = gaps(peers, &servers, &model.shape);
     log_gaps(state, &gaps);
-    let lasting = gap_duration(state, &gaps) > RESTART_TIME;
+    let by_departure = opened_by_departure(state, peers, &gaps);
+    let lasting = gap_duration(state, &gaps) > RESTART_TIME || by_departure;
     let places = placement::plan(&servers, &model.shape, lasting);
     let age = |server: Index| now.saturating_sub(peers[server].first_seen());
     let losses = |zone: Zone| recent_losses(state, peers, zone);
     let places = placement::defer_reserves(places, &servers, &model.shape, age, losses);
-    Plan { peers, shape: &model.shape, servers, places }
+    Plan { peers, shape: &model.shape, servers, places, by_departure }
+}
+
+/// Whether a data centre lacks layers of a server that said it is leaving while the store answers nobody. Such a server
+/// does not return like one that crashed, so that copies are rearranged at once.
+fn opened_by_departure(state: &State, peers: &[Rc<Peer>], gaps: &[Gap]) -> bool {
+    let now = state.now();
+    let leaves = |gap: &Gap, peer: &Rc<Peer>| {
+        let span = peer.span(now);
+        peer.says_leaving()
+            && peer.server().zone == gap.data_centre
+            && gap.missing.iter().any(|missing| missing.overlaps(span))
+    };
+    state.store_unavailable() && gaps.iter().any(|gap| peers.iter().any(|peer| leaves(gap, peer)))
 }
 
 /// Returns how long ago a data centre lost model servers that had not announced to leave. A server that is silent and
-/// still listed may have been lost at any time; it counts as lost before the servers that started a moment ago and are
+/// still listed may have been lost at any time; it, and one that says it is leaving, counts as lost before the servers that started a moment ago and are
 /// still kept empty.
 fn recent_losses(state: &State, peers: &[Rc<Peer>], zone: Zone) -> Vec<Duration> {
     let is_local = |server: &Server| server.card.is_some() && route::zone(&server.zone) == zone;
     let gone = state.removed_within(REPLACEMENT_WINDOW).into_iter();
     let gone = gone.filter(|(s, _)| is_local(s) && s.state == server::State::Ready);
-    let silent = peers.iter().filter(|p| p.counts_as_dead() && is_local(&p.server()));
+    // While the store answers nobody, a server that says it is leaving is removed from the list only much later.
+    let leaves = |p: &Peer| state.store_unavailable() && p.says_leaving();
+    let silent =
+        peers.iter().filter(|p| (p.counts_as_dead() || leaves(p)) && is_local(&p.server()));
     gone.map(|(_, ago)| ago).chain(silent.map(|_| RESERVE_DELAY)).collect()
 }
 
--- a/crates/layers/src/placement.rs
+++ b/crates/layers/src/placement.rs
@@ -110,7 +110,8 @@
 }
 
 /// Returns the orders that fill a gap of their data centre and leave none elsewhere in it, also if the others are not
-/// carried out.
+/// carried out. If `rearranges`, also those by which a server takes over layers that another one has to give up for that,
+/// and then those of that one.
 ///
 /// ```
 /// # use layers::{Card, Server, Shape, Span, placement::{Place, repairs}};
@@ -122,15 +123,45 @@
 /// let fills = |server| Place { server, span: Span::new(6, 8) };
 /// let second = Place { server: 3, span: Span::new(0, 4) };
 /// // Nothing else holds the layers of the third server, and no layers between 0 and 4 are missing.
-/// assert_eq!(repairs(&[fills(0), fills(2), second], &servers, &shape), [fills(0)]);
+/// assert_eq!(repairs(&[fills(0), fills(2), second], &servers, &shape, false), [fills(0)]);
+/// // The second server takes over the layer that the first one gives up, and only then the first one fills the gap.
+/// let shifts = [Place { server: 0, span: Span::new(4, 8) }, Place { server: 1, span: Span::new(0, 4) }];
+/// assert_eq!(repairs(&shifts, &[held(3, 7), held(0, 3)], &shape, true), [shifts[1]]);
+/// assert_eq!(repairs(&shifts, &[held(3, 7), held(0, 4)], &shape, true), [shifts[0]]);
+/// assert_eq!(repairs(&shifts, &[held(3, 7), held(0, 3)], &shape, false), []);
 /// ```
-pub fn repairs(places: &[Place], servers: &[Server], shape: &Shape) -> Vec<Place> {
+pub fn repairs(
+    places: &[Place],
+    servers: &[Server],
+    shape: &Shape,
+    rearranges: bool,
+) -> Vec<Place> {
     let planner = Planner { servers: servers.to_vec(), shape, orders: Vec::new() };
     let is_repair = |place: &&Place| {
         let group = [servers[place.server].zone];
-        let fills = planner.missing(&group, None).iter().any(|gap| gap.overlaps(place.span));
-        let keeps = place.span.covers(servers[place.server].span);
-        fills && (keeps || planner.redundant(&group, place.server))
+        let fills = |place: &Place| {
+            planner.missing(&group, None).iter().any(|gap| gap.overlaps(place.span))
+        };
+        let held = servers[place.server].span;
+        let may_give_up = |place: &Place| {
+            planner.redundant(&group, place.server)
+                || rearranges && planner.gives_up_redundant(&group, place)
+        };
+        // Takes over layers that another server has to give up before it may fill the gap.
+        let prepares = || {
+            let gives_up = |other: &&Place| {
+                let span = servers[other.server].span;
+                (span.from..span.to).any(|l| !other.span.contains(l) && place.span.contains(l))
+            };
+            let same_zone = |other: &&Place| servers[other.server].zone == group[0];
+            let others = places.iter().filter(|other| other.server != place.server);
+            let blocked = |other: &&Place| fills(other) && !may_give_up(other);
+            others.filter(same_zone).filter(blocked).any(|other| gives_up(&other))
+        };
+        match place.span.covers(held) {
+            true => fills(place) || (rearranges && place.span != held && prepares()),
+            false => fills(place) && may_give_up(place),
+        }
     };
     places.iter().filter(is_repair).copied().collect()
 }
@@ -265,6 +296,16 @@
         span.is_empty() || !gaps.iter().any(|gap| gap.overlaps(span))
     }
 
+    /// Returns whether servers of the group hold, and do not only load, the layers that this server gives up for others.
+    fn gives_up_redundant(&self, group: &[Zone], place: &Place) -> bool {
+        let span = self.servers[place.server].span;
+        let holds = |layer: u32| {
+            let mut others = self.members(group).filter(|i| *i != place.server);
+            others.any(|i| !self.servers[i].busy && self.servers[i].span.contains(layer))
+        };
+        (span.from..span.to).filter(|layer| !place.span.contains(*layer)).all(holds)
+    }
+
     /// Assigns missing layers to redundant servers, then to the servers beside the gap if they have room.
     fn repair(&mut self, group: &[Zone]) {
         // Each round orders at least one server, so the number of servers bounds the rounds.
