Policy: which servers may have become slow, from the pauses of streams

Cause: only the leader's survey of each second finds slow servers, so that a slowdown is known seconds later when the leader ends as well.

Change: `policy::slowness` judges each pause against the usual ratio of pauses to the nominal time of the passes. Servers with three slow pauses in a row and no quick one since are suspects, those with the most first; quick ones do the same for the recovery of a known slow server. Pauses that known slow servers explain count against nobody. A probe that shows nothing doubles the time to the next one, from 120 ms to 4 s.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod route;
 pub mod share;
 pub mod shortage;
+pub mod slowness;
 pub mod startup;
 pub mod suspicion;
 pub mod tenure;
