Gateway: each router finds slow servers from the pauses of its streams

Cause: a slow server is found by the leader's survey of each second only. If the leader ends or the store is away, the slowdown is known seconds later, new paths begin through the server meanwhile, and streams in progress stay there.

A server with which the pause goal can't be kept costs 20 times as much on new paths. Streams on such a path are moved by `repath` to one without it, at most half a move for each stream that begins. Costs of paths and probes are unchanged while no server is slow and no pause is.

--- a/crates/gateway/src/leader/survey.rs
+++ b/crates/gateway/src/leader/survey.rs
@@ -6,11 +6,9 @@
 use crate::peer::Peer;
 use crate::probe;
 use crate::server::Id;
+use crate::slowness;
 use crate::state::State;
 
-/// Relative change of a server's pace from which on the other routers are notified.
-const MIN_PACE_CHANGE: f64 = 0.3;
-
 /// Number of servers suspected at once from which on they are probed again before orders are issued.
 const MIN_SUSPECTS: usize = 3;
 
@@ -46,14 +44,9 @@
         probe::record_layers(state, peer, &report, peer.span(state.now()));
         if let Some(fraction) = report.filled.filter(|_| !report.span.is_empty()) {
             peer.filled.set(Some((fraction, state.now())));
-            filled.push((server.clone(), (fraction * 100.0).round() as u8));
-        }
-        let (was, is) = (peer.slowdown.get(), report.pace.max(1.0));
-        if (is - was).abs() > MIN_PACE_CHANGE * was {
-            log::info!("gateway: server={server} slow={is:.1} before={was:.1}");
-            peer.slowdown.set(is);
-            state.announce(Notice::Slow { server, percent: (is * 100.0) as u32 });
+            filled.push((server, (fraction * 100.0).round() as u8));
         }
+        slowness::record_pace(state, peer, report.pace);
     }
     if !filled.is_empty() {
         state.announce(Notice::Filled { servers: filled, slow: slow_servers(state) });
@@ -64,7 +57,7 @@
 /// this list.
 fn slow_servers(state: &State) -> Vec<(Id, u32)> {
     let peers = state.peers();
-    let slow = peers.iter().filter(|p| p.slowdown.get() > 1.0 + MIN_PACE_CHANGE);
+    let slow = peers.iter().filter(|p| slowness::is_slow(p));
     slow.map(|p| (p.server().id.clone(), (p.slowdown.get() * 100.0) as u32)).collect()
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod state;
 pub mod statement;
 pub mod shutdown;
+pub mod slowness;
 pub mod startup;
 pub mod store;
 pub mod stream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -136,6 +136,21 @@
         self.event("server_suspected");
     }
 
+    /// Counts a report that shows that a server has become slow, or has recovered.
+    pub fn slowdown_found(&self, slow: bool) {
+        self.event(if slow { "server_slow" } else { "server_recovered" });
+    }
+
+    /// Counts a probe of a server that may have become slow or recovered.
+    pub fn slowness_probed(&self) {
+        self.event("slowness_probe");
+    }
+
+    /// Counts a stream that was moved off slow servers.
+    pub fn stream_moved(&self) {
+        self.event("stream_moved");
+    }
+
     /// Counts a call to the store that failed.
     pub fn store_failed(&self) {
         self.event("store_call_failed");
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -16,6 +16,7 @@
 use crate::peer::Peer;
 use crate::probe;
 use crate::retries;
+use crate::slowness;
 use crate::state::State;
 
 /// A notice to the other routers.
@@ -239,9 +240,7 @@
             return;
         }
         Notice::Slow { server, percent } => {
-            if let Some(peer) = state.peer(server) {
-                peer.slowdown.set(f64::from(*percent) / 100.0);
-            }
+            slowness::receive(state, server, *percent);
         }
         Notice::Filled { servers, slow } => {
             for (server, percent) in servers {
@@ -250,9 +249,7 @@
                 }
             }
             for (server, percent) in slow {
-                if let Some(peer) = state.peer(server) {
-                    peer.slowdown.set(f64::from(*percent) / 100.0);
-                }
+                slowness::receive(state, server, *percent);
             }
             return;
         }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,6 +12,7 @@
 use policy::meter::Meter;
 use policy::pick::Pace;
 use policy::quota::Sent;
+use policy::slowness::Evidence;
 use policy::suspicion::Suspicion;
 use tokio::sync::Mutex;
 
@@ -94,6 +95,8 @@
     pub prefill_backlog: Cell<Meter>,
     /// Factor by which its steps are slower than usual, as it reports.
     pub slowdown: Cell<f64>,
+    /// Pauses of this router's streams through it.
+    pub slowness: Cell<Evidence>,
     /// Fraction of its memory for requests that was in use according to its last report, and when that was received.
     pub filled: Cell<Option<(f64, Duration)>>,
     /// Result of the last probe. Locked during a probe, so that all tasks that need the result wait for one answer.
@@ -138,6 +141,7 @@
             sent_context: RefCell::default(),
             prefill_backlog: Cell::default(),
             slowdown: Cell::new(1.0),
+            slowness: Cell::default(),
             filled: Cell::new(None),
             last_probe: Mutex::new(Probe {
                 at: Duration::ZERO,
@@ -187,6 +191,7 @@
             self.suspicion.borrow_mut().clear();
             self.departure.take();
             self.slowdown.set(1.0);
+            self.slowness.take();
             self.filled.set(None);
             self.limited.clear();
             self.breaks.take();
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -20,6 +20,7 @@
 use crate::peer::{Peer, Probe, Reachability};
 use crate::pool::{self, Cause};
 use crate::server::Report;
+use crate::slowness;
 use crate::state::State;
 use crate::statement::Statement;
 use crate::wire::Command;
@@ -293,6 +294,7 @@
     }
     let report = match fetch_report(state, peer, limit + state.lag.get() * LAG_FACTOR).await {
         Ok(report) => {
+            slowness::record_pace(state, peer, report.pace);
             peer.slowdown.set(report.pace.max(1.0));
             peer.record_span(report.span, state.now());
             *peer.stalled.borrow_mut() = report.stalled.clone();
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -18,6 +18,7 @@
 use crate::peer::{Load, Peer};
 use crate::request::Tokens;
 use crate::settings::Model;
+use crate::slowness;
 use crate::state::State;
 use crate::wire::Hop;
 pub use crossing::Crossing;
@@ -49,6 +50,10 @@
 /// Factor on the cost of a server that has already done the prefill of the request.
 const KEPT_COST_FACTOR: f64 = 0.3;
 
+/// Factor on the cost of a server with which the pause goal can't be kept. Higher than what any other path costs more, so
+/// that it is used only where nothing else holds its layers or has room.
+const SLOW_COST_FACTOR: f64 = 20.0;
+
 /// A path of one request.
 #[derive(Debug)]
 pub struct Path {
@@ -56,6 +61,8 @@
     pub peers: Vec<Rc<Peer>>,
     /// Address and layers of each server.
     pub hops: Vec<Hop>,
+    /// Nominal time of a pass of each server, in milliseconds.
+    pub nominal_ms: Vec<f64>,
     loads: Vec<Load>,
     charges: Vec<Charge>,
     /// Bytes of context that the request adds on servers which hold none of it yet.
@@ -150,6 +157,7 @@
     let bytes = context_bytes(model, tokens) * f64::from(hop.span.len());
     rest.peers.insert(0, first.clone());
     rest.hops.insert(0, hop);
+    rest.nominal_ms.insert(0, path.nominal_ms[0]);
     rest.loads.push(Load::new(first.clone(), bytes));
     Some(rest)
 }
@@ -259,7 +267,8 @@
         .filter_map(|(i, p, kept)| {
             let zone_load = load_of(zone(&p.server().zone));
             let lasting = state.stream_duration.get();
-            let snapshot = Snapshot { now, zone_load, lasting, limit: constraints.limit };
+            let usual = state.slowness.usual_ratio();
+            let snapshot = Snapshot { now, zone_load, lasting, limit: constraints.limit, usual };
             let mut holder = holder(p, i, model, tokens, kept, snapshot)?;
             holder.layer_ms *= if kept { KEPT_COST_FACTOR } else { 1.0 };
             Some(holder)
@@ -288,6 +297,10 @@
     };
     let (parts, _) = path::find(&holders, &query)?;
     let of = |part: &path::Part| peers[part.server].clone();
+    let nominal_ms = |part: &path::Part| {
+        let card = of(part).server().card.as_deref().and_then(|name| model.card(name));
+        card.map_or(0.0, |card| slowness::nominal_ms(shape, &card, part.span.len()))
+    };
     let (mut charges, mut new_context) = (Vec::new(), Vec::new());
     let mut previous = (constraints.from > 0).then_some(constraints.zone);
     for part in &parts {
@@ -306,6 +319,7 @@
         hops: parts.iter().map(|p| Hop { address: of(p).server().address, span: p.span }).collect(),
         loads: parts.iter().map(|p| Load::new(of(p), bytes * f64::from(p.span.len()))).collect(),
         peers: parts.iter().map(of).collect(),
+        nominal_ms: parts.iter().map(nominal_ms).collect(),
         charges,
         new_context,
     })
@@ -324,7 +338,7 @@
     kept: bool,
     snapshot: Snapshot,
 ) -> Option<Holder> {
-    let Snapshot { now, zone_load, limit, .. } = snapshot;
+    let Snapshot { now, zone_load, limit, usual, .. } = snapshot;
     let entry = peer.server();
     let card = model.card(entry.card.as_deref()?)?;
     let span = peer.span(now);
@@ -348,6 +362,10 @@
     let slowdown = peer.slowdown.get();
     let prefill = tokens.prompt / shape.read_per_ms * card.read * slowdown;
     let decode = tokens.answer * shape.step_ms * card.pace * slowdown;
+    let slow_factor = match slowness::exceeds_goal(shape, &card, span.len(), slowdown, usual) {
+        true => SLOW_COST_FACTOR,
+        false => 1.0,
+    };
     // Grows without bound as memory fills, so that the copies fill evenly.
     let full = full.min(MAX_MEMORY);
     let memory_factor = 1.0 / (1.0 - full * full);
@@ -359,7 +377,10 @@
         server,
         zone: zone(&entry.zone),
         span,
-        layer_ms: (prefill + decode) / f64::from(shape.layers) * memory_factor * balance_factor,
+        layer_ms: (prefill + decode) / f64::from(shape.layers)
+            * memory_factor
+            * balance_factor
+            * slow_factor,
         hop_ms: HOP_MS * tokens.answer + millis(backlog),
         begin_ms: match peer.limited.allows(now) && peer.obstacle(Use::Direct, now).is_none() {
             true => begin_ms(peer, now, request_ms(shape, tokens, 10.0)),
@@ -377,6 +398,8 @@
     lasting: Duration,
     /// How full servers may be.
     limit: Limit,
+    /// Usual ratio of pauses to the nominal time of passes.
+    usual: f64,
 }
 
 /// Estimates the bytes of a server's memory that requests of all routers take: from its last report and what was sent
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -32,7 +32,8 @@
     let (mut declined, mut reading, mut scarce) = (0, 0, 0);
     let mut zones: Vec<DataCentre> = Vec::new();
     let (lasting, limit) = (state.stream_duration.get(), Limit::full());
-    let snapshot = |zone_load| Snapshot { now, zone_load, lasting, limit };
+    let usual = state.slowness.usual_ratio();
+    let snapshot = |zone_load| Snapshot { now, zone_load, lasting, limit, usual };
     for (i, peer) in peers.iter().enumerate() {
         let zone = zone(&peer.server().zone);
         let zone_load = zone_loads.iter().find(|load| load.zone == zone).copied();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,7 @@
 use crate::settings::Settings;
 use crate::setup::Setup;
 use crate::shared_read::Sharing;
+use crate::slowness::Slowness;
 use crate::store::{Client, Log};
 use crate::wire::Codec;
 
@@ -86,6 +87,8 @@
     pub serving: Cell<u32>,
     /// Demand for the models.
     pub admission: Admission,
+    /// Servers that become slow.
+    pub slowness: Slowness,
     /// Requests to models that found no free server lately.
     pub shortage: RefCell<Shortage>,
     /// For how long some layers of a model have been missing.
@@ -164,6 +167,7 @@
             callers: Cell::new(0),
             serving: Cell::new(0),
             admission: Admission::default(),
+            slowness: Slowness::default(),
             shortage: RefCell::default(),
             missing: RefCell::default(),
             unplaced_requests: Cell::new(0),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -54,6 +54,9 @@
 /// Interval between two checks of a silent path. The reports of servers are some hundred milliseconds old.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after which a stream whose move off a slow server failed tries again. Meanwhile memory may be released.
+const MOVE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Limit on the events queued for one caller. A caller that does not read blocks only its own stream.
 const MAX_QUEUED_EVENTS: usize = 64;
 
@@ -90,6 +93,8 @@
     forwarded_at: Instant,
     /// What has happened since then that may delay the next event; a label of the metrics.
     held_up: &'static str,
+    /// When the stream may next leave a slow server; none before its first event.
+    next_move: Option<Instant>,
     /// Random number below one that decides whether the request may cross a link between data centres.
     random: f64,
     /// Whether the request has been counted in the demand for such a link.
@@ -128,6 +133,7 @@
     model: &Model,
 ) -> Response<Body> {
     admission::arrived(state, &call, service);
+    state.slowness.stream_began();
     let mut progress = Progress {
         state,
         call: &call,
@@ -145,6 +151,7 @@
         last_event: None,
         forwarded_at: Instant::now(),
         held_up: "start",
+        next_move: None,
         random: rand::random(),
         counted_for_link: Cell::new(false),
     };
@@ -205,6 +212,7 @@
             last_event: None,
             forwarded_at: Instant::now(),
             held_up: CAUSE_STEPS,
+            next_move: None,
             random: 0.0,
             counted_for_link: Cell::new(true),
         };
@@ -221,11 +229,15 @@
     sender: mpsc::Sender<Result<Frame<Bytes>, BodyError>>,
 ) {
     let mut next = first;
+    // The time to the first event is no pause.
+    upstream.observed = None;
     loop {
         let why = match next {
             Next::Event(event) => {
                 progress.last_event = event.id.or(progress.last_event);
                 upstream.path.record_event(progress.state.now());
+                progress.record_pause(&mut upstream);
+                progress.next_move.get_or_insert_with(Instant::now);
                 progress.log_delay(&upstream.path);
                 if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                     return progress.log_caller_left();
@@ -249,6 +261,13 @@
                 };
                 continue;
             }
+            Next::Slow => {
+                next = tokio::select! {
+                    next = progress.leave_slow_path(&mut upstream) => next,
+                    () = sender.closed() => return progress.log_caller_left(),
+                };
+                continue;
+            }
             Next::Late => "deadline exceeded",
             Next::Broken(why) => why,
         };
@@ -260,6 +279,7 @@
             progress.call.arrived.elapsed()
         );
         progress.held_up = "resumed";
+        progress.next_move = None;
         progress.abandon(&upstream);
         drop(upstream);
         let opened = tokio::select! {
--- a/crates/gateway/src/stream/send.rs
+++ b/crates/gateway/src/stream/send.rs
@@ -144,8 +144,16 @@
         }
         let splitter = Splitter::default();
         let (pause, since) = (INITIAL_PAUSE, started);
-        let mut upstream =
-            Upstream { path, answer, splitter, started, pause, since, disconnected: false };
+        let mut upstream = Upstream {
+            path,
+            answer,
+            splitter,
+            started,
+            pause,
+            observed: None,
+            since,
+            disconnected: false,
+        };
         let mut next = self.next_event(&mut upstream).await;
         while let Next::Silent(why) = next {
             next = self.recover(&mut upstream, why).await;
@@ -163,7 +171,7 @@
                 Ok(Opened::Stream(upstream, Next::Event(event)))
             }
             Next::Late => Err(Failure::Late),
-            Next::End | Next::Silent(_) | Next::Broken(_) => {
+            Next::End | Next::Silent(_) | Next::Slow | Next::Broken(_) => {
                 // Without an event, an end that only the connection marks is no complete stream.
                 upstream.disconnected |= upstream.answer.ends_with_connection();
                 self.abandon(&upstream);
--- a/crates/gateway/src/stream/upstream.rs
+++ b/crates/gateway/src/stream/upstream.rs
@@ -20,6 +20,8 @@
     pub(super) started: Instant,
     /// Moving average of the pause between two events.
     pub(super) pause: Duration,
+    /// The pause before the bytes that were received last, until it is used.
+    pub(super) observed: Option<Duration>,
     /// When bytes were last received, or when waiting for them began.
     pub(super) since: Instant,
     /// Whether the connection to the first server broke.
@@ -73,6 +75,7 @@
 
     fn record_pause(&mut self) {
         let pause = self.since.elapsed();
+        self.observed = Some(pause);
         self.pause =
             self.pause.mul_f64(1.0 - NEWEST_PAUSE_WEIGHT) + pause.mul_f64(NEWEST_PAUSE_WEIGHT);
         self.since = Instant::now();
@@ -86,6 +89,8 @@
     End,
     /// No event for too long, but the servers may still be alive.
     Silent(&'static str),
+    /// A server of the path is too slow, and the stream may leave it.
+    Slow,
     /// The stream is broken and will send no more events.
     Broken(&'static str),
     /// The deadline of the caller or the route has passed.
--- a/crates/gateway/src/stream/watch.rs
+++ b/crates/gateway/src/stream/watch.rs
@@ -7,11 +7,13 @@
 
 use super::open::Race;
 use super::{
-    MAX_SILENCE, MIN_SILENCE, Next, Obstacle, Progress, RepathFailure, SILENCE_CHECK_INTERVAL,
-    SILENCE_FACTOR, Upstream,
+    CAUSE_STEPS, MAX_SILENCE, MIN_SILENCE, MOVE_RETRY_INTERVAL, Next, Obstacle, Progress,
+    RepathFailure, SILENCE_CHECK_INTERVAL, SILENCE_FACTOR, Upstream,
 };
+use crate::peer::Peer;
 use crate::probe;
 use crate::route::{self, Crossing, Path};
+use crate::slowness;
 
 /// Time-out for the first server of a path to accept a repath order.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(150);
@@ -27,6 +29,9 @@
 impl Progress<'_> {
     /// Waits for the next event of a path; returns [`Next::Silent`] if it has been silent for too long.
     pub(super) async fn next_event(&mut self, upstream: &mut Upstream) -> Next {
+        if self.may_leave(upstream) {
+            return Next::Slow;
+        }
         upstream.since = Instant::now();
         let mut wait = upstream.pause.mul_f64(SILENCE_FACTOR).max(MIN_SILENCE);
         loop {
@@ -43,6 +48,12 @@
                     }
                     continue;
                 }
+                () = self.state.slowness.found.notified() => {
+                    if self.may_leave(upstream) {
+                        return Next::Slow;
+                    }
+                    continue;
+                }
             };
             match outcome {
                 Ok(Next::End) => return upstream.end().await,
@@ -57,6 +68,11 @@
                     if self.check_path(&upstream.path).await {
                         return Next::Silent(NO_ANSWER);
                     }
+                    // All servers answer, so that one of them may be slow.
+                    if self.held_up == CAUSE_STEPS {
+                        let (goal, silence) = (self.call.route.gap, upstream.since.elapsed());
+                        slowness::record_silence(self.state, &upstream.path, silence, goal);
+                    }
                 }
             }
         }
@@ -141,10 +157,15 @@
         let crossing = if no_attempts_left { Crossing::LAST_RESORT } else { crossing };
         let tokens = self.call.tokens;
         let found = route::repath(self.state, self.service, self.model, tokens, path, crossing);
-        let Some(mut new_path) = found else {
+        let Some(new_path) = found else {
             self.repath_failure = Some(RepathFailure::NoPath);
             return false;
         };
+        self.order(path, new_path, "repath").await
+    }
+
+    /// Orders the first server to continue the request along `new_path`; `why` is the cause of the pause.
+    async fn order(&mut self, path: &mut Path, mut new_path: Path, why: &'static str) -> bool {
         new_path.charge(self.state);
         let command = (self.state.codec.repath)(&self.call.id, &new_path.hops);
         let answer = probe::send(self.state, new_path.first(), command, REPATH_TIMEOUT).await;
@@ -158,13 +179,67 @@
             (self.state.codec.path)(&new_path.hops)
         );
         match done {
-            true => (*path, self.held_up) = (new_path, "repath"),
+            true => (*path, self.held_up) = (new_path, why),
             false => self.repath_failure = Some(RepathFailure::Declined),
         }
         done
     }
 
-    pub(super) fn suspect(&self, peer: &Rc<crate::peer::Peer>, why: &str) {
+    /// Records the pause before an event, unless something else than the servers of the path delayed it.
+    pub(super) fn record_pause(&self, upstream: &mut Upstream) {
+        if let Some(pause) = upstream.observed.take().filter(|_| self.held_up == CAUSE_STEPS) {
+            slowness::record_pause(self.state, &upstream.path, pause, self.call.route.gap);
+        }
+    }
+
+    /// Whether the stream is to leave a slow server with which its pauses can't be kept.
+    fn may_leave(&mut self, upstream: &Upstream) -> bool {
+        if self.path_kept
+            || !self.is_too_slow(upstream)
+            || self.next_move.is_none_or(|at| Instant::now() < at)
+            || !self.state.slowness.may_move(self.state.now())
+        {
+            return false;
+        }
+        self.next_move = Some(Instant::now() + MOVE_RETRY_INTERVAL);
+        true
+    }
+
+    /// Whether a server of the path other than the first one is so slow that pauses exceed the goal, as estimated or as
+    /// seen.
+    fn is_too_slow(&self, upstream: &Upstream) -> bool {
+        let path = &upstream.path;
+        if slowness::is_slow(path.first()) {
+            return false;
+        }
+        slowness::path_exceeds_goal(self.state, self.model, path)
+            || upstream.pause > self.call.route.gap
+                && path.peers.iter().any(|peer| slowness::is_slow(peer))
+    }
+
+    /// Moves the stream to a path without servers that are too slow, if there is room on one with the same first server,
+    /// and waits for the next event.
+    ///
+    /// A stream that begins at a slow server stays: it could only be run again, which takes a retry, and its path would
+    /// be given up for one that may decline.
+    pub(super) async fn leave_slow_path(&mut self, upstream: &mut Upstream) -> Next {
+        let (state, model, tokens) = (self.state, self.model, self.call.tokens);
+        let path = &upstream.path;
+        let found = route::repath(state, self.service, model, tokens, path, Crossing::IMMEDIATE);
+        let found = found.filter(|found| {
+            let stays = |p: &Rc<Peer>| path.peers.iter().any(|old| Rc::ptr_eq(old, p));
+            let keeps_slow = found.peers.iter().any(|p| slowness::is_slow(p) && stays(p));
+            !keeps_slow && !slowness::path_exceeds_goal(state, model, found)
+        });
+        if let Some(found) = found
+            && self.order(&mut upstream.path, found, "slow server").await
+        {
+            state.metrics.stream_moved();
+        }
+        self.next_event(upstream).await
+    }
+
+    pub(super) fn suspect(&self, peer: &Rc<Peer>, why: &str) {
         probe::suspect(self.state, peer, why);
     }
 }
