Gateway: only servers that can't keep the pause goal even at a quarter of their load are left

Cause: at half of the usual load, a server that is only twice as slow counted as unable to keep up, and all routers would have left capacity that is needed.

Change: a quarter of the usual rate is assumed, as the proportional cost already sends a slower server fewer requests. A doctest has three card types: up to three times slower is kept, twelve times is left.

--- a/crates/gateway/src/slowness.rs
+++ b/crates/gateway/src/slowness.rs
@@ -44,8 +44,10 @@
 /// moves together add half of the usual prompts.
 const MAX_MOVES: (f64, f64) = (4.0, 0.5);
 
-/// Share of the rate that a server could serve at its usual speed that is assumed to reach it.
-const ASSUMED_LOAD: f64 = 0.5;
+/// Share of the rate that a server could serve at its usual speed that is assumed to reach it. Paths through a slow server
+/// cost more in proportion, so that it gets less than its usual load; one that is two or three times slower still serves
+/// that in time.
+const ASSUMED_LOAD: f64 = 0.25;
 
 /// Time of a hop in addition to the passes, in milliseconds.
 const HOP_MS: f64 = 1.0;
@@ -106,7 +108,20 @@
 }
 
 /// Whether the pause goal of a model can't be kept with a server of that slowdown. Never true for a server that is not
-/// slow.
+/// slow, nor for one that is only so slow that its capacity is still of use.
+///
+/// ```
+/// # use gateway::slowness::exceeds_goal;
+/// # use layers::{Card, Shape, pass::Pass};
+/// # let pass = Pass { stride: 4.0, chunk: 512.0, per_seq_ms: 0.01, slots: 192.0, prompt: 512.0, answer: 200.0 };
+/// # let shape = Shape { layers: 80, layer_bytes: 1750e6, token_bytes: 5000.0, step_ms: 0.85, read_per_ms: 272.0,
+/// #     cross_ms: 0.6, cross_token_ms: 0.02, pause_ms: 250.0, pass: Some(pass) };
+/// for (pace, read, layers) in [(2.4, 3.2, 30), (5.6, 2.7, 20), (16.0, 8.2, 8)] {
+///     let card = Card { bytes: 72e9, pace, read };
+///     assert!([1.0, 1.3, 2.0, 3.0].iter().all(|slow| !exceeds_goal(&shape, &card, layers, *slow, 1.5)));
+///     assert!(exceeds_goal(&shape, &card, layers, 12.0, 1.5));
+/// }
+/// ```
 pub fn exceeds_goal(shape: &Shape, card: &Card, layers: u32, slowdown: f64, usual: f64) -> bool {
     if slowdown <= MIN_SLOWDOWN {
         return false;
--- a/crates/policy/src/slowness.rs
+++ b/crates/policy/src/slowness.rs
@@ -207,6 +207,14 @@
 }
 
 /// A bound on a rate, with a burst.
+///
+/// ```
+/// # use std::time::Duration;
+/// use policy::slowness::Bucket;
+/// let mut bucket = Bucket::new(4.0, 6.0);
+/// let taken = (0..1000).filter(|n| bucket.take(Duration::from_millis(n * 10))).count();
+/// assert!((60..=65).contains(&taken));
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bucket {
     left: f64,
