--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -17,6 +17,7 @@
 use crate::peer::Peer;
 use crate::probe;
 use crate::retries;
+use crate::slowness;
 use crate::state::State;
 
 /// A notice to the other routers.
@@ -265,9 +266,7 @@
             return failing::receive(state, router, server, *born, *evidence_percent);
         }
         Notice::Slow { server, percent } => {
-            if let Some(peer) = state.peer(server) {
-                peer.slowdown.set(f64::from(*percent) / 100.0);
-            }
+            slowness::receive(state, server, *percent);
         }
         Notice::Filled { servers, slow } => {
             for (server, percent) in servers {
@@ -276,9 +275,7 @@
                 }
             }
             for (server, percent) in slow {
-                if let Some(peer) = state.peer(server) {
-                    peer.slowdown.set(f64::from(*percent) / 100.0);
-                }
+                slowness::receive(state, server, *percent);
             }
             return;
         }
