Workspaces above their fair share leave room for the others while requests are refused

Cause: under shortage each free place went to whoever asked next, so that a workspace with ten times its usual demand took most of them. policy::fair computes the max-min fair shares from the census; a workspace above its share narrows its limit and comes later among requests of equal rank, which are ordered by the virtual starts of policy::share. One that is served much less often than the others at a router leaves no room. State is dropped with the settings.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -35,6 +35,7 @@
 pub struct Admission {
     /// By name of the service, sorted.
     services: RefCell<Vec<(String, Service)>>,
+    counts: workspace::Counts,
     /// Notified when a request leaves the queue.
     pub(crate) queue_moved: Notify,
 }
@@ -46,6 +47,7 @@
     census: Census,
     ranks: rank::Ranks,
     usual: usual::Usual,
+    workspaces: workspace::Workspaces,
     /// When a request was last refused.
     short_at: Option<Duration>,
 }
@@ -66,6 +68,13 @@
 }
 
 impl Service {
+    /// Takes the workspaces of newer settings.
+    fn apply(&mut self, settings: &Settings) {
+        if self.workspaces.apply(settings) {
+            self.ranks.retain(|workspace| self.workspaces.exists(workspace));
+        }
+    }
+
     /// Whether this or another router has refused requests lately, as there was no room.
     fn is_short(&self, own: &Report, routers: u32, now: Duration) -> bool {
         let demand = self.census.by_rank(own, routers, now);
@@ -87,8 +96,11 @@
 pub fn arrived(state: &State, call: &Call, service: &str) {
     let (now, tokens) = (state.now(), call.tokens.total());
     let workspace = call.workspace.as_deref();
+    let is_above = workspace::standing(state, call, service).is_some_and(|s| s.is_above);
+    state.admission.counts.record(is_above, false);
     state.admission.service(service, |s| {
         s.tally.arrived(call.urgency(), workspace, tokens, now);
+        s.workspaces.record(call, false, now);
         // While requests are refused, some of those that arrive are further attempts.
         if s.short_at.is_none_or(|at| now >= at + QUIET_TIME) {
             s.usual.record(call);
@@ -99,12 +111,20 @@
 /// Records a request to a model that was refused, as there was no room for it.
 pub fn refused(state: &State, call: &Call, service: &str) {
     let (now, tokens) = (state.now(), call.tokens.total());
+    let is_above = workspace::standing(state, call, service).is_some_and(|s| s.is_above);
+    state.admission.counts.record(is_above, true);
     state.admission.service(service, |s| {
         s.tally.refused(call.urgency(), tokens, now);
+        s.workspaces.record(call, true, now);
         s.short_at = Some(now);
     });
 }
 
+/// Returns the metrics text: requests by how their workspaces stand to their shares.
+pub fn page(state: &State) -> String {
+    state.admission.counts.page()
+}
+
 /// Whether requests of different ranks go to a service.
 pub fn ranks_differ(settings: &Settings, service: &str) -> bool {
     let routes = settings.routes.iter();
--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -9,6 +9,7 @@
 use policy::rank::{self, Place, Queue, Returns, Turn};
 use tokio::time::Instant;
 
+use super::workspace::{self, Standing};
 use crate::request::Call;
 use crate::state::State;
 
@@ -43,12 +44,21 @@
     first_event: Option<Duration>,
 }
 
+impl Ranks {
+    /// Drops the state of workspaces that are not to be kept.
+    pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.queue.retain(keep);
+    }
+}
+
 /// A request in the queue, which it leaves when this is dropped.
 pub struct Waiting<'a> {
     state: &'a State,
     service: &'a str,
     place: Place,
     placed: Cell<bool>,
+    /// Workspace that is charged for the place, and tokens.
+    charged: Option<(String, f64)>,
 }
 
 impl Waiting<'_> {
@@ -67,9 +77,12 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let (now, placed) = (self.state.now(), self.placed.get());
-        self.state
-            .admission
-            .service(self.service, |s| s.ranks.queue.leave(self.place, placed, now));
+        self.state.admission.service(self.service, |s| {
+            s.ranks.queue.leave(self.place, placed, now);
+            if let Some((workspace, tokens)) = self.charged.as_ref().filter(|_| !placed) {
+                s.ranks.queue.refund(workspace, *tokens);
+            }
+        });
         self.state.admission.queue_moved.notify_waiters();
     }
 }
@@ -95,11 +108,15 @@
     })
 }
 
-/// Adds a new request to the queue, if ranks differ.
+/// Adds a new request to the queue, if ranks differ or workspaces compete for room that is short.
 pub fn enter<'a>(state: &'a State, call: &Call, service: &'a str) -> Option<Waiting<'a>> {
-    if !super::ranks_differ(&call.settings, service) {
+    let standing = workspace::standing(state, call, service);
+    if standing.is_none() && !super::ranks_differ(&call.settings, service) {
         return None;
     }
+    // A starved workspace waits as if it had been served least.
+    let standing = standing.filter(|standing| !standing.is_starved);
+    let tokens = call.tokens.total();
     let now = state.now();
     let waited = call.arrived.elapsed();
     let place = state.admission.service(service, |s| {
@@ -112,9 +129,16 @@
                 .saturating_sub(first_event.mul_f64(FIRST_EVENT_FACTOR))
                 .max(goal.mul_f64(MIN_WAIT_FRACTION)),
         };
-        s.ranks.queue.enter(call.urgency(), late, now + wait.saturating_sub(waited))
+        let (queue, until) = (&mut s.ranks.queue, now + wait.saturating_sub(waited));
+        match &standing {
+            Some(Standing { share, is_above, .. }) => {
+                queue.enter_share(call.urgency(), late, until, share, tokens, *is_above)
+            }
+            None => queue.enter(call.urgency(), late, until),
+        }
     });
-    Some(Waiting { state, service, place, placed: Cell::new(false) })
+    let charged = standing.map(|standing| (standing.share.workspace, tokens));
+    Some(Waiting { state, service, place, placed: Cell::new(false), charged })
 }
 
 /// Records a first event: how long it took from the place, and whether it was on time.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use policy::availability::{Obstacle, Use};
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::admission;
 use crate::answer::Reason;
 use crate::crash;
 use crate::limited;
@@ -190,6 +191,7 @@
         ));
         let is_reader = u8::from(shared_read::is_reader(state));
         text.push_str(&format!("hyssop_reads_for_others {is_reader}\n"));
+        text.push_str(&admission::page(state));
         text.push_str(&limited::page(state));
         text.push_str(&availability_page(state));
         text.push_str(&retries::page(state));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -177,6 +177,11 @@
         self.rank.min(9) * 10 + self.route.rank.min(9)
     }
 
+    /// Returns the rank of the workspaces, from the place in the order of urgency.
+    pub fn workspace_rank(urgency: Rank) -> Rank {
+        urgency / 10
+    }
+
     /// Returns the bytes of its body.
     pub fn size(&self) -> usize {
         self.reservation.bytes
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod departure;
 pub mod entry;
 pub mod estimate;
+pub mod fair;
 pub mod fill;
 pub mod headroom;
 pub mod health;
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -5,13 +5,16 @@
 //! back seconds later, when its answer is late whatever happens.
 //!
 //! - [`share`] keeps room for more urgent requests: a part of what they lately asked for, and more while they find none.
-//! - [`Queue`] orders the requests that wait: by rank, those that can still be on time first, then by the time left.
-//!   One that would not get a place in time is refused at once, so that its caller can come back sooner.
+//! - [`Queue`] orders the requests that wait: by rank, those that can still be on time first, then by fairness between
+//!   workspaces while room is short, then by the time left. One that would not get a place in time is refused at once, so
+//!   that its caller can come back sooner.
 //! - [`Returns`] spreads the callers that were refused, the least urgent ones over the latest time.
 
 use std::time::Duration;
 
 use crate::census::{Demand, Rank};
+use crate::fair::Order;
+use crate::share::Share;
 
 /// Room kept for the requests that are more urgent than one, as a ratio of their part of the demand. It covers by how
 /// much they may grow within the second in which servers report their load.
@@ -73,6 +76,10 @@
     pub rank: Rank,
     /// Whether its answer is late already. Its caller has seconds left and gains least by a place now.
     pub late: bool,
+    /// Whether its workspace is above its fair share.
+    pub above_share: bool,
+    /// Virtual start among the requests of all workspaces, in tokens.
+    pub start: u64,
     /// Until when a place is of use to it.
     pub until: Duration,
     /// Number that tells it from the others.
@@ -121,6 +128,7 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     waiting: Vec<Place>,
+    order: Order,
     tickets: u64,
     placed: f64,
     at: Duration,
@@ -130,7 +138,50 @@
     /// Adds a request to which a place is of use until `until`.
     pub fn enter(&mut self, rank: Rank, late: bool, until: Duration) -> Place {
         self.tickets += 1;
-        let place = Place { rank, late, until, ticket: self.tickets };
+        let (above_share, start, ticket) = (false, self.order.now(), self.tickets);
+        self.insert(Place { rank, late, above_share, start, until, ticket })
+    }
+
+    /// Adds a request whose workspace shares the room with others. One that is above its share comes after all others
+    /// of its rank.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use policy::rank::{Queue, Turn};
+    /// use policy::share::Share;
+    /// let share = |name: &str| Share { workspace: name.into(), weight: 1, limit: 0 };
+    /// let (until, now) = (Duration::from_secs(1), Duration::ZERO);
+    /// let mut queue = Queue::default();
+    /// queue.enter_share(1, false, until, &share("north"), 800.0, false);
+    /// let second = queue.enter_share(1, false, until, &share("north"), 800.0, false);
+    /// let south = queue.enter_share(1, false, until, &share("south"), 800.0, false);
+    /// assert!(south < second);
+    /// ```
+    pub fn enter_share(
+        &mut self,
+        rank: Rank,
+        late: bool,
+        until: Duration,
+        share: &Share,
+        tokens: f64,
+        above_share: bool,
+    ) -> Place {
+        self.tickets += 1;
+        let start = self.order.enter(share, tokens);
+        self.insert(Place { rank, late, above_share, start, until, ticket: self.tickets })
+    }
+
+    /// Gives back what a workspace was charged for a request that leaves without a place.
+    pub fn refund(&mut self, workspace: &str, tokens: f64) {
+        self.order.refund(workspace, tokens);
+    }
+
+    /// Drops the state of workspaces that are not to be kept.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.order.retain(keep);
+    }
+
+    fn insert(&mut self, place: Place) -> Place {
         let at = self.waiting.partition_point(|other| *other < place);
         self.waiting.insert(at, place);
         place
@@ -138,6 +189,9 @@
 
     /// Removes a request; `placed` says whether it got a place.
     pub fn leave(&mut self, place: Place, placed: bool, now: Duration) {
+        if placed && let Some(start) = self.waiting.iter().map(|place| place.start).min() {
+            self.order.placed(start);
+        }
         if let Ok(at) = self.waiting.binary_search(&place) {
             self.waiting.remove(at);
         }
@@ -149,7 +203,11 @@
 
     /// Returns what a waiting request does now.
     pub fn turn(&self, place: Place, now: Duration) -> Turn {
-        let ahead = self.waiting.partition_point(|other| *other < place);
+        // A request above its share may find no room within its narrower limit; others don't wait for it.
+        let ahead = self.waiting[..self.waiting.partition_point(|other| *other < place)]
+            .iter()
+            .filter(|other| place.above_share || !other.above_share)
+            .count();
         match ahead {
             _ if now >= place.until || ahead >= MAX_WAITING => Turn::Refuse,
             0 => Turn::Search,
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -117,6 +117,16 @@
         best.map(|(_, h)| h.index)
     }
 
+    /// Returns the present virtual time.
+    pub(crate) fn now(&self) -> f64 {
+        self.now
+    }
+
+    /// Moves the virtual time on to the start of the least served workspace, for a caller that keeps the order itself.
+    pub(crate) fn advance(&mut self, start: f64) {
+        self.now = self.now.max(start);
+    }
+
     /// Moves a workspace that had no waiting requests to the present virtual time: it may not use what it didn't use
     /// before.
     pub(crate) fn activate(&self, workspace: &mut Workspace) {
