Fair shares: the demand of workspaces is added up in policy; the tests use the same

Cause: the gateway and its simulation each added up the demand from the census, so the tests did not cover the gateway's part. Change: policy::fair::Demand::of does it for both, and leaves out what workspaces ask for that no longer exist.

--- a/crates/gateway/src/admission/workspace.rs
+++ b/crates/gateway/src/admission/workspace.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use policy::census::{self, Census, Report};
+use policy::census::{Census, Report};
 use policy::fair::{Change, Demand, Shares};
 use policy::headroom::Limit;
 use policy::share::Share;
@@ -117,9 +117,8 @@
         }
         self.computed_at = Some(now);
         let own = own();
-        let by_rank = census.by_rank(&own, routers, now);
-        let by_workspace = census.by_workspace(&own, routers, now);
         let own_ranks: Vec<Rank> = self.groups.iter().filter_map(|(rank, _)| *rank).collect();
+        let is_single = self.groups.len() == 1;
         let mut changes = Vec::new();
         for (rank, shares) in &mut self.groups {
             let members = self.known.iter().filter(|(_, r)| r == rank).count();
@@ -128,28 +127,17 @@
                 changes.extend(shares.update(&demand));
                 continue;
             }
-            let named: Vec<(Share, f64)> = by_workspace
-                .iter()
-                .filter(|(name, _)| rank_in(&self.known, name) == Some(*rank))
-                .map(|(name, tokens)| (share(name), *tokens))
-                .collect();
+            let member =
+                |name: &str| (rank_in(&self.known, name) == Some(*rank)).then(|| share(name));
             // Workspaces without a rank have those of the routes, and requests of all of them are one demand.
-            let counts = |demand: &&census::Demand| {
-                let first = Call::workspace_rank(demand.rank);
+            let counts = |urgency| {
+                let first = Call::workspace_rank(urgency);
                 rank.map_or(!own_ranks.contains(&first), |rank| rank.min(9) == first)
             };
-            let mut demand = Demand { others: members - named.len(), named, ..Demand::default() };
-            for d in by_rank.iter().filter(counts) {
-                demand.arrived += d.arrived;
-                demand.refused += d.refused;
-            }
-            if own_ranks.len() <= 1 {
-                // Requests of workspaces that no longer exist are no demand of those that do.
-                let gone = by_workspace.iter().filter(|(n, _)| rank_in(&self.known, n).is_none());
-                let left = (demand.arrived - gone.map(|(_, tokens)| tokens).sum::<f64>()).max(0.0);
-                demand.refused *= left / demand.arrived.max(f64::EPSILON);
-                demand.arrived = left;
-            }
+            // While ranks differ, that of a workspace that no longer exists is not known.
+            let gone = |name: &str| is_single && rank_in(&self.known, name).is_none();
+            let reports = (census, &own, routers);
+            let demand = Demand::of(reports, members, member, counts, gone, now);
             changes.extend(shares.update(&demand));
         }
         changes
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use crate::census::{Census, Rank, Report};
 use crate::share::{Clock, Share, Workspace};
 
 /// Limit on the workspaces whose state a router keeps.
@@ -62,6 +63,34 @@
 }
 
 impl Demand {
+    /// Adds up the demand at all `routers`, of ranks for which `counts` holds and of a number of workspaces; `member` has
+    /// the share of each. What the workspaces ask for that are `gone` is no demand of the others.
+    pub fn of(
+        (census, own, routers): (&Census, &Report, u32),
+        workspaces: usize,
+        member: impl Fn(&str) -> Option<Share>,
+        counts: impl Fn(Rank) -> bool,
+        gone: impl Fn(&str) -> bool,
+        now: Duration,
+    ) -> Demand {
+        let (mut named, mut left) = (Vec::new(), 0.0);
+        for (workspace, tokens) in census.by_workspace(own, routers, now) {
+            if let Some(share) = member(&workspace) {
+                named.push((share, tokens));
+            } else if gone(&workspace) {
+                left += tokens;
+            }
+        }
+        let ranks = census.by_rank(own, routers, now);
+        let (all, refused) = ranks
+            .iter()
+            .filter(|demand| counts(demand.rank))
+            .fold((0.0, 0.0), |sum, demand| (sum.0 + demand.arrived, sum.1 + demand.refused));
+        let arrived = (all - left).max(0.0);
+        let refused = refused * arrived / all.max(MIN_DEMAND);
+        Demand { arrived, refused, others: workspaces.saturating_sub(named.len()), named }
+    }
+
     /// Returns the ratio of the demand that was refused.
     fn refused_ratio(&self) -> f64 {
         (self.refused / self.arrived.max(MIN_DEMAND)).min(1.0)
@@ -256,9 +285,9 @@
         self.is_contested
     }
 
-    /// Returns the number of workspaces above their shares.
-    pub fn above(&self) -> usize {
-        self.entries.iter().filter(|entry| entry.excess.is_some()).count()
+    /// Whether state of a workspace is kept.
+    pub fn is_kept(&self, workspace: &str) -> bool {
+        self.find(workspace).is_ok()
     }
 
     /// Returns the number of workspaces whose state is kept.
--- a/crates/policy/tests/fair.rs
+++ b/crates/policy/tests/fair.rs
@@ -31,7 +31,6 @@
     workspaces: usize,
     /// Usual demand as a ratio of what the servers hold.
     usual: f64,
-    flooded: bool,
     /// Demand of the noisy workspace during the flood, relative to its usual one.
     factor: f64,
     /// Whether the decisions under test are used.
@@ -47,7 +46,6 @@
 const USUAL: Load = Load {
     workspaces: 24,
     usual: 0.78,
-    flooded: true,
     factor: 10.0,
     fair: true,
     lost: 0.1,
@@ -74,24 +72,18 @@
     loads: Vec<f64>,
 }
 
-/// Tokens that arrived and that were served during the flood.
+/// Tokens that arrived and that were served during the flood, of the others and of the noisy workspace.
 #[derive(Default)]
 struct Outcome {
-    others: (f64, f64),
-    noisy: (f64, f64),
-    /// Most workspaces whose state a router kept, at the end.
-    kept: usize,
-    /// Whether a router counts the noisy workspace as above its share, at the end.
-    above: bool,
+    arrived: [f64; 2],
+    served: [f64; 2],
+    /// Routers that keep state of the noisy workspace at the end.
+    keeping: usize,
 }
 
 impl Outcome {
-    fn others_served(&self) -> f64 {
-        self.others.1 / self.others.0
-    }
-
-    fn noisy_served(&self) -> f64 {
-        self.noisy.1 / self.noisy.0
+    fn ratio(&self, is_noisy: bool) -> f64 {
+        self.served[usize::from(is_noisy)] / self.arrived[usize::from(is_noisy)]
     }
 }
 
@@ -99,33 +91,22 @@
     format!("workspace-{workspace:03}")
 }
 
-fn share(workspace: usize) -> Share {
-    Share { workspace: name(workspace), weight: 1, limit: u32::MAX }
+fn share(workspace: &str) -> Share {
+    Share { workspace: workspace.into(), weight: 1, limit: u32::MAX }
 }
 
 impl Router {
     fn update(&mut self, load: &Load, is_revoked: bool, now: Duration) {
         let known = load.workspaces - usize::from(is_revoked);
-        if self.census.is_empty() {
-            let share =
-                |workspace: &str| Share { workspace: workspace.into(), weight: 1, limit: u32::MAX };
-            let demand = self.shares.own_demand(known, share, now);
-            self.shares.update(&demand);
-            return;
-        }
+        let gone = |workspace: &str| is_revoked && workspace == name(NOISY);
+        let member = |workspace: &str| (!gone(workspace)).then(|| share(workspace));
         let own = self.tally.report("a", now);
-        let ranks = self.census.by_rank(&own, ROUTERS as u32, now);
-        let (mut arrived, refused) =
-            ranks.iter().fold((0.0, 0.0), |s, d| (s.0 + d.arrived, s.1 + d.refused));
-        let mut named = Vec::new();
-        for (workspace, tokens) in self.census.by_workspace(&own, ROUTERS as u32, now) {
-            match is_revoked && workspace == name(NOISY) {
-                true => arrived -= tokens,
-                false => named.push((Share { workspace, weight: 1, limit: u32::MAX }, tokens)),
-            }
-        }
-        let others = known - named.len();
-        self.shares.update(&Demand { arrived, refused, named, others });
+        let reports = (&self.census, &own, ROUTERS as u32);
+        let demand = match self.census.is_empty() {
+            true => self.shares.own_demand(known, share, now),
+            false => Demand::of(reports, known, member, |_| true, gone, now),
+        };
+        self.shares.update(&demand);
     }
 
     fn enter(&mut self, load: &Load, workspace: usize, tokens: f64, again: bool, now: Duration) {
@@ -136,7 +117,7 @@
             load.fair && self.shares.is_contested() && !self.shares.is_starved(&name, now);
         let (until, above) = (now + WAIT, self.shares.is_above(&name));
         let place = match is_charged {
-            true => self.queue.enter_share(1, false, until, &share(workspace), tokens, above),
+            true => self.queue.enter_share(1, false, until, &share(&name), tokens, above),
             false => self.queue.enter(1, false, until),
         };
         self.waiting.push(Request { workspace, tokens, again, place, is_charged });
@@ -202,7 +183,7 @@
             .map(|(_, workspace, tokens)| (workspace, tokens, true))
             .collect();
         for workspace in 0..load.workspaces {
-            let floods = load.flooded && workspace == NOISY && now >= FLOOD;
+            let floods = workspace == NOISY && now >= FLOOD;
             let factor = if floods { load.factor } else { 1.0 };
             let mean = rate / load.workspaces as f64 * factor * STEP.as_secs_f64();
             // Several arrivals in one step are rare but for the noisy workspace.
@@ -217,8 +198,7 @@
                 continue;
             }
             if now >= FLOOD && !again {
-                let sum = if workspace == NOISY { &mut outcome.noisy } else { &mut outcome.others };
-                sum.0 += tokens;
+                outcome.arrived[usize::from(workspace == NOISY)] += tokens;
             }
             let router = random.random_range(0..ROUTERS);
             routers[router].enter(&load, workspace, tokens, again, now);
@@ -244,10 +224,8 @@
                         running.push((now + RUN, server, request.tokens));
                         router.queue.leave(request.place, true, now);
                         if now >= FLOOD {
-                            let is_noisy = request.workspace == NOISY;
-                            let sum =
-                                if is_noisy { &mut outcome.noisy } else { &mut outcome.others };
-                            sum.1 += request.tokens;
+                            outcome.served[usize::from(request.workspace == NOISY)] +=
+                                request.tokens;
                         }
                         continue;
                     }
@@ -268,8 +246,7 @@
             }
         }
     }
-    outcome.kept = routers.iter().map(|r| r.shares.len()).max().unwrap_or_default();
-    outcome.above = routers.iter().any(|r| r.shares.is_above(&name(NOISY)));
+    outcome.keeping = routers.iter().filter(|r| r.shares.is_kept(&name(NOISY))).count();
     outcome
 }
 
@@ -285,13 +262,12 @@
 #[case::routers_restart(Load { restarts: true, ..USUAL })]
 fn others_keep_what_they_have(#[case] load: Load) {
     for seed in 0..8 {
-        let without = play(Load { flooded: false, ..load }, seed);
+        let without = play(Load { factor: 1.0, ..load }, seed);
         let flooded = play(load, seed);
-        let kept = flooded.others_served() / without.others_served();
-        let noisy = flooded.noisy_served();
+        let kept = flooded.ratio(false) / without.ratio(false);
         assert!(kept >= 0.98, "seed {seed}: others keep {kept}");
         // The flood itself must not be cut off.
-        let relative = noisy / flooded.others_served();
+        let relative = flooded.ratio(true) / flooded.ratio(false);
         assert!(relative >= 0.25, "seed {seed}: the noisy one is served {relative} as often");
     }
 }
@@ -299,8 +275,8 @@
 // The load must be one under which the others lose requests without fair shares.
 #[test]
 fn others_lose_without_fair_shares() {
-    let without = play(Load { flooded: false, fair: false, ..USUAL }, 0);
-    let kept = play(Load { fair: false, ..USUAL }, 0).others_served() / without.others_served();
+    let without = play(Load { factor: 1.0, fair: false, ..USUAL }, 0);
+    let kept = play(Load { fair: false, ..USUAL }, 0).ratio(false) / without.ratio(false);
     assert!(kept < 0.95, "others keep {kept}");
 }
 
@@ -309,7 +285,8 @@
 fn a_revoked_workspace_leaves_no_state() {
     let revoked = Some(Duration::from_secs(25));
     let outcome = play(Load { revoked, ..USUAL }, 0);
-    assert!(!outcome.above && outcome.kept < USUAL.workspaces);
+    assert_eq!(outcome.keeping, 0);
+    assert!(play(USUAL, 0).keeping > 0);
 }
 
 // A caller with a new name for each request must not fill the memory.
