--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -270,7 +270,7 @@
         1.0 - MAX_RESERVE * (excess / FULL_EXCESS).min(1.0) * self.pressure * sound.clamp(0.0, 1.0)
     }
 
-    /// Whether a workspace is above its share and yet served much less often than the others.
+    /// Whether this router served a workspace much less often than the others.
     pub fn is_starved(&self, workspace: &str, now: Duration) -> bool {
         self.find(workspace).is_ok_and(|at| self.served_ratio(at, now) <= STARVED_RATIO)
     }
@@ -290,7 +290,7 @@
         self.find(workspace).is_ok()
     }
 
-    /// Returns the number of workspaces whose state is kept.
+    /// Returns the number of workspaces whose state is kept, at most [`MAX_WORKSPACES`].
     pub fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/policy/tests/fair.rs
+++ b/crates/policy/tests/fair.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::census::{Census, Report, Tally, interval};
+use policy::census::{Census, Report, Tally};
 use policy::fair::{Demand, MAX_WORKSPACES, Shares};
 use policy::headroom::Limit;
 use policy::rank::{Place, Queue, Turn};
@@ -130,9 +130,8 @@
     let fresh = || Router { loads: vec![0.0; SERVERS], ..Router::default() };
     let mut routers: Vec<Router> = (0..ROUTERS).map(|_| fresh()).collect();
     let mut servers = vec![0.0; SERVERS];
-    let mut running: Vec<(Duration, usize, f64)> = Vec::new();
+    let (mut running, mut returns) = (Vec::new(), Vec::new());
     let mut reports: Vec<(Duration, usize, Report)> = Vec::new();
-    let mut returns: Vec<(Duration, usize, f64)> = Vec::new();
     let mut outcome = Outcome::default();
     let mean_tokens = 1000.0;
     let rate = load.usual * SERVERS as f64 * SERVER_TOKENS / mean_tokens / RUN.as_secs_f64();
@@ -154,8 +153,7 @@
                 router.census.expire(ROUTERS as u32, now);
                 let report = router.tally.report("a", now);
                 if report.total().refused >= 1.0 && random.random::<f64>() >= load.lost {
-                    let delay =
-                        interval(ROUTERS as u32).mul_f64(0.2 + 0.5 * random.random::<f64>());
+                    let delay = Duration::from_millis(random.random_range(200..700));
                     reports.push((now + delay, i, report));
                 }
             }
@@ -188,10 +186,8 @@
             let mean = rate / load.workspaces as f64 * factor * STEP.as_secs_f64();
             // Several arrivals in one step are rare but for the noisy workspace.
             let arrived = (0..4).filter(|_| random.random::<f64>() < mean / 4.0).count();
-            for _ in 0..arrived {
-                let tokens = mean_tokens * (0.5 + random.random::<f64>());
-                arrivals.push((workspace, tokens, false));
-            }
+            let tokens = |_| (workspace, mean_tokens * random.random_range(0.5..1.5), false);
+            arrivals.extend((0..arrived).map(tokens));
         }
         for (workspace, tokens, again) in arrivals {
             if is_revoked && workspace == NOISY {
@@ -212,9 +208,8 @@
                 let factor = if load.fair { router.shares.factor(&name, now) } else { 1.0 };
                 let limit = Limit::full().scaled(factor);
                 let turn = router.queue.turn(request.place, now);
-                let server =
-                    (0..SERVERS).min_by(|a, b| router.loads[*a].total_cmp(&router.loads[*b]));
-                let server = server.expect("servers");
+                let by_load = |a: &usize, b: &usize| router.loads[*a].total_cmp(&router.loads[*b]);
+                let server = (0..SERVERS).min_by(by_load).expect("servers");
                 let fits = |used: f64, ratio: f64| used + request.tokens <= ratio * SERVER_TOKENS;
                 if turn == Turn::Search && fits(router.loads[server], limit.memory) {
                     router.loads[server] += request.tokens;
@@ -223,10 +218,8 @@
                         servers[server] += request.tokens;
                         running.push((now + RUN, server, request.tokens));
                         router.queue.leave(request.place, true, now);
-                        if now >= FLOOD {
-                            outcome.served[usize::from(request.workspace == NOISY)] +=
-                                request.tokens;
-                        }
+                        let counted = if now >= FLOOD { request.tokens } else { 0.0 };
+                        outcome.served[usize::from(request.workspace == NOISY)] += counted;
                         continue;
                     }
                 }
