--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -127,7 +127,7 @@
     }
     claims.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
     let mut weights: f64 = claims.iter().map(|claim| claim.1).sum();
-    let mut room = (named + rest) * (1.0 - demand.refused_ratio());
+    let mut room = (named + rest - demand.refused).max(0.0);
     for (tokens, weight) in claims {
         if tokens / weight >= room / weights {
             return room / weights;
