--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -209,7 +209,7 @@
         self.entries.retain(|entry| keep(&entry.workspace));
     }
 
-    /// Returns the demand of the last [`SERVED_DECAY`] at this router alone, for one that hears nothing of the others: what
+    /// Returns the demand of the last ten seconds at this router alone, for one that hears nothing of the others: what
     /// it sees of each workspace in a second or two is too little to compare them.
     pub fn own_demand(
         &self,
