--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -6,7 +6,7 @@
 //! - [`share`] is the max-min fair share: what each workspace may take if none gets more than it asks for and what some
 //!   leave goes to the others.
 //! - [`Shares`] gives the factor by which a workspace above its share narrows its limit, so that the others find room.
-//! - [`Order`] gives waiting requests their virtual start, by the start-time fair queueing of [`crate::share`].
+//! - `Order` gives waiting requests their virtual start, by the start-time fair queueing of [`crate::share`].
 
 use std::time::Duration;
 
