--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -37,6 +37,7 @@
 pub struct Admission {
     /// By name of the service, sorted.
     services: RefCell<Vec<(String, Service)>>,
+    counts: workspace::Counts,
     /// Notified when a request leaves the queue.
     pub(crate) queue_moved: Notify,
 }
@@ -49,6 +50,7 @@
     ranks: rank::Ranks,
     data_centres: data_centre::DataCentres,
     usual: usual::Usual,
+    workspaces: workspace::Workspaces,
     /// When a request was last refused.
     short_at: Option<Duration>,
 }
@@ -69,6 +71,13 @@
 }
 
 impl Service {
+    /// Takes the workspaces of newer settings.
+    fn apply(&mut self, settings: &Settings) {
+        if self.workspaces.apply(settings) {
+            self.ranks.retain(|workspace| self.workspaces.exists(workspace));
+        }
+    }
+
     /// Whether this or another router has refused requests lately, as there was no room.
     fn is_short(&self, own: &Report, routers: u32, now: Duration) -> bool {
         let demand = self.census.by_rank(own, routers, now);
@@ -105,8 +114,11 @@
 pub fn arrived(state: &State, call: &Call, service: &str) {
     let (now, tokens) = (state.now(), call.tokens.total());
     let workspace = call.workspace.as_deref();
+    let is_above = workspace::standing(state, call, service).is_some_and(|s| s.is_above);
+    state.admission.counts.record(is_above, false);
     state.admission.service(service, |s| {
         s.tally.arrived(call.urgency(), workspace, tokens, now);
+        s.workspaces.record(call, false, now);
         // While requests are refused, some of those that arrive are further attempts.
         if s.short_at.is_none_or(|at| now >= at + QUIET_TIME) {
             s.usual.record(call);
@@ -117,8 +129,11 @@
 /// Records a request to a model that was refused, as there was no room for it.
 pub fn refused(state: &State, call: &Call, service: &str) {
     let (now, tokens) = (state.now(), call.tokens.total());
+    let is_above = workspace::standing(state, call, service).is_some_and(|s| s.is_above);
+    state.admission.counts.record(is_above, true);
     state.admission.service(service, |s| {
         s.tally.refused(call.urgency(), tokens, now);
+        s.workspaces.record(call, true, now);
         s.short_at = Some(now);
     });
 }
@@ -128,8 +143,9 @@
     let routes = settings.routes.iter();
     let mut leading = routes.filter(|r| r.targets.iter().any(|t| t.service == service));
     let Some(rank) = leading.next().map(|route| route.rank) else { return false };
-    leading.any(|route| route.rank != rank)
-        || settings.keys.iter().any(|key| key.rank.is_some_and(|r| r != rank))
+    let mut workspaces = settings.keys.iter().map(|key| key.rank.unwrap_or(rank));
+    let first = workspaces.next();
+    leading.any(|route| route.rank != rank) || workspaces.any(|rank| Some(rank) != first)
 }
 
 /// Applies the report of another router.
@@ -152,9 +168,9 @@
     data_centre::demand_ratio(state, service)
 }
 
-/// Returns the metrics text of the demand of the data centres.
+/// Returns the metrics text: requests by how their workspaces stand to their shares, and the demand of the data centres.
 pub fn page(state: &State) -> String {
-    data_centre::page(state)
+    state.admission.counts.page() + &data_centre::page(state)
 }
 
 /// Tells the other routers what demand this one sees, as long as the process runs and ranks differ or room is short.
--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -9,6 +9,7 @@
 use policy::rank::{self, Place, Queue, Returns, Turn};
 use tokio::time::Instant;
 
+use super::workspace::{self, Standing};
 use crate::request::Call;
 use crate::state::State;
 
@@ -48,6 +49,11 @@
     pub(super) fn queue_length(&self) -> usize {
         self.queue.len()
     }
+
+    /// Drops the state of workspaces that are not to be kept.
+    pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.queue.retain(keep);
+    }
 }
 
 /// A request in the queue, which it leaves when this is dropped.
@@ -59,6 +65,8 @@
     entered: Duration,
     waited: Cell<bool>,
     placed: Cell<bool>,
+    /// Workspace that is charged for the place, and tokens.
+    charged: Option<(String, f64)>,
 }
 
 impl Waiting<'_> {
@@ -82,9 +90,12 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let (now, placed) = (self.state.now(), self.placed.get());
-        self.state
-            .admission
-            .service(self.service, |s| s.ranks.queue.leave(self.place, placed, now));
+        self.state.admission.service(self.service, |s| {
+            s.ranks.queue.leave(self.place, placed, now);
+            if let Some((workspace, tokens)) = self.charged.as_ref().filter(|_| !placed) {
+                s.ranks.queue.refund(workspace, *tokens);
+            }
+        });
         if self.waited.get() {
             let waited = now.saturating_sub(self.entered);
             self.state.metrics.admission.queued(&self.state.setup.zone, self.call, waited);
@@ -114,14 +125,19 @@
     })
 }
 
-/// Adds a new request to the queue, if ranks or data centres differ. A request of a data centre that is full then waits
-/// for room in another one up to its goal: a refused caller comes back only when its answer is late.
+/// Adds a new request to the queue, if ranks or data centres differ, or workspaces compete for room that is short. A
+/// request of a data centre that is full then waits for room in another one up to its goal: a refused caller comes back
+/// only when its answer is late.
 pub fn enter<'a>(state: &'a State, call: &'a Call, service: &'a str) -> Option<Waiting<'a>> {
+    let standing = workspace::standing(state, call, service);
     let rank = match super::ranks_differ(&call.settings, service) {
         true => with_demand(state, service, |demand| rank::queue_rank(call.urgency(), demand)),
-        false if super::data_centre::differ(state, service) => 0,
+        false if standing.is_some() || super::data_centre::differ(state, service) => 0,
         false => return None,
     };
+    // A starved workspace waits as if it had been served least.
+    let standing = standing.filter(|standing| !standing.is_starved);
+    let tokens = call.tokens.total();
     let now = state.now();
     let waited = call.arrived.elapsed();
     let place = state.admission.service(service, |s| {
@@ -134,8 +150,15 @@
                 .saturating_sub(first_event.mul_f64(FIRST_EVENT_FACTOR))
                 .max(goal.mul_f64(MIN_WAIT_FRACTION)),
         };
-        s.ranks.queue.enter(rank, late, now + wait.saturating_sub(waited))
+        let (queue, until) = (&mut s.ranks.queue, now + wait.saturating_sub(waited));
+        match &standing {
+            Some(Standing { share, is_above, .. }) => {
+                queue.enter_share(rank, late, until, share, tokens, *is_above)
+            }
+            None => queue.enter(rank, late, until),
+        }
     });
+    let charged = standing.map(|standing| (standing.share.workspace, tokens));
     Some(Waiting {
         state,
         call,
@@ -144,6 +167,7 @@
         entered: now,
         waited: Cell::new(false),
         placed: Cell::new(false),
+        charged,
     })
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -184,6 +184,11 @@
         urgency(self.rank, self.route.rank)
     }
 
+    /// Returns the rank of the workspaces, from the place in the order of urgency.
+    pub fn workspace_rank(urgency: Rank) -> Rank {
+        urgency / 10
+    }
+
     /// Returns the bytes of its body.
     pub fn size(&self) -> usize {
         self.reservation.bytes
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod entry;
 pub mod estimate;
 pub mod failure;
+pub mod fair;
 pub mod fill;
 pub mod headroom;
 pub mod health;
