--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,7 +1,7 @@
 //! How much room a request to a model may take, from its rank, its workspace and the demand of all data centres.
 //!
-//! [`policy::headroom::Limit`] bounds the load of the servers of its path. Each submodule gives a limit, and the narrowest
-//! one holds. Routers tell each other what demand they see ([`policy::census`]) while ranks differ or room is short.
+//! [`policy::headroom::Limit`] bounds the load of the servers of its path. Rank and data centre each give a limit, and the
+//! narrower one holds; workspaces only change the order of the queue. Routers tell each other what demand they see ([`policy::census`]) while ranks differ or room is short.
 
 mod data_centre;
 pub mod metrics;
@@ -86,13 +86,12 @@
 }
 
 /// The limits of one request, each with the name of what gives it.
-struct Limits([(&'static str, Limit); 3]);
+struct Limits([(&'static str, Limit); 2]);
 
 impl Limits {
     fn of(state: &State, call: &Call, service: &str) -> Limits {
         Limits([
             ("rank", rank::limit(state, call, service)),
-            ("workspace", workspace::limit(state, call, service)),
             ("data_centre", data_centre::limit(state, call, service)),
         ])
     }
--- a/crates/gateway/src/admission/data_centre.rs
+++ b/crates/gateway/src/admission/data_centre.rs
@@ -75,8 +75,12 @@
     })
 }
 
-/// Returns the limit of a request.
-pub(super) fn limit(state: &State, _call: &Call, service: &str) -> Limit {
+/// Returns the limit of a request. Where ranks differ, room is kept by rank alone: both limits together leave room unused
+/// while servers are lost.
+pub(super) fn limit(state: &State, call: &Call, service: &str) -> Limit {
+    if super::ranks_differ(&call.settings, service) {
+        return Limit::full();
+    }
     Limit::full().scaled(with_census(state, service, |d| d.balance.share()))
 }
 
--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -125,14 +125,13 @@
     })
 }
 
-/// Adds a new request to the queue, if ranks or data centres differ, or workspaces compete for room that is short. A
-/// request of a data centre that is full then waits for room in another one up to its goal: a refused caller comes back
-/// only when its answer is late.
+/// Adds a new request to the queue, if ranks or data centres differ. A request of a data centre that is full then waits
+/// for room in another one up to its goal: a refused caller comes back only when its answer is late.
 pub fn enter<'a>(state: &'a State, call: &'a Call, service: &'a str) -> Option<Waiting<'a>> {
     let standing = workspace::standing(state, call, service);
     let rank = match super::ranks_differ(&call.settings, service) {
         true => with_demand(state, service, |demand| rank::queue_rank(call.urgency(), demand)),
-        false if standing.is_some() || super::data_centre::differ(state, service) => 0,
+        false if super::data_centre::differ(state, service) => 0,
         false => return None,
     };
     // A starved workspace waits as if it had been served least.
--- a/crates/gateway/src/admission/workspace.rs
+++ b/crates/gateway/src/admission/workspace.rs
@@ -1,11 +1,13 @@
-//! Workspaces that compete for room: their fair shares, the limits of those above them, and their order in the queue.
+//! Workspaces that compete for room: their fair shares, and the order in the queue that follows from them.
+//!
+//! [`policy::fair::Shares::factor`] is not applied to limits: on a saturated deployment with a few large workspaces, narrower
+//! limits for those left a tenth of the room unused.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use policy::census::{Census, Report};
 use policy::fair::{Change, Demand, Shares};
-use policy::headroom::Limit;
 use policy::share::Share;
 
 use crate::logging::{Line, Quota};
@@ -53,7 +55,6 @@
     pub(super) is_above: bool,
     /// Whether it is served much less often than the others.
     pub(super) is_starved: bool,
-    factor: f64,
 }
 
 impl Workspaces {
@@ -189,7 +190,6 @@
             share: share(workspace),
             is_above: shares.is_above(workspace),
             is_starved: shares.is_starved(workspace, now),
-            factor: shares.factor(workspace, now),
         });
         (standing, changes)
     });
@@ -197,12 +197,6 @@
     standing
 }
 
-/// Returns the limit of a request.
-pub(super) fn limit(state: &State, call: &Call, service: &str) -> Limit {
-    let factor = standing(state, call, service).map_or(1.0, |standing| standing.factor);
-    Limit::full().scaled(factor)
-}
-
 fn log_change(state: &State, service: &str, change: &Change) {
     let lines = &state.admission.counts.lines;
     if let Line::Written(left_out) = lines.borrow_mut().take(state.now(), MAX_LINES_PER_S) {
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -274,20 +274,18 @@
 
     /// Finds a path for a request in the queue; only the first one searches.
     async fn wait_in_queue(&self, waiting: admission::Waiting<'_>) -> Option<Path> {
+        let found = |path: Option<Path>| path.inspect(|_| waiting.found());
+        let mut has_waited = false;
         loop {
             match waiting.turn() {
+                // The first in the queue may need more room than there is while this one needs less.
+                Turn::Refuse if has_waited => return found(self.find_path()),
                 Turn::Refuse => return None,
-                Turn::Search => {
-                    let path = self.find_path();
-                    if path.is_some() {
-                        waiting.found();
-                        return path;
-                    }
-                    if self.no_path() != Reason::Full {
-                        return None;
-                    }
-                }
-                Turn::Wait => {}
+                Turn::Search => match found(self.find_path()) {
+                    None if self.no_path() == Reason::Full => {}
+                    path => return path,
+                },
+                Turn::Wait => has_waited = true,
             }
             waiting.waits();
             let moved = async {
