--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,7 +1,8 @@
 //! How much room a request to a model may take, from its rank, its workspace and the demand of all data centres.
 //!
 //! [`policy::headroom::Limit`] bounds the load of the servers of its path. Rank and data centre each give a limit, and the
-//! narrower one holds; workspaces only change the order of the queue. Routers tell each other what demand they see ([`policy::census`]) while ranks differ or room is short.
+//! narrower one holds; workspaces only change the order of the queue. Routers tell each other what demand they see
+//! ([`policy::census`]) while ranks differ or room is short.
 
 mod data_centre;
 pub mod metrics;
--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -124,8 +124,8 @@
 }
 
 /// Returns how long ago a data centre lost model servers that had not announced to leave. A server that is silent and
-/// still listed may have been lost at any time; it, and one that says it is leaving, counts as lost before the servers that started a moment ago and are
-/// still kept empty.
+/// still listed may have been lost at any time; it, and one that says it is leaving, counts as lost before the servers
+/// that started a moment ago and are still kept empty.
 fn recent_losses(state: &State, peers: &[Rc<Peer>], zone: Zone) -> Vec<Duration> {
     let is_local = |server: &Server| server.card.is_some() && route::zone(&server.zone) == zone;
     let gone = state.removed_within(REPLACEMENT_WINDOW).into_iter();
