Admission: whether ranks differ is decided once for each limit

Each search for a path asked it twice, once in each of two limits of which only one ever applied, and then took the narrower one. The limit now follows from rank or from the data centre, as before. A request that does not enter the queue no longer has the standing of its workspace looked up for its place there. No behaviour changes.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,7 +1,7 @@
 //! How much room a request to a model may take, from its rank, its workspace and the demand of all data centres.
 //!
-//! [`policy::headroom::Limit`] bounds the load of the servers of its path. Rank and data centre each give a limit, and the
-//! narrower one holds; workspaces only change the order of the queue. Routers tell each other what demand they see
+//! [`policy::headroom::Limit`] bounds the load of the servers of its path. It follows from rank where ranks differ, and from
+//! the data centre elsewhere; workspaces only change the order of the queue. Routers tell each other what demand they see
 //! ([`policy::census`]) while ranks differ or room is short.
 
 mod data_centre;
@@ -86,28 +86,19 @@
     }
 }
 
-/// The limits of one request, each with the name of what gives it.
-struct Limits([(&'static str, Limit); 2]);
-
-impl Limits {
-    fn of(state: &State, call: &Call, service: &str) -> Limits {
-        Limits([
-            ("rank", rank::limit(state, call, service)),
-            ("data_centre", data_centre::limit(state, call, service)),
-        ])
-    }
-
-    /// Returns the narrowest limit and the name of what gives it.
-    fn narrowest(&self) -> (&'static str, Limit) {
-        let limit = self.0.iter().map(|(_, limit)| *limit).fold(Limit::full(), Limit::min);
-        let by = self.0.iter().find(|(_, l)| l.memory == limit.memory && *l != Limit::full());
-        (by.map_or("none", |(name, _)| name), limit)
-    }
+/// Returns the limit of a request and the name of what gives it. Where ranks differ, room is kept by rank alone: with the
+/// limit of the data centre as well, room stays unused while servers are lost.
+fn limit_by(state: &State, call: &Call, service: &str) -> (&'static str, Limit) {
+    let (by, limit) = match ranks_differ(&call.settings, service) {
+        true => ("rank", rank::limit(state, call, service)),
+        false => ("data_centre", data_centre::limit(state, service)),
+    };
+    (if limit == Limit::full() { "none" } else { by }, limit)
 }
 
 /// Returns the limit of a request.
 pub fn limit(state: &State, call: &Call, service: &str) -> Limit {
-    Limits::of(state, call, service).narrowest().1
+    limit_by(state, call, service).1
 }
 
 /// Records a request to a model that arrived.
--- a/crates/gateway/src/admission/data_centre.rs
+++ b/crates/gateway/src/admission/data_centre.rs
@@ -7,7 +7,6 @@
 use policy::headroom::Limit;
 
 use super::Service;
-use crate::request::Call;
 use crate::state::State;
 
 /// Time for which a decision is kept before the demand is added up again.
@@ -75,12 +74,8 @@
     })
 }
 
-/// Returns the limit of a request. Where ranks differ, room is kept by rank alone: both limits together leave room unused
-/// while servers are lost.
-pub(super) fn limit(state: &State, call: &Call, service: &str) -> Limit {
-    if super::ranks_differ(&call.settings, service) {
-        return Limit::full();
-    }
+/// Returns the limit of a request where ranks are alike.
+pub(super) fn limit(state: &State, service: &str) -> Limit {
     Limit::full().scaled(with_census(state, service, |d| d.balance.share()))
 }
 
--- a/crates/gateway/src/admission/rank.rs
+++ b/crates/gateway/src/admission/rank.rs
@@ -104,11 +104,8 @@
     }
 }
 
-/// Returns the limit of a request.
+/// Returns the limit of a request where ranks differ.
 pub(super) fn limit(state: &State, call: &Call, service: &str) -> Limit {
-    if !super::ranks_differ(&call.settings, service) {
-        return Limit::full();
-    }
     Limit::full().scaled(with_demand(state, service, |demand| rank::share(call.urgency(), demand)))
 }
 
@@ -128,14 +125,13 @@
 /// Adds a new request to the queue, if ranks or data centres differ. A request of a data centre that is full then waits
 /// for room in another one up to its goal: a refused caller comes back only when its answer is late.
 pub fn enter<'a>(state: &'a State, call: &'a Call, service: &'a str) -> Option<Waiting<'a>> {
-    let standing = workspace::standing(state, call, service);
     let rank = match super::ranks_differ(&call.settings, service) {
         true => with_demand(state, service, |demand| rank::queue_rank(call.urgency(), demand)),
         false if super::data_centre::differ(state, service) => 0,
         false => return None,
     };
     // A starved workspace waits as if it had been served least.
-    let standing = standing.filter(|standing| !standing.is_starved);
+    let standing = workspace::standing(state, call, service).filter(|s| !s.is_starved);
     let tokens = call.tokens.total();
     let now = state.now();
     let waited = call.arrived.elapsed();
--- a/crates/gateway/src/admission/refusal.rs
+++ b/crates/gateway/src/admission/refusal.rs
@@ -4,7 +4,6 @@
 
 use policy::rank;
 
-use super::Limits;
 use crate::answer::Reason;
 use crate::logging::{self, Line};
 use crate::request::Call;
@@ -21,8 +20,7 @@
         state.refusal_lines.borrow_mut().take(state.now(), logging::MAX_REFUSAL_LINES_PER_S);
     let Line::Written(left_out) = quota else { return };
     let (now, routers, rank) = (state.now(), state.routers(), call.urgency());
-    let limits = Limits::of(state, call, service);
-    let (by, limit) = limits.narrowest();
+    let (by, limit) = super::limit_by(state, call, service);
     let (demand, workspaces, queue) = state.admission.service(service, |s| {
         let own = s.tally.report(&state.setup.zone, now);
         let workspaces = s.census.by_workspace(&own, routers, now);
