--- a/review/stand/place.py
+++ b/review/stand/place.py
@@ -100,6 +100,22 @@
         self.store.put("keyed.servers", name, None)
         self.record("entry removed", runner=name)
 
+    async def drain(self, name):
+        """Has a runner report `draining`; returns when the store has acknowledged that."""
+        self.processes_of[name].send_signal(signal.SIGUSR2)
+        key, partition = name.encode(), self.store.partition("keyed.servers", 0)
+        while b'"state": "draining"' not in partition.newest[key][0]:
+            await asyncio.sleep(0.005)
+        self.record("draining acknowledged", runner=name)
+        return time.time()
+
+    async def next_beat(self, name):
+        """Waits until a runner has written its entry once more."""
+        key, partition = name.encode(), self.store.partition("keyed.servers", 0)
+        before = partition.newest[key]
+        while partition.newest[key] == before:
+            await asyncio.sleep(0.005)
+
     def exit(self, name):
         """Ends a runner that has left."""
         self.processes_of[name].send_signal(signal.SIGTERM)
--- a/review/stand/runner.py
+++ b/review/stand/runner.py
@@ -62,6 +62,10 @@
         """Writes no more entries; the platform removes the last one."""
         self.leaves = True
 
+    def drain(self):
+        self.state = "draining"
+        asyncio.ensure_future(self.publish())
+
     def report(self):
         return {"stage": "unified", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": self.busy,
                 "layers": {"from": self.span[0], "to": self.span[1], "version": 1}, "kind": self.what.get("kind"),
@@ -108,7 +112,8 @@
                 elif request.target == "/-/order":
                     writer.write(http1.response(await self.order(json.loads(request.body))))
                 elif request.target == "/health":
-                    writer.write(http1.response(200, b"", {"Instance": self.id}))
+                    status = 200 if self.state == "ready" and not self.leaves else 503
+                    writer.write(http1.response(status, b"", {"Instance": self.id}))
                 elif request.headers.get("expect-instance", self.id) != self.id:
                     writer.write(http1.response(421, b"", {"Instance": self.id}))
                 else:
@@ -190,6 +195,7 @@
     host, port = runner.address.rsplit(":", 1)
     await asyncio.start_server(runner.serve, host, int(port), reuse_address=True)
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, runner.leave)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, runner.drain)
     await runner.beat()
 
 
