--- a/review/stand/place.py
+++ b/review/stand/place.py
@@ -159,6 +159,8 @@
                 await asyncio.sleep(0.05)
 
     async def end(self):
+        # Connections that are open now end in the middle of something.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         for task in self.tasks:
             task.cancel()
         for process in self.processes:
