--- a/review/stand/place.py
+++ b/review/stand/place.py
@@ -116,6 +116,9 @@
         while partition.newest[key] == before:
             await asyncio.sleep(0.005)
 
+    def newest_entry(self, name):
+        return json.loads(self.store.partition("keyed.servers", 0).newest[name.encode()][0])
+
     def exit(self, name):
         """Ends a runner that has left."""
         self.processes_of[name].send_signal(signal.SIGTERM)
