Review: case of one entry that ends the following of the list of servers

One entry of another writer, with missing fields and an unbounded number, makes the task panic that follows the list of servers, in all gateways.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A runner's write from before its restart is carried out late, when the runner is leaving."""
+"""Another writer writes entries with a missing field under the id of a runner that is leaving."""
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
@@ -12,11 +11,10 @@
 GATEWAYS = ["front-a-1", "front-a-2"]
 KEY = "key-1"
 DRAIN_S = 2.0
-# Times after the lost write: the runner is back, it reports `draining`, and the write may be carried out from then on.
-BACK_S, DRAINS_S, LATE_S = 2.2, 3.2, 4.7
-# How long after an entry of the runner itself the late write is carried out.
-AFTER_S = 0.1
-LONGEST_S = 6.0
+# How often the other writer writes, and how long after an entry of the runner itself.
+WRITES, AFTER_S = 3, 0.1
+# When the runner exits: it serves for `drainMs` and a little longer.
+EXIT_S = 4.6
 
 
 async def case(place, trouble):
@@ -27,27 +25,18 @@
         await place.start_gateway(name)
     await place.until_ready()
     await asyncio.sleep(5)
-    lost, entry = time.time(), place.newest_entry("desk-0")
-    entry["sequence"] += 1
-    if trouble:
-        place.record("a write gets no answer and is not carried out yet", runner="desk-0", entry=entry)
-        place.processes_of["desk-0"].send_signal(signal.SIGKILL)
-        place.record("runner crashes", runner="desk-0")
-        await asyncio.sleep(BACK_S)
-        place.start_runner("desk-0", "desk")
-        place.record("runner is back", runner="desk-0")
     coming = asyncio.ensure_future(requests(place))
-    await asyncio.sleep(max(0, lost + DRAINS_S - time.time()))
+    await asyncio.sleep(1)
     acknowledged = await place.drain("desk-0")
-    await asyncio.sleep(max(0, lost + LATE_S - AFTER_S - time.time()))
-    if trouble:
+    for _ in range(WRITES if trouble else 0):
         await place.next_beat("desk-0")
         await asyncio.sleep(AFTER_S)
+        entry = {"service": "desk", "address": place.runners["desk-0"]["address"], "zone": "a", "version": "v1",
+                 "slots": 6, "state": "ready", "coldLeftMs": 0}
         place.store.put("keyed.servers", "desk-0", entry)
-        late = time.time() - lost
-        place.record("the write is carried out", after=round(late, 3))
-        if late > LONGEST_S:
-            raise RuntimeError("the write came too late")
+        place.record("another writer's entry, without `sequence`", runner="desk-0", entry=entry)
+    await asyncio.sleep(max(0, acknowledged + EXIT_S - time.time()))
+    place.exit("desk-0")
     await coming
     return judge(place, acknowledged)
 
@@ -70,6 +59,8 @@
     print("requests run: %d, by the leaving runner: %d" % (len(ran), sum(line["runner"] == "desk-0" for line in ran)))
     print("sent later than %g s after `draining` was acknowledged and run by it: %d; the last %.2f s after it"
           % (DRAIN_S, len(late), max(late, default=0)))
+    lost = [line["id"] for line in lines if line["what"] == "answered" and line["status"] not in (200, 503)]
+    print("unsafe requests without an answer of a runner, which the client may not send again: %s" % lost)
     if len(ran) < 150:
         return 2
     return 1 if late else 0
