--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Another writer writes entries with a missing field under the id of a runner that is leaving."""
+"""The gateway that reads the store for the others is cut off from it just before a change of the configuration."""
 
 import asyncio
 import sys
@@ -8,45 +8,62 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "stand"))
 from place import config, main, route, send  # noqa: E402
 
-GATEWAYS = ["front-a-1", "front-a-2"]
+GATEWAYS = ["front-a-1", "front-a-2", "front-b-1", "front-c-1"]
+# The strongest gateway, or the first by name of several, reads for the others.
+READER, OTHERS = GATEWAYS[0], GATEWAYS[1:]
 KEY = "key-1"
-DRAIN_S = 2.0
-# How often the other writer writes, and how long after an entry of the runner itself.
-WRITES, AFTER_S = 3, 0.1
-# When the runner exits: it serves for `drainMs` and a little longer.
-EXIT_S = 4.6
+APPLY_S = 2.0
+CUT_S = 4.0
+ROUNDS, GAP_S = 7, 11.0
+SERVICES = ["desk", "desk-new"]
 
 
 async def case(place, trouble):
-    place.operator_writes(config(3, [route("order", "/order/", "unsafe", "desk", timeoutMs=800, goalMs=300)], [KEY]))
-    for n in range(3):
-        place.start_runner("desk-%d" % n, "desk", workS=0.06, slots=6)
+    def settings(n):
+        look = route("look", "/look/", "safe", SERVICES[n % 2], timeoutMs=800, goalMs=300)
+        return config(3 + 2 * n, [look], [KEY])
+    place.operator_writes(settings(0))
+    for service in SERVICES:
+        for n in range(3):
+            place.start_runner("%s-%d" % (service, n), service, slots=6)
     for name in GATEWAYS:
-        await place.start_gateway(name)
+        await place.start_gateway(name, zone=name.split("-")[1])
     await place.until_ready()
-    await asyncio.sleep(5)
-    coming = asyncio.ensure_future(requests(place))
-    await asyncio.sleep(1)
-    acknowledged = await place.drain("desk-0")
-    for _ in range(WRITES if trouble else 0):
-        await place.next_beat("desk-0")
-        await asyncio.sleep(AFTER_S)
-        entry = {"service": "desk", "address": place.runners["desk-0"]["address"], "zone": "a", "version": "v1",
-                 "slots": 6, "state": "ready", "coldLeftMs": 0}
-        place.store.put("keyed.servers", "desk-0", entry)
-        place.record("another writer's entry, without `sequence`", runner="desk-0", entry=entry)
-    await asyncio.sleep(max(0, acknowledged + EXIT_S - time.time()))
-    place.exit("desk-0")
-    await coming
+    await asyncio.sleep(6)
+    acknowledged = {}
+    for n in range(1, ROUNDS + 1):
+        await reader_has_read(place)
+        if trouble:
+            place.record("cut from the store", gateway=READER)
+            place.store.cut.add(READER)
+        await asyncio.sleep(0.02)
+        place.operator_writes(settings(n))
+        acknowledged[n] = time.time()
+        await asyncio.gather(*(requests(place, n, gateway) for gateway in OTHERS))
+        await asyncio.sleep(max(0, acknowledged[n] + CUT_S - time.time()))
+        place.store.cut.clear()
+        await asyncio.sleep(GAP_S - CUT_S)
     return judge(place, acknowledged)
 
 
-async def requests(place):
+async def reader_has_read(place):
+    read = asyncio.Event()
+
+    def answered(entrance, target):
+        if entrance == READER and "log-read?topic=keyed.servers" in target:
+            read.set()
+    place.store.answered = answered
+    await read.wait()
+
+
+async def requests(place, n, gateway):
+    """Sends requests from shortly before the bound until well after it."""
+    await asyncio.sleep(APPLY_S - 0.2)
     sent = []
-    for n in range(200):
+    for k in range(40):
         sent.append(asyncio.ensure_future(
-            send(place, GATEWAYS[n % 2], "POST", "/order/%d" % n, "order-%d" % n, KEY, b"order %d" % n, limit=1.5)))
-        await asyncio.sleep(0.04)
+            send(place, gateway, "GET", "/look/%d" % k, "%d-%s-%d" % (n, gateway, k), KEY, limit=1.5)))
+        await asyncio.sleep(0.03)
     await asyncio.gather(*sent)
 
 
@@ -54,14 +71,16 @@
     lines = place.lines()
     sent = {line["id"]: line["t"] for line in lines if line["what"] == "sent"}
     ran = [line for line in lines if line["what"] == "ran" and line["id"] in sent]
-    late = [sent[line["id"]] - acknowledged for line in ran
-            if line["runner"] == "desk-0" and sent[line["id"]] > acknowledged + DRAIN_S]
-    print("requests run: %d, by the leaving runner: %d" % (len(ran), sum(line["runner"] == "desk-0" for line in ran)))
-    print("sent later than %g s after `draining` was acknowledged and run by it: %d; the last %.2f s after it"
-          % (DRAIN_S, len(late), max(late, default=0)))
-    lost = [line["id"] for line in lines if line["what"] == "answered" and line["status"] not in (200, 503)]
-    print("unsafe requests without an answer of a runner, which the client may not send again: %s" % lost)
-    if len(ran) < 150:
+    late = {}
+    for line in ran:
+        n = int(line["id"].split("-")[0])
+        after = sent[line["id"]] - acknowledged[n]
+        if after > APPLY_S and line["runner"].rsplit("-", 1)[0] != SERVICES[n % 2]:
+            late.setdefault(n, []).append(after)
+    print("requests run: %d" % len(ran))
+    print("rounds in which requests sent later than %g s after the acknowledgement were run by the former service: %s"
+          % (APPLY_S, {n: "%d, the last %.2f s after it" % (len(all), max(all)) for n, all in late.items()}))
+    if len(ran) < ROUNDS * 60:
         return 2
     return 1 if late else 0
 
--- a/review/stand/store.py
+++ b/review/stand/store.py
@@ -78,6 +78,8 @@
         self.groups = {}
         self.cut = set()
         self.entrances = {}
+        # Called with the entrance and the target of each call that was answered.
+        self.answered = lambda entrance, target: None
 
     def partition(self, topic, part):
         return self.partitions.setdefault((topic, int(part)), Partition())
@@ -109,6 +111,7 @@
                     await asyncio.sleep(3600)
                 writer.write(http1.response(status, body, {"Content-Type": "application/json"}))
                 await writer.drain()
+                self.answered(name, request.target)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -184,9 +187,10 @@
         if not known or not group.target:
             group.spread(sorted({(t, p) for t in body["topics"] for p in range(12)}))
         elif body.get("generation") == group.generation:
-            for partition, owner in group.owner.items():
-                if owner == member:
-                    group.owner[partition] = group.target[partition]
+            moved = [p for p, owner in group.owner.items() if owner == member != group.target[p]]
+            for partition in moved:
+                group.owner[partition] = group.target[partition]
+            group.generation += bool(moved)
         mine = [[t, p, 0] for (t, p), owner in sorted(group.owner.items())
                 if owner == member and group.target[(t, p)] == member]
         return 200, json.dumps({"generation": group.generation, "ttlMs": body["ttlMs"], "parts": mine}).encode()
