Review: scripts that are stopped end their processes

A script that got SIGTERM left its runners and gateways running. It now ends them on SIGTERM, SIGINT and SIGHUP, and a guard process ends them if the script is killed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 python3 - <<'P'
 import sys
 assert sys.version_info >= (3, 9), "Python 3.9 or later is needed"
-for name in ("http1", "store", "runner", "place"):
+for name in ("guard", "http1", "store", "runner", "place"):
     compile(open(name + ".py").read(), name, "exec")
 P
--- a/review/stand/place.py
+++ b/review/stand/place.py
@@ -61,6 +61,7 @@
         self.file = os.open(record, os.O_WRONLY | os.O_APPEND)
         self.store = Store()
         self.processes = []
+        self.guard = subprocess.Popen([sys.executable, str(HERE / "guard.py")], stdin=subprocess.PIPE, text=True)
         self.gateways = {}
         self.runners = {}
         self.processes_of = {}
@@ -88,7 +89,7 @@
             "store": self.platform, "record": str(self.record_path), "slots": 64, "loadS": LOAD_S, **more}
         self.runners[name] = what
         process = subprocess.Popen([sys.executable, str(HERE / "runner.py"), json.dumps(what)])
-        self.processes.append(process)
+        self.started(process)
         self.processes_of[name] = process
         if again_after:
             self.tasks.append(asyncio.ensure_future(self.start_again(name, process, again_after)))
@@ -148,7 +149,12 @@
         with open(gateway["log"], "ab") as log:
             env = {**os.environ, "HYSSOPPASS_CONFIG": str(gateway["settings"])}
             gateway["process"] = subprocess.Popen(GATEWAY, cwd=ROOT, env=env, stdout=log, stderr=log)
-        self.processes.append(gateway["process"])
+        self.started(gateway["process"])
+
+    def started(self, process):
+        self.processes.append(process)
+        self.guard.stdin.write("%d\n" % process.pid)
+        self.guard.stdin.flush()
 
     async def until_ready(self, limit=15.0):
         until = time.monotonic() + limit
@@ -171,6 +177,7 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.processes:
             process.wait()
+        self.guard.communicate("done\n")
         self.dir.cleanup()
 
 
@@ -191,11 +198,15 @@
 def main(test):
     """Runs a test and exits with its result: 0 the rule held, 1 it was broken, 2 the case could not run."""
     async def run():
+        # A test that is told to stop ends its processes first.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         place = Place(sys.argv[1])
         try:
             await place.start()
             return await asyncio.wait_for(test(place, os.environ.get("TROUBLE", "1") != "0"), 115)
-        except Exception as e:
+        except (Exception, asyncio.CancelledError) as e:
             place.record("could not run", why=repr(e))
             print("could not run: %r" % e)
             return 2
