Entries of servers: one that can't be used is left out, and the others hold

Cause: entry::server computed a Duration from any number. `coldLeftMs` of 1.8e308 panics, which ends the task follow::servers; the process goes on with the list that it has. The entry was parsed at all because `version` and `sequence` were not required, so that an entry without them could also make a leaving server ready again.

Change: decoders return a typed fault with the name of the field (gateway::record). Records are decoded and applied one by one, and a panic costs that record alone. Each such record has one log line and is counted.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -167,7 +167,7 @@
     let (server, entry, now) = (peer.server(), peer.entry(), state.now());
     let backoff_end = state.availability.borrow().last_backoff_end(&server.id, server.born);
     log::info!(
-        "gateway: request={} sent_to={} sequence={:?} offset={} heard={:?} ago list={} backoff_ended={:?} ago parts={}",
+        "gateway: request={} sent_to={} sequence={} offset={} heard={:?} ago list={} backoff_ended={:?} ago parts={}",
         call.id,
         server.id,
         server.sequence,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use crate::record;
 use crate::server::{Id, Server};
 use crate::settings::Settings;
 use crate::shared_read;
 use crate::state::State;
 use crate::store::{Call, End, Fault, Item, Log, Offset, Reply};
+use crate::task::isolate;
 
 pub use notices::{notices, send_notices};
 
@@ -58,30 +60,38 @@
     /// Key of the record that holds the settings.
     pub settings_key: &'static str,
     /// Decodes settings.
-    pub settings: fn(&[u8]) -> Option<Settings>,
+    pub settings: fn(&[u8]) -> Result<Settings, record::Fault>,
     /// Decodes a server's entry.
-    pub server: fn(&str, &[u8]) -> Option<Server>,
+    pub server: fn(&str, &[u8]) -> Result<Server, record::Fault>,
     /// Splits a record into its key and its value.
     pub item: fn(&[u8]) -> Option<Keyed>,
 }
 
+impl Decoder {
+    /// Decodes a server's entry; a panic is a fault of that entry alone.
+    fn entry(&self, id: &str, value: &[u8]) -> Result<Server, record::Fault> {
+        isolate(|| (self.server)(id, value)).map_err(record::Fault::Panic)?
+    }
+}
+
 /// Keeps the settings up to date, as long as the process runs.
 pub async fn settings(state: Rc<State>, decoder: Decoder) {
     let apply = |item: &Item| {
         let value = item.value.as_ref().filter(|_| item.key == decoder.settings_key);
-        let settings = value.map(|value| (decoder.settings)(value));
-        match settings {
-            Some(Some(settings)) => {
+        let Some(value) = value else { return true };
+        let settings = isolate(|| (decoder.settings)(value));
+        match settings.map_err(record::Fault::Panic).flatten() {
+            Ok(settings) => {
                 let version = settings.version;
                 let newer = state.apply(settings);
                 log::info!("gateway: settings={version} offset={} in_force={newer}", item.offset);
                 newer || state.settings().is_some_and(|s| s.version == version)
             }
-            Some(None) => {
-                log::error!("gateway: settings at offset {} can't be decoded", item.offset);
+            Err(why) => {
+                state.metrics.invalid_record(Log::Settings);
+                log::error!("gateway: settings invalid offset={} why={why}", item.offset);
                 false
             }
-            None => true,
         }
     };
     follow(&state, Log::Settings, decoder, MAX_SETTINGS_WAIT, Duration::ZERO, |items, _| {
@@ -94,7 +104,13 @@
 pub async fn servers(state: Rc<State>, decoder: Decoder) {
     let apply = |items: &[Item], info: BatchInfo| {
         let before = state.peers().len();
-        let change = |item| entries::apply(&state, decoder, item, info.regained);
+        let change = |item: &Item| {
+            let applied = isolate(|| entries::apply(&state, decoder, item, info.regained));
+            applied.unwrap_or_else(|why| {
+                entries::record_invalid(&state, item, &record::Fault::Panic(why));
+                false
+            })
+        };
         let applied: Vec<bool> = items.iter().map(change).collect();
         if info.complete {
             entries::drop_missing(&state, items, info.regained);
@@ -346,7 +362,7 @@
     let keyed = records.iter().filter_map(|record| (decoder.item)(record));
     let mut changed: Vec<Id> = keyed
         .filter(|(key, value)| {
-            let entry = value.as_ref().and_then(|value| (decoder.server)(key, value));
+            let entry = value.as_ref().and_then(|value| decoder.entry(key, value).ok());
             match (entry, state.peer(key)) {
                 (Some(entry), Some(peer)) => {
                     let known = peer.server();
--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -4,16 +4,28 @@
 
 use super::Decoder;
 use crate::peer::{Entry, Peer};
+use crate::record::Fault;
 use crate::server::{Id, Server};
 use crate::state::State;
-use crate::store::{Item, Offset};
+use crate::store::{Item, Log, Offset};
 
 /// Time within which entries that expired while the store was unavailable are written again.
 const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2200);
 
 /// Applies a record of the list; returns false if a newer one is known.
 pub(super) fn apply(state: &State, decoder: Decoder, item: &Item, regained: bool) -> bool {
-    let entry = item.value.as_ref().and_then(|value| (decoder.server)(&item.key, value));
+    let entry = match item.value.as_ref().map(|value| decoder.entry(&item.key, value)) {
+        Some(Err(why)) => {
+            record_invalid(state, item, &why);
+            // It replaces what the server has written, and names no server to use.
+            if state.peer(&item.key).is_some() {
+                log::info!("gateway: server={} gone=true why=its entry is invalid", item.key);
+                state.remove(&item.key);
+            }
+            return true;
+        }
+        entry => entry.and_then(Result::ok),
+    };
     let known = Entry { offset: item.offset, received: state.now() };
     match (entry, state.peer(&item.key)) {
         (Some(server), Some(peer)) => {
@@ -29,7 +41,7 @@
             }
             if was.state != server.state || was.span != server.span || was.born != server.born {
                 log::info!(
-                    "gateway: server={} state={:?} layers={} born={} sequence={:?} offset={}",
+                    "gateway: server={} state={:?} layers={} born={} sequence={} offset={}",
                     item.key,
                     server.state,
                     server.span,
@@ -55,19 +67,24 @@
             );
             state.add(Peer::new(server, known, state.availability.clone()));
         }
-        // An entry that can't be read names no server to use.
         (None, Some(_)) => remove_or_expire(state, &item.key, regained),
         (None, None) => {}
     }
     true
 }
 
+/// Logs and counts an entry that can't be used. Its key may be any text.
+pub(super) fn record_invalid(state: &State, item: &Item, why: &Fault) {
+    state.metrics.invalid_record(Log::Servers);
+    log::warn!("gateway: server={:?} entry=invalid offset={} why={why}", item.key, item.offset);
+}
+
 /// Logs and counts an entry that is older than the known one and is ignored: otherwise a leaving server would get work
 /// again.
 fn record_old_entry(state: &State, server: &Server, known: &Server, offset: Offset) {
     state.metrics.old_entry();
     log::info!(
-        "gateway: server={} entry=old state={:?} sequence={:?} known={:?} known_sequence={:?} offset={offset}",
+        "gateway: server={} entry=old state={:?} sequence={} known={:?} known_sequence={} offset={offset}",
         server.id,
         server.state,
         server.sequence,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,7 @@
 use crate::retries;
 use crate::shared_read;
 use crate::state::State;
+use crate::store::Log;
 
 /// The instruments of a gateway, which docs/OPERATIONS.md explains to operators.
 #[derive(Debug)]
@@ -172,6 +173,14 @@
         self.event("old_entry");
     }
 
+    /// Counts a record of the store that can't be used.
+    pub fn invalid_record(&self, log: Log) {
+        self.event(match log {
+            Log::Settings => "invalid_settings",
+            _ => "invalid_entry",
+        });
+    }
+
     /// Counts a difference between the list of servers here and that of the source router.
     pub fn list_differs(&self) {
         self.event("list_differs");
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -37,8 +37,8 @@
     pub cold: Duration,
     /// When it started, in milliseconds of Unix time; zero if that is not known.
     pub born: u64,
-    /// Number of this entry since its start, if it has one.
-    pub sequence: Option<u64>,
+    /// Number of this entry since its start.
+    pub sequence: u64,
     /// Its accelerator type, if it is a model server.
     pub card: Option<String>,
     /// The layers that it holds.
@@ -68,14 +68,14 @@
     /// # use gateway::server::{Server, State};
     /// # let entry = |born, sequence| Server {
     /// #     id: "s".into(), service: "desk".into(), address: ([127, 0, 0, 1], 1).into(), zone: "a".into(),
-    /// #     slots: 6, state: State::Ready, cold: std::time::Duration::ZERO, born, sequence: Some(sequence),
+    /// #     slots: 6, state: State::Ready, cold: std::time::Duration::ZERO, born, sequence,
     /// #     card: None, span: layers::Span::default(),
     /// # };
     /// assert!(entry(100, 7).is_before(&entry(100, 8)));
     /// assert!(!entry(200, 1).is_before(&entry(100, 8)));
     /// ```
     pub fn is_before(&self, other: &Server) -> bool {
-        self.is_same_start(other) && self.sequence.zip(other.sequence).is_some_and(|(a, b)| a < b)
+        self.is_same_start(other) && self.sequence < other.sequence
     }
 }
 
