Tasks: one that has to run as long as the process is started again when it ends

A gateway whose task follow::servers had ended served callers by the list that it had, for as long as the process ran.

Cause: adapter::start spawned sixteen tasks and watched none. A panic ends its task alone, is written to standard error, and nothing else in the process knows of it. One request of another router that panics ended the task that answers all of them.

Change: task::keep starts such a task again after 50 ms, doubling up to 5 s (policy::restart). After ten ends within a minute the process stops taking callers, answers what it serves and ends, after a random delay of up to 15 s, so that routers with the same fault don't end at once; the platform starts it again. Ends are logged and counted by task (hyssop_tasks_ended_total), panics have a log line. A request of a caller, or of another router, that panics gets an answer (502 for callers) and costs no other one. A port for datagrams that can't be bound is tried again in place of leaving the task.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -34,6 +34,7 @@
 use crate::startup;
 use crate::state::State;
 use crate::stream;
+use crate::task::isolated;
 
 /// Length of the kernel's queue of connections that are not accepted yet. A restart of other routers brings a burst of
 /// hundreds; a connection that finds the queue full is retried only after seconds.
@@ -61,7 +62,7 @@
 }
 
 /// Accepts callers' connections until the process ends.
-pub async fn serve_callers(state: Rc<State>, listener: TcpListener) {
+pub async fn serve_callers(state: Rc<State>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -217,7 +218,10 @@
     activity.partial.set(false);
     let _on_connection = Counted::new(&activity.serving);
     let _serving = Counted::new(&state.serving);
-    let mut response = answer(&state, request).await;
+    let mut response = isolated(answer(&state, request)).await.unwrap_or_else(|why| {
+        log::error!("gateway: request outcome=unknown why=panic: {why:?}");
+        answer::error(Reason::Lost)
+    });
     activity.last_read.set(Instant::now());
     activity.partial.set(false);
     if state.stopping.get().is_some() {
@@ -325,9 +329,9 @@
 }
 
 /// Answers the readiness checks of the load balancer.
-pub async fn serve_balancer(state: Rc<State>, listener: TcpListener) {
+pub async fn serve_balancer(state: Rc<State>, listener: Rc<TcpListener>) {
     let state = &state;
-    pages(listener, move |_, path| match path {
+    pages(&listener, move |_, path| match path {
         path if path == state.codec.ready && state.ready() => (StatusCode::OK, String::new()),
         path if path == state.codec.ready => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         _ => (StatusCode::NOT_FOUND, String::new()),
@@ -336,18 +340,18 @@
 }
 
 /// Answers other routers that request records read from the store.
-pub async fn serve_routers(state: Rc<State>, listener: TcpListener) {
+pub async fn serve_routers(state: Rc<State>, listener: Rc<TcpListener>) {
     let state = &state;
     let answer =
         move |request: Request<Incoming>| async move { shared_read::answer(state, request).await };
-    serve_all(listener, answer).await;
+    serve_all(&listener, answer).await;
 }
 
 /// Serves the metrics page and the quarantine: `GET /quarantine` lists its requests, `DELETE /quarantine/CONTENT`
 /// releases one.
-pub async fn serve_metrics(state: Rc<State>, listener: TcpListener) {
+pub async fn serve_metrics(state: Rc<State>, listener: Rc<TcpListener>) {
     let state = &state;
-    pages(listener, move |method, path| match path.strip_prefix("/quarantine/") {
+    pages(&listener, move |method, path| match path.strip_prefix("/quarantine/") {
         None if path == "/metrics" => (StatusCode::OK, state.metrics.page(state)),
         None if path == "/quarantine" => (StatusCode::OK, crash::quarantine(state)),
         Some(content) if method == Method::DELETE && crash::lift(state, content) => {
@@ -359,7 +363,7 @@
 }
 
 /// Serves short pages.
-async fn pages(listener: TcpListener, page: impl Fn(&Method, &str) -> (StatusCode, String)) {
+async fn pages(listener: &TcpListener, page: impl Fn(&Method, &str) -> (StatusCode, String)) {
     let answer = |request: Request<Incoming>| {
         let (status, text) = page(request.method(), request.uri().path());
         let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -371,7 +375,7 @@
 
 /// Answers requests without a body; serves all connections in one task, as they are few and short.
 async fn serve_all<F: Future<Output = Response<Full<Bytes>>>>(
-    listener: TcpListener,
+    listener: &TcpListener,
     answer: impl Fn(Request<Incoming>) -> F,
 ) {
     let answer = &answer;
@@ -387,8 +391,10 @@
                     Ok::<_, Infallible>(answer(request).await)
                 });
                 let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                if let Err(e) = served.await {
-                    log::debug!("gateway: connection of a page request ended: {e}");
+                match isolated(served).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(e)) => log::debug!("gateway: connection of a page request ended: {e}"),
+                    Err(why) => log::error!("gateway: request for a page failed why={why:?}"),
                 }
             }),
             Err(e) => {
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -125,12 +125,17 @@
     }
 }
 
-/// Starts logging to standard output.
+/// Starts logging to standard output. Panics are logged as well.
 pub fn start(level: LevelFilter) -> Result<Arc<Counts>, log::SetLoggerError> {
     let (lines, receiver, counts) = Lines::new(MAX_QUEUED_LINES);
     let shared = counts.clone();
     thread::spawn(move || copy(&receiver, &shared, &mut io::stdout()));
     WriteLogger::init(level, config(), lines)?;
+    std::panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map(ToString::to_string).unwrap_or_default();
+        let why = panic.payload_as_str().unwrap_or("unknown");
+        log::error!("gateway: panic at={place} why={why:?}");
+    }));
     Ok(counts)
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     refusals: Counter<u64>,
     events: Counter<u64>,
     late_events: Counter<u64>,
+    tasks_ended: Counter<u64>,
     answer_time: Histogram<f64>,
     first_event: Histogram<f64>,
 }
@@ -68,6 +69,10 @@
                 .u64_counter("hyssop_late_events")
                 .with_description("Events after too long a pause, by what held them up")
                 .build(),
+            tasks_ended: meter
+                .u64_counter("hyssop_tasks_ended")
+                .with_description("Ends of tasks that have to run as long as the process")
+                .build(),
             answer_time: seconds("hyssop_answer_time", "Time to the head of an answer"),
             first_event: seconds(
                 "hyssop_first_event",
@@ -113,6 +118,11 @@
         self.event("stream_cut");
     }
 
+    /// Counts the end of a task that has to run as long as the process.
+    pub fn task_ended(&self, name: &'static str) {
+        self.tasks_ended.add(1, &[KeyValue::new("task", name)]);
+    }
+
     /// Counts a caller that closed its connection.
     pub fn caller_left(&self) {
         self.event("caller_left");
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -27,7 +27,7 @@
         value: String,
     },
     /// Decoding or applying it panicked.
-    #[display("panic: {_0}")]
+    #[display("panic: {_0:?}")]
     Panic(#[error(not(source))] String),
 }
 
--- a/crates/gateway/src/retries/datagram.rs
+++ b/crates/gateway/src/retries/datagram.rs
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::lender;
 use crate::state::State;
@@ -23,6 +23,9 @@
 /// Longest datagram: the name of a service and the addresses of twenty routers.
 const MAX_DATAGRAM_BYTES: usize = 1200;
 
+/// Time after which a port is bound again that could not be bound.
+const BIND_RETRY_DELAY: Duration = Duration::from_secs(5);
+
 /// A datagram between routers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 enum Datagram {
@@ -68,17 +71,26 @@
     pending: RefCell<Vec<(u64, SocketAddr, oneshot::Sender<Loan>)>>,
 }
 
+/// Returns the socket, which is bound once; as long as that fails, it is tried again.
+async fn socket(state: &State, address: SocketAddr) -> Rc<UdpSocket> {
+    let socket = &state.retries.endpoint.socket;
+    loop {
+        match socket.get() {
+            Some(socket) => return socket.clone(),
+            None => match UdpSocket::bind(address).await {
+                Ok(bound) => return socket.get_or_init(|| Rc::new(bound)).clone(),
+                Err(e) => log::error!(
+                    "gateway: retries are neither lent nor borrowed address={address} why={e}"
+                ),
+            },
+        }
+        sleep(BIND_RETRY_DELAY).await;
+    }
+}
+
 /// Handles requests and replies of other routers for as long as the process runs.
 pub async fn run(state: Rc<State>, address: SocketAddr) {
-    let socket = match UdpSocket::bind(address).await {
-        Ok(socket) => Rc::new(socket),
-        Err(e) => {
-            return log::error!(
-                "gateway: retries are neither lent nor borrowed address={address} why={e}"
-            );
-        }
-    };
-    state.retries.endpoint.socket.get_or_init(|| socket.clone());
+    let socket = socket(&state, address).await;
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,6 +35,7 @@
 use crate::shared_read::Sharing;
 use crate::slowness::Slowness;
 use crate::store::{Client, Log};
+use crate::task::Failed;
 use crate::wire::Codec;
 
 /// Time for which a router that left the group is still counted. One that is only cut off from the store continues to
@@ -82,6 +83,8 @@
     pub held_requests: Cell<u32>,
     /// When the process received the stop signal.
     pub stopping: Cell<Option<Duration>>,
+    /// The task that ends too often, once there is one.
+    pub failed: Failed,
     /// Callers' open connections.
     pub callers: Cell<u32>,
     /// Requests that are being served.
@@ -167,6 +170,7 @@
             startup: RefCell::default(),
             held_requests: Cell::new(0),
             stopping: Cell::new(None),
+            failed: Failed::default(),
             callers: Cell::new(0),
             serving: Cell::new(0),
             admission: Admission::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod rank;
 pub mod refusal;
 pub mod replica;
+pub mod restart;
 pub mod retry;
 pub mod room;
 pub mod route;
