Records, reports, notices, requests: numbers out of range affect nothing else

Besides, without a failing test: weights of routes are summed in 64 bits, loans without overflow, grace-s and window-s of the process are checked. Notices, pages of the source and datagrams are applied one by one, and a panic costs that one alone.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -318,11 +318,12 @@
 
 /// Chooses the service for a request of this route at random by weight.
 fn choose_target(route: &Route) -> Option<String> {
-    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
     let mut at = if total > 1 { rand::rng().random_range(0..total) } else { 0 };
     let chosen = route.targets.iter().find(|t| {
-        let hit = at < t.weight;
-        at = at.saturating_sub(t.weight);
+        let weight = u64::from(t.weight);
+        let hit = at < weight;
+        at = at.saturating_sub(weight);
         hit
     });
     chosen.or(route.targets.first()).map(|t| t.service.clone())
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -17,11 +17,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use layers::Span;
 use policy::holdover::Holdover;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::peer::Peer;
+use crate::server::Id;
+use crate::settings::Model;
 use crate::shared_read;
 use crate::state::State;
 use crate::store::{Assignment, Call, Fault, Generation, Offset};
@@ -122,6 +126,13 @@
     }
 }
 
+/// Returns the layers that servers lack, as this router would plan them if it had given no orders: the servers, and the
+/// layers that each one is to hold.
+pub fn places(state: &State, peers: &[Rc<Peer>], model: &Model) -> Vec<(Id, Span)> {
+    let planned = gap::plan(state, peers, model, &[], &[]).places();
+    planned.into_iter().map(|planned| (planned.server, planned.span)).collect()
+}
+
 /// Returns the time between two join calls.
 fn pause(idle: bool) -> Duration {
     if idle { IDLE_RENEWAL_INTERVAL } else { RENEWAL_INTERVAL }
--- a/crates/gateway/src/leader/gap.rs
+++ b/crates/gateway/src/leader/gap.rs
@@ -91,7 +91,7 @@
         layers::Server {
             zone: route::zone(&entry.zone),
             card: card.unwrap_or(Card { bytes: 0.0, pace: f64::MAX, read: 1.0 }),
-            span: order.unwrap_or(peer.span(now)),
+            span: order.unwrap_or(peer.span(now)).within(model.shape.layers),
             usable: card.is_some() && peer.stays(now) && (!reachable || !peer.counts_as_dead()),
             // A server that wants no requests gets no orders either.
             busy: order.is_some() || peer.backoff_end(now).is_some(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -187,7 +187,8 @@
     pub fn invalid_record(&self, log: Log) {
         self.event(match log {
             Log::Settings => "invalid_settings",
-            _ => "invalid_entry",
+            Log::Servers => "invalid_entry",
+            Log::Orders | Log::Notices => "invalid_notice",
         });
     }
 
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -19,6 +19,8 @@
 use crate::retries;
 use crate::slowness;
 use crate::state::State;
+use crate::store::Log;
+use crate::task::isolate;
 
 /// A notice to the other routers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -229,8 +231,15 @@
     }
 }
 
-/// Applies a notice of another router.
+/// Applies a notice of another router. One that can't be applied costs no other one.
 pub fn receive(state: &Rc<State>, notice: &Notice) {
+    if let Err(why) = isolate(|| apply(state, notice)) {
+        state.metrics.invalid_record(Log::Notices);
+        log::error!("gateway: notice not applied why=panic: {why:?}");
+    }
+}
+
+fn apply(state: &Rc<State>, notice: &Notice) {
     let now = state.now();
     match notice {
         Notice::Silent { server } => {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,9 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
 use policy::crash::{Fingerprint, Part};
@@ -28,6 +26,9 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 
+/// Most tokens that a request may name.
+const MAX_TOKENS: f64 = 1e9;
+
 /// Fraction of the VM's memory that the bodies of all requests may take together.
 const BODY_MEMORY_FRACTION: f64 = 0.25;
 
@@ -128,7 +129,8 @@
     let id = id.ok_or(Reason::Malformed)?.to_owned();
     let deadline =
         arrived + caller_timeout(state, &head.headers).unwrap_or(route.timeout).min(route.timeout);
-    let tokens = parse_tokens(head.headers.get(&names.tokens));
+    let tokens = head.headers.get(&names.tokens).and_then(|value| value.to_str().ok());
+    let tokens = tokens.map(parse_tokens).unwrap_or_default();
     let headers = forwarded_headers(state, head.headers);
     let mut reservation = Reservation { state: state.clone(), bytes: 0 };
     let body =
@@ -249,10 +251,22 @@
     text.trim().parse::<u64>().ok().map(Duration::from_millis)
 }
 
-fn parse_tokens(value: Option<&HeaderValue>) -> Tokens {
-    let parsed = value.and_then(|v| {
-        let (prompt, answer) = v.to_str().ok()?.split_once(',')?;
-        Some(Tokens { prompt: prompt.trim().parse().ok()?, answer: answer.trim().parse().ok()? })
+/// Parses the tokens of a prompt and of the answer, divided by a comma. Other texts count as no tokens: what they would
+/// add to the load of servers affects the requests of all callers.
+///
+/// ```
+/// use gateway::request::{Tokens, parse_tokens};
+/// assert_eq!(parse_tokens("1460, 80"), Tokens { prompt: 1460.0, answer: 80.0 });
+/// assert_eq!(parse_tokens("nan,80"), Tokens::default());
+/// assert_eq!(parse_tokens("1e300,80"), Tokens::default());
+/// ```
+pub fn parse_tokens(text: &str) -> Tokens {
+    let number = |text: &str| {
+        let number = text.trim().parse::<f64>().ok();
+        number.filter(|number| (0.0..=MAX_TOKENS).contains(number))
+    };
+    let parsed = text.split_once(',').and_then(|(prompt, answer)| {
+        Some(Tokens { prompt: number(prompt)?, answer: number(answer)? })
     });
     parsed.unwrap_or_default()
 }
--- a/crates/gateway/src/retries/datagram.rs
+++ b/crates/gateway/src/retries/datagram.rs
@@ -16,6 +16,7 @@
 
 use super::lender;
 use crate::state::State;
+use crate::task::isolated;
 
 /// Version of the datagrams.
 const VERSION: u16 = 1;
@@ -107,15 +108,20 @@
             continue;
         }
         state.retries.clear_backoff(from);
-        match postcard::from_bytes(&buffer[..length]) {
-            Ok(Datagram::Ask(request)) if request.version == VERSION => {
-                receive_request(&state, request, from).await;
-            }
-            Ok(Datagram::Loan(reply)) if reply.version == VERSION => {
-                receive_reply(&state, &reply, from);
-            }
-            other => log::debug!("gateway: datagram from {from} ignored: {other:?}"),
+        if let Err(why) = isolated(receive(&state, &buffer[..length], from)).await {
+            log::error!("gateway: datagram from {from} ignored: panic: {why:?}");
+        }
+    }
+}
+
+/// Handles a datagram of another router.
+async fn receive(state: &Rc<State>, bytes: &[u8], from: SocketAddr) {
+    match postcard::from_bytes(bytes) {
+        Ok(Datagram::Ask(request)) if request.version == VERSION => {
+            receive_request(state, request, from).await;
         }
+        Ok(Datagram::Loan(reply)) if reply.version == VERSION => receive_reply(state, &reply, from),
+        other => log::debug!("gateway: datagram from {from} ignored: {other:?}"),
     }
 }
 
@@ -128,7 +134,7 @@
     spawn_local(async move {
         let more = lender::borrow_for(&state, &request, request.want - loan.lent).await;
         let loan = Loan {
-            lent: loan.lent + more.lent,
+            lent: loan.lent.saturating_add(more.lent),
             retry_after: loan.retry_after.min(more.retry_after),
         };
         reply(&state, request.id, loan, from).await;
--- a/crates/gateway/src/retries/lender.rs
+++ b/crates/gateway/src/retries/lender.rs
@@ -50,7 +50,7 @@
         let replies = join_all(replies).await;
         for (request, loan) in requests.into_iter().zip(replies) {
             if let Some(loan) = loan {
-                all.lent += loan.lent;
+                all.lent = all.lent.saturating_add(loan.lent);
                 all.retry_after = all.retry_after.min(loan.retry_after);
                 round.record(request, loan);
             }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -341,11 +341,11 @@
     let Snapshot { now, zone_load, limit, usual, .. } = snapshot;
     let entry = peer.server();
     let card = model.card(entry.card.as_deref()?)?;
-    let span = peer.span(now);
+    let shape = &model.shape;
+    let span = peer.span(now).within(shape.layers);
     if span.is_empty() {
         return None;
     }
-    let shape = &model.shape;
     let layers = f64::from(span.len());
     let bytes = if kept { 0.0 } else { context_bytes(model, tokens) };
     let memory = card.bytes - layers * shape.layer_bytes;
--- a/crates/gateway/src/route/explain.rs
+++ b/crates/gateway/src/route/explain.rs
@@ -63,7 +63,7 @@
                 scarce += 1
             }
             () => {
-                let span = peer.span(now);
+                let span = peer.span(now).within(model.shape.layers);
                 let begins = begin_ms(peer, now, 1.0).is_finite();
                 zones[at].begins += u32::from(span.from == 0 && begins);
                 let layers = span.from as usize..span.to as usize;
--- a/crates/gateway/src/route/load.rs
+++ b/crates/gateway/src/route/load.rs
@@ -110,6 +110,9 @@
     zone_loads
 }
 
+/// Most work that one request is taken to add. What it adds follows from sizes that callers name.
+const MAX_WORK: Duration = Duration::from_secs(3600);
+
 pub(super) fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1e3
 }
@@ -121,6 +124,11 @@
     found.map_or(Meter::default(), |at| links[at].1)
 }
 
+/// Returns the time that work of `ms` milliseconds takes, at most [`MAX_WORK`].
+fn work(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1e3).map_or(MAX_WORK, |time| time.min(MAX_WORK))
+}
+
 /// Work that a request adds to a server or a link, to be recorded in its meter.
 #[derive(Debug)]
 pub(super) struct Charge {
@@ -141,7 +149,7 @@
 impl Charge {
     /// Creates the charge of a prompt that crosses a link between data centres.
     pub(super) fn link(ends: (Zone, Zone), ms: f64, share: f64) -> Charge {
-        Charge { target: Target::Link(ends), work: Duration::from_secs_f64(ms / 1e3), share }
+        Charge { target: Target::Link(ends), work: work(ms), share }
     }
 
     /// Creates the charge of the prefill of a prompt in some layers of a server; `None` if its accelerator type is
@@ -156,10 +164,9 @@
         let entry = peer.server();
         let card = entry.card.as_deref().and_then(|name| model.card(name))?;
         let ms = model.shape.prefill_ms(&card, span.len(), peer.slowdown.get(), tokens.prompt);
-        let work = Duration::from_secs_f64(ms / 1e3);
         Some(Charge {
             target: Target::Server(peer.clone()),
-            work,
+            work: work(ms),
             share: 1.0 / zone_load.prompt_ratio,
         })
     }
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -8,6 +8,8 @@
 use derive_more::{Display, Error};
 use ini::Ini;
 
+use crate::record;
+
 /// Reasons why the settings can't be used.
 #[derive(Debug, Display, Error)]
 #[display("{}", _0.join("; "))]
@@ -82,6 +84,15 @@
         }
     }
 
+    /// Parses a time in seconds.
+    fn seconds(&mut self, section: &str, key: &'static str) -> Duration {
+        let seconds = self.get::<f64>(section, key, "a number");
+        record::millis(key, seconds * 1e3).unwrap_or_else(|why| {
+            self.faults.push(format!("[{section}] {why}"));
+            Duration::ZERO
+        })
+    }
+
     /// Parses an optional number.
     fn optional_number(&mut self, section: &str, key: &str) -> Option<f64> {
         let text = self.file.get_from(Some(section), key)?.trim();
@@ -151,12 +162,10 @@
                 .map(|_| p.address("process", "inner")),
             store: p.address("store", "address"),
             store_parts: p.get("store", "parts", "a whole number"),
-            grace: Duration::from_secs_f64(p.get::<f64>("process", "grace-s", number).max(0.0)),
+            grace: p.seconds("process", "grace-s"),
             retry_ratio: p.get("retries", "ratio", number),
             retry_slack: p.get("retries", "slack", number),
-            retry_window: Duration::from_secs_f64(
-                p.get::<f64>("retries", "window-s", number).max(0.0),
-            ),
+            retry_window: p.seconds("retries", "window-s"),
             memory: p.get::<u64>("process", "memory-mb", "a whole number") << 20,
             descriptors: p.get("process", "descriptors", "a whole number"),
             processor: p.optional_number("process", "processor"),
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -22,6 +22,7 @@
 use crate::roster::{MAX_DIRECT_ROUTERS, MIN_SHARING_ROUTERS, Source};
 use crate::state::State;
 use crate::store::{Log, Offset};
+use crate::task::isolate;
 
 /// Time that another router has to answer, in addition to the time for which it may hold an answer back.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -67,7 +68,11 @@
                 drop_former_era(&state);
                 continue;
             }
-            Ok(Ok(page)) => apply_page(&state, address, page),
+            Ok(Ok(page)) => {
+                if let Err(why) = isolate(|| apply_page(&state, address, page)) {
+                    avoid_source(&state, address, &format!("panic: {why:?}"));
+                }
+            }
             Ok(Err(why)) => avoid_source(&state, address, &why),
             Err(_) => avoid_source(&state, address, &format!("no answer within {limit:?}")),
         }
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -75,12 +75,16 @@
     let bad = GOOD
         .replace("127.0.0.1:1", "nowhere")
         .replace("ratio=0.2\n", "")
-        .replace("slack=196", "slack=many");
+        .replace("slack=196", "slack=many")
+        .replace("grace-s=8", "grace-s=1e300")
+        .replace("window-s=10", "window-s=nan");
     let faults = Setup::parse(&bad).unwrap_err().to_string();
     for part in [
         "[process] listen: found `nowhere`",
         "[retries] ratio: missing",
         "[retries] slack: found `many`",
+        "[process] grace-s is out of range",
+        "[retries] window-s is out of range",
     ] {
         assert!(faults.contains(part), "{faults}");
     }
--- a/crates/layers/src/server.rs
+++ b/crates/layers/src/server.rs
@@ -13,6 +13,9 @@
 /// and bytes on the card: a server that is ordered to hold more than fits crashes.
 const USABLE_SHARE: f64 = 0.995;
 
+/// Most layers that a card is taken to hold, more than any model has. Sums over thousands of cards stay in range.
+const MAX_CAPACITY: u32 = 1 << 16;
+
 /// Sizes of a model.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shape {
@@ -60,7 +63,8 @@
     /// assert_eq!(card.capacity(&shape, 150_000.0), 5);
     /// ```
     pub fn capacity(&self, shape: &Shape, tokens: f64) -> u32 {
-        (self.bytes * USABLE_SHARE / (shape.layer_bytes + tokens * shape.token_bytes)) as u32
+        let layers = self.bytes * USABLE_SHARE / (shape.layer_bytes + tokens * shape.token_bytes);
+        (layers as u32).min(MAX_CAPACITY)
     }
 
     /// Returns the tokens of context that fit beside `layers` layers, each token with its context in all of these
--- a/crates/layers/src/span.rs
+++ b/crates/layers/src/span.rs
@@ -54,6 +54,19 @@
         self.from < other.to && other.from < self.to
     }
 
+    /// Returns the part of the span that lies in a model of that many layers.
+    ///
+    /// ```
+    /// # use layers::Span;
+    /// assert_eq!(Span::new(2, 12).within(8), Span::new(2, 8));
+    /// assert!(Span::new(9, 12).within(8).is_empty());
+    /// assert!(Span::new(5, 2).within(8).is_empty());
+    /// ```
+    pub fn within(self, layers: u32) -> Span {
+        let to = self.to.min(layers);
+        Span { from: self.from.min(to), to }
+    }
+
     /// Returns the spans of layers that are not held. `held` has an entry for each layer in order.
     ///
     /// ```
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -19,6 +19,12 @@
 /// still takes none.
 pub const MIN_LIMIT: f64 = 0.2;
 
+/// Largest limit, in requests a second. Servers that take more need none.
+pub const MAX_LIMIT: f64 = 10_000.0;
+
+/// Most permits that one request gets: those of a busy router for some tenths of a second.
+const MAX_GRANT: u32 = 1024;
+
 /// Time for which credit accrues while no permits are requested.
 const CREDIT_TIME: Duration = Duration::from_millis(1000);
 
@@ -140,14 +146,15 @@
     /// assert_eq!(ledger.grant("a", request, 7 * second).permits, 2);
     /// ```
     pub fn grant(&mut self, router: &str, request: Request, now: Duration) -> Grant {
-        let limit = request.limit.max(MIN_LIMIT);
+        let limit = request.limit.clamp(MIN_LIMIT, MAX_LIMIT);
         self.fill(limit, now);
         self.record_unpermitted(router, request, now);
-        let free: u32 = self.free.iter().map(|free| free.count).sum();
-        let known = self.granted.count(now) as f64 + f64::from(free);
+        let free: f64 = self.free.iter().map(|free| f64::from(free.count)).sum();
+        let known = self.granted.count(now) as f64 + free;
         // The window may cut off part of a permit at either end.
         let room = limit * WINDOW.as_secs_f64() + 1.0 - known;
-        let permits = request.want.min(self.credit as u32).min(room.max(0.0) as u32);
+        let wanted = request.want.min(MAX_GRANT);
+        let permits = wanted.min(self.credit as u32).min(room.max(0.0) as u32);
         self.credit -= f64::from(permits);
         (0..permits).for_each(|_| self.granted.record(now));
         let retry_after = match permits < request.want {
