List of servers: an entry that is gone has expired only if nobody could read the list

Cause: any failed read of this router set `regained_at`, and an entry that was gone within 1.5 s of it was kept for 2.2 s from then on, until the next read of the list after that. An entry expires after three heartbeats without a write, so no entry of a live server can have expired within two seconds, and none while the store answered others.

Change (policy::expiry): a batch of the list says as of when it is known, also one from another router. Only if two of these times are two heartbeats apart may entries have expired; they are kept until 2.2 s after the store's return, not after the reading, by a timer of their own. An entry that was written since has not expired. While a server's entry is gone, requests and paths prefer servers that are listed: a server that leaves gets no requests then, and one that is alone is still used.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,10 +43,6 @@
 /// them; the limit is for a store that answers for some logs only.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(4000);
 
-/// Time after the store was regained in which a missing entry is assumed to have expired while the store was
-/// unavailable.
-const REGAINED_PERIOD: Duration = Duration::from_millis(1500);
-
 /// Longest wait for a source that is reading a list of several pages itself. If hundreds of routers that start at the
 /// same time read all pages from the store, each of them takes seconds.
 const MAX_LONG_LIST_WAIT: Duration = Duration::from_millis(1500);
@@ -104,8 +100,9 @@
 pub async fn servers(state: Rc<State>, decoder: Decoder) {
     let apply = |items: &[Item], info: BatchInfo| {
         let before = state.peers().len();
+        entries::record_read(&state, &info);
         let change = |item: &Item| {
-            let applied = isolate(|| entries::apply(&state, decoder, item, info.regained));
+            let applied = isolate(|| entries::apply(&state, decoder, item));
             applied.unwrap_or_else(|why| {
                 entries::record_invalid(&state, item, &record::Fault::Panic(why));
                 false
@@ -113,9 +110,8 @@
         };
         let applied: Vec<bool> = items.iter().map(change).collect();
         if info.complete {
-            entries::drop_missing(&state, items, info.regained);
+            entries::drop_missing(&state, items);
         }
-        entries::drop_after_grace(&state);
         shared_read::record_list(&state, info.end);
         state.servers_read.set(true);
         let after = state.peers().len();
@@ -140,8 +136,10 @@
     end: Offset,
     /// Whether the batch holds all newest records, not only changes.
     complete: bool,
-    /// Whether the store was unavailable until shortly before.
-    regained: bool,
+    /// As of when the records are known.
+    read: Duration,
+    /// Whether it is the first batch after the store was restored.
+    restored: bool,
 }
 
 /// Reads all newest records of a log, and after that its changes, as long as the process runs. `apply` applies a batch
@@ -156,9 +154,6 @@
 ) {
     let mut at: Option<Offset> = None;
     let mut unavailable_since: Option<Instant> = None;
-    let mut regained_at: Option<Instant> = None;
-    // When another router first reported that the store is unavailable.
-    let mut reported: Option<Duration> = None;
     let mut failures = 0;
     // Whether the store was restored and nothing has been read since.
     let mut restored = false;
@@ -174,10 +169,6 @@
             );
             (at, era) = (None, current_era);
         }
-        if restored {
-            // Entries that the restored copy lacks are written again, as expired ones are.
-            regained_at = Some(Instant::now());
-        }
         if log == Log::Servers && shared_read::take_full_read_request(state) {
             at = None;
         }
@@ -186,26 +177,18 @@
             Some(from) => read_changes(state, log, decoder, End { offset: from, era }, wait).await,
         };
         match read {
-            Ok(Batch { items, end, kind }) => {
-                (era, restored) = (state.store.era(), false);
+            Ok(Batch { items, end, kind, read }) => {
+                era = state.store.era();
                 if kind != ReadKind::SourceChanges {
                     state.record_store_answer();
                 }
                 failures = 0;
-                if let Some(since) = reported
-                    .take()
-                    .filter(|since| shared_read::was_store_silent_since(state, *since))
-                {
-                    log::info!("gateway: store regained log={log} told_away={since:?}");
-                    regained_at = Some(Instant::now());
-                }
                 if let Some(since) = unavailable_since.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
-                    regained_at = Some(Instant::now());
                 }
-                let regained = regained_at.is_some_and(|at| at.elapsed() < REGAINED_PERIOD);
                 let complete = kind == ReadKind::Newest;
-                let applied = apply(&items, BatchInfo { end, complete, regained });
+                let restored = std::mem::take(&mut restored);
+                let applied = apply(&items, BatchInfo { end, complete, read, restored });
                 shared_read::cache_newest(state, log, &items, &applied, end, complete);
                 at = Some(end);
                 if kind != ReadKind::SourceChanges {
@@ -219,7 +202,6 @@
                 at = None;
             }
             Err(Fault::SourceCutOff) => {
-                reported.get_or_insert(state.now());
                 wait_after_failure(state, log, RETRY_PAUSE).await;
             }
             Err(e) => {
@@ -257,6 +239,8 @@
     /// Offset after the last record.
     end: Offset,
     kind: ReadKind,
+    /// As of when the records are known: when the read of the store that they rest on was sent.
+    read: Duration,
 }
 
 /// Where records were read, and which ones.
@@ -276,7 +260,7 @@
         return Ok(batch);
     }
     let (mut items, mut after, mut first_end) = (Vec::new(), None, None);
-    let mut era = None;
+    let (mut era, read) = (None, state.now());
     loop {
         match state.store.call(Call::Newest { log, after: after.take() }).await? {
             Reply::Page(page, more, end) => {
@@ -296,7 +280,7 @@
                 }
                 if !more || after.is_none() {
                     shared_read::cache_records(state, log, end, &[], |_| true);
-                    return Ok(Batch { items, end, kind: ReadKind::Newest });
+                    return Ok(Batch { items, end, kind: ReadKind::Newest, read });
                 }
             }
             other => return Err(Fault::Unreadable(format!("{other:?}"))),
@@ -314,7 +298,7 @@
         offset: end.saturating_sub(1),
     };
     let items = snapshot.items.into_iter().map(item).collect();
-    Some(Batch { items, end, kind: ReadKind::Newest })
+    Some(Batch { items, end, kind: ReadKind::Newest, read: state.now() })
 }
 
 async fn read_changes(
@@ -326,6 +310,7 @@
 ) -> Result<Batch, Fault> {
     let received =
         shared_read::read_from_source(state, log, from).await.filter(|_| state.store.era() == era);
+    let sent = state.now();
     let (records, end, kind) = match received {
         Some((records, end)) => (records, end, ReadKind::SourceChanges),
         None if !shared_read::may_read_store(state) => return Err(Fault::SourceCutOff),
@@ -350,7 +335,11 @@
         let (key, value) = (decoder.item)(&record)?;
         Some(Item { key, value, offset })
     };
-    Ok(Batch { items: records.into_iter().filter_map(keyed).collect(), end, kind })
+    let read = match kind {
+        ReadKind::SourceChanges => shared_read::known_as_of(state, log).unwrap_or(sent),
+        ReadKind::Newest | ReadKind::StoreChanges => sent,
+    };
+    Ok(Batch { items: records.into_iter().filter_map(keyed).collect(), end, kind, read })
 }
 
 /// Returns the servers of which the records say anything that this router does not know; heartbeats do not. All records
--- a/crates/gateway/src/follow/entries.rs
+++ b/crates/gateway/src/follow/entries.rs
@@ -1,19 +1,31 @@
 //! Applies entries of the list of servers.
 
-use std::time::Duration;
+use std::rc::Rc;
 
-use super::Decoder;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::{BatchInfo, Decoder};
 use crate::peer::{Entry, Peer};
 use crate::record::Fault;
 use crate::server::{Id, Server};
 use crate::state::State;
 use crate::store::{Item, Log, Offset};
 
-/// Time within which entries that expired while the store was unavailable are written again.
-const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2200);
+/// Records as of when the list is known from now on.
+pub(super) fn record_read(state: &State, info: &BatchInfo) {
+    let (now, mut silence) = (state.now(), state.silence.borrow_mut());
+    if info.restored {
+        // Entries that the restored copy lacks are written again, as expired ones are.
+        silence.record_lost_writes(now);
+    }
+    if let Some(time) = silence.record(info.read, now) {
+        log::info!("gateway: list of servers not read for {time:?}, entries may have expired");
+    }
+}
 
 /// Applies a record of the list; returns false if a newer one is known.
-pub(super) fn apply(state: &State, decoder: Decoder, item: &Item, regained: bool) -> bool {
+pub(super) fn apply(state: &Rc<State>, decoder: Decoder, item: &Item) -> bool {
     let entry = match item.value.as_ref().map(|value| decoder.entry(&item.key, value)) {
         Some(Err(why)) => {
             record_invalid(state, item, &why);
@@ -67,7 +79,7 @@
             );
             state.add(Peer::new(server, known, state.availability.clone()));
         }
-        (None, Some(_)) => remove_or_expire(state, &item.key, regained),
+        (None, Some(_)) => remove_or_expire(state, &item.key),
         (None, None) => {}
     }
     true
@@ -93,33 +105,44 @@
     );
 }
 
-/// Handles a server whose entry is gone. Entries expire while the store is unavailable and are written again soon
-/// after; dropping all of them at once would leave no server to send requests to.
-fn remove_or_expire(state: &State, id: &Id, regained: bool) {
+/// Handles a server whose entry is gone.
+fn remove_or_expire(state: &Rc<State>, id: &Id) {
     let Some(peer) = state.peer(id) else { return };
-    if regained && peer.ready() {
-        log::info!("gateway: server={id} lapsed=true");
-        peer.expire(state.now() + EXPIRED_ENTRY_GRACE);
-    } else {
-        log::info!("gateway: server={id} gone=true");
-        state.remove(id);
+    let now = state.now();
+    match state.silence.borrow().grace_end(peer.entry().received, now).filter(|_| peer.ready()) {
+        Some(_) if peer.is_expired() => {}
+        Some(end) => {
+            log::info!("gateway: server={id} lapsed=true grace={:?}", end.saturating_sub(now));
+            peer.expire(end);
+            let (state, peer) = (state.clone(), peer.clone());
+            spawn_local(async move {
+                sleep(end.saturating_sub(state.now())).await;
+                drop_after_grace(&state, &peer);
+            });
+        }
+        None => {
+            log::info!("gateway: server={id} gone=true");
+            state.remove(id);
+        }
     }
 }
 
-pub(super) fn drop_missing(state: &State, items: &[Item], regained: bool) {
+pub(super) fn drop_missing(state: &Rc<State>, items: &[Item]) {
     for peer in state.peers() {
         let id = peer.server().id.clone();
         if !items.iter().any(|i| i.key == id) {
-            remove_or_expire(state, &id, regained);
+            remove_or_expire(state, &id);
         }
     }
 }
 
-pub(super) fn drop_after_grace(state: &State) {
-    let now = state.now();
-    for peer in state.peers().iter().filter(|p| p.is_grace_over(now)) {
-        let id = peer.server().id.clone();
+/// Removes a server whose entry was not written again.
+fn drop_after_grace(state: &State, peer: &Rc<Peer>) {
+    let id = peer.server().id.clone();
+    let is_listed = state.peer(&id).is_some_and(|known| Rc::ptr_eq(&known, peer));
+    if is_listed && peer.is_grace_over(state.now()) {
         log::info!("gateway: server={id} gone=true why=its entry was not written again");
         state.remove(&id);
+        state.changed.notify_waiters();
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -292,6 +292,10 @@
         let accepts = p.obstacle(Use::Direct, now).is_none() && p.limited.allows(now);
         p.ready() && accepts && !excluded.contains(&p.server().id)
     });
+    // One whose entry is gone may be leaving.
+    if peers.iter().any(|p| !p.is_expired() && p.accepts_requests(now)) {
+        peers.retain(|p| !p.is_expired());
+    }
     // A probe is not the second attempt of a request, which may have no further one.
     let probed = peers.iter().filter(|p| p.accepts_requests(now) && excluded.is_empty());
     if let Some(peer) = probed.into_iter().find(|p| failing::is_probed(state, call, p)) {
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -128,8 +128,16 @@
     let Search { excluded, accepting_only, may_cross, limit } = options;
     let zone = zone(&state.setup.zone);
     let crossing = if may_cross { Crossing::DEFAULT } else { Crossing::NONE };
-    let constraints = Constraints { from: 0, zone, kept: &[], accepting_only, crossing, limit };
-    search(state, service, model, tokens, excluded, &constraints)
+    let constraints = Constraints {
+        from: 0,
+        zone,
+        kept: &[],
+        accepting_only,
+        listed_only: true,
+        crossing,
+        limit,
+    };
+    search_listed_first(state, service, model, tokens, excluded, constraints)
 }
 
 /// Finds a path with the same first server as `path` that avoids suspected servers. Servers of `path` are preferred,
@@ -150,10 +158,11 @@
         zone: zone(&first.server().zone),
         kept: &path.peers,
         accepting_only: true,
+        listed_only: true,
         crossing,
         limit: Limit::full(),
     };
-    let mut rest = search(state, service, model, tokens, &excluded, &constraints)?;
+    let mut rest = search_listed_first(state, service, model, tokens, &excluded, constraints)?;
     let bytes = context_bytes(model, tokens) * f64::from(hop.span.len());
     rest.peers.insert(0, first.clone());
     rest.hops.insert(0, hop);
@@ -227,10 +236,29 @@
     /// Servers that have already done the prefill of the request.
     kept: &'a [Rc<Peer>],
     accepting_only: bool,
+    /// Whether servers whose entries are gone are avoided: they may be leaving.
+    listed_only: bool,
     crossing: Crossing,
     limit: Limit,
 }
 
+/// Searches for a path along servers on the list, and if there is none, also along those whose entries are gone.
+fn search_listed_first(
+    state: &State,
+    service: &str,
+    model: &Model,
+    tokens: Tokens,
+    excluded: &[String],
+    constraints: Constraints<'_>,
+) -> Option<Path> {
+    let listed = search(state, service, model, tokens, excluded, &constraints);
+    if listed.is_some() || state.peers_of(service).iter().all(|peer| !peer.is_expired()) {
+        return listed;
+    }
+    let constraints = Constraints { listed_only: false, ..constraints };
+    search(state, service, model, tokens, excluded, &constraints)
+}
+
 /// Returns the bytes of context that a request takes in one layer.
 fn context_bytes(model: &Model, tokens: Tokens) -> f64 {
     (tokens.prompt + tokens.answer) * model.shape.token_bytes
@@ -258,6 +286,7 @@
         .enumerate()
         .filter(|(_, p)| !excluded.contains(&p.server().id))
         .map(|(i, p)| (i, p, constraints.kept.iter().any(|k| Rc::ptr_eq(k, p))))
+        .filter(|(_, p, kept)| *kept || !constraints.listed_only || !p.is_expired())
         .filter(|(_, p, kept)| match constraints.accepting_only {
             // A server that already runs the request continues to, whatever it asked for.
             true if *kept => p.usable(now) && !p.declines.borrow().holds(now),
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -34,6 +34,8 @@
     pub store: SocketAddr,
     /// Partitions of each of the store's topics.
     pub store_parts: u32,
+    /// Time between two writes of a server's entry in the list.
+    pub heartbeat: Duration,
     /// Time between a stop signal and the end of the process.
     pub grace: Duration,
     /// Retries that a service may get, as a share of its requests.
@@ -54,6 +56,9 @@
     pub first_start: bool,
 }
 
+/// Time between two writes of a server's entry, if the settings name none.
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1200);
+
 /// Processor time that a router needs for each other one that it reads for, as a share of a core.
 const CORE_PER_ROUTER: f64 = 0.001;
 
@@ -93,6 +98,14 @@
         })
     }
 
+    /// Parses an optional time in milliseconds.
+    fn optional_millis(&mut self, section: &str, key: &'static str) -> Option<Duration> {
+        let ms = self.optional_number(section, key)?;
+        let time =
+            record::millis(key, ms).map_err(|why| self.faults.push(format!("[{section}] {why}")));
+        time.ok().filter(|time| !time.is_zero())
+    }
+
     /// Parses an optional number.
     fn optional_number(&mut self, section: &str, key: &str) -> Option<f64> {
         let text = self.file.get_from(Some(section), key)?.trim();
@@ -162,6 +175,7 @@
                 .map(|_| p.address("process", "inner")),
             store: p.address("store", "address"),
             store_parts: p.get("store", "parts", "a whole number"),
+            heartbeat: p.optional_millis("store", "heartbeat-ms").unwrap_or(DEFAULT_HEARTBEAT),
             grace: p.seconds("process", "grace-s"),
             retry_ratio: p.get("retries", "ratio", number),
             retry_slack: p.get("retries", "slack", number),
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -33,7 +33,6 @@
 use crate::store::{Assignment, Era, Generation, Item, Log, Offset};
 pub use availability::{
     is_store_check_due, may_read_store, record_store_answer, record_store_silence,
-    was_store_silent_since,
 };
 pub(crate) use client::get;
 pub use client::{MAX_RESTORE_WAIT, run, snapshot};
@@ -109,8 +108,6 @@
     store_check_at: Cell<Option<Duration>>,
     /// When the store answered this router although the source reports it as unavailable.
     store_answered_at: Cell<Option<Duration>>,
-    /// When the store last failed to answer a call of this router.
-    store_silent_at: Cell<Option<Duration>>,
     /// Routers that are avoided, and until when.
     avoided: RefCell<Vec<(SocketAddr, Duration)>>,
     /// Connections to the source.
@@ -323,6 +320,11 @@
     }
 }
 
+/// Returns as of when a log is known: when the read of the store that this router's records rest on was sent.
+pub fn known_as_of(state: &State, log: Log) -> Option<Duration> {
+    state.sharing.tails.borrow()[position(log)?].read()
+}
+
 /// Formats the offset up to which a log is known and the age of that data, for log lines.
 pub fn read_position(state: &State, log: Log) -> String {
     let tails = state.sharing.tails.borrow();
--- a/crates/gateway/src/shared_read/availability.rs
+++ b/crates/gateway/src/shared_read/availability.rs
@@ -45,13 +45,6 @@
 pub fn record_store_silence(state: &State) {
     state.sharing.store_check_at.set(None);
     state.sharing.store_answered_at.set(None);
-    state.sharing.store_silent_at.set(Some(state.now()));
-}
-
-/// Whether the store failed to answer this router since then. If not, it was unavailable only for the router that
-/// reported it, and entries that are gone have not expired.
-pub fn was_store_silent_since(state: &State, since: Duration) -> bool {
-    state.sharing.store_silent_at.get().is_some_and(|at| at >= since)
 }
 
 /// Whether the store has answered this router since the source reported it as unavailable.
--- a/crates/gateway/src/shared_read/tail.rs
+++ b/crates/gateway/src/shared_read/tail.rs
@@ -110,6 +110,11 @@
         self.read.map(|_| self.end)
     }
 
+    /// Returns when the store was read.
+    pub fn read(&self) -> Option<Duration> {
+        self.read
+    }
+
     /// Returns the time since the store was read.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.read.map(|read| now.saturating_sub(read))
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use layers::server::Zone;
 use policy::availability::{Obstacle, Register, Use};
 use policy::demand::Demand;
+use policy::expiry::Silence;
 use policy::intake::Intake;
 use policy::meter::Meter;
 use policy::missing::Missing;
@@ -71,6 +72,8 @@
     peers: RefCell<Vec<Rc<Peer>>>,
     /// What starts of servers have asked of this router; shared with the peers.
     pub availability: Rc<RefCell<Register>>,
+    /// When the list of servers could be read.
+    pub silence: RefCell<Silence>,
     /// Last entries of servers that were removed, and when.
     removed: RefCell<Vec<(Rc<Server>, Duration)>>,
     budgets: RefCell<Vec<(String, Budget)>>,
@@ -156,6 +159,7 @@
     /// Creates the state of a router that has just started.
     pub fn new(setup: Setup, codec: Codec, store: Client, metrics: Metrics) -> Rc<State> {
         Rc::new(State {
+            silence: RefCell::new(Silence::new(setup.heartbeat)),
             setup,
             codec,
             store,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod departure;
 pub mod entry;
 pub mod estimate;
+pub mod expiry;
 pub mod failure;
 pub mod fair;
 pub mod fill;
