--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::record;
+use crate::roster::Source;
 use crate::server::{Id, Server};
 use crate::settings::Settings;
 use crate::shared_read;
@@ -27,9 +28,6 @@
 /// a leaving server may still get work.
 const SERVER_LIST_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Longest time that the reader, which reads for other routers, lets the store wait.
-const MAX_READER_WAIT: Duration = Duration::from_millis(900);
-
 /// Pause after the store did not answer. It is short against the two seconds within which settings have to come into
 /// force; each refused call costs the platform as much as a successful one.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -149,12 +147,14 @@
     log: Log,
     decoder: Decoder,
     wait: Duration,
-    pause: Duration,
+    interval: Duration,
     mut apply: impl FnMut(&[Item], BatchInfo) -> Vec<bool>,
 ) {
     let mut at: Option<Offset> = None;
     let mut unavailable_since: Option<Instant> = None;
     let mut failures = 0;
+    // Time by which the store's last answer came later than the time for which it was to wait.
+    let mut delay = Duration::ZERO;
     // Whether the store was restored and nothing has been read since.
     let mut restored = false;
     // The era that the offset belongs to.
@@ -174,17 +174,24 @@
         }
         let read = match at {
             None => read_newest(state, log, restored).await,
-            Some(from) => read_changes(state, log, decoder, End { offset: from, era }, wait).await,
+            Some(from) => {
+                let wait = max_wait(state, wait, delay);
+                read_changes(state, log, decoder, End { offset: from, era }, wait).await
+            }
         };
         match read {
             Ok(Batch { items, end, kind, read }) => {
                 era = state.store.era();
                 if kind != ReadKind::SourceChanges {
                     state.record_store_answer();
+                    delay = state.now().saturating_sub(read).min(MAX_DELAY);
                 }
                 failures = 0;
                 if let Some(since) = unavailable_since.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
+                    if kind != ReadKind::SourceChanges {
+                        shared_read::record_store_answer(state);
+                    }
                 }
                 let complete = kind == ReadKind::Newest;
                 let restored = std::mem::take(&mut restored);
@@ -192,7 +199,7 @@
                 shared_read::cache_newest(state, log, &items, &applied, end, complete);
                 at = Some(end);
                 if kind != ReadKind::SourceChanges {
-                    shared_read::pause_after_read(state, pause).await;
+                    shared_read::pause_after_read(state, interval, read).await;
                 }
             }
             Err(Fault::Gone) => {
@@ -210,6 +217,7 @@
                     unavailable_since = Some(Instant::now());
                 }
                 state.metrics.store_failed();
+                shared_read::record_store_silence(state);
                 let probes = wait_after_failure(
                     state,
                     log,
@@ -228,7 +236,8 @@
 /// A router with a source does not probe: the source reports when the store is available again.
 async fn wait_after_failure(state: &State, log: Log, pause: Duration) -> bool {
     let probes = state.record_store_failure(log);
-    let pause = if probes && shared_read::may_read_store(state) { pause } else { MAX_PROBE_WAIT };
+    let may_read = shared_read::may_read_store(state, log);
+    let pause = if probes && may_read { pause } else { MAX_PROBE_WAIT };
     let _ = tokio::time::timeout(pause, state.store_regained.notified()).await;
     probes
 }
@@ -279,7 +288,7 @@
                     return Ok(batch);
                 }
                 if !more || after.is_none() {
-                    shared_read::cache_records(state, log, end, &[], |_| true);
+                    shared_read::cache_records(state, log, end, &[], |_| true, read);
                     return Ok(Batch { items, end, kind: ReadKind::Newest, read });
                 }
             }
@@ -311,21 +320,33 @@
     let received =
         shared_read::read_from_source(state, log, from).await.filter(|_| state.store.era() == era);
     let sent = state.now();
-    let (records, end, kind) = match received {
-        Some((records, end)) => (records, end, ReadKind::SourceChanges),
-        None if !shared_read::may_read_store(state) => return Err(Fault::SourceCutOff),
+    let (records, end, kind, read) = match received {
+        Some((records, end)) => {
+            let read = shared_read::known_as_of(state, log).unwrap_or(sent);
+            (records, end, ReadKind::SourceChanges, read)
+        }
+        None if !shared_read::may_read_store(state, log) => return Err(Fault::SourceCutOff),
         None => {
-            let wait = max_wait(state, wait);
+            let looks = shared_read::looks_past_source(state, log);
+            // A router that reads beside its source needs an answer at once.
+            let wait =
+                if shared_read::source(state) == Source::Store { wait } else { Duration::ZERO };
             match state.store.call(Call::Read { log, from, era, wait }).await? {
                 Reply::Records(records, _) => {
+                    if looks {
+                        shared_read::replace_source(state);
+                    }
                     let end = from + records.len() as Offset;
                     let changed = changed_servers(state, log, decoder, &records);
                     let is_new = |record: &Bytes| match (log, (decoder.item)(record)) {
                         (Log::Servers, Some((key, _))) => changed.binary_search(&key).is_ok(),
                         _ => true,
                     };
-                    shared_read::cache_records(state, log, from, &records, is_new);
-                    ((from..).zip(records).collect(), end, ReadKind::StoreChanges)
+                    // An answer without records shows that there were none until the store had waited.
+                    let waited = if records.is_empty() { wait } else { Duration::ZERO };
+                    let read = (sent + waited).min(state.now());
+                    shared_read::cache_records(state, log, from, &records, is_new, read);
+                    ((from..).zip(records).collect(), end, ReadKind::StoreChanges, read)
                 }
                 other => return Err(Fault::Unreadable(format!("{other:?}"))),
             }
@@ -335,10 +356,6 @@
         let (key, value) = (decoder.item)(&record)?;
         Some(Item { key, value, offset })
     };
-    let read = match kind {
-        ReadKind::SourceChanges => shared_read::known_as_of(state, log).unwrap_or(sent),
-        ReadKind::Newest | ReadKind::StoreChanges => sent,
-    };
     Ok(Batch { items: records.into_iter().filter_map(keyed).collect(), end, kind, read })
 }
 
@@ -368,13 +385,16 @@
     changed
 }
 
+/// Longest delay of an answer that shortens the time for which the store may wait.
+const MAX_DELAY: Duration = Duration::from_millis(400);
+
 /// Returns how long the store may wait for records; `wait` if nothing requires a shorter time.
-fn max_wait(state: &State, wait: Duration) -> Duration {
+fn max_wait(state: &State, wait: Duration, delay: Duration) -> Duration {
     match () {
         // The answer shows that the store is available again.
         () if state.store_unavailable() => Duration::ZERO,
         // The records that the reader serves to others must not grow old.
-        () if shared_read::is_reader(state) => wait.min(MAX_READER_WAIT),
+        () if shared_read::is_reader(state) => wait.min(shared_read::max_reader_wait(state, delay)),
         () => wait,
     }
 }
--- a/crates/gateway/src/follow/notices.rs
+++ b/crates/gateway/src/follow/notices.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 
-use super::{MAX_PAUSE_DOUBLINGS, RETRY_PAUSE, max_wait, wait_after_failure};
+use super::{MAX_PAUSE_DOUBLINGS, RETRY_PAUSE, wait_after_failure};
 use crate::notice::{self, Notice};
 use crate::retries;
 use crate::roster;
@@ -52,7 +52,7 @@
             return Some((end, era));
         }
     };
-    shared_read::cache_records(state, Log::Notices, from, &records, |_| true);
+    shared_read::cache_records(state, Log::Notices, from, &records, |_| true, state.now());
     replay(state, records.iter().map(|record| &record[..])).await;
     Some((from + records.len() as Offset, era))
 }
@@ -89,7 +89,7 @@
                         .for_each(|notice| notice::receive(&state, &notice));
                     continue;
                 }
-                if !shared_read::may_read_store(&state) {
+                if !shared_read::may_read_store(&state, Log::Notices) {
                     wait_after_failure(
                         &state,
                         Log::Notices,
@@ -98,20 +98,29 @@
                     .await;
                     continue;
                 }
-                let wait = max_wait(&state, MAX_NOTICES_WAIT);
+                // The answer shows that the store is available again.
+                let unavailable = state.store_unavailable();
+                let wait = if unavailable { Duration::ZERO } else { MAX_NOTICES_WAIT };
                 Call::Read { log: Log::Notices, from, era, wait }
             }
         };
         match state.store.call(call).await {
             Ok(Reply::Appended(end)) => {
                 state.record_store_answer();
-                shared_read::cache_records(&state, Log::Notices, end, &[], |_| true);
+                shared_read::cache_records(&state, Log::Notices, end, &[], |_| true, state.now());
                 at = Some((end, state.store.era()));
             }
             Ok(Reply::Records(records, _)) => {
                 state.record_store_answer();
                 if let Some((from, _)) = at {
-                    shared_read::cache_records(&state, Log::Notices, from, &records, |_| true);
+                    shared_read::cache_records(
+                        &state,
+                        Log::Notices,
+                        from,
+                        &records,
+                        |_| true,
+                        state.now(),
+                    );
                 }
                 at = at.map(|(from, era)| (from + records.len() as Offset, era));
                 records
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -194,7 +194,7 @@
             }
         };
         self.last_join_failed = false;
-        shared_read::record_store_answer(&self.state, now);
+        shared_read::record_store_answer(&self.state);
         self.stable_answers =
             if assignment.generation == self.generation { self.stable_answers + 1 } else { 0 };
         self.generation = assignment.generation;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -122,7 +122,8 @@
         self.members.iter().filter(|member| !avoid(member)).max_by_key(rank)
     }
 
-    /// Returns where the router `vm` in `data_centre` reads from, without the routers that `avoid` names.
+    /// Returns where the router `vm` in `data_centre` reads from, without the routers that `avoid` names. That may be
+    /// the router itself, if it does not reach the store.
     ///
     /// ```
     /// use gateway::roster::{Roster, Source};
@@ -133,6 +134,9 @@
     /// assert_eq!(roster.source("other", "b", |_| false), Source::Reader(big));
     /// // Without the reader, the first of the others reads the store.
     /// assert_eq!(roster.source("other", "b", |address| address == big), Source::Store);
+    /// // A reader that does not reach the store receives from the next one.
+    /// let other = roster.members()[1].address;
+    /// assert_eq!(roster.source("big", "a", |address| address == big), Source::Reader(other));
     /// ```
     pub fn source(
         &self,
@@ -143,7 +147,7 @@
         if self.members.len() < MIN_SHARING_ROUTERS {
             return Source::Store;
         }
-        let usable = || self.members.iter().filter(|m| m.vm == vm || !avoid(m.address));
+        let usable = || self.members.iter().filter(|m| !avoid(m.address));
         let Some(reader) = usable().next().filter(|m| m.vm != vm) else { return Source::Store };
         let relay = usable().find(|m| m.data_centre == data_centre);
         match relay {
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -34,6 +34,8 @@
     pub store: SocketAddr,
     /// Partitions of each of the store's topics.
     pub store_parts: u32,
+    /// Time within which a change in the store has to be in force.
+    pub in_force: Duration,
     /// Time between two writes of a server's entry in the list.
     pub heartbeat: Duration,
     /// Time between a stop signal and the end of the process.
@@ -59,6 +61,9 @@
 /// Time between two writes of a server's entry, if the settings name none.
 const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1200);
 
+/// Time within which a change has to be in force, if the settings name none.
+const DEFAULT_IN_FORCE: Duration = Duration::from_millis(2000);
+
 /// Processor time that a router needs for each other one that it reads for, as a share of a core.
 const CORE_PER_ROUTER: f64 = 0.001;
 
@@ -106,6 +111,13 @@
         time.ok().filter(|time| !time.is_zero())
     }
 
+    /// Returns the shorter of the times within which settings and the leaving of servers have to be in force.
+    fn in_force(&mut self) -> Duration {
+        let times = ["settings-in-force-ms", "servers-in-force-ms"];
+        let times = times.map(|key| self.optional_millis("store", key));
+        times.into_iter().flatten().min().unwrap_or(DEFAULT_IN_FORCE)
+    }
+
     /// Parses an optional number.
     fn optional_number(&mut self, section: &str, key: &str) -> Option<f64> {
         let text = self.file.get_from(Some(section), key)?.trim();
@@ -175,6 +187,7 @@
                 .map(|_| p.address("process", "inner")),
             store: p.address("store", "address"),
             store_parts: p.get("store", "parts", "a whole number"),
+            in_force: p.in_force(),
             heartbeat: p.optional_millis("store", "heartbeat-ms").unwrap_or(DEFAULT_HEARTBEAT),
             grace: p.seconds("process", "grace-s"),
             retry_ratio: p.get("retries", "ratio", number),
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -4,12 +4,12 @@
 //! answered as soon as there are updates. Received records are kept for a while, so that any router can serve others at
 //! once when it becomes the next reader.
 //!
-//! The reader may be cut off from the store without any router noticing. So each answer says how old the reader's data
-//! is, and whether the store answers it. A router whose source has outdated data turns to the next one, and reads the
-//! store itself if it has received nothing for more than a second.
+//! The reader may be cut off from the store, or be gone. So each answer says how old its data is, and that age alone
+//! decides when a router turns to another source: see [`freshness`].
 
 mod availability;
 mod client;
+mod freshness;
 mod members;
 pub mod page;
 mod gossip;
@@ -37,6 +37,7 @@
 pub(crate) use client::get;
 pub use client::{MAX_RESTORE_WAIT, run, snapshot};
 pub use forward::{forward_notices, publish};
+pub use freshness::{looks_past_source, replace_source};
 pub use gossip::{Gossip, Origin};
 pub use server::answer;
 pub use tail::{LogRecord, Tail};
@@ -45,15 +46,10 @@
 /// Logs that are shared.
 pub const LOGS: [Log; 3] = [Log::Settings, Log::Servers, Log::Notices];
 
-/// Age from which on data of a source is not used. The store is read at least once a second, and an answer may wait for
-/// [`MAX_POLL_WAIT`] twice on its way.
-const MAX_AGE: Duration = Duration::from_millis(1900);
-
 /// Time for which an answer is held back if there are no updates.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(400);
 
-/// Time since the last answer after which a router reads the store itself. Two sources may fail one after the other; a
-/// leaving server must get no work after two seconds.
+/// Time since the last answer of a source after which it counts as silent for notices and memberships.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// Pause between two polls; updates of that time come with the next answer at once.
@@ -62,6 +58,9 @@
 /// Number of routers up to which they poll at that rate. The pause grows with their number, up to four times as long.
 const ROUTERS_AT_MIN_PAUSE: f64 = 60.0;
 
+/// Shortest time that the store may wait for new settings.
+const MIN_READER_WAIT: Duration = Duration::from_millis(50);
+
 /// Longest time between two checks whether there is anything to do.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -106,8 +105,10 @@
     reported_unavailable_at: Cell<Duration>,
     /// When this router has to check whether the store answers it.
     store_check_at: Cell<Option<Duration>>,
-    /// When the store answered this router although the source reports it as unavailable.
-    store_answered_at: Cell<Option<Duration>>,
+    /// Whether the store did not answer the last call of this router.
+    store_silent: Cell<bool>,
+    /// When another router may be asked for fresh data, and the pause after that.
+    next_ask: Cell<(Duration, Duration)>,
     /// Routers that are avoided, and until when.
     avoided: RefCell<Vec<(SocketAddr, Duration)>>,
     /// Connections to the source.
@@ -125,6 +126,12 @@
     era_began_at: Cell<Option<Duration>>,
     /// Notified when there are updates, or another source.
     updated: Notify,
+    /// Notified when the store was read, by this router or its source.
+    refreshed: Notify,
+    /// The source that gave the last answer.
+    answered_by: Cell<Option<SocketAddr>>,
+    /// Number of routers through which the data of the source has passed.
+    hops: Cell<u8>,
     /// Notices that this router received or announced.
     gossip: RefCell<Gossip>,
     /// Incarnation of the source's process and the number of its next notice.
@@ -226,13 +233,21 @@
 
 /// Returns the source: where this router reads the store's records from.
 pub fn source(state: &State) -> Source {
+    source_without(state, None)
+}
+
+/// Returns the source if one more router were avoided.
+fn source_without(state: &State, without: Option<SocketAddr>) -> Source {
     if state.setup.inner.is_none() {
         return Source::Store;
     }
-    let (now, sharing) = (state.now(), &state.sharing);
-    let avoided = sharing.avoided.borrow();
-    let avoid = |address| avoided.iter().any(|(a, until)| *a == address && now < *until);
-    sharing.roster.borrow().source(&state.setup.vm, &state.setup.zone, avoid)
+    let avoid = |address| Some(address) == without || is_avoided(state, address);
+    state.sharing.roster.borrow().source(&state.setup.vm, &state.setup.zone, avoid)
+}
+
+fn is_avoided(state: &State, address: SocketAddr) -> bool {
+    let (now, avoided) = (state.now(), state.sharing.avoided.borrow());
+    avoided.iter().any(|(a, until)| *a == address && now < *until)
 }
 
 /// Returns the router that owns the state shared by all routers about `key`, if the members are known, without those
@@ -251,7 +266,7 @@
     state.sharing.members() >= MIN_SHARING_ROUTERS && source(state) == Source::Store
 }
 
-/// Whether this router has a source that answers.
+/// Whether this router has a source that answers, and that the store answers.
 pub fn has_source(state: &State) -> bool {
     let recently = |at: Duration| state.now() < at + SOURCE_TIMEOUT;
     !state.sharing.store_unavailable.get()
@@ -259,12 +274,6 @@
         && state.sharing.last_answer.get().is_some_and(recently)
 }
 
-/// Returns the pause after a read of the store: `pause` for a router that reads only for itself, and half of that for
-/// the reader, as its data ages on the way to others.
-fn read_pause(state: &State, pause: Duration) -> Duration {
-    if is_reader(state) { pause / 2 } else { pause }
-}
-
 /// Returns the pause between two polls of the source, by the number of routers.
 ///
 /// ```
@@ -276,48 +285,63 @@
     MIN_POLL_PAUSE.mul_f64((f64::from(routers) / ROUTERS_AT_MIN_PAUSE).clamp(1.0, 4.0))
 }
 
-/// Pauses after a read of the store, at most until the whole list has to be read.
-pub async fn pause_after_read(state: &State, pause: Duration) {
+/// Pauses after a read of the store that was sent at `read`, at most until the whole list has to be read. A router that
+/// reads only for itself reads each `interval`, and the reader twice as often, as its data ages on the way to others.
+pub async fn pause_after_read(state: &State, interval: Duration, read: Duration) {
     let wanted = async {
         while !state.sharing.full_read_wanted.get() {
             state.sharing.updated.notified().await;
         }
     };
-    let _ = timeout(read_pause(state, pause), wanted).await;
+    let interval = if is_reader(state) { interval / 2 } else { interval };
+    let _ = timeout((read + interval).saturating_sub(state.now()), wanted).await;
+}
+
+/// Returns how long the store may wait for new settings when this router reads for others. `delay` is the time that the
+/// store's last answer took in addition.
+pub fn max_reader_wait(state: &State, delay: Duration) -> Duration {
+    freshness::own_limits(state).read.saturating_sub(delay).max(MIN_READER_WAIT)
 }
 
 /// Returns the records of the source, and the offset after the last one it read; waits a moment if there are none.
-/// Returns none if this router has to read the store itself.
+/// Returns none if this router has to read the store itself, or to wait until it may.
 pub async fn read_from_source(
     state: &State,
     log: Log,
     from: Offset,
 ) -> Option<(Vec<LogRecord>, Offset)> {
     drop_former_era(state);
-    if !has_source(state) {
+    if !freshness::uses_source(state, log) {
         return None;
     }
     let (records, end) = state.sharing.records_from(log, from)?;
     if !records.is_empty() {
         return Some((records, end));
     }
-    let _ = timeout(CHECK_INTERVAL, state.sharing.updated.notified()).await;
-    state.sharing.records_from(log, from).filter(|_| has_source(state))
+    let wait = match freshness::is_timely(log) {
+        true => freshness::time_left(state, log).min(CHECK_INTERVAL),
+        false => CHECK_INTERVAL,
+    };
+    let _ = timeout(wait, state.sharing.updated.notified()).await;
+    state.sharing.records_from(log, from).filter(|_| freshness::uses_source(state, log))
 }
 
-/// Caches what was read from the store for other routers; `is_new` says which records have new content.
+/// Caches what was read from the store for other routers; `is_new` says which records have new content, and `read` as of
+/// when they are known.
 pub fn cache_records(
     state: &State,
     log: Log,
     from: Offset,
     records: &[Bytes],
     is_new: impl Fn(&Bytes) -> bool,
+    read: Duration,
 ) {
     drop_former_era(state);
     let Some(at) = position(log) else { return };
-    if state.sharing.tails.borrow_mut()[at].add(from, records, is_new, state.now()) {
+    if state.sharing.tails.borrow_mut()[at].add(from, records, is_new, read, state.now()) {
         state.sharing.updated.notify_waiters();
     }
+    state.sharing.refreshed.notify_waiters();
 }
 
 /// Returns as of when a log is known: when the read of the store that this router's records rest on was sent.
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -9,14 +9,16 @@
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::availability::has_store_answered;
+use super::availability::{has_store_answered, schedule_check};
 use super::forward::receive;
+use super::freshness::{age, alternative, avoid, current, is_late, is_timely, own_limits};
 use super::gossip::Origin;
 use super::members::{adopt, refresh};
 use super::page::{MAX_ANSWER_BYTES, Page, Snapshot};
 use super::view::{self, View};
 use super::{
-    CHECK_INTERVAL, LOGS, MAX_AGE, MAX_POLL_WAIT, drop_former_era, poll_pause, position, source,
+    CHECK_INTERVAL, LOGS, MAX_POLL_WAIT, MIN_POLL_PAUSE, drop_former_era, is_avoided, poll_pause,
+    position, source,
 };
 use crate::pool::{self, Pool};
 use crate::roster::{MAX_DIRECT_ROUTERS, MIN_SHARING_ROUTERS, Source};
@@ -27,11 +29,12 @@
 /// Time that another router has to answer, in addition to the time for which it may hold an answer back.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time for which a router that did not answer is avoided.
-const SOURCE_BACKOFF: Duration = Duration::from_secs(4);
+/// Time that another router has to answer at least, also if this router's data is about to be too old.
+const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time within which a router checks whether a store that is reported as unavailable answers it.
-const STORE_CHECK_TIME: Duration = Duration::from_millis(500);
+/// Shortest and longest time between two requests to another router than the source.
+const MIN_ASK_PAUSE: Duration = Duration::from_millis(300);
+const MAX_ASK_PAUSE: Duration = Duration::from_secs(4);
 
 /// Longest wait for the members at the start of a router. If all routers start at once, the group has few members for a
 /// second; callers do not wait for this.
@@ -47,36 +50,67 @@
 pub async fn run(state: Rc<State>) {
     loop {
         refresh(&state).await;
-        let address = match source(&state) {
+        schedule_check(&state);
+        match source(&state) {
             Source::Store => {
-                let _ = timeout(CHECK_INTERVAL, state.sharing.updated.notified()).await;
-                continue;
+                let left =
+                    own_limits(&state).source.saturating_sub(age(&state).unwrap_or_default());
+                let wait = left.clamp(MIN_POLL_PAUSE, CHECK_INTERVAL);
+                let _ = timeout(wait, state.sharing.updated.notified()).await;
             }
-            Source::Reader(address) | Source::Relay(address) => address,
-        };
-        let pool = pool(&state, address);
-        drop_former_era(&state);
-        let (from, era) = (offsets(&state), state.store.era());
-        let limit = MAX_POLL_WAIT + ANSWER_TIMEOUT;
-        match timeout(limit, request_page(&state, &pool, from)).await {
-            // The answer is from before a restore that this router has learned of meanwhile.
-            Ok(Ok(page)) if page.era < state.store.era() => {
-                log::debug!("gateway: a page of era {} is ignored", page.era);
+            Source::Reader(address) | Source::Relay(address) => {
+                poll(&state, address).await;
+                let pause = poll_pause(state.routers());
+                sleep(if is_late(&state) { MIN_POLL_PAUSE } else { pause }).await;
             }
-            Ok(Ok(page)) if page.era > era => {
-                state.store.adopt_era(page.era);
-                drop_former_era(&state);
-                continue;
-            }
-            Ok(Ok(page)) => {
-                if let Err(why) = isolate(|| apply_page(&state, address, page)) {
-                    avoid_source(&state, address, &format!("panic: {why:?}"));
-                }
+        }
+        look_elsewhere(&state).await;
+    }
+}
+
+/// Polls the source once.
+async fn poll(state: &Rc<State>, address: SocketAddr) {
+    // The answer is of no use once the data is too old.
+    let left = own_limits(state).source.saturating_sub(age(state).unwrap_or_default());
+    let limit = left.clamp(MIN_ANSWER_TIMEOUT, MAX_POLL_WAIT + ANSWER_TIMEOUT);
+    let (pool, sent) = (pool(state, address), state.now());
+    match request_page(state, &pool, limit, limit.saturating_sub(MIN_ANSWER_TIMEOUT / 2)).await {
+        Ok(Some(page)) => {
+            if let Err(why) = isolate(|| apply_page(state, address, page, sent)) {
+                avoid(state, address, &format!("panic: {why:?}"));
             }
-            Ok(Err(why)) => avoid_source(&state, address, &why),
-            Err(_) => avoid_source(&state, address, &format!("no answer within {limit:?}")),
         }
-        sleep(poll_pause(state.routers())).await;
+        Ok(None) => {}
+        Err(why) => avoid(state, address, &why),
+    }
+}
+
+/// Asks another router for fresh data if the source has none; if it has, that router is the source from now on.
+///
+/// While the store answers nobody, no router has fresh data, and the pause between two requests doubles.
+async fn look_elsewhere(state: &Rc<State>) {
+    let (next, pause) = state.sharing.next_ask.get();
+    if !is_late(state) {
+        return state.sharing.next_ask.set((Duration::ZERO, MIN_ASK_PAUSE));
+    }
+    let (Some(current), Some(other)) = (current(state), alternative(state)) else { return };
+    if state.now() < next {
+        return;
+    }
+    state.sharing.next_ask.set((state.now() + pause, (pause * 2).min(MAX_ASK_PAUSE)));
+    let (pool, sent) = (Pool::new(other), state.now());
+    let page = request_page(state, &pool, MIN_ANSWER_TIMEOUT, Duration::ZERO).await;
+    let page = match page {
+        Ok(Some(page)) => page,
+        Ok(None) => return,
+        Err(why) => return log::info!("gateway: no fresh data address={other} why={why}"),
+    };
+    let age = oldest(&page) + state.now().saturating_sub(sent);
+    if !page.store_unavailable && age <= own_limits(state).source && is_late(state) {
+        avoid(state, current, &format!("{other} has data of {age:?}"));
+        if let Err(why) = isolate(|| apply_page(state, other, page, sent)) {
+            avoid(state, other, &format!("panic: {why:?}"));
+        }
     }
 }
 
@@ -101,25 +135,45 @@
     std::array::from_fn(|at| tails[at].end().unwrap_or_default())
 }
 
+/// Requests updates from a router, which may hold its answer back for the time `hold` until there are any. Returns none if
+/// the answer belongs to another era of the store than this router's data.
 async fn request_page(
     state: &State,
     pool: &Pool,
-    from: [Offset; LOGS.len()],
-) -> Result<Page, String> {
+    limit: Duration,
+    hold: Duration,
+) -> Result<Option<Page>, String> {
+    drop_former_era(state);
+    let (from, era) = (offsets(state), state.store.era());
     let [settings, servers, notices] = from;
     let generation = state.sharing.generation();
     let (incarnation, next_notice) = state.sharing.next_source_notice.get();
     let answered = u8::from(has_store_answered(state));
+    let age = age(state).map(|age| format!("&age={}", age.as_millis())).unwrap_or_default();
     let list = state.sharing.view.get();
     let list = list.map(|View { end, digest }| format!("&list_end={end}&list={digest}"));
     let path = format!(
         "/tail?settings={settings}&servers={servers}&notices={notices}&generation={generation}\
-         &incarnation={incarnation}&heard={next_notice}&answered={answered}&era={}{}",
-        state.store.era(),
+         &incarnation={incarnation}&heard={next_notice}&answered={answered}&era={era}&hold={}{}{age}",
+        hold.as_millis(),
         list.unwrap_or_default()
     );
-    let body = get(pool, &path, Bytes::new()).await?;
-    Page::decode(&body, from).map_err(|e| e.to_string())
+    let body = timeout(limit, get(pool, &path, Bytes::new())).await;
+    let body = body.map_err(|_| format!("no answer within {limit:?}"))??;
+    let page = Page::decode(&body, from).map_err(|e| e.to_string())?;
+    match () {
+        // The answer is from before a restore that this router has learned of meanwhile.
+        () if page.era < state.store.era() => {
+            log::debug!("gateway: a page of era {} is ignored", page.era);
+            Ok(None)
+        }
+        () if page.era > era => {
+            state.store.adopt_era(page.era);
+            drop_former_era(state);
+            Ok(None)
+        }
+        () => Ok(Some(page)),
+    }
 }
 
 /// Sends a request to another router and returns the body of the answer.
@@ -137,46 +191,25 @@
     }
 }
 
-/// Applies an answer of the source.
-fn apply_page(state: &Rc<State>, address: SocketAddr, page: Page) {
+/// Applies an answer of the source to a poll that was sent at `sent`.
+fn apply_page(state: &Rc<State>, address: SocketAddr, page: Page, sent: Duration) {
     let (sharing, now) = (&state.sharing, state.now());
+    // What the answer took beyond the time for which it was held back may have passed after it was written.
+    let transit = now.saturating_sub(sent + Duration::from_millis(page.held_ms));
+    let oldest = oldest(&page) + transit;
     if let Some(roster) = page.roster {
         adopt(state, roster);
     }
     sharing.next_source_notice.set((page.incarnation, page.next_notice));
     receive(state, page.notices, Origin::Source);
-    // Notices arrive as gossip; those in the store are from routers that have no source.
-    let timely = page.parts.iter().zip(LOGS).filter(|(_, log)| *log != Log::Notices);
-    let oldest = timely.filter_map(|(part, _)| part.age()).max().unwrap_or_default();
-    let reported = sharing.store_unavailable.replace(page.store_unavailable);
-    if page.store_unavailable {
-        // The source reports at once when the store is available again.
-        state.record_store_failure(Log::Settings);
-        if !reported {
-            sharing.reported_unavailable_at.set(now);
-            sharing.store_check_at.set(Some(now + STORE_CHECK_TIME.mul_f64(rand::random())));
-        }
-        if has_store_answered(state) {
-            sharing.store_unavailable.set(false);
-            state.record_store_answer();
-            avoid_source(state, address, "the store answers this router");
-        }
-        sharing.updated.notify_waiters();
-        return;
-    }
-    sharing.store_answered_at.set(None);
-    if oldest > MAX_AGE {
-        return avoid_source(state, address, &format!("its data is {oldest:?} old"));
-    }
-    sharing.last_answer.set(Some(now));
-    state.record_store_answer();
-    let (mut updated, list) = (false, page.view);
     let restored = sharing.era_began_at.get().is_some_and(|at| now < at + MAX_RESTORE_WAIT);
+    let mut updated = false;
     for (tail, part) in sharing.tails.borrow_mut().iter_mut().zip(page.parts) {
         match part.age() {
             Some(age) => {
                 let (from, end) = (part.from, part.end);
-                updated |= tail.append(from, part.log_records(), end, now.saturating_sub(age), now);
+                let read = now.saturating_sub(age + transit);
+                updated |= tail.append(from, part.log_records(), end, read, now);
             }
             // More may have been read since the request was sent.
             None if tail.end().is_some_and(|end| end != part.from) => {}
@@ -188,20 +221,45 @@
     if updated {
         sharing.updated.notify_waiters();
     }
-    view::record_source_view(state, list);
+    sharing.refreshed.notify_waiters();
+    // The members may have changed meanwhile.
+    if current(state) != Some(address) {
+        return;
+    }
+    sharing.answered_by.set(Some(address));
+    sharing.hops.set(page.hops);
+    if page.store_unavailable && !sharing.store_unavailable.replace(true) {
+        sharing.reported_unavailable_at.set(now);
+    }
+    sharing.store_unavailable.set(page.store_unavailable);
+    let max_hops = u8::from(matches!(source(state), Source::Relay(_)));
+    let is_cut_off = state.setup.inner.is_some_and(|own| is_avoided(state, own));
+    match () {
+        () if has_store_answered(state) && (page.store_unavailable || is_late(state)) => {
+            avoid(state, address, "the store answers this router");
+        }
+        () if page.store_unavailable => {
+            // The source reports at once when the store is available again.
+            state.record_store_failure(Log::Settings);
+            sharing.updated.notify_waiters();
+            state.store_regained.notify_waiters();
+        }
+        () if oldest > own_limits(state).source => {}
+        () if page.hops > max_hops && !is_cut_off => {
+            avoid(state, address, "it receives from another router");
+        }
+        () => {
+            sharing.last_answer.set(Some(now));
+            state.record_store_answer();
+            view::record_source_view(state, page.view);
+        }
+    }
 }
 
-/// Avoids a router that gave no usable answer.
-fn avoid_source(state: &State, address: SocketAddr, why: &str) {
-    log::info!("gateway: source lost address={address} why={why}");
-    state.metrics.source_lost();
-    let (now, sharing) = (state.now(), &state.sharing);
-    sharing.source.borrow_mut().take();
-    let mut avoided = sharing.avoided.borrow_mut();
-    avoided.retain(|(a, until)| now < *until && *a != address);
-    avoided.push((address, now + SOURCE_BACKOFF));
-    drop(avoided);
-    sharing.updated.notify_waiters();
+/// Returns the age of the oldest timely data of a page.
+fn oldest(page: &Page) -> Duration {
+    let timely = page.parts.iter().zip(LOGS).filter(|(_, log)| is_timely(*log));
+    timely.filter_map(|(part, _)| part.age()).max().unwrap_or_default()
 }
 
 /// Requests all records that the source holds of a log, for a router that has just started. Returns none if this router
--- a/crates/gateway/src/shared_read/page.rs
+++ b/crates/gateway/src/shared_read/page.rs
@@ -18,7 +18,7 @@
 use crate::store::{Era, Offset};
 
 /// Version of a page. Routers of another version read the store until all are upgraded.
-const VERSION: u16 = 5;
+const VERSION: u16 = 6;
 
 /// Version of a snapshot, distinct from those of pages, so that the two can't be confused.
 const SNAPSHOT_VERSION: u16 = 0x102;
@@ -38,6 +38,10 @@
     pub era: Era,
     /// Whether the store does not answer the router that reads it.
     pub store_unavailable: bool,
+    /// Number of routers through which the records have passed before the sender.
+    pub hops: u8,
+    /// Time for which the answer was held back, in milliseconds.
+    pub held_ms: u64,
     /// The members of the group, if they have changed.
     pub roster: Option<Roster>,
     /// One part for each of [`LOGS`].
@@ -83,11 +87,13 @@
     /// Creates a page of this version without notices.
     pub fn new(store_unavailable: bool, roster: Option<Roster>, parts: Vec<Part>) -> Page {
         let (notices, incarnation, next_notice) = (Vec::new(), 0, 0);
-        let (version, era, view) = (VERSION, 0, None);
+        let (version, era, view, hops, held_ms) = (VERSION, 0, None, 0, 0);
         Page {
             version,
             era,
             store_unavailable,
+            hops,
+            held_ms,
             roster,
             parts,
             view,
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -11,12 +11,14 @@
 
 use super::availability::is_reported_unavailable;
 use super::forward::receive;
+use super::freshness::{is_late, known_as_of_all, own_limits};
 use super::gossip::{self, Origin};
 use super::page::{NoticeBatch, Page, Part, Snapshot};
 use super::tail::Tail;
 use super::view::{self, View};
-use super::{Encoded, LOGS, MAX_AGE, MAX_POLL_WAIT, drop_former_era};
+use super::{Encoded, LOGS, MAX_POLL_WAIT, drop_former_era, source};
 use crate::limited;
+use crate::roster::Source;
 use crate::state::State;
 use crate::store::{Generation, Log, Offset};
 
@@ -91,6 +93,11 @@
     {
         view::compare_with_poller(state, View { end, digest });
     }
+    let began = state.now();
+    let refresh = own_limits(state).read / 2;
+    let known = number("age").map(|age| began.saturating_sub(Duration::from_millis(age)));
+    let is_fresher =
+        || known.zip(known_as_of_all(state)).is_some_and(|(known, own)| own >= known + refresh);
     let incarnation = state.sharing.incarnation();
     // Notices from before it knew this process are not updates.
     let next = state.sharing.gossip.borrow().next();
@@ -109,11 +116,16 @@
             && state.store.era() == era
             && !has_updates(state, from, generation)
             && no_notices()
+            && !is_fresher()
         {
-            state.sharing.updated.notified().await;
+            tokio::select! {
+                () = state.sharing.updated.notified() => {}
+                () = state.sharing.refreshed.notified() => {}
+            }
         }
     };
-    let _ = timeout(MAX_POLL_WAIT, update).await;
+    let max_hold = number("hold").map_or(MAX_POLL_WAIT, Duration::from_millis).min(MAX_POLL_WAIT);
+    let _ = timeout(max_hold, update).await;
     drop_former_era(state);
     let tails = state.sharing.tails.borrow();
     let parts = tails.iter().zip(from).map(|(tail, from)| {
@@ -135,18 +147,18 @@
     let mut page = Page::new(is_store_unavailable(state), roster, parts);
     (page.notices, page.incarnation, page.next_notice) = (notices, incarnation, next_notice);
     (page.view, page.era) = (state.sharing.view.get(), state.store.era());
+    page.held_ms = state.now().saturating_sub(began).as_millis() as u64;
+    page.hops = match source(state) {
+        Source::Store => 0,
+        Source::Reader(_) | Source::Relay(_) => state.sharing.hops.get().saturating_add(1),
+    };
     Some(page.encode())
 }
 
 /// Whether this router's data comes from a store that does not answer, or has not been read again since.
 fn is_store_unavailable(state: &State) -> bool {
-    let old = || {
-        let tails = state.sharing.tails.borrow();
-        let mut timely = tails.iter().zip(LOGS).filter(|(_, log)| *log != Log::Notices);
-        timely.any(|(tail, _)| tail.age(state.now()).is_some_and(|age| age > MAX_AGE))
-    };
     let regained = state.now() < state.store_regained_at() + REREAD_TIME;
-    state.store_unavailable() || is_reported_unavailable(state) || (regained && old())
+    state.store_unavailable() || is_reported_unavailable(state) || (regained && is_late(state))
 }
 
 fn has_updates(state: &State, from: [Offset; LOGS.len()], generation: Generation) -> bool {
--- a/crates/gateway/src/shared_read/tail.rs
+++ b/crates/gateway/src/shared_read/tail.rs
@@ -29,17 +29,19 @@
     end: Offset,
     /// Each record, and when this router received it.
     records: VecDeque<(LogRecord, Duration)>,
-    /// When the store was last read, by this router or another one.
+    /// As of when the log is known: when the last read of the store was sent, by this router or another one.
     read: Option<Duration>,
 }
 
 impl Tail {
-    /// Adds what was read from the store; `is_new` says which records have new content. Returns whether any has.
+    /// Adds at `now` what was read from the store at `read`; `is_new` says which records have new content. Returns
+    /// whether any has.
     ///
     /// ```
     /// # use std::time::Duration;
+    /// let (read, now) = (Duration::from_millis(996), Duration::from_millis(1000));
     /// let mut tail = gateway::shared_read::Tail::default();
-    /// tail.add(7, &["a".into(), "b".into()], |record| record != "b", Duration::from_secs(1));
+    /// tail.add(7, &["a".into(), "b".into()], |record| record != "b", read, now);
     /// assert_eq!(tail.records_from(7).unwrap(), (vec![(7, "a".into())], 9));
     /// assert_eq!(tail.records_from(8).unwrap(), (vec![], 9));
     /// assert!(tail.records_from(6).is_none());
@@ -49,12 +51,13 @@
         from: Offset,
         records: &[Bytes],
         is_new: impl Fn(&Bytes) -> bool,
+        read: Duration,
         now: Duration,
     ) -> bool {
         let log_records =
             (from..).zip(records.iter().cloned()).filter(|(_, record)| is_new(record));
         let log_records = log_records.collect();
-        self.append(from, log_records, from + records.len() as Offset, now, now)
+        self.append(from, log_records, from + records.len() as Offset, read, now)
     }
 
     /// Adds records up to `end` that this router or another one read at `read`; returns whether any is new.
@@ -110,7 +113,7 @@
         self.read.map(|_| self.end)
     }
 
-    /// Returns when the store was read.
+    /// Returns as of when the log is known.
     pub fn read(&self) -> Option<Duration> {
         self.read
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -216,6 +216,11 @@
         self.start.elapsed()
     }
 
+    /// Returns the time from the start of the process to `at`.
+    pub fn time_of(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.start)
+    }
+
     /// Returns the settings in force.
     pub fn settings(&self) -> Option<Rc<Settings>> {
         self.settings.borrow().clone()
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -149,6 +149,34 @@
     lower_since: Cell<Option<Instant>>,
     /// Notified when another era begins.
     era_changed: Notify,
+    contact: Cell<Contact>,
+}
+
+/// Which calls the store answered last.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Contact {
+    /// When the last answered call was sent.
+    pub answered: Option<Instant>,
+    /// When the last call was sent that had no answer, or that the store refused.
+    pub failed: Option<Instant>,
+    /// When the first call was answered since then.
+    pub regained: Option<Instant>,
+}
+
+impl Contact {
+    /// Records the outcome of a call that was sent at `sent`.
+    fn record(&mut self, sent: Instant, answered: bool) {
+        match answered {
+            true if self.regained.is_none() => self.regained = Some(Instant::now()),
+            true => {}
+            // The answer to a later call shows more.
+            false if self.answered.is_some_and(|at| at > sent) => return,
+            false => (self.failed, self.regained) = (self.failed.max(Some(sent)), None),
+        }
+        if answered {
+            self.answered = self.answered.max(Some(sent));
+        }
+    }
 }
 
 impl Client {
@@ -168,9 +196,15 @@
             fell_at: Cell::default(),
             lower_since: Cell::default(),
             era_changed: Notify::new(),
+            contact: Cell::default(),
         }
     }
 
+    /// Returns which calls the store answered last.
+    pub fn contact(&self) -> Contact {
+        self.contact.get()
+    }
+
     /// Carries out one call. Generations in calls and replies rise across eras.
     pub async fn call(&self, call: Call) -> Result<Reply, Fault> {
         let kind = call.kind();
@@ -190,17 +224,25 @@
             return Err(too_late);
         }
         count(&self.calls, call.kind());
+        let sent = Instant::now();
         let answer = tokio::select! {
             answer = (self.transport)(self.outgoing(call)) => answer,
             // The store may hold an answer back for seconds, and the offset is of no use any more.
             () = self.era_changed.notified(), if is_read => return Err(too_late),
         };
-        match answer.era {
-            ReportedEra::Absent => {}
-            ReportedEra::Era(era) => self.check_era(era)?,
-            ReportedEra::Unreadable => self.reject_era("can't be read"),
-        }
-        match answer.reply? {
+        let era = match answer.era {
+            ReportedEra::Absent => Ok(()),
+            ReportedEra::Era(era) => self.check_era(era),
+            ReportedEra::Unreadable => {
+                self.reject_era("can't be read");
+                Ok(())
+            }
+        };
+        let reply = era.and(answer.reply);
+        let mut contact = self.contact.get();
+        contact.record(sent, reply.as_ref().err().is_none_or(Fault::is_answer));
+        self.contact.set(contact);
+        match reply? {
             // The offset belongs to an era that has ended meanwhile. The restored log may happen to end there as well.
             _ if outdated() => Err(too_late),
             // This is the answer to another call.
--- a/crates/gateway/src/store/fault.rs
+++ b/crates/gateway/src/store/fault.rs
@@ -39,6 +39,16 @@
 }
 
 impl Fault {
+    /// Whether the store has answered the call, and does not turn this router away.
+    pub fn is_answer(&self) -> bool {
+        match self {
+            Fault::Silent { .. } | Fault::SourceCutOff | Fault::Stale => false,
+            // Too many calls, unavailable.
+            Fault::Refused(status) => !matches!(status, 429 | 503),
+            Fault::Gone | Fault::EndMismatch { .. } | Fault::Unreadable(_) => true,
+        }
+    }
+
     /// Returns the kind of the fault, for the metrics.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod share;
 pub mod shortage;
 pub mod slowness;
+pub mod staleness;
 pub mod startup;
 pub mod suspicion;
 pub mod tenure;
