Sources: on a slow VM a router acts later, but not beyond the last age

Change: ages at which a router checks the store and turns to another source are extended by twice its own scheduling delay, each up to the next age. The age at which it reads the store itself is not extended.

--- a/crates/gateway/src/shared_read/freshness.rs
+++ b/crates/gateway/src/shared_read/freshness.rs
@@ -42,9 +42,15 @@
     }
 }
 
-/// Returns the ages at which this router acts.
+/// Multiple of this process's own scheduling delay by which it acts later. On a slow VM, all data is old, whoever sent it.
+const LAG_FACTOR: u32 = 2;
+
+/// Returns the ages at which this router acts. However slow its VM is, it reads the store at the age at which it has to.
 pub(super) fn own_limits(state: &State) -> Limits {
-    limits(state.setup.in_force, role(state))
+    let limits = limits(state.setup.in_force, role(state));
+    let lag = state.lag.get() * LAG_FACTOR;
+    let Limits { check, source, last, .. } = limits;
+    Limits { check: (check + lag).min(source), source: (source + lag).min(last), ..limits }
 }
 
 /// Returns as of when all timely logs are known; none before they were read.
