--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -155,6 +155,8 @@
     let mut failures = 0;
     // Time by which the store's last answer came later than the time for which it was to wait.
     let mut delay = Duration::ZERO;
+    // Where a snapshot has to end at least, as the records before it were deleted.
+    let mut min_end: Offset = 0;
     // Whether the store was restored and nothing has been read since.
     let mut restored = false;
     // The era that the offset belongs to.
@@ -167,13 +169,13 @@
             log::info!(
                 "gateway: log={log} from={at:?} era={current_era} before={era} reading all records"
             );
-            (at, era) = (None, current_era);
+            (at, era, min_end) = (None, current_era, 0);
         }
         if log == Log::Servers && shared_read::take_full_read_request(state) {
             at = None;
         }
         let read = match at {
-            None => read_newest(state, log, restored).await,
+            None => read_newest(state, log, restored, min_end).await,
             Some(from) => {
                 let wait = max_wait(state, wait, delay);
                 read_changes(state, log, decoder, End { offset: from, era }, wait).await
@@ -186,7 +188,7 @@
                     state.record_store_answer();
                     delay = state.now().saturating_sub(read).min(MAX_DELAY);
                 }
-                failures = 0;
+                (failures, min_end) = (0, 0);
                 if let Some(since) = unavailable_since.take() {
                     log::info!("gateway: store regained log={log} away={:?}", since.elapsed());
                     if kind != ReadKind::SourceChanges {
@@ -206,7 +208,7 @@
                 log::info!(
                     "gateway: log={log} from={at:?} records were deleted, reading all records"
                 );
-                at = None;
+                min_end = at.take().map_or(min_end, |from| from + 1);
             }
             Err(Fault::SourceCutOff) => {
                 wait_after_failure(state, log, RETRY_PAUSE).await;
@@ -263,9 +265,15 @@
     SourceChanges,
 }
 
-async fn read_newest(state: &State, log: Log, restored: bool) -> Result<Batch, Fault> {
+/// Reads all newest records, from the source if it has those up to `min_end`.
+async fn read_newest(
+    state: &State,
+    log: Log,
+    restored: bool,
+    min_end: Offset,
+) -> Result<Batch, Fault> {
     let wait = if restored { shared_read::MAX_RESTORE_WAIT } else { Duration::ZERO };
-    if let Some(batch) = read_snapshot(state, log, wait).await {
+    if let Some(batch) = read_snapshot(state, log, wait, min_end).await {
         return Ok(batch);
     }
     let (mut items, mut after, mut first_end) = (Vec::new(), None, None);
@@ -283,7 +291,8 @@
                 items.extend(page);
                 if more
                     && is_first
-                    && let Some(batch) = read_snapshot(state, log, MAX_LONG_LIST_WAIT).await
+                    && let Some(batch) =
+                        read_snapshot(state, log, MAX_LONG_LIST_WAIT, min_end).await
                 {
                     return Ok(batch);
                 }
@@ -298,8 +307,8 @@
 }
 
 /// Reads all newest records from the source, which may still be reading them itself for the time `wait`.
-async fn read_snapshot(state: &State, log: Log, wait: Duration) -> Option<Batch> {
-    let snapshot = shared_read::snapshot(state, log, wait).await?;
+async fn read_snapshot(state: &State, log: Log, wait: Duration, min_end: Offset) -> Option<Batch> {
+    let snapshot = shared_read::snapshot(state, log, wait, min_end).await?;
     let end = snapshot.end;
     let item = |(key, value): (String, Vec<u8>)| Item {
         key,
@@ -307,7 +316,8 @@
         offset: end.saturating_sub(1),
     };
     let items = snapshot.items.into_iter().map(item).collect();
-    Some(Batch { items, end, kind: ReadKind::Newest, read: state.now() })
+    let read = shared_read::known_as_of(state, log).unwrap_or_else(|| state.now());
+    Some(Batch { items, end, kind: ReadKind::Newest, read })
 }
 
 async fn read_changes(
--- a/crates/gateway/src/follow/notices.rs
+++ b/crates/gateway/src/follow/notices.rs
@@ -28,7 +28,7 @@
 /// Without them, a router that has just started sends requests through servers that all others know to be slow or full,
 /// until the next notice a second later.
 async fn read_earlier(state: &Rc<State>) -> Option<(Offset, Era)> {
-    if let Some(snapshot) = shared_read::snapshot(state, Log::Notices, Duration::ZERO).await {
+    if let Some(snapshot) = shared_read::snapshot(state, Log::Notices, Duration::ZERO, 0).await {
         replay(state, snapshot.items.iter().map(|(_, record)| &record[..])).await;
         return Some((snapshot.end, snapshot.era));
     }
@@ -73,7 +73,7 @@
     loop {
         if at.is_some_and(|(_, era)| era != state.store.era()) {
             let wait = shared_read::MAX_RESTORE_WAIT;
-            let snapshot = shared_read::snapshot(&state, Log::Notices, wait).await;
+            let snapshot = shared_read::snapshot(&state, Log::Notices, wait, 0).await;
             at = snapshot.map(|snapshot| (snapshot.end, snapshot.era));
         }
         // After a gap, the notices of the time between are out of date.
--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -72,7 +72,7 @@
     end: Option<Offset>,
 }
 
-/// Encoded snapshot of a log.
+/// Compressed snapshot of a log.
 #[derive(Debug)]
 struct Encoded {
     era: Era,
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -18,7 +18,7 @@
 use super::view::{self, View};
 use super::{
     CHECK_INTERVAL, LOGS, MAX_POLL_WAIT, MIN_POLL_PAUSE, drop_former_era, is_avoided, poll_pause,
-    position, source,
+    source,
 };
 use crate::pool::{self, Pool};
 use crate::roster::{MAX_DIRECT_ROUTERS, MIN_SHARING_ROUTERS, Source};
@@ -262,16 +262,21 @@
     timely.filter_map(|(part, _)| part.age()).max().unwrap_or_default()
 }
 
-/// Requests all records that the source holds of a log, for a router that has just started. Returns none if this router
-/// has to read the store.
+/// Requests all records that the source holds of a log, for a router that has just started or whose records were deleted.
+/// Returns none if this router has to read the store; a snapshot that ends before `min_end` is of no use.
 ///
 /// Waits up to `wait` for a source that is still reading the store itself: after a restore, or if all routers have just
 /// started, the store would refuse or delay hundreds of routers that read it at once.
-pub async fn snapshot(state: &State, log: Log, wait: Duration) -> Option<Snapshot> {
+pub async fn snapshot(
+    state: &State,
+    log: Log,
+    wait: Duration,
+    min_end: Offset,
+) -> Option<Snapshot> {
     let until = Instant::now() + wait;
     loop {
         let left = until.saturating_duration_since(Instant::now());
-        let snapshot = request_snapshot(state, log, left.max(SNAPSHOT_TIMEOUT)).await;
+        let snapshot = request_snapshot(state, log, left.max(SNAPSHOT_TIMEOUT), min_end).await;
         if snapshot.is_some() || Instant::now() >= until || snapshot_source(state).is_none() {
             return snapshot;
         }
@@ -289,7 +294,12 @@
     }
 }
 
-async fn request_snapshot(state: &State, log: Log, limit: Duration) -> Option<Snapshot> {
+async fn request_snapshot(
+    state: &State,
+    log: Log,
+    limit: Duration,
+    min_end: Offset,
+) -> Option<Snapshot> {
     let has_members = async {
         while state.sharing.members() < MIN_SHARING_ROUTERS {
             state.sharing.updated.notified().await;
@@ -299,38 +309,42 @@
         return None;
     }
     let address = snapshot_source(state)?;
-    let pool = pool(state, address);
-    let answer = timeout(limit, get(&pool, &format!("/all?log={log}"), Bytes::new())).await;
-    let body = match answer {
-        Ok(Ok(body)) => body,
-        other => {
-            log::info!("gateway: no snapshot log={log} address={address} why={other:?}");
-            return None;
-        }
-    };
-    match Snapshot::decode(&body) {
-        Ok(snapshot) if snapshot.era < state.store.era() => {
-            log::info!("gateway: no snapshot log={log} why=it is of era {}", snapshot.era);
+    match fetch_snapshot(state, address, log, limit, min_end).await {
+        Ok(snapshot) => Some(snapshot),
+        Err(why) => {
+            log::info!("gateway: no snapshot log={log} address={address} why={why}");
             None
         }
-        Ok(snapshot) => {
+    }
+}
+
+async fn fetch_snapshot(
+    state: &State,
+    address: SocketAddr,
+    log: Log,
+    limit: Duration,
+    min_end: Offset,
+) -> Result<Snapshot, String> {
+    let (pool, sent) = (pool(state, address), state.now());
+    let answer = timeout(limit, get(&pool, &format!("/all?log={log}"), Bytes::new())).await;
+    let body = answer.map_err(|_| format!("no answer within {limit:?}"))??;
+    let (snapshot, age) = Snapshot::decode(&body).map_err(|e| e.to_string())?;
+    let (era, end) = (state.store.era(), snapshot.end);
+    match () {
+        () if snapshot.era < era => Err(format!("it is of era {}", snapshot.era)),
+        () if snapshot.era == era && end < min_end => {
+            Err(format!("it ends at {end}, wanted={min_end}"))
+        }
+        () if is_timely(log) && age > own_limits(state).last => Err(format!("it is {age:?} old")),
+        () => {
             state.store.adopt_era(snapshot.era);
             drop_former_era(state);
-            log::info!("gateway: snapshot log={log} address={address} end={}", snapshot.end);
-            let at = position(log)?;
-            let now = state.now();
-            state.sharing.tails.borrow_mut()[at].append(
-                snapshot.end,
-                vec![],
-                snapshot.end,
-                now,
-                now,
-            );
-            Some(snapshot)
-        }
-        Err(why) => {
-            log::warn!("gateway: no snapshot log={log} address={address} why={why}");
-            None
+            log::info!("gateway: snapshot log={log} address={address} end={end} age={age:?}");
+            let mut tails = state.sharing.tails.borrow_mut();
+            for (tail, _) in tails.iter_mut().zip(LOGS).filter(|(_, shared)| *shared == log) {
+                tail.append(end, vec![], end, sent.saturating_sub(age), state.now());
+            }
+            Ok(snapshot)
         }
     }
 }
--- a/crates/gateway/src/shared_read/page.rs
+++ b/crates/gateway/src/shared_read/page.rs
@@ -21,7 +21,7 @@
 const VERSION: u16 = 6;
 
 /// Version of a snapshot, distinct from those of pages, so that the two can't be confused.
-const SNAPSHOT_VERSION: u16 = 0x102;
+const SNAPSHOT_VERSION: u16 = 0x103;
 
 /// Longest answer that is read, in bytes. Fleet settings take up to a megabyte.
 pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -154,7 +154,6 @@
 /// All records that a router holds of one log, for a router that has just started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
-    version: u16,
     /// The store's era that the offset belongs to.
     pub era: Era,
     /// Offset after the last record read.
@@ -163,42 +162,54 @@
     pub items: Vec<(String, Vec<u8>)>,
 }
 
+/// What precedes a snapshot in an answer. It is not compressed, as it differs from answer to answer.
+#[derive(Debug, Serialize, Deserialize)]
+struct SnapshotHead {
+    version: u16,
+    age_ms: u64,
+}
+
 impl Snapshot {
-    /// Creates a snapshot of this version.
-    pub fn new(era: Era, end: Offset, items: Vec<(String, Vec<u8>)>) -> Snapshot {
-        Snapshot { version: SNAPSHOT_VERSION, era, end, items }
+    /// Compresses the snapshot. The entries of servers differ in a few digits, and a hundred routers may request them
+    /// from one relay at the same time.
+    pub fn compress(&self) -> Bytes {
+        let plain = postcard::to_allocvec(self).expect("plain fields");
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(&plain).expect("memory");
+        Bytes::from(encoder.finish().expect("memory"))
     }
 
-    /// Encodes the answer: the version, and the compressed snapshot. The entries of servers differ in a few digits, and
-    /// a hundred routers may request them from one relay at the same time.
+    /// Encodes an answer with a compressed snapshot, which is as of `age` ago.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use gateway::shared_read::page::Snapshot;
     /// let entry = |n| (format!("i-{n}"), br#"{"service":"model","slots":192,"state":"ready"}"#.to_vec());
-    /// let snapshot = Snapshot::new(1, 9, (0..500).map(entry).collect());
-    /// let bytes = snapshot.encode();
+    /// let (snapshot, age) = (Snapshot { era: 1, end: 9, items: (0..500).map(entry).collect() }, Duration::from_millis(40));
+    /// let bytes = Snapshot::encode(&snapshot.compress(), age);
     /// assert!(bytes.len() < 5_000);
-    /// assert_eq!(Snapshot::decode(&bytes).unwrap(), snapshot);
+    /// assert_eq!(Snapshot::decode(&bytes).unwrap(), (snapshot, age));
     /// ```
-    pub fn encode(&self) -> Bytes {
-        let plain = postcard::to_allocvec(self).expect("plain fields");
-        let version = postcard::to_allocvec(&self.version).expect("a number");
-        let mut encoder = DeflateEncoder::new(version, Compression::fast());
-        encoder.write_all(&plain).expect("memory");
-        Bytes::from(encoder.finish().expect("memory"))
+    pub fn encode(compressed: &[u8], age: Duration) -> Bytes {
+        let head = SnapshotHead { version: SNAPSHOT_VERSION, age_ms: age.as_millis() as u64 };
+        let mut bytes = postcard::to_allocvec(&head).expect("plain fields");
+        bytes.extend_from_slice(compressed);
+        Bytes::from(bytes)
     }
 
-    /// Decodes an answer.
-    pub fn decode(bytes: &[u8]) -> Result<Snapshot, Fault> {
+    /// Decodes an answer: a snapshot and its age.
+    pub fn decode(bytes: &[u8]) -> Result<(Snapshot, Duration), Fault> {
         let unreadable = |e: postcard::Error| Fault::Unreadable(e.to_string());
-        let (version, rest) = postcard::take_from_bytes::<u16>(bytes).map_err(unreadable)?;
+        let (version, _) = postcard::take_from_bytes::<u16>(bytes).map_err(unreadable)?;
         if version != SNAPSHOT_VERSION {
             return Err(Fault::Version(version));
         }
+        let (head, rest) = postcard::take_from_bytes::<SnapshotHead>(bytes).map_err(unreadable)?;
         let mut plain = Vec::new();
         let mut decoder = DeflateDecoder::new(rest).take(MAX_SNAPSHOT_BYTES);
         decoder.read_to_end(&mut plain).map_err(|e| Fault::Unreadable(e.to_string()))?;
-        postcard::from_bytes(&plain).map_err(unreadable)
+        let snapshot = postcard::from_bytes(&plain).map_err(unreadable)?;
+        Ok((snapshot, Duration::from_millis(head.age_ms)))
     }
 }
 
--- a/crates/gateway/src/shared_read/server.rs
+++ b/crates/gateway/src/shared_read/server.rs
@@ -16,7 +16,7 @@
 use super::page::{NoticeBatch, Page, Part, Snapshot};
 use super::tail::Tail;
 use super::view::{self, View};
-use super::{Encoded, LOGS, MAX_POLL_WAIT, drop_former_era, source};
+use super::{Encoded, LOGS, MAX_POLL_WAIT, drop_former_era, known_as_of, source};
 use crate::limited;
 use crate::roster::Source;
 use crate::state::State;
@@ -188,10 +188,12 @@
     };
     let _ = timeout(MAX_SNAPSHOT_WAIT, available).await;
     let end = known_end().filter(|_| !is_store_unavailable(state))?;
+    // What is not known to be recent is of no use to a router that may read the store.
+    let age = state.now().saturating_sub(known_as_of(state, LOGS[at])?);
     let era = state.store.era();
     let is_current = |e: &&Encoded| (e.era, e.log, e.end) == (era, at, end);
     if let Some(encoded) = state.sharing.encoded.borrow().as_ref().filter(is_current) {
-        return Some(encoded.bytes.clone());
+        return Some(Snapshot::encode(&encoded.bytes, age));
     }
     let items = match state.sharing.newest.borrow().get(at) {
         Some(newest) => {
@@ -204,11 +206,11 @@
             notices.map(|notice| (String::new(), notice.to_vec())).collect()
         }
     };
-    let bytes = Snapshot::new(era, end, items).encode();
+    let bytes = Snapshot { era, end, items }.compress();
     // A snapshot of notices also has those that no offset counts.
     if LOGS[at] != Log::Notices {
         let encoded = Encoded { era, log: at, end, bytes: bytes.clone() };
         *state.sharing.encoded.borrow_mut() = Some(encoded);
     }
-    Some(bytes)
+    Some(Snapshot::encode(&bytes, age))
 }
