Sources: polls and reads follow the time within which a change has to be in force

Where less than two seconds are allowed, the reader's pause between two reads of the list (0.5 s) and the pause between two polls (up to 0.4 s with 240 routers) made the data of sound sources older than the age at which routers leave them: all of them would have read the store.

Change: both are parts of that time as well, as all other ages; it counts as one second at least. At two seconds and more nothing changes.

--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -286,14 +286,19 @@
 }
 
 /// Pauses after a read of the store that was sent at `read`, at most until the whole list has to be read. A router that
-/// reads only for itself reads each `interval`, and the reader twice as often, as its data ages on the way to others.
+/// reads only for itself reads each `interval` at least, and the reader twice as often, as its data ages on the way to
+/// others.
 pub async fn pause_after_read(state: &State, interval: Duration, read: Duration) {
     let wanted = async {
         while !state.sharing.full_read_wanted.get() {
             state.sharing.updated.notified().await;
         }
     };
-    let interval = if is_reader(state) { interval / 2 } else { interval };
+    let limits = freshness::own_limits(state);
+    let interval = match is_reader(state) {
+        true => (interval / 2).min(limits.read),
+        false => interval.min(limits.check),
+    };
     let _ = timeout((read + interval).saturating_sub(state.now()), wanted).await;
 }
 
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -60,7 +60,7 @@
             }
             Source::Reader(address) | Source::Relay(address) => {
                 poll(&state, address).await;
-                let pause = poll_pause(state.routers());
+                let pause = poll_pause(state.routers()).min(own_limits(&state).poll);
                 sleep(if is_late(&state) { MIN_POLL_PAUSE } else { pause }).await;
             }
         }
--- a/crates/policy/src/staleness.rs
+++ b/crates/policy/src/staleness.rs
@@ -11,12 +11,18 @@
 
 use std::time::Duration;
 
+/// Shortest time that is divided. Where less is allowed, a change may be late if a router fails that others read from.
+const MIN_IN_FORCE: Duration = Duration::from_secs(1);
+
 /// Longest time that is divided. Where more is allowed, a change is still known as soon.
 const MAX_IN_FORCE: Duration = Duration::from_secs(3);
 
 /// Part of the time within which a router that reads for others reads again.
 const READ: f64 = 0.25;
 
+/// Part of the time within which a router asks its source again.
+const POLL: f64 = 0.2;
+
 /// Part of the time after which the next reader turns to the store, a reader to another router, and all others check
 /// whether the store answers them.
 const NEXT_READER: f64 = 0.5;
@@ -55,6 +61,8 @@
 pub struct Limits {
     /// Time after which a router that reads for others reads again.
     pub read: Duration,
+    /// Longest pause between two polls of the source.
+    pub poll: Duration,
     /// Age from which on the router checks whether the store answers it.
     pub check: Duration,
     /// Age from which on it turns to another source.
@@ -78,7 +86,7 @@
 /// assert!(next.source < other.source);
 /// ```
 pub fn limits(in_force: Duration, role: Role) -> Limits {
-    let part = |part: f64| in_force.min(MAX_IN_FORCE).mul_f64(part);
+    let part = |part: f64| in_force.clamp(MIN_IN_FORCE, MAX_IN_FORCE).mul_f64(part);
     let (source, last) = match role {
         Role::Reader | Role::Direct { next: true } => (NEXT_READER, LAST),
         Role::Direct { next: false } => (DIRECT, LAST),
@@ -87,6 +95,7 @@
     };
     Limits {
         read: part(READ),
+        poll: part(POLL),
         check: part(NEXT_READER),
         source: part(source),
         last: part(last),
