--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -18,7 +18,7 @@
 use super::view::{self, View};
 use super::{
     CHECK_INTERVAL, LOGS, MAX_POLL_WAIT, MIN_POLL_PAUSE, drop_former_era, is_avoided, poll_pause,
-    source,
+    position, source,
 };
 use crate::pool::{self, Pool};
 use crate::roster::{MAX_DIRECT_ROUTERS, MIN_SHARING_ROUTERS, Source};
@@ -340,9 +340,10 @@
             state.store.adopt_era(snapshot.era);
             drop_former_era(state);
             log::info!("gateway: snapshot log={log} address={address} end={end} age={age:?}");
-            let mut tails = state.sharing.tails.borrow_mut();
-            for (tail, _) in tails.iter_mut().zip(LOGS).filter(|(_, shared)| *shared == log) {
-                tail.append(end, vec![], end, sent.saturating_sub(age), state.now());
+            if let Some(at) = position(log) {
+                let (read, mut tails) =
+                    (sent.saturating_sub(age), state.sharing.tails.borrow_mut());
+                tails[at].append(end, vec![], end, read, state.now());
             }
             Ok(snapshot)
         }
