--- a/crates/gateway/src/shared_read.rs
+++ b/crates/gateway/src/shared_read.rs
@@ -5,7 +5,7 @@
 //! once when it becomes the next reader.
 //!
 //! The reader may be cut off from the store, or be gone. So each answer says how old its data is, and that age alone
-//! decides when a router turns to another source: see [`freshness`].
+//! decides when a router turns to another source: see [`policy::staleness`].
 
 mod availability;
 mod client;
