Settings and servers: how long a change may have been in the store is logged

How late a router was with a version followed only from the lines of all others.

Each batch of new records now has the age of what was known before, an upper bound of its delay, in the line of new settings and in a histogram of buckets up to the time allowed. The first failed join call in a row and answers without fresh data are lines at level info.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -70,7 +70,7 @@
 
 /// Keeps the settings up to date, as long as the process runs.
 pub async fn settings(state: Rc<State>, decoder: Decoder) {
-    let apply = |item: &Item| {
+    let apply = |item: &Item, info: BatchInfo| {
         let value = item.value.as_ref().filter(|_| item.key == decoder.settings_key);
         let Some(value) = value else { return true };
         let settings = isolate(|| (decoder.settings)(value));
@@ -78,7 +78,11 @@
             Ok(settings) => {
                 let version = settings.version;
                 let newer = state.apply(settings);
-                log::info!("gateway: settings={version} offset={} in_force={newer}", item.offset);
+                log::info!(
+                    "gateway: settings={version} offset={} in_force={newer} delay={:?}",
+                    item.offset,
+                    info.delay
+                );
                 newer || state.settings().is_some_and(|s| s.version == version)
             }
             Err(why) => {
@@ -88,8 +92,8 @@
             }
         }
     };
-    follow(&state, Log::Settings, decoder, MAX_SETTINGS_WAIT, Duration::ZERO, |items, _| {
-        items.iter().map(&apply).collect()
+    follow(&state, Log::Settings, decoder, MAX_SETTINGS_WAIT, Duration::ZERO, |items, info| {
+        items.iter().map(|item| apply(item, info)).collect()
     })
     .await;
 }
@@ -138,6 +142,8 @@
     read: Duration,
     /// Whether it is the first batch after the store was restored.
     restored: bool,
+    /// Longest time since any of the records was written: the age of what was known before. None for the first batch.
+    delay: Option<Duration>,
 }
 
 /// Reads all newest records of a log, and after that its changes, as long as the process runs. `apply` applies a batch
@@ -161,6 +167,8 @@
     let mut restored = false;
     // The era that the offset belongs to.
     let mut era = state.store.era();
+    // As of when the records before the offset are known.
+    let mut known: Option<Duration> = None;
     loop {
         let current_era = state.store.era();
         if current_era != era {
@@ -197,7 +205,12 @@
                 }
                 let complete = kind == ReadKind::Newest;
                 let restored = std::mem::take(&mut restored);
-                let applied = apply(&items, BatchInfo { end, complete, read, restored });
+                let before = known.replace(read);
+                let delay = before.map(|before| state.now().saturating_sub(before));
+                if let Some(delay) = delay.filter(|_| !items.is_empty()) {
+                    state.metrics.record_delay(log, delay);
+                }
+                let applied = apply(&items, BatchInfo { end, complete, read, restored, delay });
                 shared_read::cache_newest(state, log, &items, &applied, end, complete);
                 at = Some(end);
                 if kind != ReadKind::SourceChanges {
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -188,8 +188,9 @@
             Err(e) => {
                 shared_read::record_store_silence(&self.state);
                 self.state.tenure.borrow_mut().released();
-                self.last_join_failed = true;
-                log::debug!("gateway: joining the group failed: {e}");
+                if !std::mem::replace(&mut self.last_join_failed, true) {
+                    log::info!("gateway: joining the group failed why={e}");
+                }
                 return None;
             }
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,8 +36,13 @@
     tasks_ended: Counter<u64>,
     answer_time: Histogram<f64>,
     first_event: Histogram<f64>,
+    record_delay: Histogram<f64>,
 }
 
+/// Upper bounds of the buckets of delays of records, in seconds: finer than the time within which changes have to be in
+/// force, so that a near miss shows.
+const DELAY_BUCKETS: [f64; 12] = [0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 3.0, 5.0];
+
 impl Metrics {
     /// Creates the instruments, all at zero.
     pub fn new() -> Result<Metrics, String> {
@@ -78,6 +83,12 @@
                 "hyssop_first_event",
                 "Time from sending to a stream's first event",
             ),
+            record_delay: meter
+                .f64_histogram("hyssop_record_delay")
+                .with_unit("s")
+                .with_description("Longest time since records were written when they were applied")
+                .with_boundaries(DELAY_BUCKETS.to_vec())
+                .build(),
             registry,
             _provider: provider,
         })
@@ -103,6 +114,11 @@
         self.first_event.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records the longest time for which records of a log may have been in the store when this router applied them.
+    pub fn record_delay(&self, log: Log, delay: Duration) {
+        self.record_delay.record(delay.as_secs_f64(), &[KeyValue::new("log", log.to_string())]);
+    }
+
     /// Counts a stream that was delivered completely.
     pub fn stream_complete(&self, _took: Duration) {
         self.event("stream_complete");
--- a/crates/gateway/src/shared_read/client.rs
+++ b/crates/gateway/src/shared_read/client.rs
@@ -106,7 +106,12 @@
         Err(why) => return log::info!("gateway: no fresh data address={other} why={why}"),
     };
     let age = oldest(&page) + state.now().saturating_sub(sent);
-    if !page.store_unavailable && age <= own_limits(state).source && is_late(state) {
+    let is_fresh = !page.store_unavailable && age <= own_limits(state).source;
+    if !is_fresh {
+        let unavailable = page.store_unavailable;
+        log::info!("gateway: no fresh data address={other} age={age:?} unavailable={unavailable}");
+    }
+    if is_fresh && is_late(state) {
         avoid(state, current, &format!("{other} has data of {age:?}"));
         if let Err(why) = isolate(|| apply_page(state, other, page, sent)) {
             avoid(state, other, &format!("panic: {why:?}"));
