--- a/crates/gateway/src/shared_read/availability.rs
+++ b/crates/gateway/src/shared_read/availability.rs
@@ -47,14 +47,16 @@
     loop {
         let (now, due) = (state.now(), check_due(&state));
         if due.is_none_or(|at| at > now) {
-            let wait = due.map_or(CHECK_INTERVAL, |at| at - now).min(CHECK_INTERVAL);
+            let wait = due.map_or(CHECK_INTERVAL, |at| at - now);
             let _ = timeout(wait, state.sharing.check_changed.notified()).await;
             continue;
         }
         match leader::keep_membership(&state, own_limits(&state).check_answer).await {
             Ok(()) => record_store_answer(&state),
             Err(why) => {
-                log::info!("gateway: store check failed why={why}");
+                if state.sharing.silent_since.get().is_none() {
+                    log::info!("gateway: store check failed why={why}");
+                }
                 record_store_silence(&state);
             }
         }
