--- a/crates/policy/src/staleness/contact.rs
+++ b/crates/policy/src/staleness/contact.rs
@@ -59,11 +59,6 @@
             self.answered = self.answered.max(Some(sent));
         }
     }
-
-    /// Returns since when no call was answered, if the last one failed.
-    pub fn silent_since(&self) -> Option<Duration> {
-        self.failures.filter(|failures| failures.regained.is_none()).map(|failures| failures.first)
-    }
 }
 
 /// What a router knows of a log that it receives from a source.
