Restore: routers with a source leave the reader time to read first, as after an outage

Cause: before a router waited for a second after any failed call, so also after those that a restore makes stale.

--- a/crates/gateway/src/shared_read/freshness.rs
+++ b/crates/gateway/src/shared_read/freshness.rs
@@ -97,9 +97,16 @@
     Data { read, reported }
 }
 
-/// Returns whether this router may read the store, as its source has no fresh data of a log that is known as of `read`.
+/// Returns whether this router may read the store, as its source has no fresh data of a log that is known as of `read`. A
+/// restore of the store counts as an outage: all routers read everything again, the one that reads for others first.
 pub(super) fn own_access(state: &State, read: Duration) -> Access {
-    access(&own_limits(state), &state.store.contact(), data(state, read))
+    let limits = own_limits(state);
+    let access = access(&limits, &state.store.contact(), data(state, read));
+    match (access, state.sharing.era_began_at.get()) {
+        (Access::Granted, Some(began)) => Access::From(began + limits.settle),
+        (Access::From(at), Some(began)) => Access::From(at.max(began + limits.settle)),
+        (access, _) => access,
+    }
 }
 
 /// Whether this router may leave a source whose data is known as of `read`.
