--- a/review/stand2/crash.rs
+++ b/review/stand2/crash.rs
@@ -54,7 +54,6 @@
         _ if !trouble => Deadly::No,
         "later-server" => Deadly::AtLayer(60, Duration::from_millis(100)),
         "dark" => Deadly::Dark(Duration::from_millis(100)),
-        "progress" => Deadly::WhileRunning(Duration::from_millis(300), Duration::from_millis(900)),
         _ => return Verdict::NotRun(format!("no case {case}")),
     };
     let store = Store::start(12);
--- a/review/stand2/fleet.rs
+++ b/review/stand2/fleet.rs
@@ -39,8 +39,6 @@
     No,
     /// This time after a server has begun to run this layer of it.
     AtLayer(u32, Duration),
-    /// The first server, a random time in this range after it has begun.
-    WhileRunning(Duration, Duration),
     /// This time after the first server has begun; the server goes dark: it answers nothing and closes nothing.
     Dark(Duration),
 }
@@ -106,8 +104,6 @@
     pub arrivals: Mutex<Vec<(Instant, String, bool)>>,
     /// When servers crashed under a deadly request.
     pub crashes: Mutex<Vec<Instant>>,
-    /// Orders to hold more layers than the server's memory holds.
-    pub too_many: Mutex<Vec<String>>,
     /// Paths that a deadly request got by an order.
     pub repaths: Mutex<Vec<Instant>>,
     random: AtomicU64,
@@ -184,7 +180,6 @@
             starts: AtomicU64::new(0),
             arrivals: Mutex::default(),
             crashes: Mutex::default(),
-            too_many: Mutex::default(),
             repaths: Mutex::default(),
             random: AtomicU64::new(unix_ms() | 1),
         });
@@ -225,38 +220,11 @@
         held.sum()
     }
 
-    /// Running servers of a service on one kind of card.
-    pub fn running(&self, service: &str, card: usize) -> Vec<Arc<Server>> {
-        let mut servers = self.all();
-        servers.retain(|s| s.service == service && s.card == Some(card));
-        servers.retain(|s| s.state.lock().unwrap().alive);
-        servers
-    }
-
     /// The server that has an address; the newest one.
     fn at(&self, address: SocketAddr) -> Option<Arc<Server>> {
         self.servers.lock().unwrap().iter().rfind(|s| s.address == address).cloned()
     }
 
-    /// Ends a server for good; after `pause`, its address goes to an empty server of another service.
-    pub fn replace(
-        self: &Arc<Fleet>,
-        server: &Arc<Server>,
-        pause: Duration,
-        (service, card): (&'static str, usize),
-    ) {
-        self.end(server, "it is lost for good");
-        let (fleet, server) = (self.clone(), server.clone());
-        thread::spawn(move || {
-            thread::sleep(pause);
-            let fresh = Server::new(service, &server.zone, Some(card), server.address);
-            fleet.servers.lock().unwrap().push(fresh.clone());
-            let listener = fresh.listener();
-            fleet.record.line(&format!("{} goes to a server of {service}", server.address));
-            fleet.begin(fresh, listener);
-        });
-    }
-
     fn begin(self: Arc<Fleet>, server: Arc<Server>, listener: TcpListener) {
         let start = self.starts.fetch_add(1, Ordering::Relaxed) + 1;
         {
@@ -504,10 +472,6 @@
         };
         let card = CARDS[server.card.unwrap_or(0)];
         if f64::from(span.1 - span.0) * LAYER_MB > card.1 {
-            let id = server.state.lock().unwrap().id.clone();
-            let text = format!("{id} of {} on {} was ordered: {text}", server.service, card.0);
-            self.record.line(&text);
-            self.too_many.lock().unwrap().push(text);
             self.crash(server, "it was ordered to hold more layers than its memory holds");
             return Err(io::ErrorKind::ConnectionReset.into());
         }
@@ -616,10 +580,6 @@
         let events: u64 = most.unwrap_or(80) / 2;
         let from = m.header("last-event-id").and_then(|l| l.parse::<u64>().ok());
         let mut next = from.map_or(0, |last| last + 1);
-        let crash_after = match self.deadly {
-            Deadly::WhileRunning(least, most) => least + (most - least).mul_f64(self.random()),
-            _ => Duration::ZERO,
-        };
         let mut head_sent = false;
         let mut due = Instant::now() + READ_TIME;
         let mut stalled_since: Option<Instant> = None;
@@ -672,11 +632,6 @@
                     continue;
                 }
                 Deadly::Dark(_) if deadly => continue,
-                Deadly::WhileRunning(..) if deadly && began.elapsed() >= crash_after => {
-                    self.crashes.lock().unwrap().push(Instant::now());
-                    self.crash(server, &format!("it ran {request}, next event {next}"));
-                    return Err(io::ErrorKind::ConnectionReset.into());
-                }
                 _ => {}
             }
             if Instant::now() < due {
--- a/review/stand2/gateway.rs
+++ b/review/stand2/gateway.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -100,10 +101,25 @@
     }
 }
 
+// A gateway ends with the process that started it, also if that is killed.
+unsafe extern "C" {
+    fn prctl(option: i32, signal: usize) -> i32;
+}
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
     let words = command()?;
     let file = File::create(log)?;
-    Command::new(&words[0])
+    let mut command = Command::new(&words[0]);
+    // SAFETY: `prctl` may be called between fork and exec.
+    unsafe {
+        command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        });
+    }
+    command
         .args(&words[1..])
         .env_clear()
         .env("PATH", std::env::var_os("PATH").unwrap_or_default())
--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -9,7 +9,6 @@
 mod gateway;
 mod http;
 mod record;
-mod reuse;
 mod store;
 
 use std::path::Path;
@@ -42,7 +41,6 @@
     record.line(&format!("case {case} trouble={trouble}"));
     let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     let verdict = match std::fs::create_dir_all(&folder) {
-        Ok(()) if case == "reused-address" => reuse::play(trouble, &folder, &record),
         Ok(()) => crash::play(case, trouble, &folder, &record),
         Err(e) => Verdict::NotRun(e.to_string()),
     };
