--- a/review/stand2/fleet.rs
+++ b/review/stand2/fleet.rs
@@ -69,6 +69,8 @@
 
 struct State {
     alive: bool,
+    /// Whether it has reported that it is leaving.
+    leaves: bool,
     /// Whether it is dark until it starts again.
     dark: bool,
     id: String,
@@ -100,7 +102,7 @@
     deadly: Deadly,
     has_run: AtomicBool,
     starts: AtomicU64,
-    /// Requests that arrived: when, id, and whether the body is deadly.
+    /// Requests that arrived: when, id of the server, and whether the body is deadly.
     pub arrivals: Mutex<Vec<(Instant, String, bool)>>,
     /// When servers crashed under a deadly request.
     pub crashes: Mutex<Vec<Instant>>,
@@ -113,6 +115,7 @@
     fn new(service: &str, zone: &str, card: Option<usize>, address: SocketAddr) -> Arc<Server> {
         let state = State {
             alive: false,
+            leaves: false,
             dark: false,
             id: String::new(),
             born: 0,
@@ -141,6 +144,27 @@
         }
     }
 
+    pub fn id(&self) -> String {
+        self.state.lock().unwrap().id.clone()
+    }
+
+    /// Entry in the list, with further fields.
+    fn entry(&self, s: &State, state: &str, further: &str) -> String {
+        let card = self.card.map_or(String::new(), |card| {
+            format!(
+                ",\"kind\":\"{}\",\"stage\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
+                 \"layers\":{{\"from\":{},\"to\":{},\"version\":1}}",
+                CARDS[card].0, s.span.0, s.span.1
+            )
+        });
+        let slots = if self.card.is_some() { 192 } else { 6 };
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{slots},\
+             \"state\":\"{state}\",\"coldLeftMs\":0,\"sequence\":{}{further}{card}}}",
+            self.service, self.address, self.zone, s.entries
+        )
+    }
+
     fn listener(&self) -> TcpListener {
         loop {
             match TcpListener::bind(self.address) {
@@ -267,20 +291,27 @@
             let mut s = server.state.lock().unwrap();
             s.entries += 1;
             s.last_entry = Instant::now();
-            let card = server.card.map_or(String::new(), |card| {
-                format!(
-                    ",\"kind\":\"{}\",\"stage\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
-                     \"layers\":{{\"from\":{},\"to\":{},\"version\":1}}",
-                    CARDS[card].0, s.span.0, s.span.1
-                )
-            });
-            let slots = if server.card.is_some() { 192 } else { 6 };
-            let entry = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{slots},\
-                 \"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":{},\"born\":{}{card}}}",
-                server.service, server.address, server.zone, s.entries, s.born
-            );
-            (s.id.clone(), entry)
+            let state = if s.leaves { "draining" } else { "ready" };
+            (s.id.clone(), server.entry(&s, state, &format!(",\"born\":{}", s.born)))
+        };
+        self.store.put("keyed.servers", &id, Some(&entry));
+    }
+
+    /// Lets a server of the plain service report that it is leaving; returns it.
+    pub fn leave(&self) -> Arc<Server> {
+        let all = self.all();
+        let server = all.iter().find(|s| s.card.is_none()).expect("a plain server");
+        server.state.lock().unwrap().leaves = true;
+        self.publish(server);
+        server.clone()
+    }
+
+    /// Writes an entry under the id of a server in the name of another writer: it says that the server is ready, and
+    /// has no `born`.
+    pub fn forge(&self, server: &Server) {
+        let (id, entry) = {
+            let s = server.state.lock().unwrap();
+            (s.id.clone(), server.entry(&s, "ready", ""))
         };
         self.store.put("keyed.servers", &id, Some(&entry));
     }
@@ -421,7 +452,7 @@
                     return http::answer(stream, 421, &[("Instance", &id)], b"");
                 }
                 let deadly = m.text().starts_with(DEADLY);
-                self.arrivals.lock().unwrap().push((Instant::now(), request.to_owned(), deadly));
+                self.arrivals.lock().unwrap().push((Instant::now(), id.clone(), deadly));
                 if deadly {
                     let hops = m.header("hops").unwrap_or("none");
                     self.record.line(&format!("{request} reaches {id}, hops={hops}"));
--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -4,6 +4,7 @@
 //! left out.
 
 mod crash;
+mod forged;
 mod deployment;
 mod fleet;
 mod gateway;
@@ -41,6 +42,7 @@
     record.line(&format!("case {case} trouble={trouble}"));
     let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     let verdict = match std::fs::create_dir_all(&folder) {
+        Ok(()) if case == "entry-without-start" => forged::play(trouble, &folder, &record),
         Ok(()) => crash::play(case, trouble, &folder, &record),
         Err(e) => Verdict::NotRun(e.to_string()),
     };
