--- a/review/stand2/crash.rs
+++ b/review/stand2/crash.rs
@@ -19,7 +19,7 @@
 const MOST_RETRIES: usize = 3;
 
 /// Time for which the caller sends its request, and pause between two attempts where none is named.
-const CALLING_TIME: Duration = Duration::from_secs(40);
+const CALLING_TIME: Duration = Duration::from_secs(20);
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// Time without an event after which a client abandons a stream: two seconds, four times the objective or eight times
